Set down the layout, the core types and the inner protocol

Change: core types and registries, the inner protocol (msgpack stream of [code, fields] over TCP, hello with version, typed messages), checked YAML settings with every fault and its place, refusals by kind.

--- /dev/null
+++ b/src/agatehoist/configuration/types.py
@@ -0,0 +1,38 @@
+"""Types of the fleet's configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """Configure one organisation."""
+
+    key_digests: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Model:
+    """Configure one model."""
+
+    context_tokens: int
+    weights_version: str = "1"
+    placement: str = "probe"
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Configure one plain service; the methods listed are not repeated."""
+
+    non_idempotent_methods: tuple[str, ...] = ("POST", "PUT", "PATCH", "DELETE")
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfiguration:
+    """Hold the configuration of the whole fleet at one revision."""
+
+    revision: int = 0
+    organisations_by_name: dict[str, Organisation] = field(default_factory=dict)
+    models_by_name: dict[str, Model] = field(default_factory=dict)
+    services_by_name: dict[str, Service] = field(default_factory=dict)
--- /dev/null
+++ b/src/agatehoist/core/__init__.py
@@ -0,0 +1,3 @@
+"""Types shared by every package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/core/inflight.py
@@ -0,0 +1,36 @@
+"""Count of the work in flight."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class InFlight:
+    """Count work in flight and wake those who wait for its end."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._idle = anyio.Event()
+
+    @contextmanager
+    def track(self) -> Iterator[None]:
+        """Count one piece of work while the context lasts."""
+        self.count += 1
+        try:
+            yield
+        finally:
+            self.count -= 1
+            if self.count == 0:
+                self._idle.set()
+                self._idle = anyio.Event()
+
+    async def wait_idle(self) -> None:
+        """Return once nothing is in flight."""
+        while self.count:
+            await self._idle.wait()
--- /dev/null
+++ b/src/agatehoist/observability/__init__.py
@@ -0,0 +1,3 @@
+"""Logs and metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/observability/http.py
@@ -0,0 +1,74 @@
+"""HTTP routes for health and metrics, and the server that carries routes."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+import hypercorn.asyncio
+from aioprometheus import REGISTRY, render
+from hypercorn.config import Config
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from starlette.applications import Starlette
+    from starlette.requests import Request
+
+    from agatehoist.settings.types import Address
+
+GRACEFUL_TIMEOUT_S = 5.0
+
+
+def health_routes(is_ready: Callable[[], bool]) -> list[Route]:
+    """Return the routes that every process serves."""
+
+    async def healthz(_request: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def readyz(_request: Request) -> Response:
+        if is_ready():
+            return PlainTextResponse("ready\n")
+        return PlainTextResponse("not ready\n", status_code=503)
+
+    async def metrics(request: Request) -> Response:
+        body, headers = render(REGISTRY, [request.headers.get("accept", "*/*")])
+        return Response(body, headers=headers)
+
+    return [
+        Route("/healthz", healthz),
+        Route("/readyz", readyz),
+        Route("/metrics", metrics),
+    ]
+
+
+@asynccontextmanager
+async def http_server(app: Starlette, address: Address) -> AsyncIterator[None]:
+    """Serve the routes over HTTP/1.1 and HTTP/2 while the context lasts.
+
+    Raises OSError in a group if the address can't be bound.
+    """
+    stop = anyio.Event()
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(_serve, app, address, stop.wait)
+        yield
+        stop.set()
+
+
+async def _serve(
+    app: Starlette, address: Address, wait_for_stop: Callable[[], Awaitable[None]]
+) -> None:
+    config = Config()
+    config.bind = [str(address)]
+    config.graceful_timeout = GRACEFUL_TIMEOUT_S
+    config.accesslog = None
+    config.errorlog = None
+    # Hypercorn and Starlette type the same ASGI callable differently.
+    await hypercorn.asyncio.serve(
+        app,  # type: ignore[arg-type]
+        config,
+        shutdown_trigger=wait_for_stop,
+    )
--- /dev/null
+++ b/src/agatehoist/observability/logs.py
@@ -0,0 +1,52 @@
+"""Structured logs with a fixed prefix for each part."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+if TYPE_CHECKING:
+    from structlog.typing import EventDict, WrappedLogger
+
+LEVELS_BY_NAME = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+def get_logger(part: str) -> Any:
+    """Return the logger of a part."""
+    return structlog.get_logger(part=part)
+
+
+def configure_logs(level: str, node: str) -> None:
+    """Send logs of the level and above to standard error as key-value lines."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            _prefix_part,
+            structlog.processors.format_exc_info,
+            structlog.processors.KeyValueRenderer(
+                key_order=["timestamp", "level", "event"]
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS_BY_NAME[level]),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(node=node)
+
+
+def _prefix_part(
+    _logger: WrappedLogger, _method: str, event_dict: EventDict
+) -> EventDict:
+    part = event_dict.pop("part", "agatehoist")
+    event_dict["event"] = f"{part}: {event_dict['event']}"
+    return event_dict
--- /dev/null
+++ b/src/agatehoist/protocol/__init__.py
@@ -0,0 +1,3 @@
+"""The protocol between the processes of agatehoist."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/protocol/errors.py
@@ -0,0 +1,21 @@
+"""Errors of the inner protocol."""
+
+from __future__ import annotations
+
+from agatehoist.errors import AgatehoistError
+
+
+class ProtocolError(AgatehoistError):
+    """Base of the errors that close one connection."""
+
+
+class BadFrameError(ProtocolError):
+    """Report bytes that are no message of this protocol."""
+
+
+class VersionMismatchError(ProtocolError):
+    """Report a peer that speaks another version."""
+
+
+class ConnectionLostError(ProtocolError):
+    """Report a connection that ended before an answer came."""
--- /dev/null
+++ b/src/agatehoist/refusals/__init__.py
@@ -0,0 +1,8 @@
+"""Refusals and what each says about the work."""
+
+from __future__ import annotations
+
+from agatehoist.refusals.kinds import REFUSALS, RefusalKind
+from agatehoist.refusals.types import Refusal, RequestRefusedError
+
+__all__ = ["REFUSALS", "Refusal", "RefusalKind", "RequestRefusedError"]
--- /dev/null
+++ b/src/agatehoist/refusals/kinds.py
@@ -0,0 +1,152 @@
+"""Kinds of refusal, each with its HTTP status."""
+
+from __future__ import annotations
+
+from http import HTTPStatus as Status
+
+from agatehoist.core.registry import Registry
+from agatehoist.core.work import Run
+from agatehoist.refusals.types import Refusal, RequestRefusedError
+
+REFUSALS: Registry[type[RefusalKind]] = Registry("refusal")
+
+
+class RefusalKind:
+    """Describe one kind of refusal."""
+
+    code: str
+    status: Status
+    run: Run = Run.NO
+    error_type: str = "invalid_request_error"
+
+    @classmethod
+    def refuse(cls, detail: str, retry_at: float | None = None) -> RequestRefusedError:
+        """Return the error that carries a refusal of this kind."""
+        return RequestRefusedError(Refusal(cls.code, detail, cls.run, retry_at))
+
+
+def refusal(kind: type[RefusalKind]) -> type[RefusalKind]:
+    """Register a kind of refusal under its code."""
+    return REFUSALS.register(kind.code)(kind)
+
+
+@refusal
+class MalformedBody(RefusalKind):
+    """The body can't be read."""
+
+    code = "malformed_body"
+    status = Status.BAD_REQUEST
+
+
+@refusal
+class InvalidParameter(RefusalKind):
+    """A parameter is missing, has a wrong type or isn't supported."""
+
+    code = "invalid_parameter"
+    status = Status.BAD_REQUEST
+
+
+@refusal
+class ContextLengthExceeded(RefusalKind):
+    """The prompt and the answer don't fit the model."""
+
+    code = "context_length_exceeded"
+    status = Status.BAD_REQUEST
+
+
+@refusal
+class MissingKey(RefusalKind):
+    """The request carries no bearer key."""
+
+    code = "missing_key"
+    status = Status.UNAUTHORIZED
+    error_type = "authentication_error"
+
+
+@refusal
+class UnknownKey(RefusalKind):
+    """The bearer key belongs to no organisation."""
+
+    code = "invalid_api_key"
+    status = Status.UNAUTHORIZED
+    error_type = "authentication_error"
+
+
+@refusal
+class UnknownModel(RefusalKind):
+    """No model has the name."""
+
+    code = "model_not_found"
+    status = Status.NOT_FOUND
+
+
+@refusal
+class UnknownService(RefusalKind):
+    """No service has the name."""
+
+    code = "service_not_found"
+    status = Status.NOT_FOUND
+
+
+@refusal
+class BodyTooLarge(RefusalKind):
+    """The body is over the limit."""
+
+    code = "body_too_large"
+    status = Status.REQUEST_ENTITY_TOO_LARGE
+
+
+@refusal
+class NoEndpoint(RefusalKind):
+    """No endpoint took the work."""
+
+    code = "no_endpoint"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class StalePlacement(RefusalKind):
+    """The endpoint is no longer the one that the work was placed for."""
+
+    code = "stale_placement"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class Leaving(RefusalKind):
+    """The process is about to stop and takes no new work."""
+
+    code = "leaving"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class DeadlineExceeded(RefusalKind):
+    """The deadline passed before the work started."""
+
+    code = "deadline_exceeded"
+    status = Status.GATEWAY_TIMEOUT
+    error_type = "timeout_error"
+
+
+@refusal
+class OutcomeUnknown(RefusalKind):
+    """The connection ended after the work may have started."""
+
+    code = "outcome_unknown"
+    status = Status.BAD_GATEWAY
+    run = Run.UNKNOWN
+    error_type = "upstream_error"
+
+
+@refusal
+class EndpointFailed(RefusalKind):
+    """The endpoint answered with an error."""
+
+    code = "endpoint_failed"
+    status = Status.BAD_GATEWAY
+    run = Run.UNKNOWN
+    error_type = "upstream_error"
--- /dev/null
+++ b/src/agatehoist/settings/convert.py
@@ -0,0 +1,92 @@
+"""Conversion of plain values to frozen data classes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from cattrs import Converter
+from cattrs.errors import (
+    AttributeValidationNote,
+    ForbiddenExtraKeysError,
+    IterableValidationNote,
+)
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from agatehoist.settings.source import Path
+
+KEYED_BY = "_by_"
+
+_PLAIN_TYPES = (str, int, float, bool)
+
+
+def make_converter() -> Converter:
+    """Return a converter that takes no unknown keys and no wrong types."""
+    converter = Converter(forbid_extra_keys=True)
+    for plain in _PLAIN_TYPES:
+        converter.register_structure_hook(plain, _structure_plain)
+    converter.register_structure_hook_factory(
+        dataclasses.is_dataclass,
+        lambda cls: make_dict_structure_fn(
+            cls,
+            converter,
+            _cattrs_forbid_extra_keys=True,
+            **_overrides(cls),
+        ),
+    )
+    converter.register_unstructure_hook_factory(
+        dataclasses.is_dataclass,
+        lambda cls: make_dict_unstructure_fn(cls, converter, **_overrides(cls)),
+    )
+    return converter
+
+
+def faults(error: BaseException, path: Path = ()) -> Iterator[tuple[Path, str]]:
+    """Yield the path and the text of each fault in a conversion error."""
+    if isinstance(error, BaseExceptionGroup):
+        for each in error.exceptions:
+            yield from faults(each, path + _step(each))
+    elif isinstance(error, ForbiddenExtraKeysError):
+        for key in sorted(error.extra_fields):
+            yield (*path, key), f"unknown key {key!r}"
+    elif isinstance(error, KeyError):
+        yield path, f"missing key {error.args[0]!r}"
+    else:
+        yield path, str(error)
+
+
+def yaml_name(field_name: str) -> str:
+    """Return the key under which a field stands in a file."""
+    return field_name.partition(KEYED_BY)[0]
+
+
+def _overrides(cls: type) -> dict[str, Any]:
+    return {
+        field.name: override(rename=yaml_name(field.name))
+        for field in dataclasses.fields(cls)
+        if KEYED_BY in field.name
+    }
+
+
+def _step(error: BaseException) -> Path:
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, IterableValidationNote):
+            return (note.index,)
+        if isinstance(note, AttributeValidationNote) and not _is_missing(error):
+            return (yaml_name(note.name),)
+    return ()
+
+
+def _is_missing(error: BaseException) -> bool:
+    return isinstance(error, KeyError)
+
+
+def _structure_plain(value: Any, target: type) -> Any:
+    if target is float and type(value) is int:
+        return float(value)
+    if type(value) is not target:
+        raise TypeError(f"{value!r} is no {target.__name__}")
+    return value
--- /dev/null
+++ b/src/agatehoist/settings/errors.py
@@ -0,0 +1,28 @@
+"""Findings about a file and the error that reports them together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from agatehoist.errors import AgatehoistError
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Finding:
+    """Describe one fault of a file; line and column count from one."""
+
+    file: str
+    line: int
+    column: int
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}: {self.text}"
+
+
+class InvalidFileError(AgatehoistError):
+    """Report every fault found in a file."""
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
--- /dev/null
+++ b/src/agatehoist/settings/types.py
@@ -0,0 +1,65 @@
+"""Settings of the processes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Name a TCP address by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Name a process and its place."""
+
+    name: str
+    data_centre: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Name the platform's service."""
+
+    url: str
+
+
+@dataclass(frozen=True, slots=True)
+class RouterSettings:
+    """Configure a router."""
+
+    node: NodeSettings
+    http: Address
+    platform: PlatformSettings
+    peers: tuple[Address, ...] = ()
+    log_level: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSettings:
+    """Name the endpoint beside a sidecar."""
+
+    kind: str
+    url: str
+    serves: str
+
+
+@dataclass(frozen=True, slots=True)
+class SidecarSettings:
+    """Configure a sidecar."""
+
+    node: NodeSettings
+    inner: Address
+    http: Address
+    platform: PlatformSettings
+    endpoint: EndpointSettings
+    peers: tuple[Address, ...] = ()
+    log_level: str = "info"
