--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Set VENV to use an environment that exists already.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := src:.
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: env demo test lint format
+
+env: $(VENV)/.made
+
+$(VENV)/.made: requirements/dev.txt
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements/dev.txt
+	touch $@
+
+demo: env
+	$(PYTHON) -m demo
+
+test: env
+	$(PYTHON) -m tools.run_tests
+
+lint: env
+	$(VENV)/bin/ruff format --check --no-cache .
+	$(VENV)/bin/ruff check --no-cache .
+	$(VENV)/bin/mypy --cache-dir=/dev/null
+
+format: env
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,3 @@
+"""Demonstration on stand-ins."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions on which admitted work runs when."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/cache/__init__.py
@@ -0,0 +1,3 @@
+"""The sidecar's picture of the blocks that its engine holds."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Command line."""
+
+from __future__ import annotations
+
+from agatehoist.cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/agatehoist/cli/commands.py
@@ -0,0 +1,12 @@
+"""Registry of the commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from agatehoist.core.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+COMMANDS: Registry[Callable[..., Any]] = Registry("command")
--- /dev/null
+++ b/src/agatehoist/cli/main.py
@@ -0,0 +1,32 @@
+"""Commands by name and the entry point that runs them."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import fire
+
+from agatehoist.cli import processes  # noqa: F401
+from agatehoist.cli.commands import COMMANDS
+from agatehoist.errors import AgatehoistError
+from agatehoist.settings import InvalidFileError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command that the arguments name."""
+    commands = {str(name): COMMANDS[name] for name in COMMANDS}
+    try:
+        fire.Fire(commands, command=arguments, name="agatehoist")
+    except InvalidFileError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID)
+    except (AgatehoistError, OSError) as error:
+        print(f"agatehoist: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/src/agatehoist/endpoints/__init__.py
@@ -0,0 +1,9 @@
+"""Clients of the endpoints, by kind."""
+
+from __future__ import annotations
+
+from agatehoist.endpoints.engine import EngineClient
+from agatehoist.endpoints.kinds import ENDPOINT_KINDS
+from agatehoist.endpoints.service import ServiceClient
+
+__all__ = ["ENDPOINT_KINDS", "EngineClient", "ServiceClient"]
--- /dev/null
+++ b/src/agatehoist/endpoints/engine.py
@@ -0,0 +1,126 @@
+"""Client of a model engine with an OpenAI-compatible API."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import httpx
+
+from agatehoist.endpoints.errors import (
+    EndpointBrokenError,
+    EndpointNotReachedError,
+    EndpointRejectedError,
+)
+from agatehoist.endpoints.kinds import ENDPOINT_KINDS
+from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from agatehoist.core.work import CompletionWork, Priority
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 60.0
+STATUS_TIMEOUT_S = 1.0
+EVENT_PREFIX = "data: "
+END_MARKER = "[DONE]"
+
+
+@ENDPOINT_KINDS.register("engine")
+class EngineClient:
+    """Run completions on one engine."""
+
+    def __init__(self, url: str) -> None:
+        timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        limits = httpx.Limits(max_connections=None)
+        self._http = httpx.AsyncClient(base_url=url, timeout=timeout, limits=limits)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def status(self) -> EndpointStatus:
+        """Return what the engine reports.
+
+        Raises EndpointNotReachedError.
+        """
+        try:
+            answer = await self._http.get("/status", timeout=STATUS_TIMEOUT_S)
+            answer.raise_for_status()
+            fields = answer.json()
+            return EndpointStatus(fields["incarnation"], fields["weights_version"])
+        except (httpx.HTTPError, ValueError, KeyError) as error:
+            raise EndpointNotReachedError(f"no status: {error!r}") from error
+
+    async def complete(
+        self, work: CompletionWork, salt: str, priority: Priority
+    ) -> AsyncIterator[EngineTokens | EngineEnd]:
+        """Yield the tokens of a completion, then its end.
+
+        Raises EndpointError.
+        """
+        body = _engine_body(work, salt, priority)
+        try:
+            async with self._http.stream("POST", work.path, json=body) as answer:
+                if answer.is_error:
+                    await answer.aread()
+                    raise EndpointRejectedError(f"{answer.status_code}: {answer.text}")
+                async for event in _read_events(answer):
+                    yield event
+        except httpx.ConnectError as error:
+            raise EndpointNotReachedError(f"engine not reached: {error!r}") from error
+        except (httpx.HTTPError, ValueError, KeyError) as error:
+            raise EndpointBrokenError(f"engine failed: {error!r}") from error
+
+
+def _engine_body(work: CompletionWork, salt: str, priority: Priority) -> dict[str, Any]:
+    body = json.loads(work.body)
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["cache_salt"] = salt
+    body["priority"] = int(priority)
+    return body
+
+
+async def _read_events(
+    answer: httpx.Response,
+) -> AsyncIterator[EngineTokens | EngineEnd]:
+    finish_reason = ""
+    usage: dict[str, Any] | None = None
+    pending = ""
+    async for text in answer.aiter_text():
+        *lines, pending = (pending + text).split("\n")
+        events = [json.loads(line) for line in _payloads(lines)]
+        texts = tuple(filter(None, map(_text_of, events)))
+        if texts:
+            yield EngineTokens(texts)
+        for event in events:
+            finish_reason = _finish_of(event) or finish_reason
+            usage = event.get("usage") or usage
+    if usage is None or not finish_reason:
+        raise EndpointBrokenError("engine's answer has no end")
+    details = usage.get("prompt_tokens_details") or {}
+    cached_tokens = details.get("cached_tokens", 0)
+    yield EngineEnd(finish_reason, usage["prompt_tokens"], cached_tokens)
+
+
+def _payloads(lines: list[str]) -> Iterator[str]:
+    for line in lines:
+        payload = line.removeprefix(EVENT_PREFIX).strip()
+        if line.startswith(EVENT_PREFIX) and payload != END_MARKER:
+            yield payload
+
+
+def _text_of(event: dict[str, Any]) -> str:
+    for choice in event.get("choices", ()):
+        if "delta" in choice:
+            return choice["delta"].get("content") or ""
+        return choice.get("text") or ""
+    return ""
+
+
+def _finish_of(event: dict[str, Any]) -> str:
+    for choice in event.get("choices", ()):
+        return choice.get("finish_reason") or ""
+    return ""
--- /dev/null
+++ b/src/agatehoist/endpoints/errors.py
@@ -0,0 +1,21 @@
+"""Errors of the endpoint clients."""
+
+from __future__ import annotations
+
+from agatehoist.errors import AgatehoistError
+
+
+class EndpointError(AgatehoistError):
+    """Base of the errors of the endpoint clients."""
+
+
+class EndpointNotReachedError(EndpointError):
+    """Report that no connection was made, so nothing was run."""
+
+
+class EndpointRejectedError(EndpointError):
+    """Report that the endpoint refused the work before it ran."""
+
+
+class EndpointBrokenError(EndpointError):
+    """Report that the endpoint failed after it may have started."""
--- /dev/null
+++ b/src/agatehoist/endpoints/kinds.py
@@ -0,0 +1,28 @@
+"""Registry of the kinds of endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from agatehoist.core.registry import Registry
+
+if TYPE_CHECKING:
+    from agatehoist.endpoints.types import EndpointStatus
+
+
+class EndpointClient(Protocol):
+    """Talk to one endpoint."""
+
+    def __init__(self, url: str) -> None: ...
+
+    async def status(self) -> EndpointStatus:
+        """Return what the endpoint reports.
+
+        Raises EndpointError.
+        """
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+
+
+ENDPOINT_KINDS: Registry[type[EndpointClient]] = Registry("endpoint kind")
--- /dev/null
+++ b/src/agatehoist/endpoints/service.py
@@ -0,0 +1,64 @@
+"""Client of a plain service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpx
+
+from agatehoist.endpoints.errors import EndpointBrokenError, EndpointNotReachedError
+from agatehoist.endpoints.kinds import ENDPOINT_KINDS
+from agatehoist.endpoints.types import EndpointStatus
+
+if TYPE_CHECKING:
+    from agatehoist.core.work import CallWork
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 30.0
+
+_HOP_HEADERS = frozenset(
+    {"connection", "content-length", "keep-alive", "transfer-encoding", "upgrade"}
+)
+
+
+@ENDPOINT_KINDS.register("service")
+class ServiceClient:
+    """Run calls on one plain service."""
+
+    def __init__(self, url: str) -> None:
+        timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        self._http = httpx.AsyncClient(base_url=url, timeout=timeout)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def status(self) -> EndpointStatus:
+        """Return a status; plain services have no incarnation of their own."""
+        return EndpointStatus("service", "")
+
+    async def call(self, work: CallWork) -> httpx.Response:
+        """Return the whole answer of one call.
+
+        Raises EndpointError.
+        """
+        try:
+            return await self._http.request(
+                work.method,
+                work.path,
+                headers=end_to_end(work.headers_by_name),
+                content=work.body,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise EndpointNotReachedError(f"service not reached: {error!r}") from error
+        except httpx.HTTPError as error:
+            raise EndpointBrokenError(f"service failed: {error!r}") from error
+
+
+def end_to_end(headers_by_name: dict[str, str]) -> dict[str, str]:
+    """Return the headers without those that concern one connection."""
+    return {
+        name: value
+        for name, value in headers_by_name.items()
+        if name.lower() not in _HOP_HEADERS
+    }
--- /dev/null
+++ b/src/agatehoist/endpoints/types.py
@@ -0,0 +1,29 @@
+"""Types that endpoints give."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointStatus:
+    """Hold what an endpoint reports about itself."""
+
+    incarnation: str
+    weights_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTokens:
+    """Carry tokens that arrived together."""
+
+    texts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEnd:
+    """End an engine's answer."""
+
+    finish_reason: str
+    prompt_tokens: int
+    cached_tokens: int
--- /dev/null
+++ b/src/agatehoist/frontend/rendering.py
@@ -0,0 +1,120 @@
+"""Encoding of answers in the form of the OpenAI API."""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from starlette.responses import JSONResponse
+
+from agatehoist.refusals.kinds import REFUSALS
+
+if TYPE_CHECKING:
+    from agatehoist.refusals.types import Refusal
+    from agatehoist.router.requests import Finished
+
+END_OF_STREAM = b"data: [DONE]\n\n"
+CHAT_PATH = "/v1/chat/completions"
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Hold the fields that every part of one answer repeats."""
+
+    path: str
+    answer_id: str
+    created: int
+    model: str
+
+    @property
+    def is_chat(self) -> bool:
+        """Say whether the answer is that of a chat."""
+        return self.path == CHAT_PATH
+
+
+def render_whole(envelope: Envelope, text: str, end: Finished) -> dict[str, Any]:
+    """Return the body of a whole answer."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": end.finish_reason}
+    if envelope.is_chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {**_head(envelope, False), "choices": [choice], "usage": _usage(end)}
+
+
+def render_delta(envelope: Envelope, text: str) -> bytes:
+    """Return the event that carries a piece of a stream."""
+    return _event({**_head(envelope, True), "choices": [_choice(envelope, text, None)]})
+
+
+def render_end(envelope: Envelope, end: Finished, with_usage: bool) -> bytes:
+    """Return the events that end a whole stream."""
+    choice = _choice(envelope, "", end.finish_reason)
+    events = _event({**_head(envelope, True), "choices": [choice]})
+    if with_usage:
+        events += _event({**_head(envelope, True), "choices": [], "usage": _usage(end)})
+    return events + END_OF_STREAM
+
+
+def render_stream_error(refusal: Refusal) -> bytes:
+    """Return the event that says a stream broke off."""
+    return _event(error_body(refusal))
+
+
+def render_refusal(refusal: Refusal, now: float) -> JSONResponse:
+    """Return the HTTP answer of a refusal."""
+    kind = REFUSALS[refusal.code]
+    headers = {}
+    if refusal.retry_at is not None:
+        headers["retry-after"] = str(max(1, math.ceil(refusal.retry_at - now)))
+    return JSONResponse(error_body(refusal), int(kind.status), headers)
+
+
+def error_body(refusal: Refusal) -> dict[str, Any]:
+    """Return the error object of a refusal."""
+    return {
+        "error": {
+            "message": refusal.detail,
+            "type": REFUSALS[refusal.code].error_type,
+            "param": None,
+            "code": refusal.code,
+            "run": str(refusal.run),
+        }
+    }
+
+
+def _event(value: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(value, separators=(",", ":")).encode() + b"\n\n"
+
+
+def _head(envelope: Envelope, chunk: bool) -> dict[str, Any]:
+    if envelope.is_chat:
+        kind = "chat.completion.chunk" if chunk else "chat.completion"
+    else:
+        kind = "text_completion"
+    return {
+        "id": envelope.answer_id,
+        "object": kind,
+        "created": envelope.created,
+        "model": envelope.model,
+    }
+
+
+def _choice(envelope: Envelope, text: str, finish_reason: str | None) -> dict[str, Any]:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+    if envelope.is_chat:
+        choice["delta"] = {"content": text} if text else {}
+    else:
+        choice["text"] = text
+    return choice
+
+
+def _usage(end: Finished) -> dict[str, Any]:
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.completion_tokens,
+        "total_tokens": end.prompt_tokens + end.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": end.cached_tokens},
+    }
--- /dev/null
+++ b/src/agatehoist/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform's service."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/platform/errors.py
@@ -0,0 +1,21 @@
+"""Errors of the platform client."""
+
+from __future__ import annotations
+
+from agatehoist.errors import AgatehoistError
+
+
+class PlatformError(AgatehoistError):
+    """Base of the errors of the platform client."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """Report that no answer came; a write may have taken effect."""
+
+
+class ConflictError(PlatformError):
+    """Report that the object isn't at the expected version."""
+
+
+class ObjectNotFoundError(PlatformError):
+    """Report that the object doesn't exist."""
--- /dev/null
+++ b/src/agatehoist/router/__init__.py
@@ -0,0 +1,3 @@
+"""The process on each entry host."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/router/directory.py
@@ -0,0 +1,37 @@
+"""Endpoints that a router knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.placement.types import Candidate
+from agatehoist.platform.types import HostState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from agatehoist.platform.types import HostEntry
+
+ENGINE = "engine"
+SERVICE = "service"
+
+
+class Directory:
+    """Hold the host list and answer who serves what."""
+
+    def __init__(self) -> None:
+        self.hosts_by_name: dict[str, HostEntry] = {}
+
+    def replace(self, entries: Iterable[HostEntry]) -> None:
+        """Take a new host list."""
+        self.hosts_by_name = {entry.host: entry for entry in entries}
+
+    def candidates(self, kind: str, serves: str) -> tuple[Candidate, ...]:
+        """Return the live endpoints of a kind that serve the name."""
+        return tuple(
+            Candidate(entry.host, entry.data_centre)
+            for entry in self.hosts_by_name.values()
+            if entry.kind == kind
+            and entry.serves == serves
+            and entry.state is HostState.LIVE
+        )
--- /dev/null
+++ b/src/agatehoist/router/links.py
@@ -0,0 +1,51 @@
+"""Links of a router to the sidecars."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.protocol.errors import ConnectionLostError
+from agatehoist.protocol.link import Link, open_link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from agatehoist.protocol.messages import Hello
+    from agatehoist.router.directory import Directory
+
+
+class LinkPool:
+    """Open links when they are first needed and keep them."""
+
+    def __init__(
+        self, directory: Directory, hello: Callable[[], Hello], task_group: TaskGroup
+    ) -> None:
+        self._directory = directory
+        self._hello = hello
+        self._task_group = task_group
+        self._links_by_host: dict[str, Link] = {}
+        self._locks_by_host: dict[str, anyio.Lock] = {}
+
+    async def get(self, host: str) -> Link:
+        """Return an open link to the sidecar on a host.
+
+        Raises ConnectionLostError or another ProtocolError.
+        """
+        async with self._locks_by_host.setdefault(host, anyio.Lock()):
+            link = self._links_by_host.get(host)
+            if link is None or link.closed:
+                link = await self._open(host)
+                self._links_by_host[host] = link
+            return link
+
+    async def _open(self, host: str) -> Link:
+        entry = self._directory.hosts_by_name.get(host)
+        if entry is None:
+            raise ConnectionLostError(f"host {host} has left the list")
+        return await open_link(
+            entry.address, entry.port, self._hello(), self._task_group
+        )
--- /dev/null
+++ b/src/agatehoist/router/state.py
@@ -0,0 +1,61 @@
+"""State of a router."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+from agatehoist.configuration import FleetConfiguration
+from agatehoist.configuration.keys import names_by_digest
+from agatehoist.core.identity import AttemptId, new_incarnation
+from agatehoist.core.inflight import InFlight
+from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
+from agatehoist.router.directory import Directory
+from agatehoist.router.links import LinkPool
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from agatehoist.core.clock import Clock
+    from agatehoist.settings.types import RouterSettings
+
+
+class RouterState:
+    """Hold what a router knows; all of it can be lost."""
+
+    def __init__(
+        self, settings: RouterSettings, clock: Clock, task_group: TaskGroup
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = new_incarnation()
+        self.rng = random.Random(self.incarnation)
+        self.directory = Directory()
+        self.links = LinkPool(self.directory, self._hello, task_group)
+        self.leaving = False
+        self.in_flight = InFlight()
+        self._sequences = itertools.count(1)
+        self.accept(FleetConfiguration())
+
+    @property
+    def ready(self) -> bool:
+        """Say whether the router can take requests."""
+        return self.configuration.revision > 0 and not self.leaving
+
+    def accept(self, configuration: FleetConfiguration) -> None:
+        """Put a configuration in force."""
+        self.configuration = configuration
+        self.organisations_by_digest = names_by_digest(configuration)
+
+    def next_attempt_id(self) -> AttemptId:
+        """Return an id that no other attempt carries."""
+        return AttemptId(self.incarnation, next(self._sequences))
+
+    def _hello(self) -> Hello:
+        return Hello(
+            PROTOCOL_VERSION,
+            self.settings.node.name,
+            self.incarnation,
+            self.configuration.revision,
+        )
--- /dev/null
+++ b/src/agatehoist/sidecar/__init__.py
@@ -0,0 +1,3 @@
+"""The process beside each endpoint."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/sidecar/app.py
@@ -0,0 +1,76 @@
+"""Life of a sidecar process."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+import anyio
+from starlette.applications import Starlette
+
+from agatehoist.core.clock import SystemClock
+from agatehoist.core.lifetime import wait_for_signal
+from agatehoist.endpoints import ENDPOINT_KINDS
+from agatehoist.endpoints.errors import EndpointError
+from agatehoist.observability.http import health_routes, http_server
+from agatehoist.observability.logs import get_logger
+from agatehoist.sidecar.session import serve_session
+from agatehoist.sidecar.state import SidecarState
+
+if TYPE_CHECKING:
+    from agatehoist.settings.types import SidecarSettings
+
+logger = get_logger("sidecar")
+
+STATUS_INTERVAL_S = 0.5
+EXECUTION_RETENTION_S = 30.0
+SWEEP_INTERVAL_S = 5.0
+
+
+async def run_sidecar(settings: SidecarSettings) -> None:
+    """Serve routers until told to stop, then finish the work in flight.
+
+    Raises OSError if an address can't be bound.
+    """
+    client = ENDPOINT_KINDS[settings.endpoint.kind](settings.endpoint.url)
+    async with anyio.create_task_group() as task_group:
+        state = SidecarState(settings, client, SystemClock(), task_group)
+        app = Starlette(routes=health_routes(lambda: state.ready))
+        listener = await anyio.create_tcp_listener(
+            local_host=settings.inner.host, local_port=settings.inner.port
+        )
+        task_group.start_soon(listener.serve, partial(serve_session, state))
+        task_group.start_soon(_watch_endpoint, state)
+        task_group.start_soon(_sweep_executions, state)
+        async with http_server(app, settings.http):
+            logger.info("ready", address=str(settings.inner))
+            await wait_for_signal()
+            await _drain(state)
+        task_group.cancel_scope.cancel()
+    await client.aclose()
+    logger.info("stopped")
+
+
+async def _drain(state: SidecarState) -> None:
+    logger.info("leaving", in_flight=state.in_flight.count)
+    state.leaving = True
+    await state.in_flight.wait_idle()
+
+
+async def _watch_endpoint(state: SidecarState) -> None:
+    while True:
+        try:
+            state.take_status(await state.client.status())
+        except EndpointError as error:
+            logger.warning("endpoint lost", reason=str(error))
+            state.lose_endpoint()
+        await anyio.sleep(STATUS_INTERVAL_S)
+
+
+async def _sweep_executions(state: SidecarState) -> None:
+    while True:
+        await anyio.sleep(SWEEP_INTERVAL_S)
+        oldest = state.clock.now() - EXECUTION_RETENTION_S
+        for attempt_id, execution in tuple(state.executions_by_id.items()):
+            if execution.ending is not None and execution.deadline < oldest:
+                del state.executions_by_id[attempt_id]
--- /dev/null
+++ b/src/agatehoist/sidecar/running.py
@@ -0,0 +1,113 @@
+"""Running of attempts on the endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.endpoints.engine import EngineClient
+from agatehoist.endpoints.errors import (
+    EndpointBrokenError,
+    EndpointError,
+    EndpointNotReachedError,
+    EndpointRejectedError,
+)
+from agatehoist.endpoints.service import ServiceClient, end_to_end
+from agatehoist.endpoints.types import EngineTokens
+from agatehoist.observability.metrics import HIT_TOKENS, RECOMPUTED_TOKENS
+from agatehoist.placement.levels import salt_for
+from agatehoist.protocol.messages import CallReply, CompletionEnd, Refused
+from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint, OutcomeUnknown
+
+if TYPE_CHECKING:
+    from agatehoist.endpoints.types import EngineEnd
+    from agatehoist.protocol.messages import SubmitCall, SubmitCompletion
+    from agatehoist.refusals.types import Refusal
+    from agatehoist.sidecar.execution import Execution
+    from agatehoist.sidecar.state import SidecarState
+
+
+async def run_completion(
+    state: SidecarState, submit: SubmitCompletion, execution: Execution
+) -> None:
+    """Run a completion on the engine and collect its answer."""
+    attempt_id = submit.assignment.attempt_id
+    matched_tokens = state.picture.matched_tokens(submit.levels)
+    missing_tokens = max(0, submit.work.prompt_tokens - matched_tokens)
+    state.load.admit(attempt_id, missing_tokens)
+    try:
+        with execution.scope:
+            await _collect_completion(state, submit, execution)
+    except EndpointError as error:
+        execution.finish(Refused(attempt_id, refusal_for(error)))
+    finally:
+        state.load.settle(attempt_id)
+    if execution.scope.cancelled_caught:
+        execution.finish(Refused(attempt_id, _cancelled()))
+
+
+async def run_call(
+    state: SidecarState, submit: SubmitCall, execution: Execution
+) -> None:
+    """Run a service call and collect its answer."""
+    attempt_id = submit.assignment.attempt_id
+    assert isinstance(state.client, ServiceClient)
+    try:
+        answer = await state.client.call(submit.work)
+    except EndpointError as error:
+        execution.finish(Refused(attempt_id, refusal_for(error)))
+        return
+    headers = end_to_end(dict(answer.headers))
+    headers.pop("content-encoding", None)
+    execution.finish(CallReply(attempt_id, answer.status_code, headers, answer.content))
+
+
+def refusal_for(error: EndpointError) -> Refusal:
+    """Return the refusal that tells a router of an endpoint's error."""
+    if isinstance(error, EndpointNotReachedError):
+        return NoEndpoint.refuse(str(error)).refusal
+    if isinstance(error, EndpointRejectedError | EndpointBrokenError):
+        return EndpointFailed.refuse(str(error)).refusal
+    return OutcomeUnknown.refuse(str(error)).refusal
+
+
+async def _collect_completion(
+    state: SidecarState, submit: SubmitCompletion, execution: Execution
+) -> None:
+    assignment = submit.assignment
+    assert isinstance(state.client, EngineClient)
+    salt = salt_for(
+        assignment.organisation,
+        state.settings.endpoint.serves,
+        assignment.identity.weights_version,
+    )
+    answer = state.client.complete(submit.work, salt.hex(), assignment.priority)
+    async for event in answer:
+        state.load.settle(assignment.attempt_id)
+        if isinstance(event, EngineTokens):
+            execution.append(event.texts)
+        else:
+            _finish_completion(state, submit, execution, event)
+
+
+def _finish_completion(
+    state: SidecarState,
+    submit: SubmitCompletion,
+    execution: Execution,
+    end: EngineEnd,
+) -> None:
+    state.picture.record(submit.levels)
+    HIT_TOKENS.add({}, end.cached_tokens)
+    RECOMPUTED_TOKENS.add({}, end.prompt_tokens - end.cached_tokens)
+    execution.finish(
+        CompletionEnd(
+            submit.assignment.attempt_id,
+            len(execution.texts),
+            end.finish_reason,
+            end.prompt_tokens,
+            end.cached_tokens,
+        )
+    )
+
+
+def _cancelled() -> Refusal:
+    return OutcomeUnknown.refuse("the attempt was cancelled").refusal
--- /dev/null
+++ b/src/agatehoist/sidecar/session.py
@@ -0,0 +1,83 @@
+"""One connection from a router."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from agatehoist.errors import UnknownNameError
+from agatehoist.observability.logs import get_logger
+from agatehoist.protocol.connection import Connection
+from agatehoist.protocol.errors import BadFrameError, ConnectionLostError, ProtocolError
+from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
+from agatehoist.sidecar.handlers import HANDLERS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import ByteStream, TaskGroup
+
+    from agatehoist.sidecar.state import SidecarState
+
+logger = get_logger("sidecar")
+
+
+class Session:
+    """Serve the messages of one router."""
+
+    def __init__(
+        self, state: SidecarState, connection: Connection, task_group: TaskGroup
+    ) -> None:
+        self.state = state
+        self._connection = connection
+        self._task_group = task_group
+
+    async def send(self, message: Any) -> None:
+        """Send one message.
+
+        Raises ConnectionLostError.
+        """
+        await self._connection.send(message)
+
+    def start_soon(self, function: Callable[..., Any], *arguments: Any) -> None:
+        """Run a function for this session until the session ends."""
+        self._task_group.start_soon(self._guard, function, *arguments)
+
+    async def run(self) -> None:
+        """Handle messages until the connection ends."""
+        while True:
+            message = await self._connection.receive()
+            try:
+                handler = HANDLERS[type(message)]
+            except UnknownNameError as error:
+                raise BadFrameError(str(error)) from error
+            await handler(self, message)
+
+    async def _guard(self, function: Callable[..., Any], *arguments: Any) -> None:
+        try:
+            await function(self, *arguments)
+        except ConnectionLostError:
+            self._task_group.cancel_scope.cancel()
+
+
+async def serve_session(state: SidecarState, stream: ByteStream) -> None:
+    """Serve one connection; a bad frame ends only this one."""
+    connection = Connection(stream)
+    hello = Hello(PROTOCOL_VERSION, state.settings.node.name, state.incarnation, 0)
+    try:
+        await connection.handshake(hello)
+        async with anyio.create_task_group() as task_group:
+            session = Session(state, connection, task_group)
+            try:
+                await session.run()
+            finally:
+                task_group.cancel_scope.cancel()
+    except* ConnectionLostError:
+        logger.debug("connection closed")
+    except* ProtocolError as group:
+        reasons = [str(error) for error in group.exceptions]
+        logger.warning("connection dropped", reasons=reasons)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
--- /dev/null
+++ b/src/agatehoist/sidecar/state.py
@@ -0,0 +1,67 @@
+"""State of a sidecar."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.admission.load import AdmittedLoad
+from agatehoist.cache.picture import CachePicture
+from agatehoist.core.identity import EndpointIdentity, new_incarnation
+from agatehoist.core.inflight import InFlight
+from agatehoist.endpoints.types import EndpointStatus
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from agatehoist.core.clock import Clock
+    from agatehoist.core.identity import AttemptId
+    from agatehoist.endpoints.kinds import EndpointClient
+    from agatehoist.settings.types import SidecarSettings
+    from agatehoist.sidecar.execution import Execution
+
+UNKNOWN_STATUS = EndpointStatus("", "")
+
+
+class SidecarState:
+    """Hold what a sidecar knows about its endpoint and its work."""
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        client: EndpointClient,
+        clock: Clock,
+        task_group: TaskGroup,
+    ) -> None:
+        self.settings = settings
+        self.client = client
+        self.clock = clock
+        self.task_group = task_group
+        self.incarnation = new_incarnation()
+        self.status = UNKNOWN_STATUS
+        self.leaving = False
+        self.in_flight = InFlight()
+        self.load = AdmittedLoad()
+        self.picture = CachePicture()
+        self.executions_by_id: dict[AttemptId, Execution] = {}
+
+    @property
+    def identity(self) -> EndpointIdentity:
+        """Return the identity that work must have been placed for."""
+        return EndpointIdentity(
+            self.incarnation, self.status.incarnation, self.status.weights_version
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Say whether the endpoint can take work."""
+        return self.status is not UNKNOWN_STATUS and not self.leaving
+
+    def take_status(self, status: EndpointStatus) -> None:
+        """Note what the endpoint reports; a change empties the cache picture."""
+        if status != self.status:
+            self.picture.clear()
+        self.status = status
+
+    def lose_endpoint(self) -> None:
+        """Note that the endpoint doesn't answer."""
+        self.take_status(UNKNOWN_STATUS)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for the systems that agatehoist meets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-in of the engine."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/engine/app.py
@@ -0,0 +1,124 @@
+"""HTTP routes of the engine stand-in, in the form of the OpenAI API."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette.requests import Request
+
+    from standins.engine.model import Engine
+
+ANSWER_TOKENS = 24
+
+
+class EngineApp:
+    """Answer the calls of an engine's API."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+
+    async def status(self, _request: Request) -> Response:
+        """Answer with incarnation and weights version."""
+        return JSONResponse(
+            {
+                "incarnation": self.engine.incarnation,
+                "weights_version": self.engine.weights_version,
+                "model": self.engine.model,
+                "running": self.engine.running,
+            }
+        )
+
+    async def complete(self, request: Request) -> Response:
+        """Answer a completion, whole or streamed."""
+        fields = await request.json()
+        if fields["model"] != self.engine.model:
+            return JSONResponse({"error": {"message": "no such model"}}, 404)
+        is_chat = request.url.path.endswith("/chat/completions")
+        prompt = _render_chat(fields) if is_chat else fields["prompt"]
+        events = self._generate(fields, prompt, is_chat)
+        if fields.get("stream"):
+            return StreamingResponse(_encode(events), media_type="text/event-stream")
+        return JSONResponse(await _join(events, is_chat))
+
+    async def _generate(
+        self, fields: dict[str, Any], prompt: str, is_chat: bool
+    ) -> AsyncIterator[dict[str, Any]]:
+        engine = self.engine
+        limit = fields.get("max_completion_tokens") or fields.get("max_tokens")
+        count = min(limit or ANSWER_TOKENS, ANSWER_TOKENS)
+        engine.running += 1
+        try:
+            prefill = await engine.prefill(prompt, fields.get("cache_salt", ""))
+            for index in range(count):
+                yield _event(_choice(engine.token(prompt, index), None, is_chat))
+                await anyio.sleep(1 / engine.speed.decode)
+            reason = "stop" if count == ANSWER_TOKENS else "length"
+            yield _event(_choice("", reason, is_chat))
+            yield {
+                "choices": [],
+                "usage": {
+                    "prompt_tokens": prefill.prompt_tokens,
+                    "completion_tokens": count,
+                    "total_tokens": prefill.prompt_tokens + count,
+                    "prompt_tokens_details": {"cached_tokens": prefill.cached_tokens},
+                },
+            }
+        finally:
+            engine.running -= 1
+
+
+def make_app(engine: Engine) -> Starlette:
+    """Return the ASGI application of an engine."""
+    app = EngineApp(engine)
+    return Starlette(
+        routes=[
+            Route("/status", app.status),
+            Route("/v1/completions", app.complete, methods=["POST"]),
+            Route("/v1/chat/completions", app.complete, methods=["POST"]),
+        ]
+    )
+
+
+def _render_chat(fields: dict[str, Any]) -> str:
+    return "".join(
+        f"{each['role']}: {each['content']}\n" for each in fields["messages"]
+    )
+
+
+def _choice(text: str, reason: str | None, is_chat: bool) -> dict[str, Any]:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+    if is_chat:
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    return choice
+
+
+def _event(choice: dict[str, Any]) -> dict[str, Any]:
+    return {"choices": [choice]}
+
+
+async def _encode(events: AsyncIterator[dict[str, Any]]) -> AsyncIterator[bytes]:
+    async for event in events:
+        yield f"data: {json.dumps(event)}\n\n".encode()
+    yield b"data: [DONE]\n\n"
+
+
+async def _join(events: AsyncIterator[dict[str, Any]], is_chat: bool) -> dict[str, Any]:
+    text = ""
+    body: dict[str, Any] = {}
+    async for event in events:
+        for choice in event["choices"]:
+            text += choice["delta"]["content"] if is_chat else choice["text"]
+        body.update(event)
+    body["choices"] = [_choice(text, "stop", is_chat)]
+    return body
--- /dev/null
+++ b/standins/engine/blocks.py
@@ -0,0 +1,60 @@
+"""Block cache of the engine stand-in."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections import OrderedDict
+
+BLOCK_TOKENS = 16
+
+_TOKEN = re.compile(r"\s*\S{1,4}")
+
+
+def tokenize(text: str) -> list[str]:
+    """Split a text into tokens of up to four characters."""
+    return _TOKEN.findall(text)
+
+
+def block_hashes(tokens: list[str], salt: str) -> list[str]:
+    """Return the chained hashes of the full blocks."""
+    state = hashlib.blake2b(salt.encode(), digest_size=8)
+    hashes = []
+    for start in range(0, len(tokens) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+        state.update("".join(tokens[start : start + BLOCK_TOKENS]).encode())
+        hashes.append(state.hexdigest())
+    return hashes
+
+
+class BlockCache:
+    """Keep the most recently used blocks."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+
+    def matched(self, hashes: list[str]) -> int:
+        """Return how many leading blocks are cached, and mark them used."""
+        count = 0
+        for each in hashes:
+            if each not in self._blocks:
+                break
+            count += 1
+        # The first block of a chain is evicted last.
+        for each in reversed(hashes[:count]):
+            self._blocks.move_to_end(each)
+        return count
+
+    def store(self, hashes: list[str]) -> list[str]:
+        """Keep the blocks and return the evicted ones."""
+        for each in reversed(hashes):
+            self._blocks[each] = None
+            self._blocks.move_to_end(each)
+        evicted = []
+        while len(self._blocks) > self._capacity:
+            evicted.append(self._blocks.popitem(last=False)[0])
+        return evicted
+
+    def clear(self) -> None:
+        """Drop every block."""
+        self._blocks.clear()
--- /dev/null
+++ b/standins/engine/model.py
@@ -0,0 +1,79 @@
+"""Generation of the engine stand-in: the prompt alone decides the tokens."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from dataclasses import dataclass
+
+import anyio
+
+from standins.engine.blocks import BLOCK_TOKENS, BlockCache, block_hashes, tokenize
+
+WORDS = (
+    "salmon",
+    "cannery",
+    "hymn",
+    "verse",
+    "river",
+    "cedar",
+    "lantern",
+    "chorus",
+    "boom",
+    "tide",
+    "fiddle",
+    "harbour",
+    "rope",
+    "saw",
+    "ballad",
+    "winter",
+    "oar",
+    "lamp",
+    "mill",
+    "song",
+)
+
+
+@dataclass(frozen=True)
+class Speed:
+    """Say how fast the engine computes, in tokens a second."""
+
+    prefill: float = 20_000.0
+    decode: float = 200.0
+
+
+@dataclass(frozen=True)
+class Prefill:
+    """Hold the outcome of a prefill."""
+
+    prompt_tokens: int
+    cached_tokens: int
+
+
+class Engine:
+    """Compute prompts with a limited block cache."""
+
+    def __init__(self, model: str, capacity: int, speed: Speed) -> None:
+        self.model = model
+        self.speed = speed
+        self.cache = BlockCache(capacity)
+        self.incarnation = secrets.token_hex(8)
+        self.weights_version = "1"
+        self.running = 0
+        self._prefill = anyio.Lock()
+
+    async def prefill(self, prompt: str, salt: str) -> Prefill:
+        """Compute the part of the prompt that isn't cached."""
+        tokens = tokenize(prompt)
+        hashes = block_hashes(tokens, salt)
+        async with self._prefill:
+            cached_tokens = self.cache.matched(hashes) * BLOCK_TOKENS
+            await anyio.sleep((len(tokens) - cached_tokens) / self.speed.prefill)
+            self.cache.store(hashes)
+        return Prefill(len(tokens), cached_tokens)
+
+    def token(self, prompt: str, index: int) -> str:
+        """Return the token of an answer at an index."""
+        digest = hashlib.blake2b(f"{index}:{prompt}".encode(), digest_size=4).digest()
+        word = WORDS[int.from_bytes(digest, "big") % len(WORDS)]
+        return word if index == 0 else " " + word
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,247 @@
+"""A small fleet of plain processes on loopback, for the demo and the tests."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import httpx
+import yaml
+
+from agatehoist.configuration.keys import digest_key
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_INTERVAL_S = 0.02
+MODEL = "songs-8b"
+SERVICE = "ledger"
+ARCHIVE_KEY = "archive-key"
+COOPERATIVE_KEY = "cooperative-key"
+
+
+class FleetError(Exception):
+    """Report a process that didn't start."""
+
+
+@dataclass
+class Fleet:
+    """Hold the processes of a fleet and how to reach them."""
+
+    folder: Path
+    processes_by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    ports_by_name: dict[str, int] = field(default_factory=dict)
+    commands_by_name: dict[str, list[str]] = field(default_factory=dict)
+
+    def url(self, name: str) -> str:
+        """Return the base URL of a process."""
+        return f"http://127.0.0.1:{self.ports_by_name[name]}"
+
+    def start(self, name: str, *command: str) -> None:
+        """Start a process with its output in a file of the folder."""
+        self.commands_by_name[name] = list(command)
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def restart(self, name: str) -> None:
+        """Start a process again with its earlier command."""
+        self.start(name, *self.commands_by_name[name])
+
+    def stop(self, name: str) -> int:
+        """Ask a process to stop and return its exit status."""
+        process = self.processes_by_name.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(STOP_TIMEOUT_S)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.processes_by_name.pop(name)
+        process.kill()
+        process.wait(STOP_TIMEOUT_S)
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop routers first, then sidecars, then stand-ins."""
+        statuses_by_name = {}
+        for prefix in ("router", "sidecar", ""):
+            names = [n for n in self.processes_by_name if n.startswith(prefix)]
+            for name in names:
+                self.processes_by_name[name].send_signal(signal.SIGTERM)
+            for name in names:
+                statuses_by_name[name] = self.stop(name)
+        return statuses_by_name
+
+    def kill_all(self) -> None:
+        """End every process that still runs."""
+        for name in tuple(self.processes_by_name):
+            self.kill(name)
+
+    def log(self, name: str) -> str:
+        """Return the output of a process."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    def wait_ready(self, name: str, path: str = "/readyz") -> None:
+        """Wait until a process answers with success.
+
+        Raises FleetError if it ends or takes too long.
+        """
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            process = self.processes_by_name[name]
+            if process.poll() is not None:
+                raise FleetError(f"{name} ended: {self.log(name)}")
+            with contextlib.suppress(httpx.HTTPError):
+                if httpx.get(self.url(name) + path).is_success:
+                    return
+            time.sleep(POLL_INTERVAL_S)
+        raise FleetError(f"{name} isn't ready: {self.log(name)}")
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(count)
+        ]
+        return [each.getsockname()[1] for each in sockets]
+
+
+def default_configuration() -> dict[str, Any]:
+    """Return a fleet configuration for the stand-ins."""
+    return {
+        "organisations": {
+            "archive": {"key_digests": [digest_key(ARCHIVE_KEY)]},
+            "cooperative": {"key_digests": [digest_key(COOPERATIVE_KEY)]},
+        },
+        "models": {MODEL: {"context_tokens": 32768}},
+        "services": {SERVICE: {}},
+    }
+
+
+@contextlib.contextmanager
+def run_fleet(
+    folder: Path,
+    routers: int = 1,
+    engines: int = 1,
+    services: int = 1,
+    engine_options: tuple[str, ...] = (),
+) -> Iterator[Fleet]:
+    """Run a fleet until the context ends; no process outlives it."""
+    fleet = Fleet(folder)
+    try:
+        _start_standins(fleet, engines, services, engine_options)
+        _start_sidecars(fleet, engines, services)
+        _start_routers(fleet, routers)
+        yield fleet
+    finally:
+        fleet.kill_all()
+
+
+def put_object(
+    fleet: Fleet, kind: str, name: str, value: Any, version: int = 0
+) -> None:
+    """Write an object to the platform stand-in.
+
+    Raises httpx.HTTPError.
+    """
+    answer = httpx.put(
+        f"{fleet.url('platform')}/objects/{kind}/{name}",
+        json={"value": value},
+        headers={"If-Match": str(version)},
+    )
+    answer.raise_for_status()
+
+
+def _start_standins(
+    fleet: Fleet, engines: int, services: int, engine_options: tuple[str, ...]
+) -> None:
+    names = ["platform"]
+    names += [f"engine-{index}" for index in range(engines)]
+    names += [f"service-{index}" for index in range(services)]
+    fleet.ports_by_name.update(zip(names, free_ports(len(names)), strict=True))
+    for name in names:
+        port = str(fleet.ports_by_name[name])
+        kind = name.partition("-")[0]
+        options = ("--model", MODEL, *engine_options) if kind == "engine" else ()
+        fleet.start(name, f"standins.{kind}", "--port", port, *options)
+    for name in names:
+        path = {"platform": "/calls", "engine": "/status", "service": "/runs"}
+        fleet.wait_ready(name, path[name.partition("-")[0]])
+    put_object(fleet, "configuration", "fleet", default_configuration())
+
+
+def _start_sidecars(fleet: Fleet, engines: int, services: int) -> None:
+    endpoints = [(f"engine-{index}", "engine", MODEL) for index in range(engines)]
+    endpoints += [(f"service-{index}", "service", SERVICE) for index in range(services)]
+    for endpoint, kind, serves in endpoints:
+        name = f"sidecar-{endpoint}"
+        fleet.ports_by_name[name], inner_port = free_ports(2)
+        settings = {
+            **_common_settings(fleet, name),
+            "inner": {"host": "127.0.0.1", "port": inner_port},
+            "endpoint": {"kind": kind, "url": fleet.url(endpoint), "serves": serves},
+        }
+        _start_process(fleet, name, "sidecar", settings)
+        entry = {
+            "host": name,
+            "address": "127.0.0.1",
+            "port": inner_port,
+            "data_centre": "dc1",
+            "region": "coast",
+            "kind": kind,
+            "serves": serves,
+            "state": "live",
+        }
+        put_object(fleet, "hosts", name, entry)
+    for endpoint, _, _ in endpoints:
+        fleet.wait_ready(f"sidecar-{endpoint}")
+
+
+def _start_routers(fleet: Fleet, routers: int) -> None:
+    names = [f"router-{index}" for index in range(routers)]
+    fleet.ports_by_name.update(zip(names, free_ports(routers), strict=True))
+    for name in names:
+        _start_process(fleet, name, "router", _common_settings(fleet, name))
+    for name in names:
+        fleet.wait_ready(name)
+
+
+def _common_settings(fleet: Fleet, name: str) -> dict[str, Any]:
+    return {
+        "node": {"name": name, "data_centre": "dc1", "region": "coast"},
+        "http": {"host": "127.0.0.1", "port": fleet.ports_by_name[name]},
+        "platform": {"url": fleet.url("platform")},
+    }
+
+
+def _start_process(
+    fleet: Fleet, name: str, command: str, settings: dict[str, Any]
+) -> None:
+    file = fleet.folder / f"{name}.yaml"
+    file.write_text(yaml.safe_dump(settings), encoding="utf-8")
+    fleet.start(name, "agatehoist", command, str(file))
+
+
+def read_json(answer: httpx.Response) -> Any:
+    """Return the JSON body of an answer that succeeded.
+
+    Raises httpx.HTTPError.
+    """
+    answer.raise_for_status()
+    return json.loads(answer.content)
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-in of the platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/platform/app.py
@@ -0,0 +1,136 @@
+"""HTTP routes of the platform stand-in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from standins.platform.store import Store, VersionConflict
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+HOSTS_KIND = "hosts"
+
+
+@dataclass
+class Faults:
+    """Hold what the stand-in does wrong; times are in seconds."""
+
+    down: bool = False
+    delay: float = 0.0
+    lost_answers: int = 0
+
+
+class Platform:
+    """Answer the calls of the platform's API."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.faults = Faults()
+
+    async def get(self, request: Request) -> Response:
+        """Answer with one object."""
+        self.store.calls_by_kind["read"] += 1
+        kind, name = _key(request)
+        found = self.store.get(kind, name)
+        return await self._answer(_render(kind, name, found))
+
+    async def list_names(self, request: Request) -> Response:
+        """Answer with the names of a kind."""
+        self.store.calls_by_kind["read"] += 1
+        names = self.store.names(request.path_params["kind"])
+        return await self._answer(JSONResponse(names))
+
+    async def put(self, request: Request) -> Response:
+        """Write one object at the version that If-Match names."""
+        self.store.calls_by_kind["write"] += 1
+        if self.faults.down:
+            return Response(status_code=503)
+        kind, name = _key(request)
+        value = (await request.json())["value"]
+        try:
+            version = int(request.headers.get("if-match", "0"))
+            self.store.put(kind, name, value, version)
+        except VersionConflict as error:
+            return await self._answer(Response(str(error), 412))
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            return Response(status_code=503)
+        return await self._answer(_render(kind, name, self.store.get(kind, name)))
+
+    async def delete(self, request: Request) -> Response:
+        """Remove one object."""
+        self.store.calls_by_kind["write"] += 1
+        self.store.delete(*_key(request))
+        return await self._answer(Response(status_code=204))
+
+    async def watch(self, request: Request) -> Response:
+        """Answer once the object is past a version, or with 204 in time."""
+        self.store.calls_by_kind["watch"] += 1
+        kind, name = _key(request)
+        after = int(request.query_params["after"])
+        with anyio.move_on_after(float(request.query_params["timeout"])):
+            found = await self.store.wait_past(kind, name, after)
+            return await self._answer(_render(kind, name, found))
+        return Response(status_code=204)
+
+    async def list_hosts(self, _request: Request) -> Response:
+        """Answer with the host list."""
+        self.store.calls_by_kind["read"] += 1
+        entries = [
+            (self.store.get(HOSTS_KIND, name) or (0, None))[1]
+            for name in self.store.names(HOSTS_KIND)
+        ]
+        return await self._answer(JSONResponse(entries))
+
+    async def calls(self, _request: Request) -> Response:
+        """Answer with the number of calls by kind."""
+        return JSONResponse(dict(self.store.calls_by_kind))
+
+    async def set_faults(self, request: Request) -> Response:
+        """Set what the stand-in does wrong."""
+        self.faults = Faults(**await request.json())
+        return Response(status_code=204)
+
+    async def _answer(self, response: Response) -> Response:
+        await anyio.sleep(self.faults.delay)
+        if self.faults.down:
+            return Response(status_code=503)
+        return response
+
+
+def make_app() -> Starlette:
+    """Return the ASGI application of the platform."""
+    platform = Platform()
+    path = "/objects/{kind}/{name}"
+    return Starlette(
+        routes=[
+            Route(path, platform.get, methods=["GET"]),
+            Route(path, platform.put, methods=["PUT"]),
+            Route(path, platform.delete, methods=["DELETE"]),
+            Route("/objects/{kind}", platform.list_names),
+            Route("/watch/{kind}/{name}", platform.watch),
+            Route("/hosts", platform.list_hosts),
+            Route("/calls", platform.calls),
+            Route("/faults", platform.set_faults, methods=["POST"]),
+        ]
+    )
+
+
+def _key(request: Request) -> tuple[str, str]:
+    return request.path_params["kind"], request.path_params["name"]
+
+
+def _render(kind: str, name: str, found: tuple[int, Any] | None) -> Response:
+    if found is None:
+        return Response(status_code=404)
+    version, value = found
+    return JSONResponse(
+        {"kind": kind, "name": name, "version": version, "value": value}
+    )
--- /dev/null
+++ b/standins/service/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-in of the service."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/service/app.py
@@ -0,0 +1,51 @@
+"""HTTP routes of the service stand-in, which counts each run."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import anyio
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+
+class Service:
+    """Answer lookups and bookings."""
+
+    def __init__(self) -> None:
+        self.runs_by_reference: collections.Counter[str] = collections.Counter()
+
+    async def look_up(self, request: Request) -> Response:
+        """Answer an idempotent lookup."""
+        card = request.path_params["card"]
+        return JSONResponse({"card": card, "title": f"Song {card}"})
+
+    async def book(self, request: Request) -> Response:
+        """Run a non-idempotent booking."""
+        fields = await request.json()
+        reference = str(fields["reference"])
+        self.runs_by_reference[reference] += 1
+        await anyio.sleep(float(fields.get("delay", 0)))
+        runs = self.runs_by_reference[reference]
+        return JSONResponse({"reference": reference, "runs": runs}, 201)
+
+    async def list_runs(self, _request: Request) -> Response:
+        """Answer with the number of runs by reference."""
+        return JSONResponse(dict(self.runs_by_reference))
+
+
+def make_app() -> Starlette:
+    """Return the ASGI application of the service."""
+    service = Service()
+    return Starlette(
+        routes=[
+            Route("/cards/{card}", service.look_up),
+            Route("/bookings", service.book, methods=["POST"]),
+            Route("/runs", service.list_runs),
+        ]
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of agatehoist."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_core/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the core package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_frontend/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the frontend package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_placement/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the placement package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_protocol/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the protocol package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_protocol/test_codec.py
@@ -0,0 +1,74 @@
+"""Tests of the encoding of messages."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgpack
+from parameterized import parameterized
+
+from agatehoist.core.identity import AttemptId, EndpointIdentity
+from agatehoist.core.work import CallWork, CompletionWork, PrefixLevel, Priority, Run
+from agatehoist.protocol import messages
+from agatehoist.protocol.codec import Decoder, encode
+from agatehoist.protocol.errors import BadFrameError
+from agatehoist.refusals.types import Refusal
+
+ATTEMPT = AttemptId("a1", 7)
+IDENTITY = EndpointIdentity("s1", "e1", "3")
+LEVELS = (PrefixLevel(b"\x01\x02", 16), PrefixLevel(b"\x03\x04", 32))
+ASSIGNMENT = messages.Assignment(ATTEMPT, "archive", IDENTITY, Priority.LONG, 9.5)
+
+SAMPLES = [
+    messages.Hello(1, "router-0", "i1", 4),
+    messages.Probe(1, "archive", LEVELS, 40, Priority.SHORT, 2.5),
+    messages.ProbeReply(1, IDENTITY, 16, 0.25, False),
+    messages.SubmitCompletion(
+        ASSIGNMENT, LEVELS, CompletionWork("/v1/completions", b"{}", 40, 8)
+    ),
+    messages.SubmitCall(ASSIGNMENT, CallWork("GET", "/cards/1", {"a": "b"}, b"x")),
+    messages.Tokens(ATTEMPT, 3, ("one", " two")),
+    messages.CompletionEnd(ATTEMPT, 5, "stop", 40, 32),
+    messages.CallReply(ATTEMPT, 200, {"a": "b"}, b"body"),
+    messages.Refused(ATTEMPT, Refusal("leaving", "soon", Run.NO, 3.0)),
+    messages.Cancel(ATTEMPT),
+    messages.Resume(ATTEMPT, 12),
+]
+
+BAD_FRAMES = [
+    ("not_a_list", msgpack.packb({"code": 1})),
+    ("too_short", msgpack.packb([1])),
+    ("unknown_code", msgpack.packb([4711, {}])),
+    ("missing_field", msgpack.packb([10, {}])),
+    ("wrong_type", msgpack.packb([6, {"attempt_id": 3, "first": 0, "texts": []}])),
+    ("reserved_byte", b"\xc1"),
+]
+
+
+class CodecTests(unittest.TestCase):
+    @parameterized.expand([(type(each).__name__, each) for each in SAMPLES])
+    def test_round_trip(self, _name: str, message: object) -> None:
+        data = encode(message)
+        self.assertEqual(list(Decoder().feed(data)), [message])
+
+    @parameterized.expand([(1,), (3,), (1000,)])
+    def test_pieces_of_any_size(self, size: int) -> None:
+        data = b"".join(encode(each) for each in SAMPLES)
+        decoder = Decoder()
+        found = []
+        for start in range(0, len(data), size):
+            found += decoder.feed(data[start : start + size])
+        self.assertEqual(found, SAMPLES)
+
+    @parameterized.expand(BAD_FRAMES)
+    def test_bad_frame(self, _name: str, data: bytes) -> None:
+        with self.assertRaises(BadFrameError):
+            list(Decoder().feed(data))
+
+    def test_oversized_frame(self) -> None:
+        with self.assertRaises(BadFrameError):
+            list(Decoder(max_frame_bytes=64).feed(msgpack.packb([1, "x" * 100])))
+
+    def test_every_message_has_a_sample(self) -> None:
+        sampled = {type(each) for each in SAMPLES}
+        self.assertEqual(sampled, set(messages.CODES_BY_TYPE))
--- /dev/null
+++ b/tests/test_settings/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the settings package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_settings/test_load.py
@@ -0,0 +1,67 @@
+"""Tests of the loading of settings."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from parameterized import parameterized
+
+from agatehoist.settings import InvalidFileError, load_file
+from agatehoist.settings.types import Address, RouterSettings
+
+GOOD = """\
+node: {name: router-a, data_centre: dc1, region: coast}
+http: {host: 127.0.0.1, port: 8080}
+platform: {url: "http://127.0.0.1:9000"}
+peers:
+  - {host: 127.0.0.1, port: 7001}
+"""
+
+FAULTS = [
+    ("unknown_key", GOOD + "colour: red\n", ["6:9: unknown key 'colour'"]),
+    ("wrong_type", GOOD.replace("8080", "high"), ["2:31: 'high' is no int"]),
+    (
+        "several",
+        GOOD.replace("8080", "true").replace("region: coast", "zone: coast"),
+        [
+            "1:7: missing key 'region'",
+            "1:48: unknown key 'zone'",
+            "2:31: True is no int",
+        ],
+    ),
+    ("in_a_list", GOOD.replace("7001", "no"), ["5:29: False is no int"]),
+    ("repeated_key", GOOD + "peers: []\n", ["6:8: key 'peers' repeated"]),
+    ("no_mapping", "- 1\n", ["1:1: must be a mapping"]),
+    ("no_yaml", "node: {\n", ["2:1: expected the node content, but found"]),
+    ("empty", "", ["1:1: must be a mapping"]),
+]
+
+
+class LoadTests(unittest.TestCase):
+    def _load(self, text: str) -> RouterSettings:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "router.yaml"
+            file.write_text(text, encoding="utf-8")
+            return load_file(str(file), RouterSettings)
+
+    def test_good_file(self) -> None:
+        settings = self._load(GOOD)
+        self.assertEqual(settings.http, Address("127.0.0.1", 8080))
+        self.assertEqual(settings.peers, (Address("127.0.0.1", 7001),))
+
+    @parameterized.expand(FAULTS)
+    def test_every_fault_has_its_place(
+        self, _name: str, text: str, expected: list[str]
+    ) -> None:
+        with self.assertRaises(InvalidFileError) as caught:
+            self._load(text)
+        found = [str(each).partition("yaml:")[2] for each in caught.exception.findings]
+        self.assertEqual(len(found), len(expected), found)
+        for each, start in zip(found, expected, strict=True):
+            self.assertTrue(each.startswith(start), f"{each!r} is not {start!r}")
+
+    def test_missing_file(self) -> None:
+        with self.assertRaises(InvalidFileError):
+            load_file("/nonexistent.yaml", RouterSettings)
--- /dev/null
+++ b/tests/test_whole/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the whole path, on processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_whole/test_path.py
@@ -0,0 +1,162 @@
+"""Tests of the path from caller to endpoint and back."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from typing import Any
+
+import openai
+from parameterized import parameterized
+
+from standins.engine.model import Engine, Speed
+from standins.fleet import ARCHIVE_KEY, COOPERATIVE_KEY, MODEL, SERVICE
+from tests.test_whole.support import FleetTestCase, prompt
+
+BOOK = "The cannery whistle blew at dawn. " * 100
+
+BAD_REQUESTS: list[tuple[str, str, Any, int, str]] = [
+    ("malformed", "/v1/completions", b"{", 400, "malformed_body"),
+    ("no_object", "/v1/completions", b"[]", 400, "malformed_body"),
+    ("no_model", "/v1/completions", b'{"prompt": "x"}', 400, "invalid_parameter"),
+    (
+        "unknown_model",
+        "/v1/completions",
+        json.dumps({"model": "nothing", "prompt": "x"}).encode(),
+        404,
+        "model_not_found",
+    ),
+    (
+        "prompt_too_long",
+        "/v1/completions",
+        json.dumps(prompt("x " * 100_000)).encode(),
+        400,
+        "context_length_exceeded",
+    ),
+    ("body_too_large", "/v1/completions", b"x" * 5_000_000, 413, "body_too_large"),
+    (
+        "no_messages",
+        "/v1/chat/completions",
+        json.dumps({"model": MODEL, "messages": []}).encode(),
+        400,
+        "invalid_parameter",
+    ),
+    ("unknown_service", "/services/nothing/x", b"", 404, "service_not_found"),
+]
+
+
+def expected_text(text: str, count: int = 24) -> str:
+    """Return what the engine stand-in answers to a prompt."""
+    engine = Engine(MODEL, 1, Speed())
+    return "".join(engine.token(text, index) for index in range(count))
+
+
+class PathTests(FleetTestCase):
+    sizes = {"routers": 2, "engines": 2}
+
+    @parameterized.expand([(0,), (1,)])
+    def test_whole_completion(self, router: int) -> None:
+        answer = self.client(router).post("/v1/completions", json=prompt("one verse"))
+        body = answer.json()
+        self.assertEqual(body["choices"][0]["text"], expected_text("one verse"))
+        self.assertEqual(body["choices"][0]["finish_reason"], "stop")
+
+    def test_client_library_streams_a_chat(self) -> None:
+        base_url = f"{self.fleet.url('router-0')}/v1"
+        messages = [{"role": "user", "content": "who sang?"}]
+        with openai.OpenAI(api_key=ARCHIVE_KEY, base_url=base_url) as client:
+            stream = client.chat.completions.create(
+                model=MODEL,
+                messages=messages,  # type: ignore[arg-type]
+                stream=True,
+                stream_options={"include_usage": True},
+            )
+            chunks = list(stream)
+        text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
+        self.assertEqual(text, expected_text("user: who sang?\n"))
+        self.assertEqual(chunks[-1].usage.completion_tokens, 24)
+
+    @parameterized.expand(
+        [
+            ("unknown_key", "wrong", MODEL, openai.AuthenticationError),
+            ("unknown_model", ARCHIVE_KEY, "nothing", openai.NotFoundError),
+        ]
+    )
+    def test_client_library_understands_errors(
+        self, _name: str, key: str, model: str, error: type[Exception]
+    ) -> None:
+        base_url = f"{self.fleet.url('router-0')}/v1"
+        with (
+            openai.OpenAI(api_key=key, base_url=base_url, max_retries=0) as client,
+            self.assertRaises(error),
+        ):
+            client.completions.create(model=model, prompt="x")
+
+    def test_client_library_lists_models(self) -> None:
+        base_url = f"{self.fleet.url('router-0')}/v1"
+        with openai.OpenAI(api_key=ARCHIVE_KEY, base_url=base_url) as client:
+            self.assertEqual([each.id for each in client.models.list()], [MODEL])
+
+    def test_shared_prefix_hits_through_another_router(self) -> None:
+        for router, question in enumerate(("who?", "where?")):
+            client = self.client(router)
+            answer = client.post("/v1/completions", json=prompt(BOOK + question))
+        usage = answer.json()["usage"]
+        self.assertGreater(usage["prompt_tokens_details"]["cached_tokens"], 700)
+
+    def test_no_hit_across_organisations(self) -> None:
+        text = "A hymn in three languages. " * 100
+        for key in (ARCHIVE_KEY, COOPERATIVE_KEY):
+            client = self.client(key=key)
+            answer = client.post("/v1/completions", json=prompt(text))
+            details = answer.json()["usage"]["prompt_tokens_details"]
+            self.assertEqual(details["cached_tokens"], 0)
+
+    @parameterized.expand([("GET", "cards/7", 200), ("POST", "bookings", 201)])
+    def test_service(self, method: str, path: str, status: int) -> None:
+        client = self.client()
+        answer = client.request(
+            method, f"/services/{SERVICE}/{path}", json={"reference": path}
+        )
+        self.assertEqual(answer.status_code, status)
+
+    @parameterized.expand(BAD_REQUESTS)
+    def test_bad_request(
+        self, _name: str, path: str, body: bytes, status: int, code: str
+    ) -> None:
+        answer = self.client().post(path, content=body)
+        self.assertEqual(answer.status_code, status)
+        error = answer.json()["error"]
+        self.assertEqual((error["code"], error["run"]), (code, "no"))
+
+    @parameterized.expand(["/healthz", "/readyz", "/metrics"])
+    def test_operators_routes(self, path: str) -> None:
+        self.assertTrue(self.client().get(path).is_success)
+
+
+class ShutdownTests(FleetTestCase):
+    sizes = {"engine_options": ("--decode", "20")}
+
+    @parameterized.expand([("router-0",), ("sidecar-engine-0",)])
+    def test_stream_in_flight_finishes(self, name: str) -> None:
+        texts: list[str] = []
+        started = threading.Event()
+
+        def read_stream() -> None:
+            body = prompt("slow", stream=True)
+            with self.client().stream("POST", "/v1/completions", json=body) as answer:
+                for line in answer.iter_lines():
+                    texts.append(line)
+                    started.set()
+
+        reader = threading.Thread(target=read_stream)
+        reader.start()
+        self.assertTrue(started.wait(10))
+        began_at = time.monotonic()
+        self.assertEqual(self.fleet.stop(name), 0)
+        self.assertGreater(time.monotonic() - began_at, 0.3)
+        reader.join(10)
+        self.assertIn("data: [DONE]", texts)
+        self.fleet.restart(name)
+        self.fleet.wait_ready(name)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""Tools for the developers of agatehoist."""
+
+from __future__ import annotations
