--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements, kept out of CI."""
+
+from __future__ import annotations
--- a/src/agatehoist/cli/processes.py
+++ b/src/agatehoist/cli/processes.py
@@ -7,6 +7,7 @@
 import anyio
 
 from agatehoist.cli.commands import COMMANDS
+from agatehoist.core.listening import ListenError
 from agatehoist.observability.logs import configure_logs
 from agatehoist.router.app import run_router
 from agatehoist.settings import load_file
@@ -37,15 +38,13 @@
         anyio.run(program, settings)
     except BaseExceptionGroup as group:
         # A failed bind is the operator's to mend, so it goes without a trace.
-        bind_errors, others = group.split(OSError)
+        _, others = group.split(ListenError)
         if others is not None:
             raise
-        assert bind_errors is not None
-        raise OSError(_texts(bind_errors)) from group
+        raise _first(group) from None
 
 
-def _texts(group: BaseExceptionGroup) -> str:
-    return "; ".join(
-        _texts(each) if isinstance(each, BaseExceptionGroup) else str(each)
-        for each in group.exceptions
-    )
+def _first(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/src/agatehoist/observability/http.py
+++ b/src/agatehoist/observability/http.py
@@ -12,8 +12,11 @@
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import Route
 
+from agatehoist.core.listening import open_listening_socket
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
+    from socket import socket
 
     from starlette.applications import Starlette
     from starlette.requests import Request
@@ -49,20 +52,21 @@
 async def http_server(app: Starlette, address: Address) -> AsyncIterator[None]:
     """Serve the routes over HTTP/1.1 and HTTP/2 while the context lasts.
 
-    Raises OSError in a group if the address can't be bound.
+    Raises ListenError if the address can't be bound.
     """
+    listening = open_listening_socket(address.host, address.port)
     stop = anyio.Event()
     async with anyio.create_task_group() as task_group:
-        task_group.start_soon(_serve, app, address, stop.wait)
+        task_group.start_soon(_serve, app, listening, stop.wait)
         yield
         stop.set()
 
 
 async def _serve(
-    app: Starlette, address: Address, wait_for_stop: Callable[[], Awaitable[None]]
+    app: Starlette, listening: socket, wait_for_stop: Callable[[], Awaitable[None]]
 ) -> None:
     config = Config()
-    config.bind = [str(address)]
+    config.bind = [f"fd://{listening.detach()}"]
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.accesslog = None
     config.errorlog = None
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -33,7 +33,7 @@
 async def run_router(settings: RouterSettings) -> None:
     """Serve callers until told to stop, then finish the requests in flight.
 
-    Raises OSError if the address can't be bound.
+    Raises ListenError if the address can't be bound.
     """
     platform = PlatformClient(settings.platform)
     async with anyio.create_task_group() as task_group:
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.abc import SocketListener
 from starlette.applications import Starlette
 
 from agatehoist.core.clock import SystemClock
 from agatehoist.core.lifetime import wait_for_signal
+from agatehoist.core.listening import open_listening_socket
 from agatehoist.endpoints import ENDPOINT_KINDS
 from agatehoist.endpoints.errors import EndpointError
 from agatehoist.observability.http import health_routes, http_server
@@ -30,15 +32,14 @@
 async def run_sidecar(settings: SidecarSettings) -> None:
     """Serve routers until told to stop, then finish the work in flight.
 
-    Raises OSError if an address can't be bound.
+    Raises ListenError if an address can't be bound.
     """
+    listening = open_listening_socket(settings.inner.host, settings.inner.port)
+    listener = await SocketListener.from_socket(listening)
     client = ENDPOINT_KINDS[settings.endpoint.kind](settings.endpoint.url)
     async with anyio.create_task_group() as task_group:
         state = SidecarState(settings, client, SystemClock(), task_group)
         app = Starlette(routes=health_routes(lambda: state.ready))
-        listener = await anyio.create_tcp_listener(
-            local_host=settings.inner.host, local_port=settings.inner.port
-        )
         task_group.start_soon(listener.serve, partial(serve_session, state))
         task_group.start_soon(_watch_endpoint, state)
         task_group.start_soon(_sweep_executions, state)
