Keep a graceful stop graceful when the signal comes twice

Cause: make demo reported "1 with a failure" in 5 of 7 runs. The fleet sent SIGTERM twice, and the first one closed the signal receiver, so the second met the default handler and ended the process (-15) with streams in flight.

Change: the receiver stays open for the life of the process (core.lifetime.stop_signals); the fleet signals once. Ruled out: ignoring SIGTERM before the loop starts (asyncio resets the handler when it removes its own).

Before: test_stream_in_flight_finishes with two signals fails for router and sidecar (status -15, stream cut).

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -56,7 +56,9 @@
     _call(fleet.url("router-1"), "POST", "bookings", {"reference": "licence-17"})
     statuses_by_name = fleet.stop_all()
     failed = {name: status for name, status in statuses_by_name.items() if status}
-    print(f"stopped {len(statuses_by_name)} processes, {len(failed)} with a failure")
+    print(f"\nstopped {len(statuses_by_name)} processes, {len(failed)} with a failure")
+    for name, status in failed.items():
+        print(f"{name} ended with status {status}", file=sys.stderr)
     return 1 if failed else 0
 
 
--- a/src/agatehoist/core/lifetime.py
+++ b/src/agatehoist/core/lifetime.py
@@ -3,12 +3,29 @@
 from __future__ import annotations
 
 import signal
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
 
 import anyio
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
-async def wait_for_signal() -> None:
-    """Return once the process is asked to stop."""
+
+@asynccontextmanager
+async def stop_signals() -> AsyncIterator[anyio.Event]:
+    """Give an event that is set once the process is asked to stop.
+
+    Further signals don't cut the graceful shutdown short.
+    """
+    stop = anyio.Event()
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(_receive_signals, stop)
+        yield stop
+        task_group.cancel_scope.cancel()
+
+
+async def _receive_signals(stop: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            return
+            stop.set()
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -8,7 +8,7 @@
 
 from agatehoist.configuration import FleetConfiguration
 from agatehoist.core.clock import SystemClock
-from agatehoist.core.lifetime import wait_for_signal
+from agatehoist.core.lifetime import stop_signals
 from agatehoist.frontend.app import make_app
 from agatehoist.observability.http import http_server
 from agatehoist.observability.logs import get_logger
@@ -36,13 +36,13 @@
     Raises ListenError if the address can't be bound.
     """
     platform = PlatformClient(settings.platform)
-    async with anyio.create_task_group() as task_group:
+    async with stop_signals() as stop, anyio.create_task_group() as task_group:
         state = RouterState(settings, SystemClock(), task_group)
         task_group.start_soon(_watch_configuration, state, platform)
         task_group.start_soon(_poll_hosts, state, platform)
         async with http_server(make_app(state), settings.http):
             logger.info("ready", address=str(settings.http))
-            await wait_for_signal()
+            await stop.wait()
             await _drain(state)
         task_group.cancel_scope.cancel()
     await platform.aclose()
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -10,7 +10,7 @@
 from starlette.applications import Starlette
 
 from agatehoist.core.clock import SystemClock
-from agatehoist.core.lifetime import wait_for_signal
+from agatehoist.core.lifetime import stop_signals
 from agatehoist.core.listening import open_listening_socket
 from agatehoist.endpoints import ENDPOINT_KINDS
 from agatehoist.endpoints.errors import EndpointError
@@ -37,7 +37,7 @@
     listening = open_listening_socket(settings.inner.host, settings.inner.port)
     listener = await SocketListener.from_socket(listening)
     client = ENDPOINT_KINDS[settings.endpoint.kind](settings.endpoint.url)
-    async with anyio.create_task_group() as task_group:
+    async with stop_signals() as stop, anyio.create_task_group() as task_group:
         state = SidecarState(settings, client, SystemClock(), task_group)
         app = Starlette(routes=health_routes(lambda: state.ready))
         task_group.start_soon(listener.serve, partial(serve_session, state))
@@ -45,7 +45,7 @@
         task_group.start_soon(_sweep_executions, state)
         async with http_server(app, settings.http):
             logger.info("ready", address=str(settings.inner))
-            await wait_for_signal()
+            await stop.wait()
             await _drain(state)
         task_group.cancel_scope.cancel()
     await client.aclose()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -65,9 +65,12 @@
 
     def stop(self, name: str) -> int:
         """Ask a process to stop and return its exit status."""
-        process = self.processes_by_name.pop(name)
-        process.send_signal(signal.SIGTERM)
-        return process.wait(STOP_TIMEOUT_S)
+        self.processes_by_name[name].send_signal(signal.SIGTERM)
+        return self.wait(name)
+
+    def wait(self, name: str) -> int:
+        """Wait for a process that was asked to stop and return its exit status."""
+        return self.processes_by_name.pop(name).wait(STOP_TIMEOUT_S)
 
     def kill(self, name: str) -> None:
         """End a process at once."""
@@ -83,7 +86,7 @@
             for name in names:
                 self.processes_by_name[name].send_signal(signal.SIGTERM)
             for name in names:
-                statuses_by_name[name] = self.stop(name)
+                statuses_by_name[name] = self.wait(name)
         return statuses_by_name
 
     def kill_all(self) -> None:
--- a/tests/test_whole/test_path.py
+++ b/tests/test_whole/test_path.py
@@ -138,8 +138,17 @@
 class ShutdownTests(FleetTestCase):
     sizes = {"engine_options": ("--decode", "20")}
 
-    @parameterized.expand([("router-0",), ("sidecar-engine-0",)])
-    def test_stream_in_flight_finishes(self, name: str) -> None:
+    @parameterized.expand(
+        [
+            ("router", "router-0", 1),
+            ("sidecar", "sidecar-engine-0", 1),
+            ("router_asked_twice", "router-0", 2),
+            ("sidecar_asked_twice", "sidecar-engine-0", 2),
+        ]
+    )
+    def test_stream_in_flight_finishes(
+        self, _name: str, name: str, signals: int
+    ) -> None:
         texts: list[str] = []
         started = threading.Event()
 
@@ -154,7 +163,10 @@
         reader.start()
         self.assertTrue(started.wait(10))
         began_at = time.monotonic()
-        self.assertEqual(self.fleet.stop(name), 0)
+        for _ in range(signals):
+            self.fleet.processes_by_name[name].terminate()
+            time.sleep(0.1)
+        self.assertEqual(self.fleet.wait(name), 0)
         self.assertGreater(time.monotonic() - began_at, 0.3)
         reader.join(10)
         self.assertIn("data: [DONE]", texts)
