Ship as one file that keeps to one process and no disk

Change: make binary builds a zip archive that Python 3.11 on the host runs as it is. HTTP clients take their TLS roots from the host; the default of httpx would unpack certifi's file to a temporary folder.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format
+.PHONY: env demo test lint format binary demo-binary
 
 env: $(VENV)/.made
 
@@ -27,3 +27,9 @@
 format: env
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
+
+demo-binary: binary
+	AGATEHOIST_BINARY=dist/agatehoist $(PYTHON) -m demo
+
+binary: env
+	$(PYTHON) -m tools.binary
--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from agatehoist.core.trust import tls_context
 from agatehoist.endpoints.errors import (
     EndpointBrokenError,
     EndpointNotReachedError,
@@ -34,7 +35,9 @@
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         limits = httpx.Limits(max_connections=None)
-        self._http = httpx.AsyncClient(base_url=url, timeout=timeout, limits=limits)
+        self._http = httpx.AsyncClient(
+            base_url=url, timeout=timeout, limits=limits, verify=tls_context(url)
+        )
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/src/agatehoist/endpoints/service.py
+++ b/src/agatehoist/endpoints/service.py
@@ -6,6 +6,7 @@
 
 import httpx
 
+from agatehoist.core.trust import tls_context
 from agatehoist.endpoints.errors import EndpointBrokenError, EndpointNotReachedError
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus
@@ -27,7 +28,9 @@
 
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
-        self._http = httpx.AsyncClient(base_url=url, timeout=timeout)
+        self._http = httpx.AsyncClient(
+            base_url=url, timeout=timeout, verify=tls_context(url)
+        )
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/src/agatehoist/platform/client.py
+++ b/src/agatehoist/platform/client.py
@@ -8,6 +8,7 @@
 import cattrs
 import httpx
 
+from agatehoist.core.trust import tls_context
 from agatehoist.platform.errors import (
     ConflictError,
     ObjectNotFoundError,
@@ -27,7 +28,11 @@
     """Read, write and watch objects of the platform."""
 
     def __init__(self, settings: PlatformSettings) -> None:
-        self._http = httpx.AsyncClient(base_url=settings.url, timeout=CALL_TIMEOUT_S)
+        self._http = httpx.AsyncClient(
+            base_url=settings.url,
+            timeout=CALL_TIMEOUT_S,
+            verify=tls_context(settings.url),
+        )
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -25,6 +25,8 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.02
+PRODUCT_MODULE = "agatehoist"
+BINARY_VARIABLE = "AGATEHOIST_BINARY"
 MODEL = "songs-8b"
 SERVICE = "ledger"
 ARCHIVE_KEY = "archive-key"
@@ -48,12 +50,12 @@
         """Return the base URL of a process."""
         return f"http://127.0.0.1:{self.ports_by_name[name]}"
 
-    def start(self, name: str, *command: str) -> None:
-        """Start a process with its output in a file of the folder."""
-        self.commands_by_name[name] = list(command)
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start a module with its output in a file of the folder."""
+        self.commands_by_name[name] = [module, *arguments]
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes_by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", *command],
+                [*_program(module), *arguments],
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
@@ -238,7 +240,14 @@
 ) -> None:
     file = fleet.folder / f"{name}.yaml"
     file.write_text(yaml.safe_dump(settings), encoding="utf-8")
-    fleet.start(name, "agatehoist", command, str(file))
+    fleet.start(name, PRODUCT_MODULE, command, str(file))
+
+
+def _program(module: str) -> list[str]:
+    binary = os.environ.get(BINARY_VARIABLE)
+    if module == PRODUCT_MODULE and binary:
+        return [binary]
+    return [sys.executable, "-m", module]
 
 
 def read_json(answer: httpx.Response) -> Any:
--- /dev/null
+++ b/tools/binary.py
@@ -0,0 +1,53 @@
+"""Build the one-file program: an archive that Python runs as it is."""
+
+from __future__ import annotations
+
+import compileall
+import shutil
+import subprocess
+import sys
+import zipapp
+from pathlib import Path
+
+BUILD_FOLDER = Path("build/binary")
+TARGET = Path("dist/agatehoist")
+INTERPRETER = "/usr/bin/env python3.11"
+ENTRY_POINT = "agatehoist.cli:main"
+
+# Compiled modules can't be loaded from an archive; each has a fallback.
+_LEFT_OUT = ("*.so", "bin", "orjson", "__pycache__")
+
+
+def main() -> None:
+    """Build the program and print its size."""
+    shutil.rmtree(BUILD_FOLDER, ignore_errors=True)
+    _install_libraries()
+    shutil.copytree("src", BUILD_FOLDER, dirs_exist_ok=True)
+    _remove_left_out()
+    shutil.copy("packaging/orjson.py", BUILD_FOLDER)
+    compileall.compile_dir(BUILD_FOLDER, quiet=2, legacy=True)
+    TARGET.parent.mkdir(exist_ok=True)
+    zipapp.create_archive(
+        BUILD_FOLDER, TARGET, INTERPRETER, ENTRY_POINT, compressed=True
+    )
+    print(f"{TARGET}: {TARGET.stat().st_size / 1e6:.1f} MB")
+
+
+def _install_libraries() -> None:
+    command = [sys.executable, "-m", "pip", "install", "--quiet", "--no-compile"]
+    command += ["--disable-pip-version-check", "--target", str(BUILD_FOLDER)]
+    command += ["-r", "requirements/run.txt"]
+    subprocess.run(command, check=True)
+
+
+def _remove_left_out() -> None:
+    for pattern in _LEFT_OUT:
+        for path in list(BUILD_FOLDER.rglob(pattern)):
+            if path.is_dir():
+                shutil.rmtree(path)
+            else:
+                path.unlink()
+
+
+if __name__ == "__main__":
+    main()
