Add the configuration format, its checks and the effective configuration

Cause: the platform's object held bare maps with no exceptions, author or reason, and nothing checked them before they were in force.

Change: documents of defaults and exceptions (reason, author, deadline with a rule at the deadline: review or lapse), accepted as records with a change; the effective configuration is a pure function of record and time. Checks convert each part by itself, so structural and cross-field findings come together with line and column. Ruled out: conversion of the whole file at once, which hides all cross-field findings behind the first structural one.

--- a/src/agatehoist/configuration/__init__.py
+++ b/src/agatehoist/configuration/__init__.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+from agatehoist.configuration.document import Document, PolicyException, Record
 from agatehoist.configuration.types import (
+    EndpointRules,
     FleetConfiguration,
     Model,
     Organisation,
     Service,
 )
 
-__all__ = ["FleetConfiguration", "Model", "Organisation", "Service"]
+__all__ = [
+    "Document",
+    "EndpointRules",
+    "FleetConfiguration",
+    "Model",
+    "Organisation",
+    "PolicyException",
+    "Record",
+    "Service",
+]
--- /dev/null
+++ b/src/agatehoist/configuration/check.py
@@ -0,0 +1,174 @@
+"""Checks of a configuration file; every finding is collected."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import re
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from agatehoist.configuration.document import (
+    Document,
+    FleetDefaults,
+    PolicyException,
+    Target,
+)
+from agatehoist.configuration.effective import replace_values
+from agatehoist.configuration.encoding import MAX_DOCUMENT_BYTES, document_bytes
+from agatehoist.configuration.targets import TARGET_KINDS
+from agatehoist.placement.policies import POLICIES
+from agatehoist.settings.convert import faults, make_converter, yaml_name
+from agatehoist.settings.errors import Finding, InvalidFileError
+from agatehoist.settings.load import read_source
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from agatehoist.settings.source import Path, Source
+
+Converted = TypeVar("Converted")
+Fault = tuple["Path", str]
+
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+
+_converter = make_converter()
+
+
+def load_document(file: str) -> Document:
+    """Read a configuration file.
+
+    Raises InvalidFileError with every finding.
+    """
+    source = read_source(file)
+    document, found = check_source(source)
+    if document is None:
+        raise InvalidFileError(tuple(sorted(set(found))))
+    return document
+
+
+def check_source(source: Source) -> tuple[Document | None, list[Finding]]:
+    """Return the document, or None with the findings."""
+    value = source.value
+    if not isinstance(value, dict):
+        return None, [source.finding((), "must be a mapping")]
+    found = list(_check_keys(value))
+    defaults = _convert(value.get("defaults"), FleetDefaults, ("defaults",), found)
+    exceptions = _convert_exceptions(value.get("exceptions", []), found)
+    based_on = _convert(value.get("based_on", 0), int, ("based_on",), found)
+    if defaults is not None:
+        found += _check_defaults(defaults)
+        found += _check_exceptions(defaults, exceptions)
+    if found or defaults is None:
+        return None, [source.finding(path, text) for path, text in found]
+    document = Document(defaults, tuple(exceptions.values()), based_on or 0)
+    size = document_bytes(document)
+    if size > MAX_DOCUMENT_BYTES:
+        text = f"takes {size} bytes of {MAX_DOCUMENT_BYTES} that the platform stores"
+        return None, [source.finding((), text)]
+    return document, []
+
+
+def _check_keys(value: dict[str, Any]) -> Iterator[Fault]:
+    known = {yaml_name(field.name) for field in dataclasses.fields(Document)}
+    for key in value:
+        if key not in known:
+            yield (str(key),), f"unknown key {key!r}"
+    if "defaults" not in value:
+        yield (), "missing key 'defaults'"
+
+
+def _convert(
+    value: Any, target: type[Converted], path: Path, found: list[Fault]
+) -> Converted | None:
+    if value is None:
+        return None
+    if dataclasses.is_dataclass(target) and not isinstance(value, dict):
+        found.append((path, "must be a mapping"))
+        return None
+    try:
+        return _converter.structure(value, target)
+    except Exception as error:
+        found.extend((path + step, text) for step, text in faults(error))
+        return None
+
+
+def _convert_exceptions(value: Any, found: list[Fault]) -> dict[int, PolicyException]:
+    if not isinstance(value, list):
+        found.append((("exceptions",), "must be a list"))
+        return {}
+    converted: dict[int, PolicyException] = {}
+    for index, each in enumerate(value):
+        exception = _convert(each, PolicyException, ("exceptions", index), found)
+        if exception is not None:
+            converted[index] = exception
+    return converted
+
+
+def _check_defaults(defaults: FleetDefaults) -> Iterator[Fault]:
+    for name, model in defaults.models_by_name.items():
+        yield from _check_model(model, ("defaults", "models", name))
+    owners_by_digest: dict[str, str] = {}
+    for name, organisation in defaults.organisations_by_name.items():
+        path: Path = ("defaults", "organisations", name, "key_digests")
+        for index, digest in enumerate(organisation.key_digests):
+            if not DIGEST_PATTERN.fullmatch(digest):
+                yield (*path, index), "is no SHA-256 digest in lower-case hex"
+            owner = owners_by_digest.setdefault(digest, name)
+            if owner != name:
+                yield (*path, index), f"key belongs to organisation {owner!r} too"
+
+
+def _check_model(model: Any, path: Path) -> Iterator[Fault]:
+    if model.placement not in POLICIES:
+        known = ", ".join(str(name) for name in POLICIES.names())
+        text = f"unknown placement policy {model.placement!r}; known: {known}"
+        yield (*path, "placement"), text
+    if model.context_tokens <= 0:
+        yield (*path, "context_tokens"), "must be above zero"
+    if not model.weights_version:
+        yield (*path, "weights_version"), "must not be empty"
+
+
+def _check_exceptions(
+    defaults: FleetDefaults, exceptions: dict[int, PolicyException]
+) -> Iterator[Fault]:
+    counts_by_name = collections.Counter(each.name for each in exceptions.values())
+    owners_by_field: dict[tuple[Target, str], str] = {}
+    for index, each in exceptions.items():
+        path: Path = ("exceptions", index)
+        if counts_by_name[each.name] > 1:
+            yield (*path, "name"), f"name {each.name!r} is used twice"
+        for field in ("name", "reason", "author"):
+            if not getattr(each, field).strip():
+                yield (*path, field), "must not be empty"
+        yield from _check_target(defaults, each, path)
+        for field in each.values_by_field:
+            owner = owners_by_field.get((each.target, field))
+            owners_by_field[each.target, field] = each.name
+            if owner is not None:
+                text = f"exception {owner!r} sets {field!r} of {each.target} too"
+                yield (*path, "values", field), text
+
+
+def _check_target(
+    defaults: FleetDefaults, exception: PolicyException, path: Path
+) -> Iterator[Fault]:
+    target = exception.target
+    if target.kind not in TARGET_KINDS:
+        known = ", ".join(str(name) for name in TARGET_KINDS.names())
+        yield (*path, "target", "kind"), f"unknown kind; known: {known}"
+        return
+    entry = TARGET_KINDS[target.kind].find(defaults, target.name)
+    if entry is None:
+        yield (*path, "target", "name"), f"unknown {target.kind} {target.name!r}"
+        return
+    if not exception.values_by_field:
+        yield (*path, "values"), "must not be empty"
+    try:
+        changed = replace_values(entry, exception.values_by_field)
+    except Exception as error:
+        for step, text in faults(error):
+            yield (*path, "values", *step), text
+        return
+    if target.kind == "model":
+        yield from _check_model(changed, (*path, "values"))
--- /dev/null
+++ b/src/agatehoist/configuration/document.py
@@ -0,0 +1,87 @@
+"""What the operators write: defaults and exceptions to them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any
+
+from agatehoist.configuration.types import EndpointRules, Model, Organisation, Service
+
+
+class DeadlineRule(enum.StrEnum):
+    """Say what happens to an exception at its deadline."""
+
+    REVIEW = "review"
+    LAPSE = "lapse"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name what an exception applies to."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind} {self.name}"
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyException:
+    """Replace default values of one target, with the reason for it."""
+
+    name: str
+    target: Target
+    values_by_field: dict[str, Any]
+    reason: str
+    author: str
+    deadline: datetime | None = None
+    at_deadline: DeadlineRule = DeadlineRule.REVIEW
+
+    def is_due(self, now: datetime) -> bool:
+        """Say whether the deadline has passed."""
+        return self.deadline is not None and self.deadline <= now
+
+    def is_in_force(self, now: datetime) -> bool:
+        """Say whether the exception applies at a time."""
+        return self.at_deadline is not DeadlineRule.LAPSE or not self.is_due(now)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetDefaults:
+    """Hold what applies to the fleet where no exception does."""
+
+    organisations_by_name: dict[str, Organisation] = field(default_factory=dict)
+    models_by_name: dict[str, Model] = field(default_factory=dict)
+    services_by_name: dict[str, Service] = field(default_factory=dict)
+    endpoint: EndpointRules = field(default_factory=EndpointRules)
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Hold a configuration file; based_on is the revision that it was made from."""
+
+    defaults: FleetDefaults
+    exceptions: tuple[PolicyException, ...] = ()
+    based_on: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Say who had a document accepted, when and why."""
+
+    id: str
+    author: str
+    reason: str
+    accepted_at: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Hold one accepted document."""
+
+    revision: int
+    change: Change
+    document: Document
--- a/src/agatehoist/configuration/types.py
+++ b/src/agatehoist/configuration/types.py
@@ -28,6 +28,14 @@
     non_idempotent_methods: tuple[str, ...] = ("POST", "PUT", "PATCH", "DELETE")
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRules:
+    """Configure how an endpoint is driven; an empty version follows the model."""
+
+    checks_fencing: bool = False
+    weights_version: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class FleetConfiguration:
     """Hold the configuration of the whole fleet at one revision."""
@@ -36,3 +44,9 @@
     organisations_by_name: dict[str, Organisation] = field(default_factory=dict)
     models_by_name: dict[str, Model] = field(default_factory=dict)
     services_by_name: dict[str, Service] = field(default_factory=dict)
+    endpoint: EndpointRules = field(default_factory=EndpointRules)
+    endpoints_by_host: dict[str, EndpointRules] = field(default_factory=dict)
+
+    def rules_of(self, host: str) -> EndpointRules:
+        """Return the rules for the endpoint on a host."""
+        return self.endpoints_by_host.get(host, self.endpoint)
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -6,7 +6,8 @@
 
 import anyio
 
-from agatehoist.configuration import FleetConfiguration
+from agatehoist.configuration.effective import effective_configuration
+from agatehoist.configuration.encoding import parse_record
 from agatehoist.core.clock import SystemClock
 from agatehoist.core.lifetime import stop_signals
 from agatehoist.frontend.app import make_app
@@ -15,7 +16,6 @@
 from agatehoist.platform.client import PlatformClient
 from agatehoist.platform.errors import PlatformError
 from agatehoist.router.state import RouterState
-from agatehoist.settings.convert import make_converter
 
 if TYPE_CHECKING:
     from agatehoist.settings.types import RouterSettings
@@ -27,8 +27,6 @@
 HOSTS_INTERVAL_S = 1.0
 PLATFORM_RETRY_S = 0.5
 
-_converter = make_converter()
-
 
 async def run_router(settings: RouterSettings) -> None:
     """Serve callers until told to stop, then finish the requests in flight.
@@ -66,8 +64,8 @@
             await anyio.sleep(PLATFORM_RETRY_S)
             continue
         if found is not None and found.version > state.configuration.revision:
-            value = {**found.value, "revision": found.version}
-            state.accept(_converter.structure(value, FleetConfiguration))
+            record = parse_record(found.value, found.version)
+            state.accept(effective_configuration(record, state.clock.now()))
             logger.info("configuration in force", revision=found.version)
 
 
--- a/src/agatehoist/settings/convert.py
+++ b/src/agatehoist/settings/convert.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
+from datetime import datetime
 from typing import TYPE_CHECKING, Any
 
 from cattrs import Converter
@@ -28,6 +30,10 @@
     converter = Converter(forbid_extra_keys=True)
     for plain in _PLAIN_TYPES:
         converter.register_structure_hook(plain, _structure_plain)
+    # A string enumeration would take the hook of plain strings else.
+    converter.register_structure_hook(enum.StrEnum, _structure_name)
+    converter.register_structure_hook(datetime, _structure_datetime)
+    converter.register_unstructure_hook(datetime, datetime.isoformat)
     converter.register_structure_hook_factory(
         dataclasses.is_dataclass,
         lambda cls: make_dict_structure_fn(
@@ -90,3 +96,20 @@
     if type(value) is not target:
         raise TypeError(f"{value!r} is no {target.__name__}")
     return value
+
+
+def _structure_name(value: Any, target: type[enum.StrEnum]) -> enum.StrEnum:
+    try:
+        return target(value)
+    except ValueError:
+        known = ", ".join(target)
+        raise ValueError(f"{value!r} is none of: {known}") from None
+
+
+def _structure_datetime(value: Any, _target: type) -> datetime:
+    moment = datetime.fromisoformat(value) if isinstance(value, str) else value
+    if not isinstance(moment, datetime):
+        raise TypeError(f"{value!r} is no date with a time")
+    if moment.tzinfo is None:
+        raise ValueError(f"{value!r} names no time zone")
+    return moment
--- a/src/agatehoist/settings/load.py
+++ b/src/agatehoist/settings/load.py
@@ -20,6 +20,14 @@
 def load_file(file: str, target: type[Target]) -> Target:
     """Read the file as the target.
 
+    Raises InvalidFileError with every finding.
+    """
+    return convert_source(read_source(file), target)
+
+
+def read_source(file: str) -> Source:
+    """Read and parse a file.
+
     Raises InvalidFileError with every finding.
     """
     try:
@@ -29,7 +37,7 @@
         raise InvalidFileError((finding,)) from error
     except UnicodeDecodeError as error:
         raise InvalidFileError((Finding(file, 1, 1, "is no UTF-8"),)) from error
-    return convert_source(parse_source(file, text), target)
+    return parse_source(file, text)
 
 
 def convert_source(source: Source, target: type[Target]) -> Target:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -126,7 +126,7 @@
 
 
 def default_configuration() -> dict[str, Any]:
-    """Return a fleet configuration for the stand-ins."""
+    """Return the defaults of a configuration for the stand-ins."""
     return {
         "organisations": {
             "archive": {"key_digests": [digest_key(ARCHIVE_KEY)]},
@@ -137,6 +137,17 @@
     }
 
 
+def accepted(defaults: dict[str, Any], change_id: str = "first") -> dict[str, Any]:
+    """Return the platform's value for a configuration with these defaults."""
+    change = {
+        "id": change_id,
+        "author": "stand-in",
+        "reason": "a fleet for tests",
+        "accepted_at": "2026-01-01T12:00:00+00:00",
+    }
+    return {"change": change, "document": {"defaults": defaults}}
+
+
 @contextlib.contextmanager
 def run_fleet(
     folder: Path,
@@ -186,7 +197,7 @@
     for name in names:
         path = {"platform": "/calls", "engine": "/status", "service": "/runs"}
         fleet.wait_ready(name, path[name.partition("-")[0]])
-    put_object(fleet, "configuration", "fleet", default_configuration())
+    put_object(fleet, "configuration", "fleet", accepted(default_configuration()))
 
 
 def _start_sidecars(fleet: Fleet, engines: int, services: int) -> None:
--- /dev/null
+++ b/tests/test_configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the configuration."""
+
+from __future__ import annotations
