Give the platform client budgets by purpose, backoff and shared reads

Cause: each process called the platform as often as it liked, a herd of callers read the same object many times, and retries kept a fixed beat.

Change: a budget of calls by purpose (a stored time until which it is spent), backoff spread at random, one request in flight for the same shared read, counters by purpose and outcome; the stand-in can answer old reads and let the host list lag. get() itself stays unshared: a read that settles a lost answer must not join one that began before the write, so sharing is get_shared().

Conclusion: every call names its purpose.

--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -15,6 +15,9 @@
 )
 REFUSALS_TOTAL = Counter("agatehoist_refusals_total", "Refusals by code and run.")
 OUTCOMES_TOTAL = Counter("agatehoist_outcomes_total", "Requests by outcome.")
+PLATFORM_CALLS_TOTAL = Counter(
+    "agatehoist_platform_calls_total", "Calls of the platform by purpose and outcome."
+)
 IN_FLIGHT = Gauge("agatehoist_in_flight", "Requests in flight.")
 
 __all__ = [
@@ -23,6 +26,7 @@
     "OUTCOMES_TOTAL",
     "RECOMPUTED_TOKENS",
     "REFUSALS_TOTAL",
+    "PLATFORM_CALLS_TOTAL",
     "REGISTRY",
     "TTFT_SECONDS",
 ]
--- a/src/agatehoist/platform/client.py
+++ b/src/agatehoist/platform/client.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import cattrs
 import httpx
 
+from agatehoist.observability.metrics import PLATFORM_CALLS_TOTAL
+from agatehoist.platform.budget import CallBudget, Purpose
 from agatehoist.platform.errors import (
+    BudgetExhaustedError,
     ConflictError,
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
 )
+from agatehoist.platform.single_flight import SingleFlight
 from agatehoist.platform.types import HostEntry, StoredObject
 
 if TYPE_CHECKING:
@@ -21,32 +27,67 @@
 
 CALL_TIMEOUT_S = 2.0
 WATCH_TIMEOUT_S = 30.0
+MAX_BUDGET_WAIT_S = 5.0
 
 
 class PlatformClient:
     """Read, write and watch objects of the platform."""
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(
+        self, settings: PlatformSettings, budget: CallBudget | None = None
+    ) -> None:
         self._http = httpx.AsyncClient(base_url=settings.url, timeout=CALL_TIMEOUT_S)
+        self._budget = budget or CallBudget()
+        self._flights = SingleFlight()
 
     async def aclose(self) -> None:
         """Close the connections."""
         await self._http.aclose()
 
-    async def get(self, kind: str, name: str) -> StoredObject:
-        """Return an object.
+    async def get(
+        self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
+    ) -> StoredObject:
+        """Return an object as it is after the call began.
 
         Raises ObjectNotFoundError or PlatformUnavailableError.
         """
-        answer = await self._call("GET", f"/objects/{kind}/{name}")
+        answer = await self._call(purpose, "GET", f"/objects/{kind}/{name}")
         return cattrs.structure(answer.json(), StoredObject)
 
-    async def put(self, kind: str, name: str, value: Any, version: int) -> StoredObject:
+    async def get_shared(
+        self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
+    ) -> StoredObject:
+        """Return an object, perhaps from a read that was in flight before.
+
+        Raises ObjectNotFoundError or PlatformUnavailableError.
+        """
+        read = partial(self.get, kind, name, purpose)
+        return await self._flights.run((kind, name), read)
+
+    async def names(
+        self, kind: str, purpose: Purpose = Purpose.OTHER
+    ) -> tuple[str, ...]:
+        """Return the names of the objects of a kind.
+
+        Raises PlatformUnavailableError.
+        """
+        answer = await self._call(purpose, "GET", f"/objects/{kind}")
+        return cattrs.structure(answer.json(), tuple[str, ...])
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        value: Any,
+        version: int,
+        purpose: Purpose = Purpose.OTHER,
+    ) -> StoredObject:
         """Write an object that is at the version; zero creates it.
 
         Raises ConflictError or PlatformUnavailableError.
         """
         answer = await self._call(
+            purpose,
             "PUT",
             f"/objects/{kind}/{name}",
             json={"value": value},
@@ -54,12 +95,24 @@
         )
         return cattrs.structure(answer.json(), StoredObject)
 
-    async def watch(self, kind: str, name: str, version: int) -> StoredObject | None:
+    async def delete(
+        self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
+    ) -> None:
+        """Remove an object.
+
+        Raises PlatformUnavailableError.
+        """
+        await self._call(purpose, "DELETE", f"/objects/{kind}/{name}")
+
+    async def watch(
+        self, kind: str, name: str, version: int, purpose: Purpose = Purpose.OTHER
+    ) -> StoredObject | None:
         """Return the object once it is past the version, or None after a while.
 
         Raises PlatformUnavailableError.
         """
         answer = await self._call(
+            purpose,
             "GET",
             f"/watch/{kind}/{name}",
             params={"after": version, "timeout": WATCH_TIMEOUT_S},
@@ -69,15 +122,40 @@
             return None
         return cattrs.structure(answer.json(), StoredObject)
 
-    async def hosts(self) -> tuple[HostEntry, ...]:
+    async def hosts(self, purpose: Purpose = Purpose.HOSTS) -> tuple[HostEntry, ...]:
         """Return the lagging list of endpoint hosts.
 
         Raises PlatformUnavailableError.
         """
-        answer = await self._call("GET", "/hosts")
+        read = partial(self._call, purpose, "GET", "/hosts")
+        answer = await self._flights.run("/hosts", read)
         return cattrs.structure(answer.json(), tuple[HostEntry, ...])
 
-    async def _call(self, method: str, path: str, **options: Any) -> httpx.Response:
+    async def _call(
+        self, purpose: Purpose, method: str, path: str, **options: Any
+    ) -> httpx.Response:
+        await self._wait_for_budget(purpose)
+        outcome = "failed"
+        try:
+            answer = await self._request(method, path, **options)
+            outcome = "answered"
+        except (ConflictError, ObjectNotFoundError):
+            outcome = "answered"
+            raise
+        finally:
+            PLATFORM_CALLS_TOTAL.inc({"purpose": str(purpose), "outcome": outcome})
+        return answer
+
+    async def _wait_for_budget(self, purpose: Purpose) -> None:
+        now = anyio.current_time()
+        sent_at = self._budget.take(purpose, now)
+        if sent_at > now + MAX_BUDGET_WAIT_S:
+            self._budget.give_back(purpose)
+            raise BudgetExhaustedError(f"too many calls for {purpose}")
+        if sent_at > now:
+            await anyio.sleep_until(sent_at)
+
+    async def _request(self, method: str, path: str, **options: Any) -> httpx.Response:
         try:
             answer = await self._http.request(method, path, **options)
         except httpx.HTTPError as error:
--- a/src/agatehoist/platform/errors.py
+++ b/src/agatehoist/platform/errors.py
@@ -13,6 +13,10 @@
     """Report that no answer came; a write may have taken effect."""
 
 
+class BudgetExhaustedError(PlatformUnavailableError):
+    """Report that the call was not sent, since too many were."""
+
+
 class ConflictError(PlatformError):
     """Report that the object isn't at the expected version."""
 
--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -20,11 +21,24 @@
 
 @dataclass
 class Faults:
-    """Hold what the stand-in does wrong; times are in seconds."""
+    """Hold what the stand-in does wrong.
+
+    Times are in seconds; old_reads counts how many versions reads lie back.
+    """
 
     down: bool = False
     delay: float = 0.0
     lost_answers: int = 0
+    old_reads: int = 0
+    list_lag: float = 0.0
+
+
+@dataclass(frozen=True)
+class HostList:
+    """Hold the host list as it was from a time in seconds on."""
+
+    written_at: float
+    entries: list[Any]
 
 
 class Platform:
@@ -33,12 +47,13 @@
     def __init__(self) -> None:
         self.store = Store()
         self.faults = Faults()
+        self._lists = collections.deque([HostList(0.0, [])])
 
     async def get(self, request: Request) -> Response:
         """Answer with one object."""
         self.store.calls_by_kind["read"] += 1
         kind, name = _key(request)
-        found = self.store.get(kind, name)
+        found = self.store.get(kind, name, self.faults.old_reads)
         return await self._answer(_render(kind, name, found))
 
     async def list_names(self, request: Request) -> Response:
@@ -59,6 +74,7 @@
             self.store.put(kind, name, value, version)
         except VersionConflict as error:
             return await self._answer(Response(str(error), 412))
+        self._note_list(kind)
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
             return Response(status_code=503)
@@ -67,7 +83,11 @@
     async def delete(self, request: Request) -> Response:
         """Remove one object."""
         self.store.calls_by_kind["write"] += 1
-        self.store.delete(*_key(request))
+        kind, name = _key(request)
+        if self.faults.down:
+            return Response(status_code=503)
+        self.store.delete(kind, name)
+        self._note_list(kind)
         return await self._answer(Response(status_code=204))
 
     async def watch(self, request: Request) -> Response:
@@ -76,18 +96,18 @@
         kind, name = _key(request)
         after = int(request.query_params["after"])
         with anyio.move_on_after(float(request.query_params["timeout"])):
-            found = await self.store.wait_past(kind, name, after)
+            back = self.faults.old_reads
+            found = await self.store.wait_past(kind, name, after, back)
             return await self._answer(_render(kind, name, found))
         return Response(status_code=204)
 
     async def list_hosts(self, _request: Request) -> Response:
         """Answer with the host list."""
         self.store.calls_by_kind["read"] += 1
-        entries = [
-            (self.store.get(HOSTS_KIND, name) or (0, None))[1]
-            for name in self.store.names(HOSTS_KIND)
-        ]
-        return await self._answer(JSONResponse(entries))
+        oldest = anyio.current_time() - self.faults.list_lag
+        while len(self._lists) > 1 and self._lists[1].written_at <= oldest:
+            self._lists.popleft()
+        return await self._answer(JSONResponse(self._lists[0].entries))
 
     async def calls(self, _request: Request) -> Response:
         """Answer with the number of calls by kind."""
@@ -98,6 +118,13 @@
         self.faults = Faults(**await request.json())
         return Response(status_code=204)
 
+    def _note_list(self, kind: str) -> None:
+        if kind == HOSTS_KIND:
+            names = self.store.names(HOSTS_KIND)
+            found = [self.store.get(HOSTS_KIND, name) for name in names]
+            entries = [each[1] for each in found if each is not None]
+            self._lists.append(HostList(anyio.current_time(), entries))
+
     async def _answer(self, response: Response) -> Response:
         await anyio.sleep(self.faults.delay)
         if self.faults.down:
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the platform client."""
+
+from __future__ import annotations
