Accept changes by conditional update; show, history, diff and handover

Cause: nothing accepted a change safely; a file made from an older revision would have reverted the change of the other operator.

Change: apply is based on a revision (based_on), accepts by conditional update with a change id, settles a lost answer by reading (also when a successor has replaced the record, through the history, which is written before a record is replaced), tells a loser what won and why (exit 3) and says an unknown outcome (exit 4). Ruled out: history inside the object in force, which every process would carry.

--- /dev/null
+++ b/src/agatehoist/configuration/diff.py
@@ -0,0 +1,84 @@
+"""Differences between two documents."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from agatehoist.configuration.encoding import document_value
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from agatehoist.configuration.document import Document
+
+IGNORED_KEYS = ("based_on",)
+
+
+class DifferenceKind(enum.StrEnum):
+    """Say what happened to a value."""
+
+    ADDED = "+"
+    REMOVED = "-"
+    CHANGED = "~"
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Describe one value that differs; its path is written with dots."""
+
+    kind: DifferenceKind
+    path: str
+    before: Any = None
+    after: Any = None
+
+    def __str__(self) -> str:
+        if self.kind is DifferenceKind.ADDED:
+            return f"+ {self.path}: {_render(self.after)}"
+        if self.kind is DifferenceKind.REMOVED:
+            return f"- {self.path}: {_render(self.before)}"
+        return f"~ {self.path}: {_render(self.before)} -> {_render(self.after)}"
+
+
+def diff_documents(
+    before: Document | None, after: Document | None
+) -> tuple[Difference, ...]:
+    """Return what differs, in the order of the paths."""
+    return tuple(_compare("", _keyed(before), _keyed(after)))
+
+
+def _keyed(document: Document | None) -> dict[str, Any]:
+    if document is None:
+        return {}
+    value = document_value(document)
+    for key in IGNORED_KEYS:
+        del value[key]
+    # By name, an exception that moves in the list is no difference.
+    value["exceptions"] = {each["name"]: each for each in value["exceptions"]}
+    return value
+
+
+def _compare(path: str, before: Any, after: Any) -> Iterator[Difference]:
+    if before == after:
+        return
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        yield Difference(DifferenceKind.CHANGED, path, before, after)
+        return
+    for key in sorted({*before, *after}):
+        step = f"{path}.{key}" if path else str(key)
+        if key not in before:
+            yield Difference(DifferenceKind.ADDED, step, after=after[key])
+        elif key not in after:
+            yield Difference(DifferenceKind.REMOVED, step, before=before[key])
+        else:
+            yield from _compare(step, before[key], after[key])
+
+
+def _render(value: Any) -> str:
+    if isinstance(value, dict):
+        inner = ", ".join(f"{key}: {_render(each)}" for key, each in value.items())
+        return f"{{{inner}}}"
+    if isinstance(value, list | tuple):
+        return f"[{', '.join(_render(each) for each in value)}]"
+    return str(value)
--- a/src/agatehoist/configuration/errors.py
+++ b/src/agatehoist/configuration/errors.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from agatehoist.errors import AgatehoistError
 
+if TYPE_CHECKING:
+    from agatehoist.configuration.document import Record
+
 
 class ConfigurationError(AgatehoistError):
     """Base of the errors of the configuration."""
@@ -11,3 +16,24 @@
 
 class BadRecordError(ConfigurationError):
     """Report an accepted document that can't be read."""
+
+
+class ChangeConflictError(ConfigurationError):
+    """Report that another change was accepted after the one a file is based on."""
+
+    def __init__(
+        self, base: Record | None, winner: Record | None, changes: tuple[Record, ...]
+    ) -> None:
+        revision = winner.revision if winner is not None else 0
+        super().__init__(f"revision {revision} is in force")
+        self.base = base
+        self.winner = winner
+        self.changes = changes
+
+
+class OutcomeUnknownError(ConfigurationError):
+    """Report that it can't be told yet whether a change was accepted."""
+
+    def __init__(self, change_id: str, reason: str) -> None:
+        super().__init__(f"the outcome of change {change_id} is unknown: {reason}")
+        self.change_id = change_id
--- a/src/agatehoist/settings/convert.py
+++ b/src/agatehoist/settings/convert.py
@@ -32,6 +32,7 @@
         converter.register_structure_hook(plain, _structure_plain)
     # A string enumeration would take the hook of plain strings else.
     converter.register_structure_hook(enum.StrEnum, _structure_name)
+    converter.register_unstructure_hook(enum.StrEnum, str)
     converter.register_structure_hook(datetime, _structure_datetime)
     converter.register_unstructure_hook(datetime, datetime.isoformat)
     converter.register_structure_hook_factory(
--- a/src/agatehoist/settings/types.py
+++ b/src/agatehoist/settings/types.py
@@ -32,13 +32,21 @@
     url: str
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Configure the operators' commands."""
+
+    platform: PlatformSettings
+
+
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
-    """Configure a router."""
+    """Configure a router; peers ask for the configuration at the inner address."""
 
     node: NodeSettings
     http: Address
     platform: PlatformSettings
+    inner: Address | None = None
     peers: tuple[Address, ...] = ()
     log_level: str = "info"
 
