Measure slopes of state, messages, processor time and memory

Cause: docs/CAPACITY.md must be worked out from measured slopes.

Change: make capacity prints each slope over at least four sizes, the line of least squares, its largest residual and the value at the target size.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary
+.PHONY: env demo test lint format binary demo-binary capacity
 
 env: $(VENV)/.made
 
@@ -33,3 +33,6 @@
 
 binary: env
 	$(PYTHON) -m tools.binary
+
+capacity: env
+	$(PYTHON) -m bench.capacity
--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,3 @@
+"""Slopes of state, messages, processor time and memory."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/capacity/configuration.py
@@ -0,0 +1,31 @@
+"""Slopes of the configuration in force."""
+
+from __future__ import annotations
+
+from agatehoist.configuration.keys import digest_key, names_by_digest
+from agatehoist.configuration.types import FleetConfiguration, Organisation
+from bench.capacity.slopes import allocated_bytes, slope
+
+ORGANISATIONS = (1_000, 2_000, 4_000, 8_000)
+ORGANISATIONS_AT_TARGET = 49_000
+
+
+@slope(
+    "router: organisations with one key each",
+    "organisation",
+    "bytes",
+    ORGANISATIONS,
+    ORGANISATIONS_AT_TARGET,
+)
+def organisations_memory(count: int) -> float:
+    """Return the memory of the organisations and the index of their keys."""
+    return allocated_bytes(lambda: _build(count))
+
+
+def _build(count: int) -> object:
+    organisations_by_name = {
+        f"organisation-{index}": Organisation((digest_key(str(index)),))
+        for index in range(count)
+    }
+    configuration = FleetConfiguration(1, organisations_by_name)
+    return configuration, names_by_digest(configuration)
--- /dev/null
+++ b/bench/capacity/slopes.py
@@ -0,0 +1,92 @@
+"""Registry of slopes and the straight line through each."""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from agatehoist.core.registry import Registry
+
+MIN_REPEAT_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class SlopeSpec:
+    """Describe what is measured over which sizes, and the target size."""
+
+    name: str
+    per: str
+    unit: str
+    sizes: tuple[int, ...]
+    target: int
+    measure: Callable[[int], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """Hold a straight line and the largest distance from it, as a share."""
+
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, size: int) -> float:
+        """Return the value of the line at a size."""
+        return self.intercept + self.slope * size
+
+
+SLOPES: Registry[SlopeSpec] = Registry("slope")
+
+
+def slope(
+    name: str, per: str, unit: str, sizes: tuple[int, ...], target: int
+) -> Callable[[Callable[[int], float]], Callable[[int], float]]:
+    """Return a decorator that registers a measurement as a slope."""
+
+    def decorate(measure: Callable[[int], float]) -> Callable[[int], float]:
+        spec = SlopeSpec(name, per, unit, sizes, target, measure)
+        SLOPES.register(name)(spec)
+        return measure
+
+    return decorate
+
+
+def fit(sizes: tuple[int, ...], values: list[float]) -> Fit:
+    """Return the line of least squares."""
+    line = statistics.linear_regression(sizes, values)
+    largest = max(map(abs, values)) or 1.0
+    residual = max(
+        abs(value - line.intercept - line.slope * size)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return Fit(line.slope, line.intercept, residual / largest)
+
+
+def allocated_bytes(build: Callable[[], object]) -> float:
+    """Return the bytes that stay allocated for what build returns."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        del kept
+    finally:
+        tracemalloc.stop()
+    return float(after - before)
+
+
+def processor_us(run: Callable[[], object]) -> float:
+    """Return the processor time of one call in microseconds."""
+    run()
+    calls = 0
+    began_at = time.process_time()
+    while time.process_time() - began_at < MIN_REPEAT_S:
+        run()
+        calls += 1
+    return (time.process_time() - began_at) / calls * 1e6
