--- /dev/null
+++ b/src/agatehoist/attempts/ledger.py
@@ -0,0 +1,140 @@
+"""Decisions of a sidecar on submits and resumes, by attempt id."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from agatehoist.refusals.kinds import (
+    AnswerNotKept,
+    DeadlineExceeded,
+    Leaving,
+    NoEndpoint,
+    NotStarted,
+    StalePlacement,
+)
+from agatehoist.refusals.types import Refusal
+
+if TYPE_CHECKING:
+    from agatehoist.core.identity import AttemptId, EndpointIdentity
+    from agatehoist.protocol.messages import Assignment, Resume
+
+ENTRY_RETENTION_S = 30.0
+MAX_ENTRIES = 8192
+
+
+class Phase(enum.Enum):
+    """Say whether an attempt was started or may never start."""
+
+    STARTED = enum.auto()
+    REVOKED = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Remember an attempt until its deadline and a while beyond."""
+
+    organisation: str
+    deadline: float
+    phase: Phase
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Run the attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """Send the answer of the attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ignore:
+    """Do nothing on a repeated message."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Answer with a refusal."""
+
+    refusal: Refusal
+
+
+class AttemptLedger:
+    """Start each attempt id at most once.
+
+    An id that isn't here before its deadline and retention are over was never
+    started, since entries are kept that long and late submits are refused.
+    """
+
+    def __init__(self) -> None:
+        self._entries_by_id: dict[AttemptId, Entry] = {}
+
+    def on_submit(
+        self,
+        assignment: Assignment,
+        identity: EndpointIdentity,
+        ready: bool,
+        now: float,
+    ) -> Start | Ignore | Reject:
+        """Decide whether an attempt may start at an epoch time."""
+        entry = self._entries_by_id.get(assignment.attempt_id)
+        if entry is not None:
+            if entry.phase is Phase.STARTED:
+                return Ignore()
+            return Reject(NotStarted.refuse("the attempt was withdrawn").refusal)
+        refusal = self._find_fault(assignment, identity, ready, now)
+        if refusal is not None:
+            return Reject(refusal)
+        self._entries_by_id[assignment.attempt_id] = Entry(
+            assignment.organisation, assignment.deadline, Phase.STARTED
+        )
+        return Start()
+
+    def on_resume(self, resume: Resume, now: float) -> Attach | Reject:
+        """Decide what a router that asks for an answer gets at an epoch time."""
+        entry = self._entries_by_id.get(resume.attempt_id)
+        if entry is None:
+            return Reject(self._revoke(resume, now))
+        if entry.phase is Phase.REVOKED:
+            return Reject(NotStarted.refuse("the attempt was withdrawn").refusal)
+        if entry.organisation != resume.organisation:
+            return Reject(AnswerNotKept.refuse("no such answer is kept").refusal)
+        return Attach()
+
+    def sweep(self, now: float) -> None:
+        """Forget the entries whose retention is over."""
+        for attempt_id, entry in tuple(self._entries_by_id.items()):
+            if entry.deadline + ENTRY_RETENTION_S < now:
+                del self._entries_by_id[attempt_id]
+
+    def _revoke(self, resume: Resume, now: float) -> Refusal:
+        if resume.deadline + ENTRY_RETENTION_S <= now:
+            return AnswerNotKept.refuse("the answer is no longer kept").refusal
+        if len(self._entries_by_id) >= MAX_ENTRIES:
+            return AnswerNotKept.refuse("too many attempts are kept").refusal
+        self._entries_by_id[resume.attempt_id] = Entry(
+            resume.organisation, resume.deadline, Phase.REVOKED
+        )
+        return NotStarted.refuse("the attempt had not started").refusal
+
+    def _find_fault(
+        self,
+        assignment: Assignment,
+        identity: EndpointIdentity,
+        ready: bool,
+        now: float,
+    ) -> Refusal | None:
+        if not ready:
+            return Leaving.refuse("the endpoint takes no new work").refusal
+        if assignment.identity != identity:
+            detail = "the endpoint has changed since it was asked"
+            return StalePlacement.refuse(detail).refusal
+        if assignment.deadline <= now:
+            detail = "the deadline passed before the start"
+            return DeadlineExceeded.refuse(detail).refusal
+        if len(self._entries_by_id) >= MAX_ENTRIES:
+            return NoEndpoint.refuse("the endpoint keeps too many attempts").refusal
+        return None
--- /dev/null
+++ b/src/agatehoist/attempts/machine.py
@@ -0,0 +1,282 @@
+"""State machine of one request over all its attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from agatehoist.attempts.budget import backoff_until
+from agatehoist.attempts.types import (
+    CallerGone,
+    CancelAttempt,
+    DeadlinePassed,
+    Decision,
+    Deliver,
+    Drop,
+    Event,
+    Fault,
+    Finish,
+    Frame,
+    LinkLost,
+    NotWritten,
+    Offered,
+    Place,
+    Refuse,
+    ResumeAt,
+    ResumeFailed,
+    Rules,
+    Submit,
+    Target,
+)
+from agatehoist.core.registry import Registry
+from agatehoist.core.work import Run
+from agatehoist.protocol.messages import CallReply, CompletionEnd, Refused, Tokens
+from agatehoist.refusals.kinds import (
+    FINAL_CODES,
+    AnswerTimeout,
+    BrokenStream,
+    DeadlineExceeded,
+    NoEndpoint,
+    OutcomeUnknown,
+    RetriesExhausted,
+)
+from agatehoist.refusals.types import Refusal
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from agatehoist.attempts.budget import RetryBudget
+    from agatehoist.core.identity import AttemptId
+    from agatehoist.placement.types import Offer
+
+    Decisions = tuple[Decision, ...]
+
+MAX_PLACEMENTS = 4
+MAX_RESUMES = 2
+RETRY_DELAY_S = 1.0
+
+EVENT_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt event")
+FRAME_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt frame")
+
+
+class RequestMachine:
+    """Decide what follows each event of one request."""
+
+    def __init__(
+        self,
+        rules: Rules,
+        budget: RetryBudget,
+        next_id: Callable[[], AttemptId],
+        rng: random.Random,
+    ) -> None:
+        self.rules = rules
+        self.texts: list[str] = []
+        self.target: Target | None = None
+        self.ended = False
+        self._budget = budget
+        self._next_id = next_id
+        self._rng = rng
+        self._offers: list[Offer] = []
+        self._may_have_run: set[AttemptId] = set()
+        self._dispatches = 0
+        self._placements = 0
+        self._resumes = 0
+        self._resuming = False
+        self._refusal: Refusal | None = None
+
+    def start(self, now: float) -> Decisions:
+        """Begin with a placement."""
+        self._budget.note_request()
+        self._placements = 1
+        return (Place(now),)
+
+    def follow(self, target: Target, first: int, now: float) -> Decisions:
+        """Begin by reading the answer of an attempt that another router made."""
+        self.texts = [""] * first
+        self.target = target
+        self._dispatches = 1
+        self._may_have_run.add(target.attempt_id)
+        self._resuming = True
+        return (ResumeAt(target, first, now),)
+
+    def handle(self, event: Event, now: float) -> Decisions:
+        """Take an event at an epoch time and return what to do."""
+        if self.ended:
+            return (Drop(Fault.LATE),) if isinstance(event, Frame) else ()
+        decisions: Decisions = EVENT_HANDLERS[type(event)](self, event, now)
+        return decisions
+
+    @EVENT_HANDLERS.register(Offered)
+    def _on_offers(self, event: Offered, now: float) -> Decisions:
+        self._offers = list(event.offers)
+        return self._dispatch(now)
+
+    @EVENT_HANDLERS.register(NotWritten)
+    def _on_not_written(self, event: NotWritten, now: float) -> Decisions:
+        if not self._is_current(event.attempt_id):
+            return ()
+        self._may_have_run.discard(event.attempt_id)
+        return self._give_up_attempt(NoEndpoint.refuse(event.detail).refusal, now)
+
+    @EVENT_HANDLERS.register(LinkLost)
+    def _on_link_lost(self, event: LinkLost, now: float) -> Decisions:
+        if not self._is_current(event.attempt_id):
+            return ()
+        return self._resume(now)
+
+    @EVENT_HANDLERS.register(ResumeFailed)
+    def _on_resume_failed(self, event: ResumeFailed, now: float) -> Decisions:
+        if not self._is_current(event.attempt_id):
+            return ()
+        if event.restarted:
+            lost = OutcomeUnknown.refuse("the sidecar restarted during the attempt")
+            return self._give_up_attempt(lost.refusal, now)
+        return self._resume(now)
+
+    @EVENT_HANDLERS.register(DeadlinePassed)
+    def _on_deadline(self, _event: DeadlinePassed, now: float) -> Decisions:
+        kind = AnswerTimeout if self._may_have_run else DeadlineExceeded
+        refusal = kind.refuse("the deadline passed").refusal
+        return (*self._cancel_current(), *self._refuse(refusal, now))
+
+    @EVENT_HANDLERS.register(CallerGone)
+    def _on_caller_gone(self, _event: CallerGone, _now: float) -> Decisions:
+        self.ended = True
+        return self._cancel_current()
+
+    @EVENT_HANDLERS.register(Frame)
+    def _on_frame(self, event: Frame, now: float) -> Decisions:
+        message = event.message
+        if not self._is_current(message.attempt_id):
+            return (Drop(Fault.LATE),)
+        decisions: Decisions = FRAME_HANDLERS[type(message)](self, message, now)
+        return decisions
+
+    @FRAME_HANDLERS.register(Tokens)
+    def _on_tokens(self, message: Tokens, now: float) -> Decisions:
+        received = len(self.texts)
+        if message.first > received:
+            return (Drop(Fault.GAP), *self._resume_gap(now))
+        new = message.texts[received - message.first :]
+        if not new:
+            return (Drop(Fault.REPEATED),)
+        self.texts.extend(new)
+        self._resumes = 0
+        self._resuming = False
+        return (Deliver(received, tuple(new)),)
+
+    @FRAME_HANDLERS.register(CompletionEnd)
+    def _on_end(self, message: CompletionEnd, now: float) -> Decisions:
+        if message.token_count > len(self.texts):
+            return (Drop(Fault.GAP), *self._resume_gap(now))
+        if message.token_count < len(self.texts):
+            broken = BrokenStream.refuse("the end counts fewer tokens than came")
+            return (Drop(Fault.MALFORMED), *self._refuse(broken.refusal, now))
+        self.ended = True
+        return (Finish(message),)
+
+    @FRAME_HANDLERS.register(CallReply)
+    def _on_reply(self, message: CallReply, _now: float) -> Decisions:
+        self.ended = True
+        return (Finish(message),)
+
+    @FRAME_HANDLERS.register(Refused)
+    def _on_refused(self, message: Refused, now: float) -> Decisions:
+        refusal = message.refusal
+        if refusal.run is Run.NO:
+            self._may_have_run.discard(message.attempt_id)
+        if refusal.code in FINAL_CODES:
+            return self._refuse(refusal, now)
+        return self._give_up_attempt(refusal, now)
+
+    def _is_current(self, attempt_id: AttemptId) -> bool:
+        return self.target is not None and self.target.attempt_id == attempt_id
+
+    def _dispatch(self, now: float) -> Decisions:
+        if now >= self.rules.deadline:
+            return self._on_deadline(DeadlinePassed(), now)
+        if not self._offers:
+            return self._place_again(now)
+        if self._dispatches and not self._budget.try_spend():
+            return self._out_of_retries(now)
+        offer = self._offers.pop(0)
+        target = Target(
+            self._next_id(), offer.candidate.host, offer.identity.sidecar_incarnation
+        )
+        self.target = target
+        self._dispatches += 1
+        self._resumes = 0
+        self._resuming = False
+        self._may_have_run.add(target.attempt_id)
+        return (Submit(target, offer, tuple(self.texts)),)
+
+    def _place_again(self, now: float) -> Decisions:
+        if self._placements >= MAX_PLACEMENTS:
+            return self._refuse(self._last_refusal(), now)
+        if not self._budget.try_spend():
+            return self._out_of_retries(now)
+        self._placements += 1
+        return (Place(backoff_until(now, self._placements, self._rng)),)
+
+    def _give_up_attempt(self, refusal: Refusal, now: float) -> Decisions:
+        attempt = self.target
+        self.target = None
+        self._refusal = refusal
+        if self._may_have_run and not self.rules.idempotent:
+            return self._refuse(refusal, now)
+        if self._dispatches == self.rules.max_dispatches:
+            return self._refuse(refusal, now)
+        if self.rules.max_tokens and len(self.texts) >= self.rules.max_tokens:
+            assert attempt is not None
+            return self._finish_at_limit(attempt)
+        return self._dispatch(now)
+
+    def _finish_at_limit(self, attempt: Target) -> Decisions:
+        self.ended = True
+        end = CompletionEnd(
+            attempt.attempt_id, len(self.texts), "length", self.rules.prompt_tokens, 0
+        )
+        return (Finish(end),)
+
+    def _resume_gap(self, now: float) -> Decisions:
+        # Frames that were on their way are dropped while the resume runs.
+        return () if self._resuming else self._resume(now)
+
+    def _resume(self, now: float) -> Decisions:
+        assert self.target is not None
+        self._resumes += 1
+        if self._resumes > MAX_RESUMES and self.rules.idempotent:
+            cancelled = self._cancel_current()
+            lost = OutcomeUnknown.refuse("the sidecar isn't reached any more")
+            return (*cancelled, *self._give_up_attempt(lost.refusal, now))
+        self._resuming = True
+        at = backoff_until(now, self._resumes, self._rng)
+        return (ResumeAt(self.target, len(self.texts), at),)
+
+    def _cancel_current(self) -> Decisions:
+        # Work that can't be repeated is left to end, so that its outcome is known.
+        if self.target is None or not self.rules.idempotent:
+            return ()
+        return (CancelAttempt(self.target),)
+
+    def _last_refusal(self) -> Refusal:
+        return self._refusal or NoEndpoint.refuse("no endpoint took the work").refusal
+
+    def _out_of_retries(self, now: float) -> Decisions:
+        last = self._last_refusal()
+        return self._refuse(RetriesExhausted.refuse(last.detail).refusal, now)
+
+    def _refuse(self, refusal: Refusal, now: float) -> Decisions:
+        self.ended = True
+        return (Refuse(self._truthful(refusal, now)),)
+
+    def _truthful(self, refusal: Refusal, now: float) -> Refusal:
+        """Return the refusal with what is known of all attempts together."""
+        if self.texts:
+            return BrokenStream.refuse(refusal.detail).refusal
+        if not self._may_have_run:
+            retry_at = refusal.retry_at or now + RETRY_DELAY_S
+            return Refusal(refusal.code, refusal.detail, Run.NO, retry_at)
+        if refusal.run is Run.NO:
+            return OutcomeUnknown.refuse(refusal.detail).refusal
+        return refusal
--- /dev/null
+++ b/src/agatehoist/claims/errors.py
@@ -0,0 +1,18 @@
+"""Errors of the claims."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.errors import AgatehoistError
+
+if TYPE_CHECKING:
+    from agatehoist.claims.types import StoredClaim
+
+
+class ClaimTakenError(AgatehoistError):
+    """Report that the claim has changed since it was read."""
+
+    def __init__(self, found: StoredClaim) -> None:
+        super().__init__(f"claim is at version {found.version}")
+        self.found = found
--- /dev/null
+++ b/src/agatehoist/claims/store.py
@@ -0,0 +1,68 @@
+"""Claims as objects of the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import cattrs
+
+from agatehoist.claims.errors import ClaimTakenError
+from agatehoist.claims.types import Claim, StoredClaim
+from agatehoist.platform.errors import ConflictError, PlatformUnavailableError
+
+if TYPE_CHECKING:
+    from agatehoist.platform.client import PlatformClient
+    from agatehoist.platform.types import StoredObject
+
+CLAIM_KIND = "claims"
+RETRY_INTERVAL_S = 0.1
+WRITE_TIMEOUT_S = 2.0
+
+
+class ClaimStore:
+    """Read and write claims, and settle writes whose answer was lost."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+
+    async def write(
+        self, name: str, claim: Claim, version: int, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> int:
+        """Write a claim that is at the version and return its new version.
+
+        Raises ClaimTakenError if another claim is there, PlatformError if nothing
+        could be confirmed in time.
+        """
+        give_up_at = anyio.current_time() + timeout_s
+        while True:
+            try:
+                return await self._put(name, claim, version)
+            except PlatformUnavailableError:
+                if anyio.current_time() + RETRY_INTERVAL_S >= give_up_at:
+                    raise
+            await anyio.sleep(RETRY_INTERVAL_S)
+
+    async def wait_past(self, name: str, version: int) -> StoredClaim | None:
+        """Return the claim once it is past the version, or None after a while.
+
+        Raises PlatformError.
+        """
+        found = await self._platform.watch(CLAIM_KIND, name, version)
+        return None if found is None else _structure(found)
+
+    async def _put(self, name: str, claim: Claim, version: int) -> int:
+        value = cattrs.unstructure(claim)
+        try:
+            stored = await self._platform.put(CLAIM_KIND, name, value, version)
+        except ConflictError:
+            # An earlier write of this claim may have taken effect with its answer lost.
+            found = _structure(await self._platform.get(CLAIM_KIND, name))
+            if found.claim != claim:
+                raise ClaimTakenError(found) from None
+            return found.version
+        return stored.version
+
+
+def _structure(stored: StoredObject) -> StoredClaim:
+    return StoredClaim(stored.version, cattrs.structure(stored.value, Claim))
--- a/src/agatehoist/core/work.py
+++ b/src/agatehoist/core/work.py
@@ -29,6 +29,14 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class Continuation:
+    """Hold the part of an answer that was delivered before."""
+
+    text: str
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class CompletionWork:
     """Carry one completion for an engine."""
@@ -37,6 +45,7 @@
     body: bytes
     prompt_tokens: int
     max_tokens: int
+    continuation: Continuation | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -10,6 +11,7 @@
 from agatehoist.core.trust import tls_context
 from agatehoist.endpoints.errors import (
     EndpointBrokenError,
+    EndpointError,
     EndpointNotReachedError,
     EndpointRejectedError,
 )
@@ -19,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from agatehoist.core.work import CompletionWork, Priority
+    from agatehoist.core.work import CompletionWork, Continuation, Priority
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 60.0
@@ -27,6 +29,15 @@
 EVENT_PREFIX = "data: "
 END_MARKER = "[DONE]"
 
+_RETRIED_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.CONFLICT,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.TOO_MANY_REQUESTS,
+    }
+)
+
 
 @ENDPOINT_KINDS.register("engine")
 class EngineClient:
@@ -68,10 +79,10 @@
             async with self._http.stream("POST", work.path, json=body) as answer:
                 if answer.is_error:
                     await answer.aread()
-                    raise EndpointRejectedError(f"{answer.status_code}: {answer.text}")
+                    raise _error_for(answer)
                 async for event in _read_events(answer):
                     yield event
-        except httpx.ConnectError as error:
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointNotReachedError(f"engine not reached: {error!r}") from error
         except (httpx.HTTPError, ValueError, KeyError) as error:
             raise EndpointBrokenError(f"engine failed: {error!r}") from error
@@ -83,9 +94,26 @@
     body["stream_options"] = {"include_usage": True}
     body["cache_salt"] = salt
     body["priority"] = int(priority)
+    if work.continuation is not None:
+        _continue_behind(work.continuation, work.max_tokens, body)
     return body
 
 
+def _continue_behind(
+    continuation: Continuation, max_tokens: int, body: dict[str, Any]
+) -> None:
+    body.pop("max_completion_tokens", None)
+    body["max_tokens"] = max_tokens - continuation.tokens
+    body["continuation"] = {"text": continuation.text, "tokens": continuation.tokens}
+
+
+def _error_for(answer: httpx.Response) -> EndpointError:
+    text = f"engine answered {answer.status_code}: {answer.text}"
+    if answer.status_code in _RETRIED_STATUSES or answer.is_server_error:
+        return EndpointBrokenError(text)
+    return EndpointRejectedError(text)
+
+
 async def _read_events(
     answer: httpx.Response,
 ) -> AsyncIterator[EngineTokens | EngineEnd]:
--- a/src/agatehoist/endpoints/errors.py
+++ b/src/agatehoist/endpoints/errors.py
@@ -14,7 +14,7 @@
 
 
 class EndpointRejectedError(EndpointError):
-    """Report that the endpoint refused the work before it ran."""
+    """Report that the endpoint found a fault in the request itself."""
 
 
 class EndpointBrokenError(EndpointError):
--- a/src/agatehoist/frontend/access.py
+++ b/src/agatehoist/frontend/access.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from agatehoist.configuration.keys import digest_key
-from agatehoist.refusals.kinds import BodyTooLarge, Leaving, MissingKey, UnknownKey
+from agatehoist.refusals.kinds import (
+    BodyTooLarge,
+    InvalidParameter,
+    Leaving,
+    MissingKey,
+    UnknownKey,
+)
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -14,6 +20,8 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BEARER = "bearer "
+KEY_HEADER = "idempotency-key"
+MAX_KEY_LENGTH = 255
 
 
 def authorise(state: RouterState, request: Request) -> str:
@@ -40,6 +48,21 @@
         raise Leaving.refuse("the router takes no new work", state.clock.now() + 1)
 
 
+def read_key(request: Request) -> str | None:
+    """Return the caller's idempotency key, if there is one.
+
+    Raises RequestRefusedError.
+    """
+    key = request.headers.get(KEY_HEADER)
+    if key is None:
+        return None
+    if not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise InvalidParameter.refuse(
+            f"{KEY_HEADER} must have 1 to {MAX_KEY_LENGTH} characters"
+        )
+    return key
+
+
 async def read_body(request: Request) -> bytes:
     """Return the body.
 
--- a/src/agatehoist/frontend/app.py
+++ b/src/agatehoist/frontend/app.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
-from contextlib import aclosing, contextmanager
-from typing import TYPE_CHECKING, Any
+from contextlib import AsyncExitStack, aclosing, contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.requests import ClientDisconnect
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from agatehoist.core.work import CallWork
-from agatehoist.frontend.access import authorise, read_body, require_ready
+from agatehoist.frontend.access import (
+    authorise,
+    read_body,
+    read_key,
+    require_ready,
+)
+from agatehoist.frontend.closing import ClosingResponse
+from agatehoist.frontend.disconnect import run_while_connected
 from agatehoist.frontend.parsing import (
     PARTS_READERS_BY_PATH,
     parse_completion,
@@ -25,7 +34,14 @@
     render_stream_error,
     render_whole,
 )
+from agatehoist.frontend.resuming import (
+    RESUME_HEADER,
+    ResumePoint,
+    decode_point,
+    encode_point,
+)
 from agatehoist.observability.http import health_routes
+from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import (
     IN_FLIGHT,
     OUTCOMES_TOTAL,
@@ -33,20 +49,31 @@
     TTFT_SECONDS,
 )
 from agatehoist.refusals import RequestRefusedError
-from agatehoist.refusals.kinds import UnknownService
-from agatehoist.router.dispatch import call, complete
-from agatehoist.router.requests import CallRequest, Delta, Finished, Started
+from agatehoist.refusals.kinds import InternalFault, UnknownService
+from agatehoist.router.dispatch import call, complete, resume
+from agatehoist.router.keyed_calls import call_once
+from agatehoist.router.requests import (
+    CallRequest,
+    CompletionRequest,
+    Delta,
+    Finished,
+    ResumeRequest,
+    Started,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator, Iterator
 
     from starlette.requests import Request
 
-    from agatehoist.router.requests import CompletionRequest
+    from agatehoist.attempts.types import Target
     from agatehoist.router.state import RouterState
 
+logger = get_logger("frontend")
+
 ENDPOINT_HEADER = "x-agatehoist-endpoint"
 REQUEST_TIMEOUT_S = 60.0
+STATUS_CALLER_LEFT = 499
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
 Event = Started | Delta | Finished
@@ -70,10 +97,45 @@
             models,
             services,
         ],
-        exception_handlers={RequestRefusedError: frontend.refuse},
+        exception_handlers={
+            RequestRefusedError: frontend.refuse,
+            Exception: frontend.fail,
+        },
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold a decoded completion and, if it is resumed, from where."""
+
+    request: CompletionRequest
+    point: ResumePoint | None
+
+    @property
+    def first(self) -> int:
+        """Return the index of the first token to give."""
+        return self.point.first if self.point else 0
+
+    def events(self, state: RouterState) -> AsyncGenerator[Event]:
+        """Return what happens to the request."""
+        request = self.request
+        if self.point is None:
+            return complete(state, request)
+        again = ResumeRequest(
+            request.organisation,
+            self.point.target,
+            self.point.first,
+            self.point.deadline,
+            request.deadline,
+        )
+        return resume(state, again)
+
+    def point_at(self, target: Target, first: int) -> str:
+        """Return the text of the point from which a caller can resume."""
+        deadline = self.point.deadline if self.point else self.request.deadline
+        return encode_point(ResumePoint(target, deadline, first))
+
+
 class Frontend:
     """Decode callers' requests and encode their answers."""
 
@@ -87,6 +149,12 @@
         REFUSALS_TOTAL.inc({"code": refusal.code, "run": str(refusal.run)})
         return render_refusal(refusal, self._state.clock.now())
 
+    async def fail(self, _request: Request, error: Exception) -> Response:
+        """Answer after a fault of the program itself."""
+        logger.error("request failed", exc_info=error)
+        refusal = InternalFault.refuse("the router failed").refusal
+        return render_refusal(refusal, self._state.clock.now())
+
     async def list_models(self, request: Request) -> Response:
         """Answer with the configured models."""
         authorise(self._state, request)
@@ -98,7 +166,7 @@
         return JSONResponse({"object": "list", "data": models})
 
     async def complete(self, request: Request) -> Response:
-        """Answer a completion, whole or streamed."""
+        """Answer a completion, whole or streamed, or resume a stream."""
         organisation = authorise(self._state, request)
         body = await read_body(request)
         require_ready(self._state)
@@ -109,19 +177,28 @@
             self._state.configuration,
             self._state.clock.now() + REQUEST_TIMEOUT_S,
         )
-        if wants_stream(body):
-            return await self._stream(decoded)
-        return await self._answer_whole(decoded)
+        point = request.headers.get(RESUME_HEADER)
+        answer = Answer(decoded, decode_point(point) if point else None)
+        try:
+            async with AsyncExitStack() as closing:
+                closing.enter_context(self._in_flight())
+                if wants_stream(body):
+                    return await self._stream(request, answer, closing)
+                return await self._answer_whole(request, answer)
+        except ClientDisconnect:
+            return Response(status_code=STATUS_CALLER_LEFT)
 
     async def call(self, request: Request) -> Response:
         """Answer a service call."""
         organisation = authorise(self._state, request)
         body = await read_body(request)
         require_ready(self._state)
+        decoded = self._decode_call(request, organisation, body)
         with self._in_flight():
-            answer = await call(
-                self._state, self._decode_call(request, organisation, body)
-            )
+            if decoded.key is None:
+                answer = await call(self._state, decoded)
+            else:
+                answer = await call_once(self._state, decoded)
         OUTCOMES_TOTAL.inc({"outcome": "whole"})
         headers = {**answer.headers_by_name, ENDPOINT_HEADER: answer.host}
         return Response(answer.body, answer.status, headers)
@@ -142,56 +219,65 @@
         work = CallWork(request.method, path, headers, body)
         idempotent = request.method not in service.non_idempotent_methods
         deadline = self._state.clock.now() + REQUEST_TIMEOUT_S
-        return CallRequest(organisation, name, work, idempotent, deadline)
+        key = None if idempotent else read_key(request)
+        return CallRequest(organisation, name, work, idempotent, deadline, key)
 
-    async def _answer_whole(self, request: CompletionRequest) -> Response:
-        texts: list[str] = []
-        host = ""
-        with self._in_flight():
-            async with aclosing(self._events(request)) as events:
+    async def _answer_whole(self, request: Request, answer: Answer) -> Response:
+        async def collect() -> Response:
+            texts: list[str] = []
+            async with aclosing(self._events(answer)) as events:
                 async for event in events:
                     if isinstance(event, Started):
-                        host = event.host
+                        host = event.target.host
                     elif isinstance(event, Delta):
                         texts.append(event.text)
                     else:
                         end = event
-        body = render_whole(self._envelope(request), "".join(texts), end)
-        return JSONResponse(body, headers={ENDPOINT_HEADER: host})
+            body = render_whole(self._envelope(answer.request), "".join(texts), end)
+            return JSONResponse(body, headers={ENDPOINT_HEADER: host})
+
+        return await run_while_connected(request, collect)
 
-    async def _stream(self, request: CompletionRequest) -> Response:
-        events = self._events(request)
+    async def _stream(
+        self, request: Request, answer: Answer, closing: AsyncExitStack
+    ) -> Response:
+        events = await closing.enter_async_context(aclosing(self._events(answer)))
         # The first event decides between a stream and a refusal with its status.
-        started = await anext(events)
+        started = await run_while_connected(request, lambda: anext(events))
         assert isinstance(started, Started)
-        return StreamingResponse(
-            self._encode_stream(request, events),
-            media_type="text/event-stream",
-            headers={ENDPOINT_HEADER: started.host, "cache-control": "no-cache"},
+        headers = {
+            ENDPOINT_HEADER: started.target.host,
+            RESUME_HEADER: answer.point_at(started.target, answer.first),
+            "cache-control": "no-cache",
+        }
+        return ClosingResponse(
+            self._encode_stream(answer, events), headers, closing.pop_all()
         )
 
     async def _encode_stream(
-        self, request: CompletionRequest, events: AsyncGenerator[Event]
+        self, answer: Answer, events: AsyncGenerator[Event]
     ) -> AsyncIterator[bytes]:
-        envelope = self._envelope(request)
-        with_usage = wants_usage(request.work.body)
-        with self._in_flight():
-            try:
-                async with aclosing(events):
-                    async for event in events:
-                        yield _encode_event(envelope, event, with_usage)
-            except RequestRefusedError as error:
-                yield render_stream_error(error.refusal)
+        envelope = self._envelope(answer.request)
+        with_usage = wants_usage(answer.request.work.body)
+        try:
+            async for event in events:
+                if isinstance(event, Delta):
+                    point = answer.point_at(event.target, event.until)
+                    yield render_delta(envelope, event.text, point)
+                elif isinstance(event, Finished):
+                    yield render_end(envelope, event, with_usage)
+        except RequestRefusedError as error:
+            yield render_stream_error(error.refusal)
 
-    async def _events(self, request: CompletionRequest) -> AsyncGenerator[Event]:
+    async def _events(self, answer: Answer) -> AsyncGenerator[Event]:
         asked_at = self._state.clock.now()
         outcome = "broken"
-        async with aclosing(complete(self._state, request)) as events:
+        async with aclosing(answer.events(self._state)) as events:
             try:
                 async for event in events:
                     if isinstance(event, Started):
                         elapsed = self._state.clock.now() - asked_at
-                        TTFT_SECONDS.add({"model": request.model}, elapsed)
+                        TTFT_SECONDS.add({"model": answer.request.model}, elapsed)
                     if isinstance(event, Finished):
                         outcome = "whole"
                     yield event
@@ -211,9 +297,3 @@
                 yield
             finally:
                 IN_FLIGHT.dec({})
-
-
-def _encode_event(envelope: Envelope, event: Any, with_usage: bool) -> bytes:
-    if isinstance(event, Delta):
-        return render_delta(envelope, event.text)
-    return render_end(envelope, event, with_usage)
--- a/src/agatehoist/frontend/rendering.py
+++ b/src/agatehoist/frontend/rendering.py
@@ -44,9 +44,12 @@
     return {**_head(envelope, False), "choices": [choice], "usage": _usage(end)}
 
 
-def render_delta(envelope: Envelope, text: str) -> bytes:
-    """Return the event that carries a piece of a stream."""
-    return _event({**_head(envelope, True), "choices": [_choice(envelope, text, None)]})
+def render_delta(envelope: Envelope, text: str, resume_point: str) -> bytes:
+    """Return the event that carries a piece of a stream; its id is where to resume."""
+    event = _event(
+        {**_head(envelope, True), "choices": [_choice(envelope, text, None)]}
+    )
+    return f"id: {resume_point}\n".encode() + event
 
 
 def render_end(envelope: Envelope, end: Finished, with_usage: bool) -> bytes:
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -18,15 +18,25 @@
 PLATFORM_CALLS_TOTAL = Counter(
     "agatehoist_platform_calls_total", "Calls of the platform by purpose and outcome."
 )
+DROPPED_FRAMES_TOTAL = Counter(
+    "agatehoist_dropped_frames_total", "Frames left out of an answer, by fault."
+)
+RETRIES_TOTAL = Counter("agatehoist_retries_total", "Dispatches after the first.")
+RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
+CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
 IN_FLIGHT = Gauge("agatehoist_in_flight", "Requests in flight.")
 
 __all__ = [
+    "CLAIMS_TOTAL",
+    "DROPPED_FRAMES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
     "OUTCOMES_TOTAL",
     "RECOMPUTED_TOKENS",
     "REFUSALS_TOTAL",
     "PLATFORM_CALLS_TOTAL",
+    "RESUMES_TOTAL",
+    "RETRIES_TOTAL",
     "REGISTRY",
     "TTFT_SECONDS",
 ]
--- a/src/agatehoist/protocol/codec.py
+++ b/src/agatehoist/protocol/codec.py
@@ -8,6 +8,7 @@
 from cattrs.preconf.msgpack import make_converter
 
 from agatehoist.errors import UnknownNameError
+from agatehoist.protocol import attempt_messages  # noqa: F401
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.protocol.messages import CODES_BY_TYPE, MESSAGES
 
--- a/src/agatehoist/protocol/connection.py
+++ b/src/agatehoist/protocol/connection.py
@@ -19,7 +19,7 @@
 
     from anyio.abc import ByteStream
 
-HANDSHAKE_TIMEOUT_S = 5.0
+HANDSHAKE_TIMEOUT_S = 1.0
 RECEIVE_BYTES = 65536
 
 
--- a/src/agatehoist/protocol/errors.py
+++ b/src/agatehoist/protocol/errors.py
@@ -19,3 +19,7 @@
 
 class ConnectionLostError(ProtocolError):
     """Report a connection that ended before an answer came."""
+
+
+class NotWrittenError(ConnectionLostError):
+    """Report a message of which no byte was written."""
--- a/src/agatehoist/protocol/link.py
+++ b/src/agatehoist/protocol/link.py
@@ -10,8 +10,14 @@
 import anyio
 
 from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import DROPPED_FRAMES_TOTAL
+from agatehoist.protocol.attempt_messages import Ping, Pong
 from agatehoist.protocol.connection import Connection
-from agatehoist.protocol.errors import ConnectionLostError, ProtocolError
+from agatehoist.protocol.errors import (
+    ConnectionLostError,
+    NotWrittenError,
+    ProtocolError,
+)
 from agatehoist.protocol.messages import Probe, ProbeReply
 
 if TYPE_CHECKING:
@@ -26,6 +32,8 @@
 logger = get_logger("protocol")
 
 CONNECT_TIMEOUT_S = 1.0
+PING_INTERVAL_S = 1.0
+PONG_TIMEOUT_S = 2.0
 
 
 class Link:
@@ -37,6 +45,8 @@
         self._connection = connection
         self._sinks_by_key: dict[object, MemoryObjectSendStream[Any]] = {}
         self._probe_ids = itertools.count(1)
+        self._ping_at = math.inf
+        self._silent_at = math.inf
 
     async def probe(self, probe: Probe) -> ProbeReply:
         """Send a probe and return its reply.
@@ -70,23 +80,63 @@
     async def send(self, message: object) -> None:
         """Send one message.
 
-        Raises ConnectionLostError if the link is closed.
+        Raises NotWrittenError if the link was closed before, ConnectionLostError if
+        it broke while the message was on its way.
         """
+        if self.closed:
+            raise NotWrittenError("link was closed before")
         await self._connection.send(message)
 
     async def run(self) -> None:
         """Hand received messages to their subscribers until the link ends."""
+        try:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(self._watch_silence)
+                await self._receive_all()
+                task_group.cancel_scope.cancel()
+        finally:
+            await self._close()
+
+    async def _receive_all(self) -> None:
         try:
             while True:
-                self._deliver(await self._connection.receive())
+                message = await self._connection.receive()
+                self._note_heard()
+                self._deliver(message)
         except ProtocolError as error:
             logger.info("link closed", peer=self.peer.node, reason=str(error))
-        finally:
-            await self._close()
+
+    def _note_heard(self) -> None:
+        self._ping_at = anyio.current_time() + PING_INTERVAL_S
+        self._silent_at = math.inf
+
+    async def _watch_silence(self) -> None:
+        """Close the link once a peer that owes answers leaves a ping unanswered."""
+        self._note_heard()
+        while True:
+            await anyio.sleep(PING_INTERVAL_S)
+            now = anyio.current_time()
+            if now >= self._silent_at:
+                logger.info("link silent", peer=self.peer.node)
+                await self._connection.aclose()
+                return
+            if self._sinks_by_key and now >= self._ping_at:
+                await self._ping(now)
+
+    async def _ping(self, now: float) -> None:
+        self._silent_at = min(self._silent_at, now + PONG_TIMEOUT_S)
+        with anyio.move_on_after(PING_INTERVAL_S):
+            try:
+                await self._connection.send(Ping())
+            except ConnectionLostError:
+                logger.debug("ping not sent", peer=self.peer.node)
 
     def _deliver(self, message: Any) -> None:
+        if isinstance(message, Pong):
+            return
         sink = self._sinks_by_key.get(_key_of(message))
         if sink is None:
+            DROPPED_FRAMES_TOTAL.inc({"fault": "late"})
             logger.debug("late message dropped", kind=type(message).__name__)
             return
         sink.send_nowait(message)
--- a/src/agatehoist/protocol/messages.py
+++ b/src/agatehoist/protocol/messages.py
@@ -153,3 +153,5 @@
 
     attempt_id: AttemptId
     first: int
+    organisation: str
+    deadline: float
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -150,3 +150,108 @@
     status = Status.BAD_GATEWAY
     run = Run.UNKNOWN
     error_type = "upstream_error"
+
+
+@refusal
+class EndpointRejected(RefusalKind):
+    """The endpoint found a fault in the request itself."""
+
+    code = "endpoint_rejected"
+    status = Status.BAD_REQUEST
+    run = Run.UNKNOWN
+
+
+@refusal
+class NotStarted(RefusalKind):
+    """The attempt was withdrawn before it started."""
+
+    code = "not_started"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class RetriesExhausted(RefusalKind):
+    """The retry budget is spent."""
+
+    code = "retries_exhausted"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class AnswerTimeout(RefusalKind):
+    """The deadline passed before the whole answer came."""
+
+    code = "answer_timeout"
+    status = Status.GATEWAY_TIMEOUT
+    run = Run.UNKNOWN
+    error_type = "timeout_error"
+
+
+@refusal
+class BrokenStream(RefusalKind):
+    """The answer broke off after its first token."""
+
+    code = "broken_stream"
+    status = Status.BAD_GATEWAY
+    run = Run.YES
+    error_type = "upstream_error"
+
+
+@refusal
+class AnswerNotKept(RefusalKind):
+    """The answer to resume is no longer kept."""
+
+    code = "answer_not_kept"
+    status = Status.GONE
+    run = Run.UNKNOWN
+
+
+@refusal
+class InternalFault(RefusalKind):
+    """The router failed at a request."""
+
+    code = "internal_fault"
+    status = Status.INTERNAL_SERVER_ERROR
+    run = Run.UNKNOWN
+    error_type = "server_error"
+
+
+@refusal
+class ClaimUnavailable(RefusalKind):
+    """The platform couldn't confirm the claim of an idempotency key."""
+
+    code = "claim_unavailable"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class KeyReused(RefusalKind):
+    """The idempotency key was used for another request."""
+
+    code = "idempotency_key_reused"
+    status = Status.UNPROCESSABLE_ENTITY
+
+
+@refusal
+class KeyInUse(RefusalKind):
+    """The first call with the idempotency key hasn't ended or its end isn't known."""
+
+    code = "idempotency_key_in_use"
+    status = Status.CONFLICT
+    run = Run.UNKNOWN
+
+
+@refusal
+class OutcomeTooLarge(RefusalKind):
+    """The call was run, but its answer was too large to store."""
+
+    code = "outcome_too_large"
+    status = Status.CONFLICT
+    run = Run.YES
+
+
+# Another endpoint would answer the same.
+FINAL_CODES = frozenset({DeadlineExceeded.code, EndpointRejected.code})
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -35,7 +35,7 @@
     """
     platform = PlatformClient(settings.platform)
     async with stop_signals() as stop, anyio.create_task_group() as task_group:
-        state = RouterState(settings, SystemClock(), task_group)
+        state = RouterState(settings, SystemClock(), task_group, platform)
         task_group.start_soon(_watch_configuration, state, platform)
         task_group.start_soon(_poll_hosts, state, platform)
         async with http_server(make_app(state), settings.http):
--- a/src/agatehoist/router/dispatch.py
+++ b/src/agatehoist/router/dispatch.py
@@ -3,89 +3,162 @@
 from __future__ import annotations
 
 from contextlib import aclosing
-from typing import TYPE_CHECKING, Any
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
-import anyio
-
-from agatehoist.core.work import Priority, Run
-from agatehoist.observability.logs import get_logger
+from agatehoist.attempts.types import Deliver, Finish, Rules, Submit, Target
+from agatehoist.core.work import Continuation, Priority
 from agatehoist.placement.levels import find_levels, salt_for
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Question
-from agatehoist.protocol.errors import ConnectionLostError, ProtocolError
-from agatehoist.protocol.link import receive_from
 from agatehoist.protocol.messages import (
     Assignment,
     CallReply,
-    Cancel,
     CompletionEnd,
-    Refused,
     SubmitCall,
     SubmitCompletion,
-    Tokens,
 )
-from agatehoist.refusals import RequestRefusedError
-from agatehoist.refusals.kinds import NoEndpoint, OutcomeUnknown
 from agatehoist.router.directory import ENGINE, SERVICE
+from agatehoist.router.driving import Driver
 from agatehoist.router.probing import probe_all
 from agatehoist.router.requests import CallAnswer, Delta, Finished, Started
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Awaitable, Callable
 
-    from agatehoist.core.identity import AttemptId
     from agatehoist.core.work import PrefixLevel
     from agatehoist.placement.types import Offer
-    from agatehoist.protocol.link import Link
-    from agatehoist.router.requests import CallRequest, CompletionRequest
+    from agatehoist.router.driving import Delivery
+    from agatehoist.router.requests import (
+        CallRequest,
+        CompletionRequest,
+        ResumeRequest,
+    )
     from agatehoist.router.state import RouterState
 
-logger = get_logger("router")
-
-RETRY_DELAY_S = 1.0
+    CompletionEvents = AsyncGenerator[Started | Delta | Finished]
 
 
-async def complete(
-    state: RouterState, request: CompletionRequest
-) -> AsyncGenerator[Started | Delta | Finished]:
+async def complete(state: RouterState, request: CompletionRequest) -> CompletionEvents:
     """Yield where a completion runs, its pieces and its end.
 
     Raises RequestRefusedError.
     """
     levels = _levels_of(state, request)
-    for offer in await _find_completion_offers(state, request, levels):
-        try:
-            async with aclosing(
-                _attempt_completion(state, request, levels, offer)
-            ) as events:
-                async for event in events:
-                    yield event
-            return
-        except RequestRefusedError as error:
-            if error.refusal.run is not Run.NO:
-                raise
-            logger.info("attempt refused", reason=str(error))
-    raise _no_endpoint(state)
-
-
-async def call(state: RouterState, request: CallRequest) -> CallAnswer:
+
+    async def find_offers() -> tuple[Offer, ...]:
+        return await _find_completion_offers(state, request, levels)
+
+    def make_submit(submit: Submit) -> SubmitCompletion:
+        work = request.work
+        if submit.texts:
+            continuation = Continuation("".join(submit.texts), len(submit.texts))
+            work = replace(work, continuation=continuation)
+        assignment = _assign(request, request.priority, submit)
+        return SubmitCompletion(assignment, levels, work)
+
+    rules = Rules(
+        True, request.deadline, request.work.max_tokens, request.work.prompt_tokens
+    )
+    driver = Driver(state, request.organisation, rules, find_offers, make_submit)
+    async with aclosing(_translate(driver.run())) as events:
+        async for event in events:
+            yield event
+
+
+async def resume(state: RouterState, request: ResumeRequest) -> CompletionEvents:
+    """Yield the rest of a completion that another router began to give.
+
+    Raises RequestRefusedError.
+    """
+    rules = Rules(True, request.deadline, max_dispatches=1)
+    driver = Driver(state, request.organisation, rules, _no_offers, _no_submit)
+    deliveries = driver.follow(request.target, request.first, request.attempt_deadline)
+    async with aclosing(_translate(deliveries)) as events:
+        async for event in events:
+            yield event
+
+
+async def call(
+    state: RouterState,
+    request: CallRequest,
+    before_submit: Callable[[Target], Awaitable[None]] | None = None,
+) -> CallAnswer:
     """Return the whole answer of a service call.
 
     Raises RequestRefusedError.
     """
-    for offer in await _find_call_offers(state, request):
-        try:
-            return await _attempt_call(state, request, offer)
-        except RequestRefusedError as error:
-            if error.refusal.run is not Run.NO:
-                raise
-            logger.info("attempt refused", reason=str(error))
-    raise _no_endpoint(state)
+
+    async def find_offers() -> tuple[Offer, ...]:
+        return await _find_call_offers(state, request)
+
+    def make_submit(submit: Submit) -> SubmitCall:
+        return SubmitCall(_assign(request, Priority.SHORT, submit), request.work)
+
+    rules = Rules(
+        request.idempotent,
+        request.deadline,
+        max_dispatches=None if request.idempotent or request.key else 1,
+    )
+    driver = Driver(
+        state, request.organisation, rules, find_offers, make_submit, before_submit
+    )
+    return await _only_reply(driver.run())
+
+
+async def follow_call(
+    state: RouterState, request: CallRequest, target: Target, attempt_deadline: float
+) -> CallAnswer:
+    """Return the whole answer of a service call that another router made.
+
+    Raises RequestRefusedError.
+    """
+    rules = Rules(False, request.deadline, max_dispatches=1)
+    driver = Driver(state, request.organisation, rules, _no_offers, _no_submit)
+    return await _only_reply(driver.follow(target, 0, attempt_deadline))
+
+
+async def _translate(deliveries: AsyncGenerator[Delivery]) -> CompletionEvents:
+    started = False
+    async with aclosing(deliveries):
+        async for each in deliveries:
+            if not started:
+                yield Started(each.target)
+                started = True
+            if isinstance(each.decision, Deliver):
+                texts = each.decision.texts
+                until = each.decision.first + len(texts)
+                yield Delta("".join(texts), until, each.target)
+            else:
+                yield _finished(each.decision)
+
+
+async def _only_reply(deliveries: AsyncGenerator[Delivery]) -> CallAnswer:
+    async with aclosing(deliveries):
+        async for each in deliveries:
+            assert isinstance(each.decision, Finish)
+            reply = each.decision.message
+            assert isinstance(reply, CallReply)
+            host = each.target.host
+            # The driver still has to acknowledge the reply.
+            answer = CallAnswer(host, reply.status, reply.headers_by_name, reply.body)
+    return answer
+
+
+def _finished(decision: Finish) -> Finished:
+    end = decision.message
+    assert isinstance(end, CompletionEnd)
+    return Finished(
+        end.finish_reason, end.prompt_tokens, end.token_count, end.cached_tokens
+    )
 
 
-def _no_endpoint(state: RouterState) -> RequestRefusedError:
-    retry_at = state.clock.now() + RETRY_DELAY_S
-    return NoEndpoint.refuse("no endpoint took the work", retry_at)
+async def _no_offers() -> tuple[Offer, ...]:
+    return ()
+
+
+def _no_submit(_submit: Submit) -> None:
+    raise AssertionError("an attempt of another router is never submitted again")
 
 
 def _levels_of(
@@ -108,7 +181,8 @@
     )
     policy = POLICIES[model.placement]()
     candidates = state.directory.candidates(ENGINE, request.model)
-    shortlist = policy.shortlist(question, candidates, state.rng)
+    trusted = state.suspects.trusted(candidates, state.clock.now())
+    shortlist = policy.shortlist(question, trusted, state.rng)
     offers = await probe_all(
         state, shortlist, question, request.organisation, request.deadline
     )
@@ -121,106 +195,21 @@
     question = Question((), 0, Priority.SHORT, state.settings.node.data_centre)
     policy = POLICIES["random"]()
     candidates = state.directory.candidates(SERVICE, request.service)
-    shortlist = policy.shortlist(question, candidates, state.rng)
+    trusted = state.suspects.trusted(candidates, state.clock.now())
+    shortlist = policy.shortlist(question, trusted, state.rng)
     offers = await probe_all(
         state, shortlist, question, request.organisation, request.deadline
     )
     return policy.choose(question, offers)
 
 
-async def _attempt_completion(
-    state: RouterState,
-    request: CompletionRequest,
-    levels: tuple[PrefixLevel, ...],
-    offer: Offer,
-) -> AsyncGenerator[Started | Delta | Finished]:
-    link = await _link_to(state, offer)
-    assignment = _assign(state, request, request.priority, offer)
-    attempt_id = assignment.attempt_id
-    ended = False
-    with link.subscribe(attempt_id) as messages:
-        try:
-            await _submit(link, SubmitCompletion(assignment, levels, request.work))
-            first = await _receive(messages)
-            _raise_refused(first)
-            yield Started(offer.candidate.host)
-            message = first
-            while isinstance(message, Tokens):
-                yield Delta("".join(message.texts))
-                message = await _receive(messages)
-                _raise_refused(message)
-            assert isinstance(message, CompletionEnd)
-            ended = True
-            yield Finished(
-                message.finish_reason,
-                message.prompt_tokens,
-                message.token_count,
-                message.cached_tokens,
-            )
-        finally:
-            if not ended:
-                await _cancel(link, attempt_id)
-
-
-async def _attempt_call(
-    state: RouterState, request: CallRequest, offer: Offer
-) -> CallAnswer:
-    link = await _link_to(state, offer)
-    assignment = _assign(state, request, Priority.SHORT, offer)
-    with link.subscribe(assignment.attempt_id) as messages:
-        await _submit(link, SubmitCall(assignment, request.work))
-        reply = await _receive(messages)
-    _raise_refused(reply)
-    assert isinstance(reply, CallReply)
-    return CallAnswer(
-        offer.candidate.host, reply.status, reply.headers_by_name, reply.body
-    )
-
-
 def _assign(
-    state: RouterState,
-    request: CompletionRequest | CallRequest,
-    priority: Priority,
-    offer: Offer,
+    request: CompletionRequest | CallRequest, priority: Priority, submit: Submit
 ) -> Assignment:
     return Assignment(
-        state.next_attempt_id(),
+        submit.target.attempt_id,
         request.organisation,
-        offer.identity,
+        submit.offer.identity,
         priority,
         request.deadline,
     )
-
-
-async def _link_to(state: RouterState, offer: Offer) -> Link:
-    try:
-        return await state.links.get(offer.candidate.host)
-    except ProtocolError as error:
-        raise NoEndpoint.refuse(str(error)) from error
-
-
-async def _submit(link: Link, message: Any) -> None:
-    try:
-        await link.send(message)
-    except ConnectionLostError as error:
-        raise OutcomeUnknown.refuse(str(error)) from error
-
-
-async def _receive(messages: Any) -> Tokens | CompletionEnd | CallReply | Refused:
-    try:
-        return await receive_from(messages)
-    except ConnectionLostError as error:
-        raise OutcomeUnknown.refuse(str(error)) from error
-
-
-def _raise_refused(message: Any) -> None:
-    if isinstance(message, Refused):
-        raise RequestRefusedError(message.refusal)
-
-
-async def _cancel(link: Link, attempt_id: AttemptId) -> None:
-    with anyio.move_on_after(1, shield=True):
-        try:
-            await link.send(Cancel(attempt_id))
-        except ConnectionLostError:
-            logger.debug("cancel not sent", attempt=str(attempt_id))
--- /dev/null
+++ b/src/agatehoist/router/driving.py
@@ -0,0 +1,276 @@
+"""Runtime around the state machine of one request."""
+
+from __future__ import annotations
+
+from collections import deque
+from contextlib import ExitStack
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from agatehoist.attempts.machine import RequestMachine
+from agatehoist.attempts.types import (
+    CallerGone,
+    CancelAttempt,
+    DeadlinePassed,
+    Decision,
+    Deliver,
+    Drop,
+    Event,
+    Finish,
+    Frame,
+    LinkLost,
+    NotWritten,
+    Offered,
+    Place,
+    Refuse,
+    ResumeAt,
+    ResumeFailed,
+    Rules,
+    Submit,
+    Target,
+)
+from agatehoist.core.registry import Registry
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import (
+    DROPPED_FRAMES_TOTAL,
+    RESUMES_TOTAL,
+    RETRIES_TOTAL,
+)
+from agatehoist.protocol.attempt_messages import Acknowledge, Window
+from agatehoist.protocol.errors import (
+    ConnectionLostError,
+    NotWrittenError,
+    ProtocolError,
+)
+from agatehoist.protocol.link import receive_from
+from agatehoist.protocol.messages import Cancel, Resume
+from agatehoist.protocol.windows import WINDOW_TOKENS, next_window
+from agatehoist.refusals import RequestRefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Awaitable, Callable
+
+    from anyio.streams.memory import MemoryObjectReceiveStream
+
+    from agatehoist.placement.types import Offer
+    from agatehoist.protocol.link import Link
+    from agatehoist.router.state import RouterState
+
+logger = get_logger("router")
+
+CANCEL_TIMEOUT_S = 1.0
+
+PERFORMERS: Registry[Callable[..., Any]] = Registry("attempt decision")
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """Hold a piece or the end of an answer, with the attempt that gave it."""
+
+    target: Target
+    decision: Deliver | Finish
+
+
+class Driver:
+    """Carry out the decisions on one request and feed back what happens."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        organisation: str,
+        rules: Rules,
+        find_offers: Callable[[], Awaitable[tuple[Offer, ...]]],
+        make_submit: Callable[[Submit], Any],
+        before_submit: Callable[[Target], Awaitable[None]] | None = None,
+    ) -> None:
+        self._state = state
+        self._organisation = organisation
+        self._rules = rules
+        self._find_offers = find_offers
+        self._make_submit = make_submit
+        self._before_submit = before_submit
+        self._machine = RequestMachine(
+            rules, state.retry_budget, state.next_attempt_id, state.rng
+        )
+        self._attempt_deadline = rules.deadline
+        self._link: Link | None = None
+        self._messages: MemoryObjectReceiveStream[Any] | None = None
+        self._subscription = ExitStack()
+        self._window_until = 0
+        self._submits = 0
+
+    def run(self) -> AsyncGenerator[Delivery]:
+        """Yield the pieces of the answer and its end.
+
+        Raises RequestRefusedError.
+        """
+        return self._run(self._machine.start(self._now()))
+
+    def follow(
+        self, target: Target, first: int, attempt_deadline: float
+    ) -> AsyncGenerator[Delivery]:
+        """Yield the answer of an attempt of another router from a token on.
+
+        Raises RequestRefusedError.
+        """
+        self._attempt_deadline = attempt_deadline
+        return self._run(self._machine.follow(target, first, self._now()))
+
+    async def _run(self, first: tuple[Decision, ...]) -> AsyncGenerator[Delivery]:
+        pending = deque(first)
+        try:
+            while True:
+                while pending:
+                    decision = pending.popleft()
+                    if isinstance(decision, Deliver | Finish):
+                        assert self._machine.target is not None
+                        yield Delivery(self._machine.target, decision)
+                        await self._note_consumed(decision)
+                    pending.extend(await self._perform(decision))
+                if self._machine.ended:
+                    return
+                event = await self._next_event()
+                pending.extend(self._machine.handle(event, self._now()))
+        finally:
+            await self._leave()
+
+    async def _perform(self, decision: Decision) -> tuple[Decision, ...]:
+        event = await PERFORMERS[type(decision)](self, decision)
+        if event is None:
+            return ()
+        return self._machine.handle(event, self._now())
+
+    @PERFORMERS.register(Place)
+    async def _place(self, decision: Place) -> Event:
+        if not await self._sleep_until(decision.at):
+            return DeadlinePassed()
+        return Offered(await self._find_offers())
+
+    @PERFORMERS.register(Submit)
+    async def _submit(self, decision: Submit) -> Event | None:
+        target = decision.target
+        self._submits += 1
+        if self._submits > 1:
+            RETRIES_TOTAL.inc({})
+        self._unsubscribe()
+        if self._before_submit is not None:
+            await self._before_submit(target)
+        try:
+            link = await self._state.links.get(target.host)
+            self._subscribe(link, target, len(decision.texts))
+            await link.send(self._make_submit(decision))
+        except NotWrittenError as error:
+            return NotWritten(target.attempt_id, str(error))
+        except ConnectionLostError as error:
+            if self._link is None:
+                return NotWritten(target.attempt_id, str(error))
+            return LinkLost(target.attempt_id)
+        except ProtocolError as error:
+            return NotWritten(target.attempt_id, str(error))
+        return None
+
+    @PERFORMERS.register(ResumeAt)
+    async def _resume(self, decision: ResumeAt) -> Event | None:
+        target = decision.target
+        self._unsubscribe()
+        RESUMES_TOTAL.inc({})
+        if not await self._sleep_until(decision.at):
+            return DeadlinePassed()
+        try:
+            link = await self._state.links.get(target.host)
+            if link.peer.incarnation != target.sidecar_incarnation:
+                return ResumeFailed(target.attempt_id, True)
+            self._subscribe(link, target, decision.first)
+            resume = Resume(
+                target.attempt_id,
+                decision.first,
+                self._organisation,
+                self._attempt_deadline,
+            )
+            await link.send(resume)
+        except ProtocolError as error:
+            logger.info("resume failed", host=target.host, reason=str(error))
+            return ResumeFailed(target.attempt_id, False)
+        return None
+
+    @PERFORMERS.register(CancelAttempt)
+    async def _cancel(self, decision: CancelAttempt) -> None:
+        if self._link is None:
+            return
+        with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+            await self._send_quietly(Cancel(decision.target.attempt_id))
+
+    @PERFORMERS.register(Drop)
+    async def _drop(self, decision: Drop) -> None:
+        DROPPED_FRAMES_TOTAL.inc({"fault": str(decision.fault)})
+
+    @PERFORMERS.register(Deliver)
+    async def _delivered(self, _decision: Deliver) -> None:
+        pass
+
+    @PERFORMERS.register(Finish)
+    async def _finished(self, decision: Finish) -> None:
+        await self._send_quietly(Acknowledge(decision.message.attempt_id))
+
+    @PERFORMERS.register(Refuse)
+    async def _refuse(self, decision: Refuse) -> None:
+        raise RequestRefusedError(decision.refusal)
+
+    async def _next_event(self) -> Event:
+        assert self._machine.target is not None
+        assert self._messages is not None
+        attempt_id = self._machine.target.attempt_id
+        with anyio.move_on_after(max(0, self._rules.deadline - self._now())):
+            try:
+                return Frame(await receive_from(self._messages))
+            except ConnectionLostError:
+                return LinkLost(attempt_id)
+        return DeadlinePassed()
+
+    async def _note_consumed(self, decision: Deliver | Finish) -> None:
+        """Open the window again once the caller has taken enough tokens."""
+        if not isinstance(decision, Deliver):
+            return
+        consumed = decision.first + len(decision.texts)
+        until = next_window(consumed, self._window_until)
+        if until > self._window_until and self._machine.target is not None:
+            self._window_until = until
+            await self._send_quietly(Window(self._machine.target.attempt_id, until))
+
+    async def _send_quietly(self, message: object) -> None:
+        # A lost link shows when the next message is waited for.
+        if self._link is None:
+            return
+        try:
+            await self._link.send(message)
+        except ConnectionLostError:
+            logger.debug("message not sent", kind=type(message).__name__)
+
+    async def _leave(self) -> None:
+        if not self._machine.ended:
+            for decision in self._machine.handle(CallerGone(), self._now()):
+                await self._perform(decision)
+        self._unsubscribe()
+
+    def _subscribe(self, link: Link, target: Target, first: int) -> None:
+        self._unsubscribe()
+        self._link = link
+        self._window_until = first + WINDOW_TOKENS
+        self._messages = self._subscription.enter_context(
+            link.subscribe(target.attempt_id)
+        )
+
+    def _unsubscribe(self) -> None:
+        self._subscription.close()
+        self._subscription = ExitStack()
+        self._link = None
+
+    async def _sleep_until(self, at: float) -> bool:
+        """Sleep until an epoch time and say whether it is before the deadline."""
+        await anyio.sleep(max(0, min(at, self._rules.deadline) - self._now()))
+        return self._now() < self._rules.deadline
+
+    def _now(self) -> float:
+        return self._state.clock.now()
--- /dev/null
+++ b/src/agatehoist/router/keyed_calls.py
@@ -0,0 +1,217 @@
+"""Service calls that carry an idempotency key and run at most once."""
+
+from __future__ import annotations
+
+import base64
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.claims.decisions import (
+    Follow,
+    Replay,
+    Reused,
+    Take,
+    claim_name,
+    digest_work,
+    judge,
+    make_outcome,
+)
+from agatehoist.claims.errors import ClaimTakenError
+from agatehoist.claims.types import Claim, ClaimState, Dispatch, StoredClaim
+from agatehoist.core.identity import new_incarnation
+from agatehoist.core.work import Run
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import CLAIMS_TOTAL
+from agatehoist.platform.errors import PlatformError
+from agatehoist.refusals import RequestRefusedError
+from agatehoist.refusals.kinds import (
+    ClaimUnavailable,
+    KeyInUse,
+    KeyReused,
+    NotStarted,
+    OutcomeTooLarge,
+)
+from agatehoist.router.dispatch import call, follow_call
+from agatehoist.router.requests import CallAnswer
+
+if TYPE_CHECKING:
+    from agatehoist.attempts.types import Target
+    from agatehoist.claims.types import Outcome
+    from agatehoist.router.requests import CallRequest
+    from agatehoist.router.state import RouterState
+
+logger = get_logger("claims")
+
+CLAIM_RETENTION_S = 86_400.0
+FOLLOW_TIMEOUT_S = 5.0
+STORE_TIMEOUT_S = 10.0
+STORE_WAIT_S = 1.0
+RETRY_DELAY_S = 1.0
+
+
+async def call_once(state: RouterState, request: CallRequest) -> CallAnswer:
+    """Return the answer of a keyed call, which runs at most once in the fleet.
+
+    Raises RequestRefusedError.
+    """
+    return await KeyedCall(state, request).run()
+
+
+class KeyedCall:
+    """Claim a key, run its call or find out what another router made of it."""
+
+    def __init__(self, state: RouterState, request: CallRequest) -> None:
+        assert request.key is not None
+        self._state = state
+        self._request = request
+        self._name = claim_name(request.organisation, request.service, request.key)
+        self._digest = digest_work(request.work)
+        self._owner = new_incarnation()
+        self._version = 0
+        self._claim: Claim | None = None
+
+    async def run(self) -> CallAnswer:
+        """Return the answer.
+
+        Raises RequestRefusedError.
+        """
+        found: StoredClaim | None = None
+        while True:
+            try:
+                if found is None:
+                    return await self._call()
+                answer = await self._settle(found)
+                if answer is not None:
+                    return answer
+                found = None
+            except ClaimTakenError as error:
+                found = error.found
+
+    async def _call(self) -> CallAnswer:
+        """Claim the key before each dispatch and store the outcome."""
+        self._claim = None
+        try:
+            answer = await call(self._state, self._request, self._claim_for)
+        except RequestRefusedError as error:
+            if error.refusal.run is Run.NO and self._claim is not None:
+                await self._release(error)
+            raise
+        CLAIMS_TOTAL.inc({"found": "none"})
+        assert self._claim is not None
+        await self._store(self._claim, self._version, answer)
+        return answer
+
+    async def _claim_for(self, target: Target) -> None:
+        claim = Claim(
+            self._owner,
+            self._digest,
+            ClaimState.RUNNING,
+            self._state.clock.now() + CLAIM_RETENTION_S,
+            Dispatch(target, self._request.deadline),
+        )
+        try:
+            written = await self._state.claims.write(self._name, claim, self._version)
+        except PlatformError as error:
+            retry_at = self._state.clock.now() + RETRY_DELAY_S
+            raise ClaimUnavailable.refuse(str(error), retry_at) from error
+        self._version = written
+        self._claim = claim
+
+    async def _release(self, error: RequestRefusedError) -> None:
+        """Free the key of a call that was not run.
+
+        Raises ClaimTakenError if another router has taken the call over.
+        """
+        assert self._claim is not None
+        free = replace(self._claim, state=ClaimState.FREE)
+        try:
+            await self._state.claims.write(self._name, free, self._version)
+        except PlatformError as failure:
+            logger.warning("claim not released", reason=str(failure))
+            # Whoever withdrew the attempt may be running the call.
+            if error.refusal.code == NotStarted.code:
+                raise KeyInUse.refuse("another router took the call over") from failure
+
+    async def _settle(self, found: StoredClaim) -> CallAnswer | None:
+        """Return the answer that a claim leads to, or None if the key is free."""
+        decision = judge(found, self._digest, self._state.clock.now())
+        CLAIMS_TOTAL.inc({"found": type(decision).__name__.lower()})
+        if isinstance(decision, Take):
+            self._version = decision.version
+            return None
+        if isinstance(decision, Reused):
+            raise KeyReused.refuse("the key was used with another request")
+        if isinstance(decision, Replay):
+            return _replay(decision.outcome)
+        return await self._follow(decision, found)
+
+    async def _follow(self, follow: Follow, found: StoredClaim) -> CallAnswer | None:
+        now = self._state.clock.now()
+        deadline = min(self._request.deadline, now + FOLLOW_TIMEOUT_S)
+        request = replace(self._request, deadline=deadline)
+        dispatch = follow.dispatch
+        try:
+            answer = await follow_call(
+                self._state, request, dispatch.target, dispatch.deadline
+            )
+        except RequestRefusedError as error:
+            if error.refusal.run is Run.NO:
+                # The sidecar never started the attempt and never will.
+                self._version = found.version
+                return None
+            return await self._wait_for_owner(dispatch, found)
+        await self._store(found.claim, found.version, answer)
+        return answer
+
+    async def _wait_for_owner(
+        self, dispatch: Dispatch, found: StoredClaim
+    ) -> CallAnswer | None:
+        """Wait until the router that made the call has stored its outcome."""
+        until = min(dispatch.deadline, self._request.deadline)
+        with anyio.move_on_after(max(0, until - self._state.clock.now())):
+            try:
+                while True:
+                    changed = await self._state.claims.wait_past(
+                        self._name, found.version
+                    )
+                    if changed is not None:
+                        raise ClaimTakenError(changed)
+            except PlatformError as error:
+                logger.warning("claim not watched", reason=str(error))
+        retry_at = self._state.clock.now() + RETRY_DELAY_S
+        raise KeyInUse.refuse("the end of the first call isn't known", retry_at)
+
+    async def _store(self, claim: Claim, version: int, answer: CallAnswer) -> None:
+        """Store an outcome; a slow platform holds the answer up only for a while."""
+        outcome = make_outcome(
+            answer.host, answer.status, answer.headers_by_name, answer.body
+        )
+        done = replace(claim, state=ClaimState.DONE, outcome=outcome)
+        stored = anyio.Event()
+        self._state.task_group.start_soon(self._write_outcome, done, version, stored)
+        with anyio.move_on_after(STORE_WAIT_S):
+            await stored.wait()
+
+    async def _write_outcome(
+        self, claim: Claim, version: int, stored: anyio.Event
+    ) -> None:
+        with self._state.in_flight.track():
+            try:
+                await self._state.claims.write(
+                    self._name, claim, version, STORE_TIMEOUT_S
+                )
+            except PlatformError as error:
+                logger.warning("outcome not stored", reason=str(error))
+            except ClaimTakenError:
+                logger.debug("outcome stored by another router")
+        stored.set()
+
+
+def _replay(outcome: Outcome) -> CallAnswer:
+    if outcome.body is None:
+        detail = f"the call ended with {outcome.status}, its answer was too large"
+        raise OutcomeTooLarge.refuse(detail)
+    body = base64.b64decode(outcome.body)
+    return CallAnswer(outcome.host, outcome.status, outcome.headers_by_name, body)
--- a/src/agatehoist/router/links.py
+++ b/src/agatehoist/router/links.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from agatehoist.protocol.errors import ConnectionLostError
+from agatehoist.protocol.errors import ConnectionLostError, ProtocolError
 from agatehoist.protocol.link import Link, open_link
 
 if TYPE_CHECKING:
@@ -29,19 +29,31 @@
         self._task_group = task_group
         self._links_by_host: dict[str, Link] = {}
         self._locks_by_host: dict[str, anyio.Lock] = {}
+        self._failed_at_by_host: dict[str, float] = {}
 
     async def get(self, host: str) -> Link:
         """Return an open link to the sidecar on a host.
 
         Raises ConnectionLostError or another ProtocolError.
         """
+        asked_at = anyio.current_time()
         async with self._locks_by_host.setdefault(host, anyio.Lock()):
             link = self._links_by_host.get(host)
             if link is None or link.closed:
-                link = await self._open(host)
+                link = await self._open_once(host, asked_at)
                 self._links_by_host[host] = link
             return link
 
+    async def _open_once(self, host: str, asked_at: float) -> Link:
+        # Those who waited for a try that failed share its failure.
+        if self._failed_at_by_host.get(host, 0.0) > asked_at:
+            raise ConnectionLostError(f"host {host} wasn't reached")
+        try:
+            return await self._open(host)
+        except ProtocolError:
+            self._failed_at_by_host[host] = anyio.current_time()
+            raise
+
     async def _open(self, host: str) -> Link:
         entry = self._directory.hosts_by_name.get(host)
         if entry is None:
--- a/src/agatehoist/router/requests.py
+++ b/src/agatehoist/router/requests.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from agatehoist.attempts.types import Target
 from agatehoist.core.work import CallWork, CompletionWork, Priority
 
 
@@ -28,20 +29,34 @@
     work: CallWork
     idempotent: bool
     deadline: float
+    key: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeRequest:
+    """Ask for the rest of an answer that another router began to give."""
+
+    organisation: str
+    target: Target
+    first: int
+    attempt_deadline: float
+    deadline: float
 
 
 @dataclass(frozen=True, slots=True)
 class Started:
-    """Say which endpoint took a request."""
+    """Say which endpoint took a request, and in which attempt."""
 
-    host: str
+    target: Target
 
 
 @dataclass(frozen=True, slots=True)
 class Delta:
-    """Carry the next piece of a completion."""
+    """Carry the next piece of a completion, which ends before a token index."""
 
     text: str
+    until: int
+    target: Target
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -6,6 +6,9 @@
 import random
 from typing import TYPE_CHECKING
 
+from agatehoist.attempts.budget import RetryBudget
+from agatehoist.attempts.suspicion import Suspects
+from agatehoist.claims.store import ClaimStore
 from agatehoist.configuration import FleetConfiguration
 from agatehoist.configuration.keys import names_by_digest
 from agatehoist.core.identity import AttemptId, new_incarnation
@@ -18,6 +21,7 @@
     from anyio.abc import TaskGroup
 
     from agatehoist.core.clock import Clock
+    from agatehoist.platform.client import PlatformClient
     from agatehoist.settings.types import RouterSettings
 
 
@@ -25,16 +29,24 @@
     """Hold what a router knows; all of it can be lost."""
 
     def __init__(
-        self, settings: RouterSettings, clock: Clock, task_group: TaskGroup
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        task_group: TaskGroup,
+        platform: PlatformClient,
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.task_group = task_group
+        self.claims = ClaimStore(platform)
         self.incarnation = new_incarnation()
         self.rng = random.Random(self.incarnation)
         self.directory = Directory()
         self.links = LinkPool(self.directory, self._hello, task_group)
         self.leaving = False
         self.in_flight = InFlight()
+        self.retry_budget = RetryBudget()
+        self.suspects = Suspects()
         self._sequences = itertools.count(1)
         self.accept(FleetConfiguration())
 
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -25,7 +25,6 @@
 logger = get_logger("sidecar")
 
 STATUS_INTERVAL_S = 0.5
-EXECUTION_RETENTION_S = 30.0
 SWEEP_INTERVAL_S = 5.0
 
 
@@ -71,7 +70,10 @@
 async def _sweep_executions(state: SidecarState) -> None:
     while True:
         await anyio.sleep(SWEEP_INTERVAL_S)
-        oldest = state.clock.now() - EXECUTION_RETENTION_S
+        now = state.clock.now()
+        state.ledger.sweep(now)
         for attempt_id, execution in tuple(state.executions_by_id.items()):
-            if execution.ending is not None and execution.deadline < oldest:
+            if execution.is_forgotten(now):
                 del state.executions_by_id[attempt_id]
+            elif execution.is_abandoned(now):
+                execution.scope.cancel()
--- a/src/agatehoist/sidecar/handlers.py
+++ b/src/agatehoist/sidecar/handlers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import TYPE_CHECKING, Any
 
+from agatehoist.attempts.ledger import Reject, Start
 from agatehoist.core.registry import Registry
+from agatehoist.protocol.attempt_messages import Acknowledge, Ping, Pong, Window
 from agatehoist.protocol.messages import (
     Assignment,
     Cancel,
@@ -14,22 +17,15 @@
     Resume,
     SubmitCall,
     SubmitCompletion,
-    Tokens,
-)
-from agatehoist.refusals import RequestRefusedError
-from agatehoist.refusals.kinds import (
-    DeadlineExceeded,
-    Leaving,
-    OutcomeUnknown,
-    StalePlacement,
 )
+from agatehoist.refusals.kinds import AnswerNotKept
 from agatehoist.sidecar.execution import Execution
 from agatehoist.sidecar.running import run_call, run_completion
+from agatehoist.sidecar.streaming import cancel_execution, stream_answer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from agatehoist.core.identity import AttemptId
     from agatehoist.sidecar.session import Session
     from agatehoist.sidecar.state import SidecarState
 
@@ -37,8 +33,6 @@
 
 HANDLERS: Registry[Handler] = Registry("message handler")
 
-MAX_TOKENS_PER_FRAME = 256
-
 
 @HANDLERS.register(Probe)
 async def handle_probe(session: Session, probe: Probe) -> None:
@@ -59,21 +53,28 @@
 @HANDLERS.register(SubmitCompletion)
 async def handle_completion(session: Session, submit: SubmitCompletion) -> None:
     """Start a completion and stream its answer."""
-    await _start(session, submit.assignment, run_completion, submit)
+    continuation = submit.work.continuation
+    first = continuation.tokens if continuation else 0
+    await _start(session, submit.assignment, run_completion, submit, first)
 
 
 @HANDLERS.register(SubmitCall)
 async def handle_call(session: Session, submit: SubmitCall) -> None:
     """Start a service call and send its answer."""
-    await _start(session, submit.assignment, run_call, submit)
+    await _start(session, submit.assignment, run_call, submit, 0)
 
 
 @HANDLERS.register(Resume)
 async def handle_resume(session: Session, resume: Resume) -> None:
     """Send the answer of an attempt from a token on."""
-    execution = session.state.executions_by_id.get(resume.attempt_id)
+    state = session.state
+    decision = state.ledger.on_resume(resume, state.clock.now())
+    if isinstance(decision, Reject):
+        await session.send(Refused(resume.attempt_id, decision.refusal))
+        return
+    execution = state.executions_by_id.get(resume.attempt_id)
     if execution is None:
-        error = OutcomeUnknown.refuse("the answer is no longer kept")
+        error = AnswerNotKept.refuse("the answer is no longer kept")
         await session.send(Refused(resume.attempt_id, error.refusal))
         return
     session.start_soon(stream_answer, resume.attempt_id, execution, resume.first)
@@ -82,61 +83,64 @@
 @HANDLERS.register(Cancel)
 async def handle_cancel(session: Session, cancel: Cancel) -> None:
     """Stop an attempt."""
-    execution = session.state.executions_by_id.get(cancel.attempt_id)
+    state = session.state
+    execution = state.executions_by_id.get(cancel.attempt_id)
     if execution is not None:
-        execution.scope.cancel()
+        state.task_group.start_soon(cancel_execution, state, execution)
 
 
-async def stream_answer(
-    session: Session, attempt_id: AttemptId, execution: Execution, first: int
-) -> None:
-    """Send the tokens from first on as they come, then the ending."""
-    with session.state.in_flight.track():
-        await _stream(session, attempt_id, execution, first)
+@HANDLERS.register(Window)
+async def handle_window(session: Session, window: Window) -> None:
+    """Allow more tokens of an answer."""
+    execution = session.state.executions_by_id.get(window.attempt_id)
+    if execution is not None:
+        execution.open_window(window.until)
 
 
-async def _stream(
-    session: Session, attempt_id: AttemptId, execution: Execution, first: int
-) -> None:
-    while True:
-        await execution.wait_past(first)
-        texts = tuple(execution.texts[first : first + MAX_TOKENS_PER_FRAME])
-        if not texts:
-            break
-        await session.send(Tokens(attempt_id, first, texts))
-        first += len(texts)
-    await session.send(execution.ending)
+@HANDLERS.register(Acknowledge)
+async def handle_acknowledge(session: Session, message: Acknowledge) -> None:
+    """Note that an answer has arrived whole."""
+    execution = session.state.executions_by_id.get(message.attempt_id)
+    if execution is not None:
+        execution.acknowledge()
+
+
+@HANDLERS.register(Ping)
+async def handle_ping(session: Session, _ping: Ping) -> None:
+    """Show that the process is alive."""
+    await session.send(Pong())
 
 
 async def _start(
-    session: Session, assignment: Assignment, run: Callable[..., Any], submit: Any
+    session: Session,
+    assignment: Assignment,
+    run: Callable[..., Any],
+    submit: Any,
+    first: int,
 ) -> None:
     state = session.state
-    try:
-        _check(session, assignment)
-    except RequestRefusedError as error:
-        await session.send(Refused(assignment.attempt_id, error.refusal))
+    decision = state.ledger.on_submit(
+        assignment, state.identity, state.ready, state.clock.now()
+    )
+    if isinstance(decision, Reject):
+        await session.send(Refused(assignment.attempt_id, decision.refusal))
+    if not isinstance(decision, Start):
         return
-    execution = Execution(assignment.deadline)
+    execution = Execution(assignment.deadline, first)
     state.executions_by_id[assignment.attempt_id] = execution
-    state.task_group.start_soon(_run_tracked, state, run, submit, execution)
-    session.start_soon(stream_answer, assignment.attempt_id, execution, 0)
-
-
-async def _run_tracked(
-    state: SidecarState, run: Callable[..., Any], submit: Any, execution: Execution
+    # Counted from here on, as a stop may come before the task first runs.
+    counted = ExitStack()
+    counted.enter_context(state.in_flight.track())
+    state.task_group.start_soon(_run_counted, state, run, submit, execution, counted)
+    session.start_soon(stream_answer, assignment.attempt_id, execution, first)
+
+
+async def _run_counted(
+    state: SidecarState,
+    run: Callable[..., Any],
+    submit: Any,
+    execution: Execution,
+    counted: ExitStack,
 ) -> None:
-    with state.in_flight.track():
+    with counted:
         await run(state, submit, execution)
-
-
-def _check(session: Session, assignment: Assignment) -> None:
-    state = session.state
-    if not state.ready:
-        raise Leaving.refuse("the endpoint takes no new work")
-    if assignment.identity != state.identity:
-        raise StalePlacement.refuse("the endpoint has changed since it was asked")
-    if assignment.deadline <= state.clock.now():
-        raise DeadlineExceeded.refuse("the deadline passed before the start")
-    if assignment.attempt_id in state.executions_by_id:
-        raise OutcomeUnknown.refuse("the attempt was started before")
--- a/src/agatehoist/sidecar/running.py
+++ b/src/agatehoist/sidecar/running.py
@@ -16,7 +16,13 @@
 from agatehoist.observability.metrics import HIT_TOKENS, RECOMPUTED_TOKENS
 from agatehoist.placement.levels import salt_for
 from agatehoist.protocol.messages import CallReply, CompletionEnd, Refused
-from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint, OutcomeUnknown
+from agatehoist.refusals.kinds import (
+    EndpointFailed,
+    EndpointRejected,
+    NoEndpoint,
+    NotStarted,
+    OutcomeUnknown,
+)
 
 if TYPE_CHECKING:
     from agatehoist.endpoints.types import EngineEnd
@@ -42,7 +48,7 @@
     finally:
         state.load.settle(attempt_id)
     if execution.scope.cancelled_caught:
-        execution.finish(Refused(attempt_id, _cancelled()))
+        execution.finish(Refused(attempt_id, _cancelled(execution)))
 
 
 async def run_call(
@@ -51,6 +57,7 @@
     """Run a service call and collect its answer."""
     attempt_id = submit.assignment.attempt_id
     assert isinstance(state.client, ServiceClient)
+    execution.begin(state.clock.now(), 0.0)
     try:
         answer = await state.client.call(submit.work)
     except EndpointError as error:
@@ -65,7 +72,9 @@
     """Return the refusal that tells a router of an endpoint's error."""
     if isinstance(error, EndpointNotReachedError):
         return NoEndpoint.refuse(str(error)).refusal
-    if isinstance(error, EndpointRejectedError | EndpointBrokenError):
+    if isinstance(error, EndpointRejectedError):
+        return EndpointRejected.refuse(str(error)).refusal
+    if isinstance(error, EndpointBrokenError):
         return EndpointFailed.refuse(str(error)).refusal
     return OutcomeUnknown.refuse(str(error)).refusal
 
@@ -80,11 +89,13 @@
         state.settings.endpoint.serves,
         assignment.identity.weights_version,
     )
+    execution.begin(state.clock.now(), state.load.ttft_estimate(0))
     answer = state.client.complete(submit.work, salt.hex(), assignment.priority)
     async for event in answer:
         state.load.settle(assignment.attempt_id)
         if isinstance(event, EngineTokens):
             execution.append(event.texts)
+            await execution.wait_room()
         else:
             _finish_completion(state, submit, execution, event)
 
@@ -109,5 +120,7 @@
     )
 
 
-def _cancelled() -> Refusal:
+def _cancelled(execution: Execution) -> Refusal:
+    if not execution.started:
+        return NotStarted.refuse("cancelled before the start").refusal
     return OutcomeUnknown.refuse("the attempt was cancelled").refusal
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from agatehoist.admission.load import AdmittedLoad
+from agatehoist.attempts.ledger import AttemptLedger
 from agatehoist.cache.picture import CachePicture
 from agatehoist.core.identity import EndpointIdentity, new_incarnation
 from agatehoist.core.inflight import InFlight
@@ -42,6 +43,7 @@
         self.in_flight = InFlight()
         self.load = AdmittedLoad()
         self.picture = CachePicture()
+        self.ledger = AttemptLedger()
         self.executions_by_id: dict[AttemptId, Execution] = {}
 
     @property
--- /dev/null
+++ b/src/agatehoist/sidecar/streaming.py
@@ -0,0 +1,72 @@
+"""Sending of answers to routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.attempts.cancelling import cancel_at
+from agatehoist.protocol.messages import Tokens
+from agatehoist.sidecar.execution import EXECUTION_RETENTION_S
+
+if TYPE_CHECKING:
+    from agatehoist.core.identity import AttemptId
+    from agatehoist.sidecar.execution import Execution
+    from agatehoist.sidecar.session import Session
+    from agatehoist.sidecar.state import SidecarState
+
+MAX_TOKENS_PER_FRAME = 256
+ACKNOWLEDGE_TIMEOUT_S = 5.0
+ORPHAN_TIMEOUT_S = 15.0
+
+
+async def stream_answer(
+    session: Session, attempt_id: AttemptId, execution: Execution, first: int
+) -> None:
+    """Send the tokens from first on within the window, then the ending.
+
+    The work counts as in flight until the ending is acknowledged, so that a process
+    that stops doesn't cut off what is still on its way.
+    """
+    state = session.state
+    reader = execution.attach(first)
+    try:
+        with state.in_flight.track():
+            await _send_all(session, attempt_id, execution, reader, first)
+    finally:
+        now = state.clock.now()
+        execution.detach(reader, now + ORPHAN_TIMEOUT_S)
+        if execution.ending is not None:
+            execution.kept_until = now + EXECUTION_RETENTION_S
+
+
+async def cancel_execution(state: SidecarState, execution: Execution) -> None:
+    """Stop an attempt, at once or after a prefill that is nearly done."""
+    prefill = None if execution.has_tokens else execution.prefill
+    now = state.clock.now()
+    with anyio.move_on_after(cancel_at(prefill, now) - now):
+        await execution.wait_first_token()
+    execution.scope.cancel()
+
+
+async def _send_all(
+    session: Session,
+    attempt_id: AttemptId,
+    execution: Execution,
+    reader: int,
+    first: int,
+) -> None:
+    while True:
+        until = await execution.wait_sendable(reader, first)
+        if not execution.is_attached(reader):
+            return
+        if until <= first:
+            break
+        until = min(until, first + MAX_TOKENS_PER_FRAME)
+        texts = tuple(execution.texts[first:until])
+        await session.send(Tokens(attempt_id, first, texts))
+        first = until
+    await session.send(execution.ending)
+    with anyio.move_on_after(ACKNOWLEDGE_TIMEOUT_S):
+        await execution.wait_acknowledged(reader)
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -5,7 +5,7 @@
 import fire
 
 from standins.engine.app import make_app
-from standins.engine.model import Engine, Speed
+from standins.engine.model import ANSWER_TOKENS, Engine, Speed
 from standins.serving import serve
 
 
@@ -15,9 +15,11 @@
     capacity: int = 4096,
     prefill: float = 20_000.0,
     decode: float = 200.0,
+    answer: int = ANSWER_TOKENS,
 ) -> None:
     """Serve an engine on a port; speeds are in tokens a second."""
-    serve(make_app(Engine(str(model), capacity, Speed(prefill, decode))), port)
+    engine = Engine(str(model), capacity, Speed(prefill, decode), answer)
+    serve(make_app(engine), port)
 
 
 if __name__ == "__main__":
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -17,8 +17,6 @@
 
     from standins.engine.model import Engine
 
-ANSWER_TOKENS = 24
-
 
 class EngineApp:
     """Answer the calls of an engine's API."""
@@ -34,6 +32,7 @@
                 "weights_version": self.engine.weights_version,
                 "model": self.engine.model,
                 "running": self.engine.running,
+                "cancelled": self.engine.cancelled,
             }
         )
 
@@ -54,26 +53,31 @@
     ) -> AsyncIterator[dict[str, Any]]:
         engine = self.engine
         limit = fields.get("max_completion_tokens") or fields.get("max_tokens")
-        count = min(limit or ANSWER_TOKENS, ANSWER_TOKENS)
+        first, text = _read_continuation(fields)
+        longest = engine.answer_tokens
+        count = min(first + limit if limit else longest, longest)
         engine.running += 1
+        ended = False
         try:
-            prefill = await engine.prefill(prompt, fields.get("cache_salt", ""))
-            for index in range(count):
+            prefill = await engine.prefill(prompt + text, fields.get("cache_salt", ""))
+            for index in range(first, count):
                 yield _event(_choice(engine.token(prompt, index), None, is_chat))
                 await anyio.sleep(1 / engine.speed.decode)
-            reason = "stop" if count == ANSWER_TOKENS else "length"
+            ended = True
+            reason = "stop" if count == longest else "length"
             yield _event(_choice("", reason, is_chat))
             yield {
                 "choices": [],
                 "usage": {
                     "prompt_tokens": prefill.prompt_tokens,
-                    "completion_tokens": count,
-                    "total_tokens": prefill.prompt_tokens + count,
+                    "completion_tokens": count - first,
+                    "total_tokens": prefill.prompt_tokens + count - first,
                     "prompt_tokens_details": {"cached_tokens": prefill.cached_tokens},
                 },
             }
         finally:
             engine.running -= 1
+            engine.cancelled += not ended
 
 
 def make_app(engine: Engine) -> Starlette:
@@ -88,6 +92,16 @@
     )
 
 
+def _read_continuation(fields: dict[str, Any]) -> tuple[int, str]:
+    """Return the index and the text behind which an answer goes on.
+
+    The field "continuation" holds "text", the part of the answer that another engine
+    gave, and "tokens", its length; max_tokens counts only what is still to come.
+    """
+    continuation = fields.get("continuation") or {"tokens": 0, "text": ""}
+    return continuation["tokens"], continuation["text"]
+
+
 def _render_chat(fields: dict[str, Any]) -> str:
     return "".join(
         f"{each['role']}: {each['content']}\n" for each in fields["messages"]
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -10,6 +10,7 @@
 
 from standins.engine.blocks import BLOCK_TOKENS, BlockCache, block_hashes, tokenize
 
+ANSWER_TOKENS = 24
 WORDS = (
     "salmon",
     "cannery",
@@ -53,13 +54,21 @@
 class Engine:
     """Compute prompts with a limited block cache."""
 
-    def __init__(self, model: str, capacity: int, speed: Speed) -> None:
+    def __init__(
+        self,
+        model: str,
+        capacity: int,
+        speed: Speed,
+        answer_tokens: int = ANSWER_TOKENS,
+    ) -> None:
         self.model = model
         self.speed = speed
         self.cache = BlockCache(capacity)
         self.incarnation = secrets.token_hex(8)
         self.weights_version = "1"
+        self.answer_tokens = answer_tokens
         self.running = 0
+        self.cancelled = 0
         self._prefill = anyio.Lock()
 
     async def prefill(self, prompt: str, salt: str) -> Prefill:
--- a/tests/test_protocol/test_codec.py
+++ b/tests/test_protocol/test_codec.py
@@ -9,7 +9,7 @@
 
 from agatehoist.core.identity import AttemptId, EndpointIdentity
 from agatehoist.core.work import CallWork, CompletionWork, PrefixLevel, Priority, Run
-from agatehoist.protocol import messages
+from agatehoist.protocol import attempt_messages, messages
 from agatehoist.protocol.codec import Decoder, encode
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.refusals.types import Refusal
@@ -32,7 +32,11 @@
     messages.CallReply(ATTEMPT, 200, {"a": "b"}, b"body"),
     messages.Refused(ATTEMPT, Refusal("leaving", "soon", Run.NO, 3.0)),
     messages.Cancel(ATTEMPT),
-    messages.Resume(ATTEMPT, 12),
+    messages.Resume(ATTEMPT, 12, "archive", 9.5),
+    attempt_messages.Window(ATTEMPT, 512),
+    attempt_messages.Acknowledge(ATTEMPT),
+    attempt_messages.Ping(),
+    attempt_messages.Pong(),
 ]
 
 BAD_FRAMES = [
