--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary
+.PHONY: env demo test lint format binary demo-binary soak
 
 env: $(VENV)/.made
 
@@ -33,3 +33,7 @@
 
 binary: env
 	$(PYTHON) -m tools.binary
+
+# Long run of the seeded schedules of faults, outside CI.
+soak: env
+	AGATEHOIST_SCHEDULES=20000 AGATEHOIST_FIRST_SEED=1000000 $(PYTHON) -m tools.run_tests tests.test_attempts.test_schedules
--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -51,7 +51,7 @@
 
     Decisions = tuple[Decision, ...]
 
-MAX_PLACEMENTS = 4
+MAX_PLACEMENTS = 6
 MAX_RESUMES = 2
 RETRY_DELAY_S = 1.0
 
@@ -82,6 +82,7 @@
         self._placements = 0
         self._resumes = 0
         self._resuming = False
+        self._missed = False
         self._refusal: Refusal | None = None
 
     def start(self, now: float) -> Decisions:
@@ -163,7 +164,8 @@
         self.texts.extend(new)
         self._resumes = 0
         self._resuming = False
-        return (Deliver(received, tuple(new)),)
+        again = self._resume(now) if self._missed else ()
+        return (Deliver(received, tuple(new)), *again)
 
     @FRAME_HANDLERS.register(CompletionEnd)
     def _on_end(self, message: CompletionEnd, now: float) -> Decisions:
@@ -207,6 +209,7 @@
         self._dispatches += 1
         self._resumes = 0
         self._resuming = False
+        self._missed = False
         self._may_have_run.add(target.attempt_id)
         return (Submit(target, offer, tuple(self.texts)),)
 
@@ -239,8 +242,11 @@
         return (Finish(end),)
 
     def _resume_gap(self, now: float) -> Decisions:
-        # Frames that were on their way are dropped while the resume runs.
-        return () if self._resuming else self._resume(now)
+        if not self._resuming:
+            return self._resume(now)
+        # The frame may belong to the resumed answer, so it's asked for once more.
+        self._missed = True
+        return ()
 
     def _resume(self, now: float) -> Decisions:
         assert self.target is not None
@@ -250,6 +256,7 @@
             lost = OutcomeUnknown.refuse("the sidecar isn't reached any more")
             return (*cancelled, *self._give_up_attempt(lost.refusal, now))
         self._resuming = True
+        self._missed = False
         at = backoff_until(now, self._resumes, self._rng)
         return (ResumeAt(self.target, len(self.texts), at),)
 
--- a/src/agatehoist/claims/store.py
+++ b/src/agatehoist/claims/store.py
@@ -9,6 +9,7 @@
 
 from agatehoist.claims.errors import ClaimTakenError
 from agatehoist.claims.types import Claim, StoredClaim
+from agatehoist.platform.budget import Purpose
 from agatehoist.platform.errors import ConflictError, PlatformUnavailableError
 
 if TYPE_CHECKING:
@@ -48,16 +49,20 @@
 
         Raises PlatformError.
         """
-        found = await self._platform.watch(CLAIM_KIND, name, version)
+        found = await self._platform.watch(CLAIM_KIND, name, version, Purpose.CLAIMS)
         return None if found is None else _structure(found)
 
     async def _put(self, name: str, claim: Claim, version: int) -> int:
         value = cattrs.unstructure(claim)
         try:
-            stored = await self._platform.put(CLAIM_KIND, name, value, version)
+            stored = await self._platform.put(
+                CLAIM_KIND, name, value, version, Purpose.CLAIMS
+            )
         except ConflictError:
             # An earlier write of this claim may have taken effect with its answer lost.
-            found = _structure(await self._platform.get(CLAIM_KIND, name))
+            found = _structure(
+                await self._platform.get(CLAIM_KIND, name, Purpose.CLAIMS)
+            )
             if found.claim != claim:
                 raise ClaimTakenError(found) from None
             return found.version
--- /dev/null
+++ b/tests/test_attempts/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the attempts package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_attempts/test_ledger.py
@@ -0,0 +1,96 @@
+"""Tests of the ledger of a sidecar."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from parameterized import parameterized
+
+from agatehoist.attempts.ledger import (
+    ENTRY_RETENTION_S,
+    Attach,
+    AttemptLedger,
+    Ignore,
+    Reject,
+    Start,
+)
+from agatehoist.core.identity import AttemptId, EndpointIdentity
+from agatehoist.core.work import Priority, Run
+from agatehoist.protocol.messages import Assignment, Resume
+
+IDENTITY = EndpointIdentity("s1", "e1", "1")
+OTHER_IDENTITY = EndpointIdentity("s1", "e2", "1")
+ATTEMPT = AttemptId("r", 1)
+SUBMIT = Assignment(ATTEMPT, "archive", IDENTITY, Priority.SHORT, 10.0)
+RESUME = Resume(ATTEMPT, 0, "archive", 10.0)
+LATEST = 10.0 + ENTRY_RETENTION_S
+
+REFUSED = [
+    ("leaving", IDENTITY, False, 1.0, "leaving"),
+    ("other_endpoint", OTHER_IDENTITY, True, 1.0, "stale_placement"),
+    ("too_late", IDENTITY, True, 10.0, "deadline_exceeded"),
+]
+
+UNKNOWN_RESUMES = [
+    ("before_the_deadline", 9.0, Run.NO),
+    ("within_the_retention", LATEST - 0.1, Run.NO),
+    ("after_the_retention", LATEST, Run.UNKNOWN),
+]
+
+
+class LedgerTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = AttemptLedger()
+
+    @parameterized.expand(REFUSED)
+    def test_refused_before_the_start(
+        self,
+        _name: str,
+        identity: EndpointIdentity,
+        ready: bool,
+        now: float,
+        code: str,
+    ) -> None:
+        decision = self.ledger.on_submit(SUBMIT, identity, ready, now)
+        assert isinstance(decision, Reject)
+        self.assertEqual((decision.refusal.code, decision.refusal.run), (code, Run.NO))
+
+    @parameterized.expand(REFUSED)
+    def test_repeated_submit_is_never_refused_as_not_run(
+        self,
+        _name: str,
+        identity: EndpointIdentity,
+        ready: bool,
+        now: float,
+        _code: str,
+    ) -> None:
+        self.assertEqual(self.ledger.on_submit(SUBMIT, IDENTITY, True, 0.0), Start())
+        repeated = self.ledger.on_submit(SUBMIT, identity, ready, now)
+        self.assertEqual(repeated, Ignore())
+
+    @parameterized.expand(UNKNOWN_RESUMES)
+    def test_resume_of_an_unknown_attempt(
+        self, _name: str, now: float, run: Run
+    ) -> None:
+        resumed = self.ledger.on_resume(RESUME, now)
+        assert isinstance(resumed, Reject)
+        self.assertIs(resumed.refusal.run, run)
+        late = self.ledger.on_submit(SUBMIT, IDENTITY, True, now)
+        self.assertIsInstance(late, Reject)
+
+    def test_entries_outlive_the_deadline(self) -> None:
+        self.ledger.on_submit(SUBMIT, IDENTITY, True, 0.0)
+        self.ledger.sweep(LATEST)
+        self.assertEqual(self.ledger.on_resume(RESUME, LATEST), Attach())
+        self.ledger.sweep(LATEST + 0.1)
+        resumed = self.ledger.on_resume(RESUME, LATEST + 0.1)
+        assert isinstance(resumed, Reject)
+        self.assertIs(resumed.refusal.run, Run.UNKNOWN)
+
+    def test_answers_stay_inside_their_organisation(self) -> None:
+        self.ledger.on_submit(SUBMIT, IDENTITY, True, 0.0)
+        resume = replace(RESUME, organisation="cooperative")
+        resumed = self.ledger.on_resume(resume, 1.0)
+        assert isinstance(resumed, Reject)
+        self.assertIs(resumed.refusal.run, Run.UNKNOWN)
--- /dev/null
+++ b/tests/test_attempts/world.py
@@ -0,0 +1,356 @@
+"""Two sidecars and a faulty network around the pure decisions, on a virtual clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from agatehoist.attempts import types
+from agatehoist.attempts.budget import RetryBudget
+from agatehoist.attempts.ledger import Attach, AttemptLedger, Reject, Start
+from agatehoist.attempts.machine import RequestMachine
+from agatehoist.core.identity import AttemptId, EndpointIdentity
+from agatehoist.core.work import Priority
+from agatehoist.placement.types import Candidate, Offer
+from agatehoist.protocol.messages import (
+    Assignment,
+    CallReply,
+    Cancel,
+    CompletionEnd,
+    Refused,
+    Resume,
+    Tokens,
+)
+from agatehoist.refusals.kinds import EndpointFailed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ORGANISATION = "archive"
+DEADLINE = 20.0
+SETTLED_AT = 200.0
+TOKEN_INTERVAL_S = 0.1
+CONNECT_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Say how often each fault strikes; the values are shares of one."""
+
+    lost: float = 0.0
+    duplicate: float = 0.0
+    slow: float = 0.0
+    hold: float = 0.0
+    strikes: tuple[str, ...] = ()
+    strike_count: int = 1
+
+
+@dataclass
+class Running:
+    """Hold one attempt on a sidecar."""
+
+    texts: list[str]
+    ending: Any = None
+    cancelled: bool = False
+    reader: int = 0
+
+
+@dataclass
+class Sidecar:
+    """Hold the state of one sidecar process and its endpoint."""
+
+    host: str
+    serial: int = 0
+    endpoint_serial: int = 0
+    up: bool = True
+    frozen_until: float = 0.0
+    leaving: bool = False
+    connection: int = 0
+    ledger: AttemptLedger = field(default_factory=AttemptLedger)
+    running_by_id: dict[AttemptId, Running] = field(default_factory=dict)
+
+    @property
+    def identity(self) -> EndpointIdentity:
+        """Return the identity that offers carry."""
+        return EndpointIdentity(
+            f"{self.host}-{self.serial}", str(self.endpoint_serial), "1"
+        )
+
+
+class World:
+    """Run one request under a seeded schedule of faults."""
+
+    def __init__(
+        self, seed: int, faults: Faults, tokens: int, idempotent: bool
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.faults = faults
+        self.token_count = tokens
+        self.is_call = tokens == 0
+        self.now = 0.0
+        self.runs = 0
+        self.delivered: list[str] = []
+        self.result: types.Finish | types.Refuse | None = None
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sidecars_by_host = {host: Sidecar(host) for host in ("a", "b")}
+        sequences = itertools.count(1)
+        self.machine = RequestMachine(
+            types.Rules(idempotent, DEADLINE, tokens, 1),
+            RetryBudget(),
+            lambda: AttemptId("r", next(sequences)),
+            self.rng,
+        )
+
+    def run(self) -> None:
+        """Play the schedule until nothing is left to happen."""
+        for _ in range(self.faults.strike_count if self.faults.strikes else 0):
+            strike = self.rng.choice(self.faults.strikes)
+            sidecar = self.rng.choice(list(self._sidecars_by_host.values()))
+            action = getattr(self, f"_strike_{strike}")
+            self._at(self.rng.uniform(0, 1.5), lambda a=action, s=sidecar: a(s))
+        self._at(DEADLINE, lambda: self._event(types.DeadlinePassed()))
+        self._perform(self.machine.start(self.now))
+        while self._queue:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+
+    def _at(self, time: float, action: Callable[[], None]) -> None:
+        if time <= SETTLED_AT:
+            heapq.heappush(
+                self._queue, (max(time, self.now), next(self._order), action)
+            )
+
+    def _event(self, event: types.Event) -> None:
+        self._perform(self.machine.handle(event, self.now))
+
+    def _perform(self, decisions: tuple[types.Decision, ...]) -> None:
+        for each in decisions:
+            if isinstance(each, types.Deliver):
+                self.delivered += each.texts
+            elif isinstance(each, types.Finish | types.Refuse):
+                self.result = each
+            elif isinstance(each, types.Place):
+                self._at(each.at + 0.003, self._offer)
+            elif isinstance(each, types.Submit):
+                self._submit(each)
+            elif isinstance(each, types.ResumeAt):
+                self._at(each.at, lambda each=each: self._resume(each))
+            elif isinstance(each, types.CancelAttempt):
+                sidecar = self._sidecars_by_host[each.target.host]
+                self._send(sidecar, Cancel(each.target.attempt_id))
+
+    def _offer(self) -> None:
+        offers = [
+            Offer(Candidate(each.host, "dc1"), each.identity, 0, 0.1)
+            for each in self._sidecars_by_host.values()
+            if self._answers(each) and not each.leaving
+        ]
+        self.rng.shuffle(offers)
+        self._event(types.Offered(tuple(offers)))
+
+    def _submit(self, submit: types.Submit) -> None:
+        target = submit.target
+        sidecar = self._sidecars_by_host[target.host]
+        if not self._answers(sidecar):
+            self._at(
+                self.now + CONNECT_TIMEOUT_S,
+                lambda: self._event(types.NotWritten(target.attempt_id, "down")),
+            )
+            return
+        assignment = Assignment(
+            target.attempt_id,
+            ORGANISATION,
+            submit.offer.identity,
+            Priority.SHORT,
+            DEADLINE,
+        )
+        self._send(sidecar, (assignment, len(submit.texts)))
+
+    def _resume(self, resume: types.ResumeAt) -> None:
+        target = resume.target
+        sidecar = self._sidecars_by_host[target.host]
+        if not self._answers(sidecar):
+            failed = types.ResumeFailed(target.attempt_id, False)
+            self._at(self.now + CONNECT_TIMEOUT_S, lambda: self._event(failed))
+            return
+        if sidecar.identity.sidecar_incarnation != target.sidecar_incarnation:
+            self._event(types.ResumeFailed(target.attempt_id, True))
+            return
+        self._send(
+            sidecar, Resume(target.attempt_id, resume.first, ORGANISATION, DEADLINE)
+        )
+
+    def _answers(self, sidecar: Sidecar) -> bool:
+        return sidecar.up and sidecar.frozen_until <= self.now
+
+    def _delays(self) -> list[float]:
+        """Return the delay of each copy of a message that arrives."""
+        if self.rng.random() < self.faults.lost:
+            return []
+        copies = 2 if self.rng.random() < self.faults.duplicate else 1
+        slow = self.rng.random() < self.faults.slow
+        return [
+            self.rng.uniform(0.5, 5.0) if slow else self.rng.uniform(0.001, 0.003)
+            for _ in range(copies)
+        ]
+
+    def _send(self, sidecar: Sidecar, message: Any) -> None:
+        serial, connection = sidecar.serial, sidecar.connection
+        # A cut connection may still deliver what was on its way, but much later.
+        held = self.rng.random() < self.faults.hold
+        for delay in self._delays():
+            self._at(
+                self.now + delay,
+                lambda: self._arrive(sidecar, serial, connection, held, message),
+            )
+
+    def _arrive(
+        self, sidecar: Sidecar, serial: int, connection: int, held: bool, message: Any
+    ) -> None:
+        if sidecar.serial != serial or not sidecar.up:
+            return
+        if sidecar.connection != connection:
+            if held:
+                later = self.now + self.rng.uniform(0.1, 3.0)
+                self._at(later, lambda: self._handle(sidecar, serial, message))
+            return
+        self._handle(sidecar, serial, message)
+
+    def _handle(self, sidecar: Sidecar, serial: int, message: Any) -> None:
+        if sidecar.serial != serial or not sidecar.up:
+            return
+        if sidecar.frozen_until > self.now:
+            self._at(
+                sidecar.frozen_until,
+                lambda: self._handle(sidecar, serial, message),
+            )
+        elif isinstance(message, Cancel):
+            running = sidecar.running_by_id.get(message.attempt_id)
+            if running is not None:
+                running.cancelled = True
+        elif isinstance(message, Resume):
+            self._handle_resume(sidecar, message)
+        else:
+            self._handle_submit(sidecar, *message)
+
+    def _handle_submit(
+        self, sidecar: Sidecar, assignment: Assignment, first: int
+    ) -> None:
+        decision = sidecar.ledger.on_submit(
+            assignment, sidecar.identity, not sidecar.leaving, self.now
+        )
+        attempt_id = assignment.attempt_id
+        if isinstance(decision, Reject):
+            self._reply(sidecar, Refused(attempt_id, decision.refusal))
+        if isinstance(decision, Start):
+            self.runs += 1
+            running = Running([""] * first)
+            sidecar.running_by_id[attempt_id] = running
+            self._stream(sidecar, attempt_id, running, 0, first)
+            self._produce(sidecar, attempt_id, running, sidecar.endpoint_serial)
+
+    def _handle_resume(self, sidecar: Sidecar, resume: Resume) -> None:
+        decision = sidecar.ledger.on_resume(resume, self.now)
+        if isinstance(decision, Attach):
+            running = sidecar.running_by_id[resume.attempt_id]
+            running.reader += 1
+            self._stream(
+                sidecar, resume.attempt_id, running, running.reader, resume.first
+            )
+        else:
+            self._reply(sidecar, Refused(resume.attempt_id, decision.refusal))
+
+    def _produce(
+        self, sidecar: Sidecar, attempt_id: AttemptId, running: Running, serial: int
+    ) -> None:
+        if running.cancelled or not sidecar.up:
+            return
+        if sidecar.endpoint_serial != serial:
+            failed = EndpointFailed.refuse("endpoint died").refusal
+            running.ending = Refused(attempt_id, failed)
+        elif self.is_call:
+            running.ending = CallReply(attempt_id, 201, {}, b"done")
+        elif len(running.texts) == self.token_count:
+            running.ending = CompletionEnd(attempt_id, len(running.texts), "stop", 1, 0)
+        else:
+            running.texts.append(f"{attempt_id.sequence}.{len(running.texts)}")
+            self._at(
+                self.now + TOKEN_INTERVAL_S,
+                lambda: self._produce(sidecar, attempt_id, running, serial),
+            )
+
+    def _stream(
+        self,
+        sidecar: Sidecar,
+        attempt_id: AttemptId,
+        running: Running,
+        reader: int,
+        first: int,
+    ) -> None:
+        if running.reader != reader or not sidecar.up:
+            return
+        if sidecar.frozen_until <= self.now:
+            texts = tuple(running.texts[first : first + 3])
+            if texts:
+                self._reply(sidecar, Tokens(attempt_id, first, texts))
+                first += len(texts)
+            elif running.ending is not None:
+                self._reply(sidecar, running.ending)
+                return
+        self._at(
+            self.now + TOKEN_INTERVAL_S / 2,
+            lambda: self._stream(sidecar, attempt_id, running, reader, first),
+        )
+
+    def _reply(self, sidecar: Sidecar, message: Any) -> None:
+        connection = sidecar.connection
+        for delay in self._delays():
+            self._at(
+                self.now + delay,
+                lambda: self._receive(sidecar, connection, message),
+            )
+
+    def _receive(self, sidecar: Sidecar, connection: int, message: Any) -> None:
+        if sidecar.connection == connection:
+            self._event(types.Frame(message))
+
+    def _lose_link(self, sidecar: Sidecar) -> None:
+        target = self.machine.target
+        if target is not None and target.host == sidecar.host:
+            self._event(types.LinkLost(target.attempt_id))
+
+    def _strike_cut(self, sidecar: Sidecar) -> None:
+        sidecar.connection += 1
+        self._lose_link(sidecar)
+
+    def _strike_kill(self, sidecar: Sidecar) -> None:
+        sidecar.up = False
+        self._strike_cut(sidecar)
+        self._at(self.now + self.rng.uniform(0.1, 3.0), lambda: self._restart(sidecar))
+
+    def _restart(self, sidecar: Sidecar) -> None:
+        sidecar.serial += 1
+        sidecar.up = True
+        sidecar.leaving = False
+        sidecar.ledger = AttemptLedger()
+        sidecar.running_by_id = {}
+
+    def _strike_freeze(self, sidecar: Sidecar) -> None:
+        sidecar.frozen_until = self.now + self.rng.uniform(0.5, 30.0)
+        # The link notices an unanswered ping.
+        self._at(
+            self.now + 3.0,
+            lambda: (
+                self._strike_cut(sidecar) if sidecar.frozen_until > self.now else None
+            ),
+        )
+
+    def _strike_endpoint(self, sidecar: Sidecar) -> None:
+        sidecar.endpoint_serial += 1
+
+    def _strike_leave(self, sidecar: Sidecar) -> None:
+        sidecar.leaving = True
--- /dev/null
+++ b/tests/test_claims/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the claims package."""
+
+from __future__ import annotations
