--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -81,7 +81,7 @@
         answer.raise_for_status()
         for line in answer.iter_lines():
             payload = line.removeprefix("data: ")
-            if not payload or payload == "[DONE]":
+            if payload in (line, "[DONE]"):
                 continue
             ttft = ttft or time.monotonic() - asked_at
             event = json.loads(payload)
