Decide orders, fencing numbers and weight-store leases

Cause: nothing brought an endpoint to the weights, adapters and role that the configuration names, and nothing kept a past holder from ordering.

Change: orders/ holds the pure decisions: the goal of a host, the next order, fencing numbers, and leases of the weight store in one platform object with stored expiry. sidecar/orders.py drains, re-reads the fencing number, orders and settles. The engine stand-in takes orders, with or without fencing; the platform stand-in has a rate-limited weight store that counts loads at once.

Ruled out: asking in the order of a rank among hosts.

The sidecar doesn't run it yet: it needs the configuration.

--- a/src/agatehoist/configuration/__init__.py
+++ b/src/agatehoist/configuration/__init__.py
@@ -7,6 +7,7 @@
     EndpointRules,
     FleetConfiguration,
     Model,
+    Orders,
     Organisation,
     Service,
 )
@@ -16,6 +17,7 @@
     "EndpointRules",
     "FleetConfiguration",
     "Model",
+    "Orders",
     "Organisation",
     "PolicyException",
     "Record",
--- a/src/agatehoist/configuration/check.py
+++ b/src/agatehoist/configuration/check.py
@@ -107,6 +107,7 @@
 def _check_defaults(defaults: FleetDefaults) -> Iterator[Fault]:
     for name, model in defaults.models_by_name.items():
         yield from _check_model(model, ("defaults", "models", name))
+    yield from _check_orders(defaults.orders, ("defaults", "orders"))
     owners_by_digest: dict[str, str] = {}
     for name, organisation in defaults.organisations_by_name.items():
         path: Path = ("defaults", "organisations", name, "key_digests")
@@ -127,6 +128,15 @@
         yield (*path, "context_tokens"), "must be above zero"
     if not model.weights_version:
         yield (*path, "weights_version"), "must not be empty"
+    if not 0 <= model.prefill_share <= 1:
+        yield (*path, "prefill_share"), "must be a share from 0 to 1"
+
+
+def _check_orders(orders: Any, path: Path) -> Iterator[Fault]:
+    if orders.concurrent_loads < 1:
+        yield (*path, "concurrent_loads"), "must be above zero"
+    if not 0 <= orders.capacity_floor <= 1:
+        yield (*path, "capacity_floor"), "must be a share from 0 to 1"
 
 
 def _check_exceptions(
--- a/src/agatehoist/configuration/document.py
+++ b/src/agatehoist/configuration/document.py
@@ -7,7 +7,13 @@
 from datetime import datetime
 from typing import Any
 
-from agatehoist.configuration.types import EndpointRules, Model, Organisation, Service
+from agatehoist.configuration.types import (
+    EndpointRules,
+    Model,
+    Orders,
+    Organisation,
+    Service,
+)
 
 
 class DeadlineRule(enum.StrEnum):
@@ -57,6 +63,7 @@
     models_by_name: dict[str, Model] = field(default_factory=dict)
     services_by_name: dict[str, Service] = field(default_factory=dict)
     endpoint: EndpointRules = field(default_factory=EndpointRules)
+    orders: Orders = field(default_factory=Orders)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/configuration/effective.py
+++ b/src/agatehoist/configuration/effective.py
@@ -31,7 +31,10 @@
         if each.is_in_force(moment):
             _apply(record.document, each, collections)
     return FleetConfiguration(
-        revision=record.revision, endpoint=defaults.endpoint, **collections
+        revision=record.revision,
+        endpoint=defaults.endpoint,
+        orders=defaults.orders,
+        **collections,
     )
 
 
--- a/src/agatehoist/configuration/types.py
+++ b/src/agatehoist/configuration/types.py
@@ -19,6 +19,9 @@
     context_tokens: int
     weights_version: str = "1"
     placement: str = "probe"
+    adapters: tuple[str, ...] = ()
+    prefill_share: float = 0.0
+    rollout_attempt: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,14 @@
     weights_version: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Orders:
+    """Configure orders; the floor is the share of endpoints that keep serving."""
+
+    concurrent_loads: int = 3
+    capacity_floor: float = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class FleetConfiguration:
     """Hold the configuration of the whole fleet at one revision."""
@@ -46,6 +57,7 @@
     services_by_name: dict[str, Service] = field(default_factory=dict)
     endpoint: EndpointRules = field(default_factory=EndpointRules)
     endpoints_by_host: dict[str, EndpointRules] = field(default_factory=dict)
+    orders: Orders = field(default_factory=Orders)
 
     def rules_of(self, host: str) -> EndpointRules:
         """Return the rules for the endpoint on a host."""
--- /dev/null
+++ b/src/agatehoist/orders/__init__.py
@@ -0,0 +1,3 @@
+"""What each endpoint should hold and the orders that get it there."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/orders/clients.py
@@ -0,0 +1,101 @@
+"""Clients that carry orders to endpoints, by kind of endpoint."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Protocol
+
+import httpx
+
+from agatehoist.core.registry import Registry
+from agatehoist.endpoints.errors import EndpointNotReachedError
+from agatehoist.errors import UnknownNameError
+from agatehoist.orders.errors import OrderOutcomeUnknownError, OrderRefusedError
+from agatehoist.orders.kinds import NAMES_BY_KIND
+from agatehoist.orders.types import Report
+from agatehoist.settings.convert import make_converter
+
+if TYPE_CHECKING:
+    from agatehoist.orders.kinds import Order
+
+ORDER_TIMEOUT_S = 1.0
+
+_converter = make_converter()
+
+
+class OrderClient(Protocol):
+    """Give orders to one endpoint."""
+
+    def __init__(self, url: str) -> None: ...
+
+    async def report(self) -> Report:
+        """Return what the endpoint holds.
+
+        Raises EndpointNotReachedError.
+        """
+
+    async def send(self, order: Order, fencing_number: int, valid_until: float) -> None:
+        """Give an order.
+
+        Raises OrderRefusedError if it wasn't taken, OrderOutcomeUnknownError
+        if it may have been.
+        """
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+
+
+ORDER_CLIENTS: Registry[type[OrderClient]] = Registry("kind that takes orders")
+
+
+def order_client_for(kind: str, url: str) -> OrderClient | None:
+    """Return a client, or None for a kind of endpoint that takes no orders."""
+    try:
+        return ORDER_CLIENTS[kind](url)
+    except UnknownNameError:
+        return None
+
+
+@ORDER_CLIENTS.register("engine")
+class EngineOrderClient:
+    """Give orders to one engine."""
+
+    def __init__(self, url: str) -> None:
+        self._http = httpx.AsyncClient(base_url=url, timeout=ORDER_TIMEOUT_S)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def report(self) -> Report:
+        """Return what the engine holds.
+
+        Raises EndpointNotReachedError.
+        """
+        try:
+            answer = await self._http.get("/orders")
+            answer.raise_for_status()
+            return _converter.structure(answer.json(), Report)
+        except Exception as error:
+            raise EndpointNotReachedError(f"no report: {error!r}") from error
+
+    async def send(self, order: Order, fencing_number: int, valid_until: float) -> None:
+        """Give an order.
+
+        Raises OrderRefusedError if it wasn't taken, OrderOutcomeUnknownError
+        if it may have been.
+        """
+        body = {
+            "order": NAMES_BY_KIND[type(order)],
+            "fields": _converter.unstructure(order),
+            "fencing_number": fencing_number,
+            "valid_until": valid_until,
+        }
+        try:
+            answer = await self._http.post("/orders", json=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise OrderRefusedError(f"engine not reached: {error!r}") from error
+        except httpx.HTTPError as error:
+            raise OrderOutcomeUnknownError(f"no answer: {error!r}") from error
+        if answer.status_code != HTTPStatus.ACCEPTED:
+            raise OrderRefusedError(f"{answer.status_code}: {answer.text}")
--- /dev/null
+++ b/src/agatehoist/orders/objects.py
@@ -0,0 +1,110 @@
+"""Objects of the orders in the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+from agatehoist.orders.fencing import raised
+from agatehoist.orders.types import FencingRecord, Granted, Ledger
+from agatehoist.platform.errors import ConflictError, ObjectNotFoundError
+from agatehoist.settings.convert import make_converter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agatehoist.orders.leases import Decision
+    from agatehoist.platform.client import PlatformClient
+
+FENCING_KIND = "fencing"
+LEDGER_KIND = "orders"
+LEDGER_NAME = "weight-loads"
+
+Value = TypeVar("Value")
+
+_converter = make_converter()
+
+
+async def raise_fencing_number(
+    platform: PlatformClient, host: str, owner: str
+) -> FencingRecord:
+    """Raise the fencing number of a host for an owner, once.
+
+    A call after a lost answer finds the owner's own record.
+    Raises PlatformError.
+    """
+    while True:
+        current, version = await _read(platform, FENCING_KIND, host, FencingRecord)
+        mine = raised(current, owner)
+        if mine == current:
+            return mine
+        try:
+            await _write(platform, FENCING_KIND, host, mine, version)
+        except ConflictError:
+            continue
+        return mine
+
+
+async def read_fencing_record(
+    platform: PlatformClient, host: str
+) -> FencingRecord | None:
+    """Return the fencing record in force.
+
+    Raises PlatformError.
+    """
+    record, _ = await _read(platform, FENCING_KIND, host, FencingRecord)
+    return record
+
+
+async def take_lease(
+    platform: PlatformClient, decide: Callable[[Ledger], Decision]
+) -> Decision:
+    """Write the ledger that a decision grants, and return the decision.
+
+    Raises PlatformError; a call after a lost answer is granted its own lease.
+    """
+    while True:
+        ledger, version = await _read(platform, LEDGER_KIND, LEDGER_NAME, Ledger)
+        decision = decide(ledger or Ledger())
+        if not isinstance(decision, Granted):
+            return decision
+        try:
+            await _write(platform, LEDGER_KIND, LEDGER_NAME, decision.ledger, version)
+        except ConflictError:
+            continue
+        return decision
+
+
+async def change_ledger(
+    platform: PlatformClient, change: Callable[[Ledger], Ledger]
+) -> None:
+    """Apply an idempotent change to the ledger.
+
+    Raises PlatformError.
+    """
+    while True:
+        ledger, version = await _read(platform, LEDGER_KIND, LEDGER_NAME, Ledger)
+        before = ledger or Ledger()
+        after = change(before)
+        if after == before:
+            return
+        try:
+            await _write(platform, LEDGER_KIND, LEDGER_NAME, after, version)
+        except ConflictError:
+            continue
+        return
+
+
+async def _read(
+    platform: PlatformClient, kind: str, name: str, target: type[Value]
+) -> tuple[Value | None, int]:
+    try:
+        found = await platform.get(kind, name)
+    except ObjectNotFoundError:
+        return None, 0
+    return _converter.structure(found.value, target), found.version
+
+
+async def _write(
+    platform: PlatformClient, kind: str, name: str, value: object, version: int
+) -> None:
+    await platform.put(kind, name, _converter.unstructure(value), version)
--- /dev/null
+++ b/src/agatehoist/sidecar/orders.py
@@ -0,0 +1,231 @@
+"""Orders from a sidecar to its endpoint."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from functools import partial
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.endpoints.errors import EndpointError
+from agatehoist.observability.logs import get_logger
+from agatehoist.orders.clients import order_client_for
+from agatehoist.orders.errors import (
+    OrderError,
+    OrderExpiredError,
+    SupersededError,
+)
+from agatehoist.orders.fencing import check_valid
+from agatehoist.orders.goals import endpoints_of, goal_for
+from agatehoist.orders.kinds import next_order
+from agatehoist.orders.leases import Ask, decide, finish, give_back
+from agatehoist.orders.objects import (
+    change_ledger,
+    raise_fencing_number,
+    take_lease,
+)
+from agatehoist.orders.types import Claimant, Granted, Stopped
+from agatehoist.platform.errors import PlatformError
+from agatehoist.sidecar.sending import LOAD_TIMEOUT_S, OrderSender
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from agatehoist.configuration import FleetConfiguration
+    from agatehoist.orders.clients import OrderClient
+    from agatehoist.orders.kinds import Order
+    from agatehoist.orders.leases import Decision
+    from agatehoist.orders.types import FencingRecord, Goal, Lease, Ledger, Report
+    from agatehoist.platform.client import PlatformClient
+    from agatehoist.platform.types import HostEntry
+    from agatehoist.sidecar.state import SidecarState
+
+logger = get_logger("orders")
+
+RECONCILE_INTERVAL_S = 0.5
+STOPPED_RETRY_S = 300.0
+HOSTS_RETENTION_S = 30.0
+
+
+async def run_orders(
+    state: SidecarState,
+    platform: PlatformClient,
+    configuration: Callable[[], FleetConfiguration],
+) -> None:
+    """Give orders to the endpoint of a sidecar if its kind takes any."""
+    endpoint = state.settings.endpoint
+    client = order_client_for(endpoint.kind, endpoint.url)
+    if client is None:
+        return
+    try:
+        await Reconciler(state, platform, client, configuration).run()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await client.aclose()
+
+
+class Reconciler:
+    """Bring one endpoint to what the configuration wants it to hold."""
+
+    def __init__(
+        self,
+        state: SidecarState,
+        platform: PlatformClient,
+        client: OrderClient,
+        configuration: Callable[[], FleetConfiguration],
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:
+        self._state = state
+        self._platform = platform
+        self._client = client
+        self._configuration = configuration
+        self._sleep = sleep
+        self._sender = OrderSender(state, platform, client, configuration, sleep)
+        self._rng = random.Random(state.incarnation)
+        self._fencing: FencingRecord | None = None
+        self._unsettled: Callable[[Ledger], Ledger] | None = None
+        self._entries: tuple[HostEntry, ...] = ()
+        self._entries_valid_until = 0.0
+        self._asked_target = ""
+        self._ask_again_at = 0.0
+        self._last_obstacle = ""
+
+    async def run(self) -> None:
+        """Reconcile until another sidecar holds a higher fencing number."""
+        while True:
+            try:
+                retry_at = await self.step()
+            except SupersededError as error:
+                logger.warning("no more orders", reason=str(error))
+                # A lease that stays behind is replaced by the successor.
+                with contextlib.suppress(PlatformError):
+                    await self._settle()
+                return
+            except (PlatformError, EndpointError, OrderError) as error:
+                self._note_obstacle(str(error))
+                delay = RECONCILE_INTERVAL_S * self._rng.uniform(1, 2)
+                retry_at = self._now() + delay
+            await self._sleep(max(0.0, retry_at - self._now()))
+
+    async def step(self) -> float:
+        """Give the next order if one is due, and return when to look again.
+
+        Raises SupersededError, PlatformError, EndpointError or OrderError.
+        """
+        if self._fencing is None:
+            self._fencing = await raise_fencing_number(
+                self._platform, self._host, self._state.incarnation
+            )
+            logger.info("fencing number raised", number=self._fencing.number)
+        await self._settle()
+        goal = await self._goal()
+        if goal is not None and not self._state.leaving:
+            report = await self._client.report()
+            order = next_order(goal.holding, report.holding)
+            if order is not None and not report.loading and self._may_ask(goal):
+                await self._carry_out(goal, report, order)
+        look_again_at = self._now() + RECONCILE_INTERVAL_S
+        if self._now() < self._ask_again_at:
+            return min(look_again_at, self._ask_again_at)
+        return look_again_at
+
+    @property
+    def _host(self) -> str:
+        return self._state.settings.node.name
+
+    def _now(self) -> float:
+        return self._state.clock.now()
+
+    async def _goal(self) -> Goal | None:
+        configuration = self._configuration()
+        model_name = self._state.settings.endpoint.serves
+        model = configuration.models_by_name.get(model_name)
+        # Only roles depend on the other hosts.
+        has_roles = model is not None and model.prefill_share > 0
+        entries = await self._hosts() if has_roles else ()
+        return goal_for(self._host, model_name, configuration, entries)
+
+    async def _hosts(self) -> tuple[HostEntry, ...]:
+        if self._now() >= self._entries_valid_until:
+            self._entries = await self._platform.hosts()
+            self._entries_valid_until = self._now() + HOSTS_RETENTION_S
+        return self._entries
+
+    def _may_ask(self, goal: Goal) -> bool:
+        return goal.target != self._asked_target or self._now() >= self._ask_again_at
+
+    async def _carry_out(self, goal: Goal, report: Report, order: Order) -> None:
+        serves = bool(report.holding.weights_version)
+        decision = await self._ask(goal, order.interrupts and serves)
+        if isinstance(decision, Granted):
+            await self._order_under(decision.lease, order)
+            return
+        self._note_obstacle(decision.reason)
+        self._asked_target = goal.target
+        if isinstance(decision, Stopped):
+            delay_s = STOPPED_RETRY_S * self._rng.uniform(0.75, 1.25)
+            self._ask_again_at = self._now() + delay_s
+        else:
+            self._ask_again_at = decision.retry_at
+
+    async def _ask(self, goal: Goal, interrupts: bool) -> Decision:
+        mine = self._fencing_record()
+        claimant = Claimant(self._host, mine.owner, mine.number, interrupts)
+        endpoints = endpoints_of(goal.holding.model, await self._hosts())
+        limits = self._configuration().orders
+
+        def decide_now(ledger: Ledger) -> Decision:
+            ask = Ask(claimant, goal, endpoints, limits, self._now())
+            return decide(ledger, ask, self._rng)
+
+        return await take_lease(self._platform, decide_now)
+
+    async def _order_under(self, lease: Lease, order: Order) -> None:
+        logger.info("order due", order=repr(order))
+        self._state.loading = order.interrupts
+        try:
+            if order.interrupts:
+                await self._drain(lease.expires_at - LOAD_TIMEOUT_S)
+            check_valid(lease.expires_at - LOAD_TIMEOUT_S, self._now())
+            await self._sender.send(order, self._fencing_record())
+            error = await self._sender.wait_until_met(order)
+        except (OrderError, PlatformError):
+            # Nothing was ordered.
+            self._unsettled = partial(give_back, lease=lease)
+            raise
+        else:
+            self._unsettled = partial(finish, lease=lease, error=error)
+            logger.info("order ended", order=repr(order), error=error)
+        finally:
+            await self._resume()
+        await self._settle()
+
+    def _fencing_record(self) -> FencingRecord:
+        assert self._fencing is not None
+        return self._fencing
+
+    async def _drain(self, until: float) -> None:
+        with anyio.move_on_after(max(0.0, until - self._now())):
+            await self._state.in_flight.wait_idle()
+        if self._state.in_flight.count:
+            raise OrderExpiredError("work in flight outlasted the lease")
+
+    async def _resume(self) -> None:
+        # Work must be placed for the new state before any is taken again.
+        try:
+            self._state.take_status(await self._state.client.status())
+        except EndpointError:
+            self._state.lose_endpoint()
+        self._state.loading = False
+
+    async def _settle(self) -> None:
+        if self._unsettled is not None:
+            await change_ledger(self._platform, self._unsettled)
+            self._unsettled = None
+
+    def _note_obstacle(self, reason: str) -> None:
+        if reason != self._last_obstacle:
+            logger.warning("order put off", reason=reason)
+            self._last_obstacle = reason
--- /dev/null
+++ b/src/agatehoist/sidecar/sending.py
@@ -0,0 +1,89 @@
+"""Sending of orders that carry the fencing number."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.endpoints.errors import EndpointError
+from agatehoist.observability.logs import get_logger
+from agatehoist.orders.errors import OrderOutcomeUnknownError, OrderRefusedError
+from agatehoist.orders.fencing import ORDER_VALIDITY_S, check_valid, confirm
+from agatehoist.orders.objects import read_fencing_record
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from agatehoist.configuration import FleetConfiguration
+    from agatehoist.orders.clients import OrderClient
+    from agatehoist.orders.kinds import Order
+    from agatehoist.orders.types import FencingRecord
+    from agatehoist.platform.client import PlatformClient
+    from agatehoist.sidecar.state import SidecarState
+
+logger = get_logger("orders")
+
+LOAD_TIMEOUT_S = 45.0
+REPORT_INTERVAL_S = 0.1
+
+
+class OrderSender:
+    """Send orders to one endpoint and wait for what it reports."""
+
+    def __init__(
+        self,
+        state: SidecarState,
+        platform: PlatformClient,
+        client: OrderClient,
+        configuration: Callable[[], FleetConfiguration],
+        sleep: Callable[[float], Awaitable[None]],
+    ) -> None:
+        self._state = state
+        self._platform = platform
+        self._client = client
+        self._configuration = configuration
+        self._sleep = sleep
+
+    async def send(self, order: Order, mine: FencingRecord) -> None:
+        """Send an order unless another sidecar has a higher fencing number.
+
+        Raises SupersededError, OrderExpiredError, OrderRefusedError or
+        PlatformError; the order wasn't taken then.
+        """
+        valid_until = self._now() + ORDER_VALIDITY_S
+        host = self._state.settings.node.name
+        if not self._configuration().rules_of(host).checks_fencing:
+            await self._confirm(mine)
+        check_valid(valid_until, self._now())
+        try:
+            await self._client.send(order, mine.number, valid_until)
+        except OrderRefusedError:
+            await self._confirm(mine)
+            raise
+        except OrderOutcomeUnknownError as error:
+            # The endpoint's report settles whether the order was taken.
+            logger.warning("order unanswered", reason=str(error))
+
+    async def wait_until_met(self, order: Order) -> str:
+        """Return an empty string once an order is met, or why it isn't."""
+        give_up_at = self._now() + LOAD_TIMEOUT_S
+        error = "no report"
+        while self._now() < give_up_at:
+            try:
+                report = await self._client.report()
+            except EndpointError as failure:
+                error = str(failure)
+            else:
+                if order.is_met(report.holding) and not report.loading:
+                    return ""
+                if report.error and not report.loading:
+                    return report.error
+                error = "not ready in time"
+            await self._sleep(REPORT_INTERVAL_S)
+        return error
+
+    async def _confirm(self, mine: FencingRecord) -> None:
+        host = self._state.settings.node.name
+        confirm(mine, await read_fencing_record(self._platform, host))
+
+    def _now(self) -> float:
+        return self._state.clock.now()
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -19,6 +19,7 @@
     from agatehoist.settings.types import SidecarSettings
     from agatehoist.sidecar.execution import Execution
 
+ENGINE = "engine"
 UNKNOWN_STATUS = EndpointStatus("", "")
 
 
@@ -39,6 +40,7 @@
         self.incarnation = new_incarnation()
         self.status = UNKNOWN_STATUS
         self.leaving = False
+        self.loading = False
         self.in_flight = InFlight()
         self.load = AdmittedLoad()
         self.picture = CachePicture()
@@ -54,7 +56,10 @@
     @property
     def ready(self) -> bool:
         """Say whether the endpoint can take work."""
-        return self.status is not UNKNOWN_STATUS and not self.leaving
+        if self.status is UNKNOWN_STATUS or self.leaving or self.loading:
+            return False
+        is_engine = self.settings.endpoint.kind == ENGINE
+        return bool(self.status.weights_version) or not is_engine
 
     def take_status(self, status: EndpointStatus) -> None:
         """Note what the endpoint reports; a change empties the cache picture."""
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -6,6 +6,7 @@
 
 from standins.engine.app import make_app
 from standins.engine.model import Engine, Speed
+from standins.engine.orders import HttpWeights, OrderDesk
 from standins.serving import serve
 
 
@@ -15,9 +16,16 @@
     capacity: int = 4096,
     prefill: float = 20_000.0,
     decode: float = 200.0,
+    fencing: bool = False,
+    weights: str = "",
 ) -> None:
-    """Serve an engine on a port; speeds are in tokens a second."""
-    serve(make_app(Engine(str(model), capacity, Speed(prefill, decode))), port)
+    """Serve an engine on a port; speeds are in tokens a second.
+
+    The engine reads weights from the platform stand-in at the URL in weights.
+    """
+    engine = Engine(str(model), capacity, Speed(prefill, decode))
+    orders = OrderDesk(engine, fencing, HttpWeights(weights).load)
+    serve(make_app(engine, orders), port)
 
 
 if __name__ == "__main__":
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -10,12 +10,15 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from standins.engine.orders import order_routes
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from starlette.requests import Request
 
     from standins.engine.model import Engine
+    from standins.engine.orders import OrderDesk
 
 ANSWER_TOKENS = 24
 
@@ -42,6 +45,8 @@
         fields = await request.json()
         if fields["model"] != self.engine.model:
             return JSONResponse({"error": {"message": "no such model"}}, 404)
+        if not self.engine.weights_version:
+            return JSONResponse({"error": {"message": "no weights"}}, 503)
         is_chat = request.url.path.endswith("/chat/completions")
         prompt = _render_chat(fields) if is_chat else fields["prompt"]
         events = self._generate(fields, prompt, is_chat)
@@ -76,12 +81,13 @@
             engine.running -= 1
 
 
-def make_app(engine: Engine) -> Starlette:
+def make_app(engine: Engine, orders: OrderDesk) -> Starlette:
     """Return the ASGI application of an engine."""
     app = EngineApp(engine)
     return Starlette(
         routes=[
             Route("/status", app.status),
+            *order_routes(orders),
             Route("/v1/completions", app.complete, methods=["POST"]),
             Route("/v1/chat/completions", app.complete, methods=["POST"]),
         ]
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -59,6 +59,8 @@
         self.cache = BlockCache(capacity)
         self.incarnation = secrets.token_hex(8)
         self.weights_version = "1"
+        self.adapters: tuple[str, ...] = ()
+        self.role = "mixed"
         self.running = 0
         self._prefill = anyio.Lock()
 
--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -12,6 +12,7 @@
 from starlette.routing import Route
 
 from standins.platform.store import Store, VersionConflict
+from standins.platform.weights import WeightStore, weight_routes
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -145,6 +146,7 @@
             Route("/watch/{kind}/{name}", platform.watch),
             Route("/hosts", platform.list_hosts),
             Route("/calls", platform.calls),
+            *weight_routes(WeightStore()),
             Route("/faults", platform.set_faults, methods=["POST"]),
         ]
     )
--- /dev/null
+++ b/tests/test_orders/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the orders package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_orders/test_leases.py
@@ -0,0 +1,190 @@
+"""Tests of the decisions on leases."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from parameterized import parameterized
+
+from agatehoist.configuration import Orders
+from agatehoist.orders.leases import Ask, decide, finish
+from agatehoist.orders.types import (
+    Claimant,
+    Failure,
+    Goal,
+    Granted,
+    Holding,
+    Lease,
+    Ledger,
+    ModelEndpoints,
+    Rollout,
+    Stopped,
+    Waiting,
+)
+from bench.rollouts import Faults, Simulation
+
+NOW = 50.0
+HOSTS = frozenset(f"h{index}" for index in range(8))
+GOAL = Goal("h0", Holding("m", "2"), 1, 7, "m")
+PROVEN = Rollout(GOAL.target, 7, loaded=2)
+
+
+def lease(host: str, **changes: Any) -> Lease:
+    """Return a lease for the goal's roll-out."""
+    return replace(Lease(host, host, 1, "m", "m", GOAL.target, NOW + 9), **changes)
+
+
+def ledger(rollout: Rollout, *leases: Lease) -> Ledger:
+    """Return a ledger with the roll-out of one model."""
+    return Ledger(leases, {"m": rollout})
+
+
+def ask(now: float = NOW, interrupts: bool = True, **orders: Any) -> Ask:
+    """Return what h0 asks."""
+    claimant = Claimant("h0", "h0", 1, interrupts)
+    return Ask(claimant, GOAL, ModelEndpoints(8, HOSTS), Orders(**orders), now)
+
+
+FAILED = Failure("h4", "h4", "bad")
+MANY_FAILED = tuple(Failure(f"h{i}", f"h{i}", "bad") for i in range(1, 3))
+
+CASES: list[tuple[str, Ledger, Ask, type]] = [
+    ("first", Ledger(), ask(), Granted),
+    ("first_runs_alone", ledger(Rollout(GOAL.target, 7), lease("h1")), ask(), Waiting),
+    ("second", ledger(PROVEN, lease("h1")), ask(), Granted),
+    ("bound", ledger(PROVEN, lease("h1"), lease("h2"), lease("h3")), ask(), Waiting),
+    (
+        "bound_counts_other_models",
+        ledger(PROVEN, *(lease(f"x{i}", model="other", rollout="other") for i in range(3))),
+        ask(),
+        Waiting,
+    ),
+    ("lower_bound", ledger(PROVEN, lease("h1")), ask(concurrent_loads=1), Waiting),
+    ("floor", ledger(PROVEN, lease("h1")), ask(capacity_floor=0.8), Waiting),
+    (
+        "floor_spares_an_empty_engine",
+        ledger(PROVEN, lease("h1")),
+        ask(capacity_floor=0.8, interrupts=False),
+        Granted,
+    ),
+    (
+        "floor_counts_hosts_down",
+        ledger(replace(PROVEN, down_hosts=("h5",)), lease("h1")),
+        ask(capacity_floor=0.7),
+        Waiting,
+    ),
+    ("own_lease_again", ledger(PROVEN, lease("h0")), ask(), Granted),
+    (
+        "successor_holds_the_lease",
+        ledger(PROVEN, lease("h0", owner="new", fencing_number=2)),
+        ask(),
+        Stopped,
+    ),
+    (
+        "lapsed_lease_makes_room",
+        ledger(PROVEN, lease("h1"), lease("h2"), lease("h3", expires_at=NOW)),
+        ask(),
+        Granted,
+    ),
+    (
+        "two_lapsed_leases_hold_the_rollout",
+        ledger(PROVEN, lease("h2", expires_at=NOW), lease("h3", expires_at=NOW)),
+        ask(),
+        Waiting,
+    ),
+    ("failure_stops", ledger(replace(PROVEN, failures=(FAILED,))), ask(), Stopped),
+    (
+        "failure_after_many_loads_is_the_host's",
+        ledger(replace(PROVEN, loaded=60, failures=MANY_FAILED)),
+        ask(),
+        Granted,
+    ),
+    (
+        "own_failure_stops",
+        ledger(replace(PROVEN, loaded=60, failures=(Failure("h0", "h0", "bad"),))),
+        ask(),
+        Stopped,
+    ),
+    (
+        "newer_revision_is_in_force",
+        ledger(replace(PROVEN, target="3+#1", revision=8)),
+        ask(),
+        Waiting,
+    ),
+    (
+        "stop_ends_with_a_newer_revision",
+        ledger(replace(PROVEN, target="1+#1", revision=6, failures=(FAILED,))),
+        ask(),
+        Granted,
+    ),
+]
+
+
+class DecisionTests(unittest.TestCase):
+    @parameterized.expand(CASES)
+    def test_decision(
+        self, _name: str, current: Ledger, asked: Ask, expected: type
+    ) -> None:
+        decision = decide(current, asked, random.Random(1))
+        self.assertIsInstance(decision, expected, decision)
+        if isinstance(decision, Granted):
+            self.assertIn(decision.lease, decision.ledger.leases)
+            hosts = [each.host for each in decision.ledger.leases]
+            self.assertEqual(len(hosts), len(set(hosts)))
+
+    @parameterized.expand([("", 3, 0), ("bad", 2, 1)])
+    def test_finish_is_idempotent(self, error: str, loaded: int, failed: int) -> None:
+        mine = lease("h0")
+        once = finish(ledger(PROVEN, mine), mine, error)
+        self.assertEqual(finish(once, mine, error), once)
+        rollout = once.rollouts_by_name["m"]
+        self.assertEqual((rollout.loaded, len(rollout.failures)), (loaded, failed))
+
+    def test_late_success_takes_the_lapse_back(self) -> None:
+        mine = lease("h0", expires_at=NOW)
+        other = replace(ask(), claimant=Claimant("h1", "h1", 1, True))
+        granted = decide(ledger(PROVEN, mine), other, random.Random(1))
+        assert isinstance(granted, Granted)
+        rollout = granted.ledger.rollouts_by_name["m"]
+        self.assertEqual(rollout.lapsed_hosts, ("h0",))
+        rollout = finish(granted.ledger, mine, "").rollouts_by_name["m"]
+        self.assertEqual((rollout.loaded, rollout.lapsed_hosts), (3, ()))
+
+
+class RolloutTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (name, seed, hosts, loads, faults)
+            for seed in range(4)
+            for hosts, loads in ((10, 3), (40, 2))
+            for name, faults in (
+                ("calm", Faults()),
+                ("lost_answers", Faults(lost_answer_share=0.3)),
+                ("outage_at_first", Faults(down_from=1.5, down_until=300.0)),
+                ("outage", Faults(down_from=5.0, down_until=300.0)),
+            )
+        ]
+    )
+    def test_every_host_loads_within_the_bounds(
+        self, _name: str, seed: int, hosts: int, loads: int, faults: Faults
+    ) -> None:
+        orders = Orders(concurrent_loads=loads, capacity_floor=0.75)
+        outcome = Simulation(hosts, orders, seed, 0.5, faults).run(3600)
+        self.assertEqual(outcome.loaded, hosts, outcome)
+        self.assertLessEqual(outcome.peak_loads, loads)
+        self.assertGreaterEqual(outcome.fewest_serving, 0.75 * hosts)
+
+    @parameterized.expand([(seed,) for seed in range(4)])
+    def test_bad_version_reaches_one_host(self, seed: int) -> None:
+        outcome = Simulation(40, Orders(), seed, faults=Faults(bad=True)).run(3600)
+        self.assertEqual((outcome.loaded, outcome.failed), (0, 1))
+
+    @parameterized.expand([(seed,) for seed in range(4)])
+    def test_dead_hosts_hold_up_no_others(self, seed: int) -> None:
+        faults = Faults(dead_share=0.01)
+        outcome = Simulation(200, Orders(), seed, faults=faults).run(3600)
+        self.assertGreaterEqual(outcome.loaded, 195)
+        self.assertLessEqual(outcome.peak_loads, 3)
--- /dev/null
+++ b/tests/test_orders/test_reconciler.py
@@ -0,0 +1,267 @@
+"""Tests of the orders that a sidecar gives."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.configuration import EndpointRules
+from agatehoist.endpoints.errors import EndpointError
+from agatehoist.orders.errors import OrderError, OrderExpiredError, SupersededError
+from agatehoist.platform.errors import PlatformError
+from tests.test_orders.support import MODEL, FakeEngine, FakeFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from tests.test_orders.support import FakeSidecar
+
+
+
+def run(
+    scenario: Callable[[FakeFleet], Awaitable[None]],
+    fencing: bool = False,
+    hosts: tuple[str, ...] = ("h1",),
+) -> None:
+    """Run a scenario with a fleet on one loop."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            await scenario(FakeFleet(task_group, hosts, fencing))
+
+    anyio.run(main)
+
+
+async def settle(sidecar: FakeSidecar, steps: int = 6) -> None:
+    """Step a sidecar past the failures that it would try again after."""
+    for _ in range(steps):
+        try:
+            await sidecar.reconciler.step()
+        except SupersededError:
+            return
+        except (PlatformError, EndpointError, OrderError):
+            continue
+
+
+class OrderTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("weights", "2", {}, ["load_weights"]),
+            ("adapters", "1", {"adapters": ("b", "a")}, ["set_adapters"]),
+            ("role", "1", {"prefill_share": 1.0}, ["set_role"]),
+            (
+                "all",
+                "2",
+                {"adapters": ("a",), "prefill_share": 1.0},
+                ["load_weights", "set_adapters", "set_role"],
+            ),
+            ("nothing", "1", {}, []),
+        ]
+    )
+    def test_endpoint_gets_what_is_configured(
+        self, _name: str, version: str, fields: dict[str, Any], expected: list[str]
+    ) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure(version, **fields)
+            await settle(sidecar)
+            self.assertEqual([e["order"] for e in engine.desk.taken], expected)
+            self.assertEqual(sidecar.state.identity.weights_version, version)
+            self.assertTrue(sidecar.state.ready)
+            self.assertEqual(fleet.platform.ledger().leases, ())
+
+        run(scenario)
+
+    @parameterized.expand([(1,), (2,), (3,)])
+    def test_lost_answers_are_settled(self, count: int) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            fleet.platform.lost_answers = count
+            await settle(sidecar)
+            self.assertEqual([e["fencing_number"] for e in engine.desk.taken], [1])
+            rollout = fleet.platform.ledger().rollouts_by_name[MODEL]
+            self.assertEqual((rollout.loaded, rollout.lapsed_hosts), (1, ()))
+
+        run(scenario)
+
+    def test_work_in_flight_ends_before_the_load(self) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            with sidecar.state.in_flight.track():
+                fleet.task_group.start_soon(sidecar.reconciler.step)
+                await anyio.wait_all_tasks_blocked()
+                self.assertFalse(sidecar.state.ready)
+                self.assertEqual(engine.desk.taken, [])
+            await anyio.wait_all_tasks_blocked()
+            self.assertTrue(sidecar.state.ready)
+            self.assertEqual(sidecar.state.identity.weights_version, "2")
+
+        run(scenario)
+
+    def test_no_order_while_the_platform_is_down(self) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            fleet.platform.down = True
+            await settle(sidecar)
+            self.assertEqual(engine.desk.taken, [])
+            self.assertTrue(sidecar.state.ready)
+            fleet.platform.down = False
+            await settle(sidecar)
+            self.assertEqual(sidecar.state.identity.weights_version, "2")
+
+        run(scenario)
+
+    def test_outage_before_the_end_is_written(self) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+
+            async def go_down() -> None:
+                fleet.platform.down = True
+
+            engine.before_taking = go_down
+            await settle(sidecar)
+            self.assertEqual(sidecar.state.identity.weights_version, "2")
+            self.assertTrue(sidecar.state.ready)
+            fleet.clock.advance_to(1000.0)
+            fleet.platform.down = False
+            await settle(sidecar)
+            rollout = fleet.platform.ledger().rollouts_by_name[MODEL]
+            self.assertEqual((rollout.loaded, rollout.lapsed_hosts), (1, ()))
+
+        run(scenario)
+
+    @parameterized.expand([("refused",), ("never_ready",)])
+    def test_bad_version_stops_the_rollout(self, name: str) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engines = [FakeEngine() for _ in range(3)]
+            sidecars = [
+                await fleet.start_sidecar(f"h{index}", engine)
+                for index, engine in enumerate(engines)
+            ]
+            fleet.configure("bad" if name == "refused" else "2")
+
+            async def go_down() -> None:
+                engines[0].down = True
+
+            if name == "never_ready":
+                engines[0].before_taking = go_down
+            for sidecar in sidecars:
+                await settle(sidecar)
+            ordered = [len(engine.desk.taken) for engine in engines]
+            self.assertEqual(ordered, [1, 0, 0])
+            self.assertTrue(all(each.state.ready for each in sidecars[1:]))
+            fleet.configure("3")
+            engines[0].down = False
+            engines[0].before_taking = None
+            for sidecar in sidecars:
+                await settle(sidecar)
+            held = [engine.engine.weights_version for engine in engines]
+            self.assertEqual(held, ["3", "3", "3"])
+
+        run(scenario, hosts=("h0", "h1", "h2"))
+
+    def test_pinned_endpoint_leaves_the_rollout_alone(self) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engines = [FakeEngine() for _ in range(2)]
+            sidecars = [
+                await fleet.start_sidecar(f"h{index}", engine)
+                for index, engine in enumerate(engines)
+            ]
+            fleet.configure("2", {"h0": EndpointRules(weights_version="bad")})
+            for sidecar in sidecars:
+                await settle(sidecar)
+            self.assertEqual(sidecars[1].state.identity.weights_version, "2")
+            self.assertFalse(sidecars[0].state.ready)
+
+        run(scenario, hosts=("h0", "h1"))
+
+
+class FencingTests(unittest.TestCase):
+    @parameterized.expand([("fenced", True), ("unfenced", False)])
+    def test_past_holder_gives_no_order(self, _name: str, fencing: bool) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine(fencing=fencing)
+            past = await fleet.start_sidecar("h1", engine)
+            await past.reconciler.step()
+            current = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            await settle(current)
+            # The past holder still has a configuration with a higher revision.
+            fleet.configure("3")
+            with self.assertRaises(SupersededError):
+                await past.reconciler.step()
+            numbers = [each["fencing_number"] for each in engine.desk.taken]
+            self.assertEqual(numbers, [2])
+
+        run(scenario, fencing)
+
+    def test_holder_frozen_before_the_check_of_the_deadline(self) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            await sidecar.reconciler.step()
+            fleet.configure("2")
+
+            def freeze(kind: str) -> None:
+                if kind == "fencing":
+                    fleet.clock.advance_to(fleet.clock.now() + 5)
+
+            fleet.platform.after_get = freeze
+            with self.assertRaises(OrderExpiredError):
+                await sidecar.reconciler.step()
+            self.assertEqual(engine.desk.taken, [])
+
+        run(scenario)
+
+    def test_holder_frozen_until_its_lease_lapsed(self) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            with sidecar.state.in_flight.track():
+                fleet.task_group.start_soon(settle, sidecar, 1)
+                await anyio.wait_all_tasks_blocked()
+                fleet.clock.advance_to(fleet.clock.now() + 500)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(engine.desk.taken, [])
+            self.assertTrue(sidecar.state.ready)
+
+        run(scenario)
+
+    @parameterized.expand([("fenced", True, [2]), ("unfenced", False, [2, 1, 2])])
+    def test_holder_frozen_between_check_and_send(
+        self, _name: str, fencing: bool, expected: list[int]
+    ) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine(fencing=fencing)
+            past = await fleet.start_sidecar("h1", engine)
+            await past.reconciler.step()
+            fleet.configure("2")
+            thawed = anyio.Event()
+            engine.before_taking = thawed.wait
+            fleet.task_group.start_soon(settle, past, 1)
+            await anyio.wait_all_tasks_blocked()
+            engine.before_taking = None
+            current = await fleet.start_sidecar("h1", engine)
+            fleet.configure("3")
+            await settle(current)
+            thawed.set()
+            await anyio.wait_all_tasks_blocked()
+            await settle(current)
+            numbers = [each["fencing_number"] for each in engine.desk.taken]
+            self.assertEqual(numbers, expected)
+            self.assertEqual(engine.engine.weights_version, "3")
+
+        run(scenario, fencing)
