Refuse bodies and settings that crashed or hung the readers

Cause: generated inputs (hypothesis) and a table of hand-made ones. On the code before, of nine YAML texts one never ended in 6 s (aliases that multiply), three ended in RecursionError, two in ValueError, one in TypeError. Of the bodies 12 of 17 tests failed: half a surrogate pair and stream_options as a list ended in an error of the program, NaN and 1e999 failed only in the sidecar after the work was placed (outcome unknown), and a body nested 500 deep passed.

Ruled out: a limit on brackets in the body, since prompts hold code.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity
+.PHONY: env demo test lint format binary demo-binary capacity fuzz
 
 env: $(VENV)/.made
 
@@ -36,3 +36,5 @@
 
 capacity: env
 	$(PYTHON) -m bench.capacity
+fuzz: env
+	FUZZ_PROFILE=long $(PYTHON) -m unittest discover -s tests/test_fuzz -t .
--- a/src/agatehoist/frontend/parsing.py
+++ b/src/agatehoist/frontend/parsing.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING, Any
 
 from agatehoist.core.work import CompletionWork, Priority
+from agatehoist.frontend.bodies import load_object
 from agatehoist.placement.levels import estimate_tokens
 from agatehoist.refusals.kinds import (
     ContextLengthExceeded,
     InvalidParameter,
-    MalformedBody,
     UnknownModel,
 )
 from agatehoist.router.requests import CompletionRequest
@@ -37,7 +37,7 @@
 
     Raises RequestRefusedError.
     """
-    fields = _load(body)
+    fields = load_object(body)
     model = _read_model(fields, configuration)
     _reject_unsupported(fields)
     parts = PARTS_READERS_BY_PATH[path](fields)
@@ -93,16 +93,6 @@
 }
 
 
-def _load(body: bytes) -> dict[str, Any]:
-    try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise MalformedBody.refuse(f"body is no JSON: {error}") from error
-    if not isinstance(fields, dict):
-        raise MalformedBody.refuse("body is no JSON object")
-    return fields
-
-
 def _read_model(fields: dict[str, Any], configuration: FleetConfiguration) -> str:
     model = fields.get("model")
     if not isinstance(model, str):
@@ -118,6 +108,10 @@
             raise InvalidParameter.refuse(f"{name} is not supported")
     if fields.get("n", 1) != 1:
         raise InvalidParameter.refuse("n must be 1")
+    if not isinstance(fields.get("stream"), bool | None):
+        raise InvalidParameter.refuse("stream must be true or false")
+    if not isinstance(fields.get("stream_options"), dict | None):
+        raise InvalidParameter.refuse("stream_options must be an object")
 
 
 def _read_max_tokens(fields: dict[str, Any]) -> int:
--- a/src/agatehoist/settings/source.py
+++ b/src/agatehoist/settings/source.py
@@ -10,6 +10,9 @@
 from agatehoist.settings.errors import Finding, InvalidFileError
 
 MAX_FILE_BYTES = 1024 * 1024
+MAX_DEPTH = 32
+MAX_PROBLEM_CHARACTERS = 200
+TEXT_TAG = "tag:yaml.org,2002:str"
 
 Path = tuple[str | int, ...]
 
@@ -46,20 +49,54 @@
     if len(text) > MAX_FILE_BYTES:
         finding = Finding(file, 1, 1, f"file is over {MAX_FILE_BYTES} bytes")
         raise InvalidFileError((finding,))
+    source, findings = _parse(file, text)
+    if findings:
+        raise InvalidFileError(tuple(findings))
+    return source
+
+
+def _parse(file: str, text: str) -> tuple[Source, list[Finding]]:
+    findings: list[Finding] = []
     try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
-        value = yaml.safe_load(text)
+        loader = _Loader(text)
+        node = loader.get_single_node()
+        source = Source(file, None, {})
+        if node is not None:
+            value = loader.construct_document(node)
+            source = Source(file, value, {})
+            _collect(node, (), source, findings)
     except yaml.MarkedYAMLError as error:
         raise InvalidFileError((_syntax_finding(file, error),)) from error
-    except yaml.YAMLError as error:
-        raise InvalidFileError((Finding(file, 1, 1, str(error)),)) from error
-    source = Source(file, value, {})
-    repeated: list[Finding] = []
-    if node is not None:
-        _collect(node, (), source, repeated)
-    if repeated:
-        raise InvalidFileError(tuple(repeated))
-    return source
+    except (yaml.YAMLError, ValueError) as error:
+        raise InvalidFileError((Finding(file, 1, 1, _short(error)),)) from error
+    return source, findings
+
+
+class _Loader(yaml.SafeLoader):
+    """Load YAML without aliases, which multiply, and without deep nesting."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text)
+        self._depth = 0
+
+    def compose_node(self, parent: yaml.Node | None, index: Any) -> yaml.Node | None:
+        event = self.peek_event()
+        if isinstance(event, yaml.AliasEvent):
+            raise _refused("aliases are not taken", event)
+        if self._depth == MAX_DEPTH:
+            raise _refused(f"nested over {MAX_DEPTH} deep", event)
+        self._depth += 1
+        node = super().compose_node(parent, index)
+        self._depth -= 1
+        return node
+
+
+def _refused(problem: str, event: Any) -> yaml.MarkedYAMLError:
+    return yaml.MarkedYAMLError(problem=problem, problem_mark=event.start_mark)
+
+
+def _short(error: Exception) -> str:
+    return str(error)[:MAX_PROBLEM_CHARACTERS]
 
 
 def _syntax_finding(file: str, error: yaml.MarkedYAMLError) -> Finding:
@@ -71,18 +108,20 @@
 
 
 def _collect(
-    node: yaml.Node, path: Path, source: Source, repeated: list[Finding]
+    node: yaml.Node, path: Path, source: Source, findings: list[Finding]
 ) -> None:
     if path in source.places_by_path:
-        repeated.append(_place_finding(source.file, node, f"key {path[-1]!r} repeated"))
+        findings.append(_place_finding(source.file, node, f"key {path[-1]!r} repeated"))
     mark = node.start_mark
     source.places_by_path[path] = Place(mark.line + 1, mark.column + 1)
     if isinstance(node, yaml.MappingNode):
         for key, value in node.value:
-            _collect(value, (*path, str(key.value)), source, repeated)
+            if key.tag != TEXT_TAG:
+                findings.append(_place_finding(source.file, key, "key is no text"))
+            _collect(value, (*path, str(key.value)), source, findings)
     elif isinstance(node, yaml.SequenceNode):
         for index, value in enumerate(node.value):
-            _collect(value, (*path, index), source, repeated)
+            _collect(value, (*path, index), source, findings)
 
 
 def _place_finding(file: str, node: yaml.Node, text: str) -> Finding:
