--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity soak
+.PHONY: env demo test lint format binary demo-binary capacity soak fuzz
 
 env: $(VENV)/.made
 
@@ -40,3 +40,5 @@
 # Long run of the seeded schedules of faults, outside CI.
 soak: env
 	AGATEHOIST_SCHEDULES=20000 AGATEHOIST_FIRST_SEED=1000000 $(PYTHON) -m tools.run_tests tests.test_attempts.test_schedules
+fuzz: env
+	FUZZ_PROFILE=long $(PYTHON) -m unittest discover -s tests/test_fuzz -t .
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -6,6 +6,7 @@
 
 from standins.engine.app import make_app
 from standins.engine.model import ANSWER_TOKENS, Engine, Speed
+from standins.engine.orders import HttpWeights, OrderDesk
 from standins.serving import serve
 
 
@@ -16,10 +17,16 @@
     prefill: float = 20_000.0,
     decode: float = 200.0,
     answer: int = ANSWER_TOKENS,
+    fencing: bool = False,
+    weights: str = "",
 ) -> None:
-    """Serve an engine on a port; speeds are in tokens a second."""
+    """Serve an engine on a port; speeds are in tokens a second.
+
+    The engine reads weights from the platform stand-in at the URL in weights.
+    """
     engine = Engine(str(model), capacity, Speed(prefill, decode), answer)
-    serve(make_app(engine), port)
+    orders = OrderDesk(engine, fencing, HttpWeights(weights).load)
+    serve(make_app(engine, orders), port)
 
 
 if __name__ == "__main__":
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -67,6 +67,8 @@
         self.incarnation = secrets.token_hex(8)
         self.weights_version = "1"
         self.answer_tokens = answer_tokens
+        self.adapters: tuple[str, ...] = ()
+        self.role = "mixed"
         self.running = 0
         self.cancelled = 0
         self._prefill = anyio.Lock()
