Add the burn report: objectives, windows, rates and three formats

Cause: the users ask for a report on service-level burn.

Measured: a replay in which 0, 1, 4 and 20 of 20 requests a minute are late against an aim of 95% gives rates of 0, 1, 4 and 20 (test_burn.py, 13 tests). Not wired to the router yet.

--- /dev/null
+++ b/src/agatehoist/reports/__init__.py
@@ -0,0 +1,3 @@
+"""Reports on service-level objectives."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/reports/burn.py
@@ -0,0 +1,150 @@
+"""Burn rates and the error budget left."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from agatehoist.reports.types import Objective, Point, SeriesKey, Tally
+from agatehoist.reports.windows import WINDOWS_S_BY_NAME
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from agatehoist.reports.types import Snapshot
+
+BUDGET_WINDOW = "3d"
+
+
+class Alert(enum.StrEnum):
+    """Say what a burn rate asks of the operators."""
+
+    NONE = "ok"
+    TICKET = "ticket"
+    PAGE = "page"
+
+
+@dataclass(frozen=True, slots=True)
+class AlertRule:
+    """Raise an alert when both windows burn faster than the rate."""
+
+    alert: Alert
+    long_window: str
+    short_window: str
+    rate: float
+
+
+ALERT_RULES = (
+    AlertRule(Alert.PAGE, "1h", "5m", 14.4),
+    AlertRule(Alert.PAGE, "6h", "30m", 6.0),
+    AlertRule(Alert.TICKET, "3d", "6h", 1.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class BurnLine:
+    """Report one objective for one organisation and model."""
+
+    key: SeriesKey
+    objective: Objective
+    tallies_by_window: dict[str, Tally]
+    rates_by_window: dict[str, float]
+    budget_left: float
+    alert: Alert
+
+
+@dataclass(frozen=True, slots=True)
+class BurnReport:
+    """Report how fast the error budgets burn."""
+
+    taken_at: float
+    counted_since: float
+    nodes: tuple[str, ...]
+    lines: tuple[BurnLine, ...]
+    points_by_objective: dict[str, tuple[Point, ...]]
+
+
+def make_report(snapshots: Iterable[Snapshot]) -> BurnReport:
+    """Return the report over the snapshots of all routers.
+
+    Raises ValueError without snapshots.
+    """
+    known = tuple(snapshots)
+    if not known:
+        raise ValueError("no snapshot to report on")
+    objectives_by_name = {
+        name: objective
+        for snapshot in known
+        for name, objective in snapshot.objectives_by_name.items()
+    }
+    tallies_by_key = _merge_tallies(known)
+    return BurnReport(
+        max(snapshot.taken_at for snapshot in known),
+        min(snapshot.counted_since for snapshot in known),
+        tuple(sorted(snapshot.node for snapshot in known)),
+        tuple(
+            _line(key, objectives_by_name[key.objective], tallies)
+            for key, tallies in sorted(tallies_by_key.items())
+        ),
+        _merge_points(known),
+    )
+
+
+def burn_rate(tally: Tally, target: float) -> float:
+    """Return how many times faster than allowed the budget burns."""
+    return tally.bad_share / (1 - target) if target < 1 else 0.0
+
+
+def _line(
+    key: SeriesKey, objective: Objective, tallies_by_window: dict[str, Tally]
+) -> BurnLine:
+    rates_by_window = {
+        name: burn_rate(tally, objective.target)
+        for name, tally in tallies_by_window.items()
+    }
+    return BurnLine(
+        key,
+        objective,
+        tallies_by_window,
+        rates_by_window,
+        1 - rates_by_window[BUDGET_WINDOW],
+        _alert(rates_by_window),
+    )
+
+
+def _alert(rates_by_window: dict[str, float]) -> Alert:
+    for rule in ALERT_RULES:
+        long_rate = rates_by_window[rule.long_window]
+        short_rate = rates_by_window[rule.short_window]
+        if min(long_rate, short_rate) > rule.rate:
+            return rule.alert
+    return Alert.NONE
+
+
+def _merge_tallies(
+    snapshots: tuple[Snapshot, ...],
+) -> dict[SeriesKey, dict[str, Tally]]:
+    merged: dict[SeriesKey, dict[str, Tally]] = {}
+    for snapshot in snapshots:
+        for series in snapshot.series:
+            sums = merged.setdefault(
+                series.key, dict.fromkeys(WINDOWS_S_BY_NAME, Tally())
+            )
+            for name, tally in series.tallies_by_window.items():
+                sums[name] += tally
+    return merged
+
+
+def _merge_points(snapshots: tuple[Snapshot, ...]) -> dict[str, tuple[Point, ...]]:
+    merged: dict[str, dict[float, Tally]] = {}
+    for snapshot in snapshots:
+        for objective, points in snapshot.points_by_objective.items():
+            sums = merged.setdefault(objective, {})
+            for point in points:
+                before = sums.get(point.ended_at, Tally())
+                sums[point.ended_at] = before + point.tally
+    return {
+        objective: tuple(Point(at, sums[at]) for at in sorted(sums))
+        for objective, sums in merged.items()
+    }
--- /dev/null
+++ b/tests/test_reports/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the reports package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_reports/test_burn.py
@@ -0,0 +1,124 @@
+"""Tests of the burn report on replays with a known burn."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.core.work import Run
+from agatehoist.reports.burn import Alert, BurnReport, make_report
+from agatehoist.reports.formats import FORMATS
+from agatehoist.reports.objectives import DEFAULT_OBJECTIVES_BY_NAME
+from agatehoist.reports.recorder import ALL, MAX_SERIES, OTHERS, BurnRecorder
+from agatehoist.reports.types import Objective, Observation
+
+START = 1_000_000_000.0
+MINUTE_S = 60
+GOOD_TTFT_S = 0.2
+LATE_TTFT_S = 2.0
+
+
+def observe(
+    at: float, ttft: float | None = GOOD_TTFT_S, organisation: str = "archive"
+) -> Observation:
+    """Return the observation of one request."""
+    return Observation(organisation, "songs-8b", at, True, Run.YES, ttft, 0.01)
+
+
+def record(
+    minutes: int, late_of_20: int, quiet_minutes: int = 0, node: str = "router-0"
+) -> BurnRecorder:
+    """Record twenty requests a minute of which so many are late."""
+    recorder = BurnRecorder(node, DEFAULT_OBJECTIVES_BY_NAME, START)
+    for minute in range(minutes):
+        for index in range(20):
+            ttft = LATE_TTFT_S if index < late_of_20 else GOOD_TTFT_S
+            recorder.record(observe(START + minute * MINUTE_S + index, ttft))
+    for minute in range(minutes, minutes + quiet_minutes):
+        for index in range(20):
+            recorder.record(observe(START + minute * MINUTE_S + index))
+    return recorder
+
+
+def report_at(recorder: BurnRecorder, minutes: int) -> BurnReport:
+    """Return the report so many minutes after the start."""
+    return make_report([recorder.snapshot(START + minutes * MINUTE_S - 1)])
+
+
+# 5% may be late, so one late request of 20 burns at a rate of 1.
+BURNS = [
+    ("none_late", 60, 0, 0, 0.0, 0.0, Alert.NONE),
+    ("as_allowed", 60, 1, 0, 1.0, 1.0, Alert.NONE),
+    ("four_times", 60, 4, 0, 4.0, 4.0, Alert.TICKET),
+    ("all_late", 60, 20, 0, 20.0, 20.0, Alert.PAGE),
+    ("recovered", 30, 20, 30, 10.0, 0.0, Alert.TICKET),
+    ("just_began", 5, 20, 0, 20.0, 20.0, Alert.PAGE),
+]
+
+
+class BurnTests(unittest.TestCase):
+    @parameterized.expand(BURNS)
+    def test_known_burn(
+        self,
+        _name: str,
+        minutes: int,
+        late: int,
+        quiet: int,
+        hour_rate: float,
+        five_minutes_rate: float,
+        alert: Alert,
+    ) -> None:
+        report = report_at(record(minutes, late, quiet), minutes + quiet)
+        line = next(
+            line
+            for line in report.lines
+            if (line.key.objective, line.key.organisation) == ("first_token", ALL)
+        )
+        self.assertAlmostEqual(line.rates_by_window["1h"], hour_rate)
+        self.assertAlmostEqual(line.rates_by_window["5m"], five_minutes_rate)
+        self.assertEqual(line.alert, alert)
+
+    def test_routers_are_added_up(self) -> None:
+        snapshots = [
+            record(10, late, node=node).snapshot(START + 10 * MINUTE_S - 1)
+            for node, late in (("router-0", 2), ("router-1", 0))
+        ]
+        report = make_report(snapshots)
+        self.assertEqual(report.nodes, ("router-0", "router-1"))
+        line = next(x for x in report.lines if x.key.objective == "first_token")
+        self.assertEqual(line.tallies_by_window["1h"].total, 400)
+        self.assertAlmostEqual(line.rates_by_window["1h"], 1.0)
+
+    def test_slots_leave_their_window(self) -> None:
+        recorder = record(5, 20, 120)
+        line = next(
+            x for x in report_at(recorder, 125).lines if x.key.organisation == ALL
+        )
+        self.assertEqual(line.rates_by_window["1h"], 0.0)
+
+    def test_series_are_bounded(self) -> None:
+        recorder = BurnRecorder("router-0", DEFAULT_OBJECTIVES_BY_NAME, START)
+        for index in range(1000):
+            recorder.record(observe(START, organisation=f"organisation-{index}"))
+        report = report_at(recorder, 1)
+        self.assertLessEqual(len(report.lines), MAX_SERIES + 8)
+        self.assertIn(OTHERS, {line.key.organisation for line in report.lines})
+
+    def test_changed_objective_starts_again(self) -> None:
+        recorder = record(10, 20)
+        changed = {**DEFAULT_OBJECTIVES_BY_NAME, "first_token": Objective("ttft", 0.9)}
+        recorder.set_objectives(changed)
+        names = {line.key.objective for line in report_at(recorder, 10).lines}
+        self.assertEqual(names, set(DEFAULT_OBJECTIVES_BY_NAME) - {"first_token"})
+
+    @parameterized.expand([("text",), ("json",), ("html",)])
+    def test_formats(self, name: str) -> None:
+        text = FORMATS[name](report_at(record(60, 20), 60))
+        self.assertIn("first_token", text)
+        self.assertIn("page", text)
+        if name == "json":
+            self.assertEqual(len(json.loads(text)["lines"]), 8)
+        if name == "html":
+            self.assertNotIn("http", text)
