Replay recorded traces through the placement decisions

Cause: nothing showed what a placement rule does to hit rate, time to first token and recomputation, and the cache picture took levels as held for ever.

Change: bench/replay runs two kept traces (archive 6651 requests, 10 runners; cooperative 3041 requests, 5 runners) on a virtual clock through find_levels, POLICIES, CachePicture and AdmittedLoad, beside an engine in memory with the stand-in's block cache. The picture follows numbered cache events, asks for a listing on a gap, drops events of another engine run or weights, and counts the levels of admitted prompts as expected. least_loaded and rendezvous join the registry as baselines; greedy with perfect knowledge is in the bench alone.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary
+.PHONY: env demo test bench lint format binary demo-binary
 
 env: $(VENV)/.made
 
@@ -19,6 +19,9 @@
 test: env
 	$(PYTHON) -m tools.run_tests
 
+bench: env
+	$(PYTHON) -m bench.replay
+
 lint: env
 	$(VENV)/bin/ruff format --check --no-cache .
 	$(VENV)/bin/ruff check --no-cache .
--- /dev/null
+++ b/bench/replay/__init__.py
@@ -0,0 +1,3 @@
+"""Replay of recorded traces through the product's decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/replay/__main__.py
@@ -0,0 +1,42 @@
+"""Print the figures of every trace, policy and condition in one run."""
+
+from __future__ import annotations
+
+import fire
+
+from agatehoist.placement.policies import POLICIES
+from bench.replay.decision_time import print_decision_times
+from bench.replay.node import Conditions
+from bench.replay.report import HEADER, format_row
+from bench.replay.run import Replay
+from bench.replay.trace import load_trace
+
+CONDITIONS = (Conditions(), Conditions("degraded", 1.0, 0.3))
+
+
+def main(
+    traces: str = "archive,cooperative", policies: str = "", reports: str = ""
+) -> None:
+    """Replay the named traces, or all, under the named policies, or all."""
+    names = _split(policies) or POLICIES.names()
+    for trace_name in _split(traces):
+        trace = load_trace(trace_name)
+        print(f"\n{trace_name}: {len(trace.requests)} requests")
+        print(HEADER)
+        for conditions in CONDITIONS:
+            if reports and conditions.name != reports:
+                continue
+            for name in names:
+                figures = Replay(trace, str(name), conditions).run()
+                print(format_row(str(name), conditions.name, figures), flush=True)
+    print()
+    print_decision_times("probe")
+
+
+def _split(names: str | tuple[str, ...]) -> tuple[str, ...]:
+    # The command line reads names with commas as a tuple.
+    return tuple(names.split(",") if isinstance(names, str) and names else names)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/bench/replay/engine.py
@@ -0,0 +1,154 @@
+"""One engine in memory, with the cache rules of the stand-in."""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from agatehoist.cache.types import CacheEvent
+from agatehoist.core.work import Priority
+from standins.engine.blocks import BlockCache
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from bench.replay.timeline import Timeline
+    from bench.replay.trace import Deployment, Part
+
+BLOCK_TOKENS = 64
+CHUNK_TOKENS = 2048
+PART_STRIDE = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Hold a prompt that an engine computes."""
+
+    order: int
+    priority: Priority
+    blocks: tuple[int, ...]
+    answer_tokens: int
+    on_first_token: Callable[[int], None]
+    on_end: Callable[[int], None]
+
+
+class _Progress:
+    def __init__(self) -> None:
+        self.cached_tokens = -1
+        self.missing_tokens = 0
+
+
+class ReplayEngine:
+    """Compute prefills one chunk at a time, best priority first."""
+
+    def __init__(self, deployment: Deployment, timeline: Timeline) -> None:
+        self.run = 0
+        self.computed_tokens = 0
+        self.on_event: Callable[[CacheEvent], None] = lambda _event: None
+        self._deployment = deployment
+        self._timeline = timeline
+        self._jobs: dict[Job, _Progress] = {}
+        self._busy = False
+        self._pending_blocks: Counter[int] = Counter()
+        self._sequence = 0
+        self._cache = self._empty_cache()
+
+    def submit(self, job: Job) -> None:
+        """Queue a prompt."""
+        self._jobs[job] = _Progress()
+        self._pending_blocks.update(job.blocks)
+        self._start_chunk()
+
+    def crash(self) -> list[Job]:
+        """Lose the cache and the jobs, and return these."""
+        jobs = list(self._jobs)
+        self.run += 1
+        self._jobs.clear()
+        self._pending_blocks.clear()
+        self._busy = False
+        self._cache = self._empty_cache()
+        self._sequence = 0
+        return jobs
+
+    def held_tokens(self, blocks: Sequence[int]) -> int:
+        """Return the leading tokens that are cached or about to be."""
+        count = bisect.bisect_left(blocks, True, key=lambda each: not self._has(each))
+        return count * BLOCK_TOKENS
+
+    def tokens_ahead(self, priority: Priority) -> int:
+        """Return the tokens to compute before a new job of the priority."""
+        total = 0
+        for job, progress in self._jobs.items():
+            if job.priority <= priority:
+                total += self._missing(job, progress)
+        return total
+
+    def listing(self) -> tuple[int, tuple[Any, ...]]:
+        """Return the last event's number and the cached blocks."""
+        return self._sequence, self._cache.blocks()
+
+    def _empty_cache(self) -> BlockCache:
+        return BlockCache(self._deployment.cache_tokens // BLOCK_TOKENS)
+
+    def _has(self, block: int) -> bool:
+        return self._cache.holds(block) or bool(self._pending_blocks[block])
+
+    def _missing(self, job: Job, progress: _Progress) -> int:
+        if progress.cached_tokens >= 0:
+            return progress.missing_tokens
+        held = bisect.bisect_left(
+            job.blocks, True, key=lambda each: not self._cache.holds(each)
+        )
+        return (len(job.blocks) - held) * BLOCK_TOKENS
+
+    def _start_chunk(self) -> None:
+        if self._busy or not self._jobs:
+            return
+        self._busy = True
+        job = min(self._jobs, key=lambda each: (each.priority, each.order))
+        progress = self._jobs[job]
+        if progress.cached_tokens < 0:
+            progress.cached_tokens = self._cache.matched(job.blocks) * BLOCK_TOKENS
+            prompt_tokens = len(job.blocks) * BLOCK_TOKENS
+            progress.missing_tokens = prompt_tokens - progress.cached_tokens
+        tokens = min(CHUNK_TOKENS, progress.missing_tokens)
+        duration = tokens / self._deployment.prefill_tokens_per_s
+        run = self.run
+        self._timeline.after(duration, lambda: self._end_chunk(run, job, tokens))
+
+    def _end_chunk(self, run: int, job: Job, tokens: int) -> None:
+        if run != self.run:
+            return
+        self._busy = False
+        progress = self._jobs[job]
+        progress.missing_tokens -= tokens
+        self.computed_tokens += tokens
+        if progress.missing_tokens <= 0:
+            self._finish_prefill(job, progress.cached_tokens)
+        self._start_chunk()
+
+    def _finish_prefill(self, job: Job, cached_tokens: int) -> None:
+        del self._jobs[job]
+        self._pending_blocks.subtract(job.blocks)
+        stored = job.blocks[cached_tokens // BLOCK_TOKENS :]
+        removed = self._cache.store(job.blocks)
+        self._sequence += 1
+        self.on_event(CacheEvent(self._sequence, stored, tuple(removed)))
+        run = self.run
+        decode_s = job.answer_tokens / self._deployment.decode_tokens_per_s
+        job.on_first_token(cached_tokens)
+        self._timeline.after(
+            decode_s, lambda: run == self.run and job.on_end(cached_tokens)
+        )
+
+
+def blocks_of(parts: Sequence[Part]) -> tuple[int, ...]:
+    """Return the chained blocks of a prompt."""
+    return tuple(
+        part.part_id * PART_STRIDE + index
+        for part in parts
+        for index in range(part.tokens // BLOCK_TOKENS)
+    )
--- /dev/null
+++ b/bench/replay/measures.py
@@ -0,0 +1,88 @@
+"""Figures of one replay."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from agatehoist.core.work import Priority
+
+if TYPE_CHECKING:
+    from bench.replay.trace import TraceRequest
+
+TTFT_TARGET_S = 0.79
+PERCENTS = (50, 95, 99)
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Hold the results of one replay; times are in seconds."""
+
+    hit_rate: float
+    short_ttft: tuple[float, ...]
+    long_ttft: tuple[float, ...]
+    all_ttft_p99: float
+    recomputed_ratio: float
+    fairness: float
+    probes: float
+    control_bytes: float
+    utilisation: float
+    retries: int
+
+
+class Measures:
+    """Collect what happens to the requests."""
+
+    def __init__(self) -> None:
+        self.probes = 0
+        self.control_bytes = 0
+        self.retries = 0
+        self._requests = 0
+        self._prompt_tokens = 0
+        self._cached_tokens = 0
+        self._unavoidable_tokens = 0
+        self._ttfts_by_priority: dict[Priority, list[float]] = defaultdict(list)
+        self._ttfts_by_organisation: dict[str, list[float]] = defaultdict(list)
+
+    def arrive(self, unavoidable_tokens: int) -> None:
+        """Count a request and the tokens that no host could have spared it."""
+        self._requests += 1
+        self._unavoidable_tokens += unavoidable_tokens
+
+    def answer(self, request: TraceRequest, ttft: float, cached_tokens: int) -> None:
+        """Count a first token."""
+        self._prompt_tokens += request.prompt_tokens
+        self._cached_tokens += cached_tokens
+        self._ttfts_by_priority[request.priority].append(ttft)
+        self._ttfts_by_organisation[request.organisation].append(ttft)
+
+    def figures(self, computed_tokens: int, capacity_tokens: float) -> Figures:
+        """Return the figures at the end of a replay."""
+        ttfts = self._ttfts_by_priority
+        return Figures(
+            self._cached_tokens / self._prompt_tokens,
+            _percentiles(ttfts[Priority.SHORT]),
+            _percentiles(ttfts[Priority.LONG]),
+            _percentiles(ttfts[Priority.SHORT] + ttfts[Priority.LONG])[-1],
+            computed_tokens / self._unavoidable_tokens,
+            _jain([_within_target(e) for e in self._ttfts_by_organisation.values()]),
+            self.probes / self._requests,
+            self.control_bytes / self._requests,
+            computed_tokens / capacity_tokens,
+            self.retries,
+        )
+
+
+def _percentiles(values: list[float]) -> tuple[float, ...]:
+    ordered = sorted(values)
+    last = len(ordered) - 1
+    return tuple(ordered[last * percent // 100] for percent in PERCENTS)
+
+
+def _within_target(ttfts: list[float]) -> float:
+    return sum(ttft <= TTFT_TARGET_S for ttft in ttfts) / len(ttfts)
+
+
+def _jain(shares: list[float]) -> float:
+    return sum(shares) ** 2 / (len(shares) * sum(share**2 for share in shares))
--- /dev/null
+++ b/src/agatehoist/cache/blocks.py
@@ -0,0 +1,57 @@
+"""Blocks that an engine is believed to hold, from its events."""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from agatehoist.cache.types import BlockListing, CacheEvent
+
+MAX_BLOCKS = 65536
+
+
+class BlockSet:
+    """Follow numbered events; a gap asks for a listing of all blocks."""
+
+    def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
+        self.resync_needed = False
+        self.followed = False
+        self._max_blocks = max_blocks
+        self._next_sequence: int | None = None
+        self._blocks: dict[str, None] = {}
+
+    def __contains__(self, block: str) -> bool:
+        return block in self._blocks
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def apply(self, event: CacheEvent) -> None:
+        """Take one event; an event older than the last one is dropped."""
+        expected = self._next_sequence
+        if expected is not None and event.sequence < expected:
+            return
+        if event.sequence != expected:
+            self.resync_needed = True
+        self.followed = True
+        self._next_sequence = event.sequence + 1
+        self._blocks.update(dict.fromkeys(event.stored))
+        for block in event.removed:
+            self._blocks.pop(block, None)
+        self._trim()
+
+    def resync(self, listing: BlockListing) -> None:
+        """Replace the blocks by a listing unless newer events are known."""
+        expected = self._next_sequence
+        if expected is not None and listing.sequence + 1 < expected:
+            return
+        self.resync_needed = False
+        self.followed = True
+        self._next_sequence = listing.sequence + 1
+        self._blocks = dict.fromkeys(islice(listing.blocks, self._max_blocks))
+
+    def _trim(self) -> None:
+        excess = len(self._blocks) - self._max_blocks
+        for block in tuple(islice(self._blocks, max(0, excess))):
+            del self._blocks[block]
--- a/src/agatehoist/cache/picture.py
+++ b/src/agatehoist/cache/picture.py
@@ -2,37 +2,146 @@
 
 from __future__ import annotations
 
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from agatehoist.cache.blocks import BlockSet
+from agatehoist.core.work import PrefixLevel
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from agatehoist.core.work import PrefixLevel
+    from agatehoist.cache.types import (
+        BlockListing,
+        CacheEpoch,
+        CacheEvent,
+        PromptReport,
+    )
+    from agatehoist.core.identity import AttemptId
 
-MAX_KNOWN_LEVELS = 65536
+MAX_KNOWN_LEVELS = 32768
+CACHED_TOLERANCE = 0.8
 
 
 class CachePicture:
-    """Remember which levels one engine incarnation has computed."""
+    """Remember which levels one engine run holds under one set of weights.
+
+    A level is held while the last block inside it is in the block set. For an
+    engine that tells nothing of its blocks, a level is held until an answer
+    shows that it or a level used later has been evicted.
+    """
+
+    def __init__(self, max_levels: int = MAX_KNOWN_LEVELS) -> None:
+        self.epoch: CacheEpoch | None = None
+        self._max_levels = max_levels
+        self._blocks = BlockSet()
+        self._block_by_digest: OrderedDict[bytes, str | None] = OrderedDict()
+        self._prompts_by_attempt: dict[AttemptId, _Prompt] = {}
+        self._expected_digests: Counter[bytes] = Counter()
 
-    def __init__(self) -> None:
-        self._tokens_by_digest: dict[bytes, int] = {}
+    @property
+    def resync_needed(self) -> bool:
+        """Say whether a listing of all blocks is wanted."""
+        return self._blocks.resync_needed
+
+    @property
+    def known_levels(self) -> int:
+        """Return the number of remembered levels."""
+        return len(self._block_by_digest)
 
     def matched_tokens(self, levels: Sequence[PrefixLevel]) -> int:
-        """Return the tokens of the longest known level."""
+        """Return the tokens of the longest level that is held or expected."""
         for level in reversed(levels):
-            if level.digest in self._tokens_by_digest:
+            if self._expected_digests[level.digest] or self._holds(level):
                 return level.tokens
         return 0
 
-    def record(self, levels: Sequence[PrefixLevel]) -> None:
-        """Note that the engine has computed the levels."""
-        for level in levels:
-            self._tokens_by_digest.pop(level.digest, None)
-            self._tokens_by_digest[level.digest] = level.tokens
-        while len(self._tokens_by_digest) > MAX_KNOWN_LEVELS:
-            del self._tokens_by_digest[next(iter(self._tokens_by_digest))]
-
-    def clear(self) -> None:
-        """Forget everything, as after a restart of the engine."""
-        self._tokens_by_digest.clear()
+    def expect(self, attempt_id: AttemptId, levels: Sequence[PrefixLevel]) -> None:
+        """Count the levels of an admitted prompt as soon to be computed."""
+        held = next(filter(self._holds, reversed(levels)), None)
+        self._prompts_by_attempt[attempt_id] = _Prompt(tuple(levels), held)
+        self._expected_digests.update(level.digest for level in levels)
+
+    def settle(self, attempt_id: AttemptId) -> None:
+        """Stop expecting the levels of an attempt."""
+        prompt = self._prompts_by_attempt.pop(attempt_id, None)
+        for level in prompt.levels if prompt else ():
+            self._expected_digests[level.digest] -= 1
+            if not self._expected_digests[level.digest]:
+                del self._expected_digests[level.digest]
+
+    def record(self, attempt_id: AttemptId, report: PromptReport) -> None:
+        """Take what the answer to an expected prompt reports."""
+        prompt = self._prompts_by_attempt.get(attempt_id)
+        if prompt is None or not prompt.levels:
+            return
+        self.settle(attempt_id)
+        if prompt.was_missed(report):
+            self._forget_missed(prompt.held)
+        for level in reversed(prompt.levels):
+            self._block_by_digest[level.digest] = prompt.last_block(level, report)
+            self._block_by_digest.move_to_end(level.digest)
+        while len(self._block_by_digest) > self._max_levels:
+            self._block_by_digest.popitem(last=False)
+
+    def apply(self, epoch: CacheEpoch, event: CacheEvent) -> None:
+        """Take an event; those of another engine run or weights are dropped."""
+        if epoch == self.epoch:
+            self._blocks.apply(event)
+
+    def resync(self, epoch: CacheEpoch, listing: BlockListing) -> None:
+        """Take a listing; that of another engine run or weights is dropped."""
+        if epoch == self.epoch:
+            self._blocks.resync(listing)
+
+    def reset(self, epoch: CacheEpoch | None) -> None:
+        """Forget everything, as after a restart or a change of weights."""
+        self.epoch = epoch
+        self._blocks = BlockSet()
+        self._block_by_digest.clear()
+        self._prompts_by_attempt.clear()
+        self._expected_digests.clear()
+
+    def _holds(self, level: PrefixLevel) -> bool:
+        if level.digest not in self._block_by_digest:
+            return False
+        block = self._block_by_digest[level.digest]
+        if block is None:
+            return True
+        return block in self._blocks or not self._blocks.followed
+
+    def _forget_missed(self, missed: PrefixLevel | None) -> None:
+        if self._blocks.followed:
+            self._blocks.resync_needed = True
+            return
+        if missed is None or missed.digest not in self._block_by_digest:
+            return
+        # The engine evicts what was used longest ago, so all of that is gone too.
+        digest = b""
+        while digest != missed.digest:
+            digest, _ = self._block_by_digest.popitem(last=False)
+
+
+@dataclass(frozen=True, slots=True)
+class _Prompt:
+    """Hold the levels of an admitted prompt and the longest one then held."""
+
+    levels: tuple[PrefixLevel, ...]
+    held: PrefixLevel | None
+
+    @property
+    def tokens(self) -> int:
+        return max(1, self.levels[-1].tokens)
+
+    def was_missed(self, report: PromptReport) -> bool:
+        if self.held is None:
+            return False
+        share = report.cached_tokens / max(1, report.prompt_tokens)
+        return share < CACHED_TOLERANCE * self.held.tokens / self.tokens
+
+    def last_block(self, level: PrefixLevel, report: PromptReport) -> str | None:
+        if not report.blocks:
+            return None
+        count = len(report.blocks) * level.tokens // self.tokens
+        return report.blocks[max(0, count - 1)]
--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -105,7 +105,8 @@
         raise EndpointBrokenError("engine's answer has no end")
     details = usage.get("prompt_tokens_details") or {}
     cached_tokens = details.get("cached_tokens", 0)
-    yield EngineEnd(finish_reason, usage["prompt_tokens"], cached_tokens)
+    block_hashes = tuple(details.get("block_hashes", ()))
+    yield EngineEnd(finish_reason, usage["prompt_tokens"], cached_tokens, block_hashes)
 
 
 def _payloads(lines: list[str]) -> Iterator[str]:
--- a/src/agatehoist/endpoints/types.py
+++ b/src/agatehoist/endpoints/types.py
@@ -22,8 +22,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineEnd:
-    """End an engine's answer."""
+    """End an engine's answer; not every engine reports the block hashes."""
 
     finish_reason: str
     prompt_tokens: int
     cached_tokens: int
+    block_hashes: tuple[str, ...] = ()
--- a/src/agatehoist/placement/policies.py
+++ b/src/agatehoist/placement/policies.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from agatehoist.core.registry import Registry
+from agatehoist.placement.costs import waiting_s
 from agatehoist.placement.ranking import rank
 
 if TYPE_CHECKING:
@@ -61,5 +62,35 @@
         return tuple(offers)
 
 
+@POLICIES.register("least_loaded")
+class LeastLoadedPolicy:
+    """Take the endpoint with the shortest queue; a baseline for comparison."""
+
+    def shortlist(
+        self, question: Question, candidates: Sequence[Candidate], rng: random.Random
+    ) -> tuple[Candidate, ...]:
+        """Return every candidate in random order."""
+        return tuple(rng.sample(candidates, len(candidates)))
+
+    def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
+        """Return the offers by the time before the prompt itself is computed."""
+        return tuple(sorted(offers, key=lambda offer: waiting_s(question, offer)))
+
+
+@POLICIES.register("rendezvous")
+class RendezvousPolicy:
+    """Take the first rank whatever its load; a baseline for comparison."""
+
+    def shortlist(
+        self, question: Question, candidates: Sequence[Candidate], rng: random.Random
+    ) -> tuple[Candidate, ...]:
+        """Return the first two ranks, the second for when the first is down."""
+        return rank(_placement_key(question), candidates, 2)
+
+    def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
+        """Return the offers in the order of the ranks."""
+        return tuple(offers)
+
+
 def _placement_key(question: Question) -> bytes:
     return question.levels[0].digest if question.levels else b"none"
--- a/src/agatehoist/sidecar/running.py
+++ b/src/agatehoist/sidecar/running.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from agatehoist.cache.types import PromptReport
 from agatehoist.endpoints.engine import EngineClient
 from agatehoist.endpoints.errors import (
     EndpointBrokenError,
@@ -34,6 +35,7 @@
     matched_tokens = state.picture.matched_tokens(submit.levels)
     missing_tokens = max(0, submit.work.prompt_tokens - matched_tokens)
     state.load.admit(attempt_id, missing_tokens)
+    state.picture.expect(attempt_id, submit.levels)
     try:
         with execution.scope:
             await _collect_completion(state, submit, execution)
@@ -41,6 +43,7 @@
         execution.finish(Refused(attempt_id, refusal_for(error)))
     finally:
         state.load.settle(attempt_id)
+        state.picture.settle(attempt_id)
     if execution.scope.cancelled_caught:
         execution.finish(Refused(attempt_id, _cancelled()))
 
@@ -95,7 +98,8 @@
     execution: Execution,
     end: EngineEnd,
 ) -> None:
-    state.picture.record(submit.levels)
+    report = PromptReport(end.prompt_tokens, end.cached_tokens, end.block_hashes)
+    state.picture.record(submit.assignment.attempt_id, report)
     HIT_TOKENS.add({}, end.cached_tokens)
     RECOMPUTED_TOKENS.add({}, end.prompt_tokens - end.cached_tokens)
     execution.finish(
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -6,6 +6,7 @@
 
 from agatehoist.admission.load import AdmittedLoad
 from agatehoist.cache.picture import CachePicture
+from agatehoist.cache.types import CacheEpoch
 from agatehoist.core.identity import EndpointIdentity, new_incarnation
 from agatehoist.core.inflight import InFlight
 from agatehoist.endpoints.types import EndpointStatus
@@ -59,9 +60,15 @@
     def take_status(self, status: EndpointStatus) -> None:
         """Note what the endpoint reports; a change empties the cache picture."""
         if status != self.status:
-            self.picture.clear()
+            self.picture.reset(_epoch_of(status))
         self.status = status
 
     def lose_endpoint(self) -> None:
         """Note that the endpoint doesn't answer."""
         self.take_status(UNKNOWN_STATUS)
+
+
+def _epoch_of(status: EndpointStatus) -> CacheEpoch | None:
+    if status == UNKNOWN_STATUS:
+        return None
+    return CacheEpoch(status.incarnation, status.weights_version)
--- a/standins/engine/blocks.py
+++ b/standins/engine/blocks.py
@@ -45,6 +45,14 @@
             self._blocks.move_to_end(each)
         return count
 
+    def holds(self, block: str) -> bool:
+        """Say whether a block is cached."""
+        return block in self._blocks
+
+    def blocks(self) -> tuple[str, ...]:
+        """Return every cached block."""
+        return tuple(self._blocks)
+
     def store(self, hashes: list[str]) -> list[str]:
         """Keep the blocks and return the evicted ones."""
         for each in reversed(hashes):
