--- a/bench/replay/choosers.py
+++ b/bench/replay/choosers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from agatehoist.placement.policies import POLICIES
+from agatehoist.placement.policies import POLICIES, FixedShortlist
 
 if TYPE_CHECKING:
     import random
@@ -17,7 +17,7 @@
 
 
 @POLICIES.register("greedy")
-class GreedyPolicy:
+class GreedyPolicy(FixedShortlist):
     """Take the earliest first token over all hosts, with perfect knowledge."""
 
     def shortlist(
--- a/bench/replay/run.py
+++ b/bench/replay/run.py
@@ -101,20 +101,29 @@
             request.data_centre,
         )
         self._counted = False
+        self._asked: tuple[Candidate, ...] = ()
 
     def place(self) -> None:
         """Ask the shortlisted hosts."""
         replay = self._replay
         self._count()
+        self._asked = ()
         shortlist = replay._policy.shortlist(
             self._question, replay._candidates, replay._rng
         )
+        self._probe(shortlist, ())
+
+    def _probe(
+        self, shortlist: tuple[Candidate, ...], earlier: tuple[Offer, ...]
+    ) -> None:
+        replay = self._replay
         delay_s = max(replay.delay_s(self._request, each) for each in shortlist)
         if replay._policy_name in PERFECT_POLICIES:
             delay_s = 0.0
         else:
             self._count_probes(len(shortlist))
-        replay._timeline.after(delay_s, lambda: self._ask(shortlist, delay_s))
+        self._asked += shortlist
+        replay._timeline.after(delay_s, lambda: self._ask(shortlist, earlier, delay_s))
 
     def _count(self) -> None:
         if self._counted:
@@ -131,11 +140,16 @@
         measures.probes += count
         measures.control_bytes += count * _probe_bytes(self._request, self._question)
 
-    def _ask(self, shortlist: tuple[Candidate, ...], delay_s: float) -> None:
+    def _ask(
+        self,
+        shortlist: tuple[Candidate, ...],
+        earlier: tuple[Offer, ...],
+        delay_s: float,
+    ) -> None:
         replay = self._replay
         nodes = [replay._nodes_by_host[each.host] for each in shortlist]
         offers = tuple(self._offer(node) for node in nodes if node.up)
-        replay._timeline.after(delay_s, lambda: self._choose(offers))
+        replay._timeline.after(delay_s, lambda: self._choose(earlier + offers))
 
     def _offer(self, node: ReplayNode) -> Offer:
         name = self._replay._policy_name
@@ -146,6 +160,13 @@
         return node.offer(self._question)
 
     def _choose(self, offers: tuple[Offer, ...]) -> None:
+        policy = self._replay._policy
+        more = policy.widen(
+            self._question, self._replay._candidates, offers, self._asked
+        )
+        if more:
+            self._probe(more, offers)
+            return
         chosen = self._replay._policy.choose(self._question, offers)
         self._replay.decisions.append(tuple(o.candidate.host for o in chosen))
         self._try(chosen)
--- a/src/agatehoist/placement/policies.py
+++ b/src/agatehoist/placement/policies.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 from agatehoist.core.registry import Registry
-from agatehoist.placement.costs import waiting_s
+from agatehoist.placement.costs import CostRule, waiting_s
+from agatehoist.placement.keys import placement_keys
 from agatehoist.placement.ranking import rank
 
 if TYPE_CHECKING:
@@ -14,7 +16,10 @@
 
     from agatehoist.placement.types import Candidate, Offer, Question
 
-PROBE_COUNT = 3
+SAMPLE_COUNT = 3
+RANKS_BY_KEY = (3, 2)
+SPREAD_RATIO = 2.0
+MAX_PROBES = 40
 
 
 class Policy(Protocol):
@@ -23,7 +28,16 @@
     def shortlist(
         self, question: Question, candidates: Sequence[Candidate], rng: random.Random
     ) -> tuple[Candidate, ...]:
-        """Return the candidates to probe, best first."""
+        """Return the candidates to probe first."""
+
+    def widen(
+        self,
+        question: Question,
+        candidates: Sequence[Candidate],
+        offers: Sequence[Offer],
+        asked: Sequence[Candidate],
+    ) -> tuple[Candidate, ...]:
+        """Return more candidates to probe, or none if the offers will do."""
 
     def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
         """Return the offers in the order in which to try them."""
@@ -32,30 +46,80 @@
 POLICIES: Registry[type[Policy]] = Registry("placement policy")
 
 
+class FixedShortlist:
+    """Probe the shortlist and nobody else."""
+
+    def widen(
+        self,
+        question: Question,
+        candidates: Sequence[Candidate],
+        offers: Sequence[Offer],
+        asked: Sequence[Candidate],
+    ) -> tuple[Candidate, ...]:
+        """Return no more candidates."""
+        return ()
+
+
 @POLICIES.register("probe")
-class ProbePolicy:
-    """Probe the first ranks and take the earliest first token."""
+@POLICIES.register("probe_latency")
+class ProbeLatencyPolicy:
+    """Probe a few ranks, more while they are busy, and weigh time most."""
+
+    rule = CostRule(missing_weight=3.0)
 
     def shortlist(
         self, question: Question, candidates: Sequence[Candidate], rng: random.Random
     ) -> tuple[Candidate, ...]:
-        """Return the first ranks for the outermost level."""
-        return rank(_placement_key(question), candidates, PROBE_COUNT)
+        """Return the first ranks of each key of the prompt."""
+        found: dict[Candidate, None] = {}
+        keys = placement_keys(question)
+        for key, count in zip(keys, RANKS_BY_KEY, strict=False):
+            ranks = rank(key, candidates, len(found) + count)
+            fresh = [each for each in ranks if each not in found]
+            found.update(dict.fromkeys(fresh[:count]))
+        return tuple(found)
+
+    def widen(
+        self,
+        question: Question,
+        candidates: Sequence[Candidate],
+        offers: Sequence[Offer],
+        asked: Sequence[Candidate],
+    ) -> tuple[Candidate, ...]:
+        """Return as many ranks again while a cold endpoint would cost far less."""
+        costs = [self.rule.cost_s(question, offer) for offer in offers]
+        best_s = min(costs, default=math.inf)
+        enough_s = SPREAD_RATIO * self.rule.cold_cost_s(question)
+        if best_s <= enough_s or len(asked) >= MAX_PROBES:
+            return ()
+        key = placement_keys(question)[0]
+        known = set(asked)
+        ranks = rank(key, candidates, 2 * len(asked))
+        return tuple(each for each in ranks if each not in known)[: len(asked)]
 
     def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
-        """Return the offers by estimated time to first token."""
-        return tuple(sorted(offers, key=lambda offer: offer.ttft_estimate))
+        """Return the offers by their cost."""
+        return tuple(
+            sorted(offers, key=lambda offer: self.rule.cost_s(question, offer))
+        )
+
+
+@POLICIES.register("probe_cache")
+class ProbeCachePolicy(ProbeLatencyPolicy):
+    """Probe alike and weigh the tokens to recompute most."""
+
+    rule = CostRule(missing_weight=8.0)
 
 
 @POLICIES.register("random")
-class RandomPolicy:
+class RandomPolicy(FixedShortlist):
     """Take endpoints at random."""
 
     def shortlist(
         self, question: Question, candidates: Sequence[Candidate], rng: random.Random
     ) -> tuple[Candidate, ...]:
         """Return a random sample."""
-        return tuple(rng.sample(candidates, min(PROBE_COUNT, len(candidates))))
+        return tuple(rng.sample(candidates, min(SAMPLE_COUNT, len(candidates))))
 
     def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
         """Return the offers as they came."""
@@ -63,7 +127,7 @@
 
 
 @POLICIES.register("least_loaded")
-class LeastLoadedPolicy:
+class LeastLoadedPolicy(FixedShortlist):
     """Take the endpoint with the shortest queue; a baseline for comparison."""
 
     def shortlist(
@@ -78,19 +142,15 @@
 
 
 @POLICIES.register("rendezvous")
-class RendezvousPolicy:
+class RendezvousPolicy(FixedShortlist):
     """Take the first rank whatever its load; a baseline for comparison."""
 
     def shortlist(
         self, question: Question, candidates: Sequence[Candidate], rng: random.Random
     ) -> tuple[Candidate, ...]:
         """Return the first two ranks, the second for when the first is down."""
-        return rank(_placement_key(question), candidates, 2)
+        return rank(placement_keys(question)[0], candidates, 2)
 
     def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
         """Return the offers in the order of the ranks."""
         return tuple(offers)
-
-
-def _placement_key(question: Question) -> bytes:
-    return question.levels[0].digest if question.levels else b"none"
--- a/src/agatehoist/router/dispatch.py
+++ b/src/agatehoist/router/dispatch.py
@@ -27,7 +27,7 @@
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import NoEndpoint, OutcomeUnknown
 from agatehoist.router.directory import ENGINE, SERVICE
-from agatehoist.router.probing import probe_all
+from agatehoist.router.placing import find_offers
 from agatehoist.router.requests import CallAnswer, Delta, Finished, Started
 
 if TYPE_CHECKING:
@@ -108,11 +108,9 @@
     )
     policy = POLICIES[model.placement]()
     candidates = state.directory.candidates(ENGINE, request.model)
-    shortlist = policy.shortlist(question, candidates, state.rng)
-    offers = await probe_all(
-        state, shortlist, question, request.organisation, request.deadline
+    return await find_offers(
+        state, policy, question, candidates, request.organisation, request.deadline
     )
-    return policy.choose(question, offers)
 
 
 async def _find_call_offers(
@@ -121,11 +119,9 @@
     question = Question((), 0, Priority.SHORT, state.settings.node.data_centre)
     policy = POLICIES["random"]()
     candidates = state.directory.candidates(SERVICE, request.service)
-    shortlist = policy.shortlist(question, candidates, state.rng)
-    offers = await probe_all(
-        state, shortlist, question, request.organisation, request.deadline
+    return await find_offers(
+        state, policy, question, candidates, request.organisation, request.deadline
     )
-    return policy.choose(question, offers)
 
 
 async def _attempt_completion(
--- /dev/null
+++ b/tests/test_placement/test_policies.py
@@ -0,0 +1,113 @@
+"""Tests of the placement policies."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.core.identity import EndpointIdentity
+from agatehoist.core.work import Priority
+from agatehoist.placement.levels import find_levels, salt_for
+from agatehoist.placement.policies import MAX_PROBES, POLICIES
+from agatehoist.placement.types import Candidate, Offer, Question
+
+HOSTS = tuple(Candidate(f"host-{index}", f"dc{index % 4}") for index in range(200))
+IDENTITY = EndpointIdentity("s", "e", "1")
+SALT = salt_for("archive", "songs-8b", "1")
+PREAMBLE = "You answer for the archive. " * 150
+PROBE_POLICIES = [("probe",), ("probe_latency",), ("probe_cache",)]
+
+
+def question(*parts: str) -> Question:
+    levels = find_levels(parts, SALT)
+    return Question(levels, levels[-1].tokens, Priority.LONG, "dc0")
+
+
+def offer(host: int, matched_tokens: int, ttft_estimate: float) -> Offer:
+    return Offer(HOSTS[host], IDENTITY, matched_tokens, ttft_estimate)
+
+
+BOOK = question(PREAMBLE, "A hymn in three languages. " * 3000, "who?")
+
+# A host with a part of the prompt cached, one that is idle, and who is taken.
+CHOICES = [
+    ("idle_when_nothing_is_cached", "probe_latency", (0, 1.0), (0, 0.5), 1),
+    ("cached_over_idle", "probe_latency", (20_000, 1.5), (0, 1.1), 0),
+    ("idle_when_the_queue_is_long", "probe_latency", (20_000, 6.0), (0, 1.1), 1),
+    ("cache_weighs_more", "probe_cache", (20_000, 6.0), (0, 1.1), 0),
+    ("nearest_among_equals", "probe_latency", (0, 0.5), (0, 0.5), 1),
+]
+
+
+class ProbePolicyTests(unittest.TestCase):
+    @parameterized.expand(PROBE_POLICIES)
+    def test_shared_preamble_does_not_gather_prompts(self, name: str) -> None:
+        policy = POLICIES[name]()
+        first_ranks = set()
+        for index in range(100):
+            book = question(PREAMBLE, f"Songbook {index}. " * 900, "who?")
+            first_ranks.add(policy.shortlist(book, HOSTS, random.Random(1))[0])
+        self.assertGreater(len(first_ranks), 60)
+
+    @parameterized.expand(PROBE_POLICIES)
+    def test_routers_agree(self, name: str) -> None:
+        found = [
+            POLICIES[name]().shortlist(BOOK, hosts, random.Random(seed))
+            for seed, hosts in ((1, HOSTS), (2, HOSTS[::-1]))
+        ]
+        self.assertEqual(*found)
+
+    @parameterized.expand([(1.2,), (1.9,), (2.1,)])
+    def test_grown_prompt_finds_its_earlier_hosts(self, growth: float) -> None:
+        text = "She sang it at the cannery. " * 1500
+        before = POLICIES["probe"]().shortlist(question(text), HOSTS, random.Random(1))
+        grown = text + "And then? " * int(len(text) * (growth - 1) / 10)
+        after = POLICIES["probe"]().shortlist(question(grown), HOSTS, random.Random(1))
+        self.assertTrue(set(before) & set(after))
+
+    @parameterized.expand(CHOICES)
+    def test_choice(
+        self,
+        _name: str,
+        policy: str,
+        far: tuple[int, float],
+        near: tuple[int, float],
+        expected: int,
+    ) -> None:
+        offers = (offer(1, *far), offer(4, *near))
+        chosen = POLICIES[policy]().choose(BOOK, offers)
+        self.assertEqual(chosen[0], offers[expected])
+
+    def test_hot_prefix_spreads_and_shrinks_back(self) -> None:
+        policy = POLICIES["probe"]()
+        first = policy.shortlist(BOOK, HOSTS, random.Random(1))
+        busy = tuple(Offer(each, IDENTITY, 20_000, 30.0) for each in first)
+        more = policy.widen(BOOK, HOSTS, busy, first)
+        self.assertEqual(len(more), len(first))
+        self.assertFalse(set(more) & set(first))
+        spread = (*busy, *(Offer(each, IDENTITY, 0, 1.1) for each in more))
+        self.assertIn(policy.choose(BOOK, spread)[0].candidate, more)
+        calm = tuple(Offer(each, IDENTITY, 20_000, 0.1) for each in first)
+        self.assertEqual(policy.widen(BOOK, HOSTS, calm, first), ())
+
+    @parameterized.expand([("all_busy", 99.0), ("none_answer", None)])
+    def test_probes_are_bounded(self, _name: str, estimate: float | None) -> None:
+        policy = POLICIES["probe"]()
+        offers: tuple[Offer, ...] = ()
+        asked: tuple[Candidate, ...] = ()
+        shortlist = policy.shortlist(BOOK, HOSTS, random.Random(1))
+        while shortlist:
+            asked += shortlist
+            if estimate is not None:
+                offers += tuple(Offer(e, IDENTITY, 0, estimate) for e in shortlist)
+            shortlist = policy.widen(BOOK, HOSTS, offers, asked)
+        self.assertEqual(len(set(asked)), MAX_PROBES)
+
+    @parameterized.expand([(name,) for name in ("probe", "random", "rendezvous")])
+    def test_no_candidate_and_no_prompt(self, name: str) -> None:
+        policy = POLICIES[name]()
+        service = Question((), 0, Priority.SHORT, "dc0")
+        self.assertEqual(policy.shortlist(service, (), random.Random(1)), ())
+        self.assertTrue(policy.shortlist(service, HOSTS, random.Random(1)))
