--- a/src/agatehoist/orders/leases.py
+++ b/src/agatehoist/orders/leases.py
@@ -105,7 +105,9 @@
         failures = (*failures, failure)[-MAX_NOTED_HOSTS:]
         return _with(ledger, lease.rollout, failures=failures)
     down_hosts = _without_host(rollout.down_hosts, host)
-    return _with(ledger, lease.rollout, loaded=rollout.loaded + 1, down_hosts=down_hosts)
+    return _with(
+        ledger, lease.rollout, loaded=rollout.loaded + 1, down_hosts=down_hosts
+    )
 
 
 def give_back(ledger: Ledger, lease: Lease) -> Ledger:
@@ -144,7 +146,9 @@
     of_model = [each for each in ledger.leases if each.model == model]
     if len(ledger.leases) >= ask.orders.concurrent_loads:
         return "all leases are taken"
-    if rollout.loaded == 0 and any(each.rollout == ask.goal.rollout for each in of_model):
+    if rollout.loaded == 0 and any(
+        each.rollout == ask.goal.rollout for each in of_model
+    ):
         return "the first load of the target runs alone"
     if ask.claimant.interrupts and _would_break_floor(of_model, rollout, ask):
         return "the capacity floor is reached"
@@ -212,6 +216,4 @@
 
 def _with(ledger: Ledger, name: str, **changes: object) -> Ledger:
     rollout = replace(ledger.rollouts_by_name[name], **changes)  # type: ignore[arg-type]
-    return replace(
-        ledger, rollouts_by_name={**ledger.rollouts_by_name, name: rollout}
-    )
+    return replace(ledger, rollouts_by_name={**ledger.rollouts_by_name, name: rollout})
--- a/src/agatehoist/router/dispatch.py
+++ b/src/agatehoist/router/dispatch.py
@@ -18,9 +18,9 @@
     SubmitCall,
     SubmitCompletion,
 )
+from agatehoist.router import placing
 from agatehoist.router.directory import ENGINE, SERVICE
 from agatehoist.router.driving import Driver
-from agatehoist.router.probing import probe_all
 from agatehoist.router.requests import CallAnswer, Delta, Finished, Started
 
 if TYPE_CHECKING:
@@ -182,11 +182,9 @@
     policy = POLICIES[model.placement]()
     candidates = state.directory.candidates(ENGINE, request.model)
     trusted = state.suspects.trusted(candidates, state.clock.now())
-    shortlist = policy.shortlist(question, trusted, state.rng)
-    offers = await probe_all(
-        state, shortlist, question, request.organisation, request.deadline
+    return await placing.find_offers(
+        state, policy, question, trusted, request.organisation, request.deadline
     )
-    return policy.choose(question, offers)
 
 
 async def _find_call_offers(
@@ -196,11 +194,9 @@
     policy = POLICIES["random"]()
     candidates = state.directory.candidates(SERVICE, request.service)
     trusted = state.suspects.trusted(candidates, state.clock.now())
-    shortlist = policy.shortlist(question, trusted, state.rng)
-    offers = await probe_all(
-        state, shortlist, question, request.organisation, request.deadline
+    return await placing.find_offers(
+        state, policy, question, trusted, request.organisation, request.deadline
     )
-    return policy.choose(question, offers)
 
 
 def _assign(
--- a/tests/test_orders/test_leases.py
+++ b/tests/test_orders/test_leases.py
@@ -58,7 +58,9 @@
     ("bound", ledger(PROVEN, lease("h1"), lease("h2"), lease("h3")), ask(), Waiting),
     (
         "bound_counts_other_models",
-        ledger(PROVEN, *(lease(f"x{i}", model="other", rollout="other") for i in range(3))),
+        ledger(
+            PROVEN, *(lease(f"x{i}", model="other", rollout="other") for i in range(3))
+        ),
         ask(),
         Waiting,
     ),
--- a/tests/test_orders/test_reconciler.py
+++ b/tests/test_orders/test_reconciler.py
@@ -20,7 +20,6 @@
     from tests.test_orders.support import FakeSidecar
 
 
-
 def run(
     scenario: Callable[[FakeFleet], Awaitable[None]],
     fencing: bool = False,
