Report burn from running routers: agatehoist report burn

Cause: the burn report was not wired to anything that runs.

Change: the front end measures each request once (a caller who leaves counts neither way); a router gives its counts at /operators/burn behind an operator's key (digests in its settings, compared in constant time, two valid at once for rotation, no key means no interface); the command adds up the routers and names those that didn't answer (exit status 5). Ruled out: the callers' keys for the operators' interface.

--- a/src/agatehoist/cli/main.py
+++ b/src/agatehoist/cli/main.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import fire
 
-from agatehoist.cli import apply, check, processes, show  # noqa: F401
+from agatehoist.cli import apply, check, processes, report, show  # noqa: F401
 from agatehoist.cli.commands import COMMANDS
 from agatehoist.errors import AgatehoistError
 from agatehoist.settings import InvalidFileError
@@ -21,12 +21,22 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command that the arguments name."""
-    commands = {str(name): COMMANDS[name] for name in COMMANDS}
     try:
-        fire.Fire(commands, command=arguments, name="agatehoist")
+        fire.Fire(_command_tree(), command=arguments, name="agatehoist")
     except InvalidFileError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID)
     except (AgatehoistError, OSError) as error:
         print(f"agatehoist: {error}", file=sys.stderr)
         sys.exit(EXIT_FAILED)
+
+
+def _command_tree() -> dict[str, Any]:
+    tree: dict[str, Any] = {}
+    for name in COMMANDS:
+        *groups, leaf = str(name).split()
+        branch = tree
+        for group in groups:
+            branch = branch.setdefault(group, {})
+        branch[leaf] = COMMANDS[name]
+    return tree
--- a/src/agatehoist/cli/operators.py
+++ b/src/agatehoist/cli/operators.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import anyio
@@ -24,6 +26,7 @@
 
 EXIT_CONFLICT = 3
 EXIT_UNKNOWN = 4
+KEY_VARIABLE = "AGATEHOIST_OPERATOR_KEY"
 
 
 class UsageError(AgatehoistError):
@@ -77,6 +80,32 @@
     return record
 
 
+def split_urls(text: object) -> tuple[str, ...]:
+    """Return the URLs of a list with commas.
+
+    Raises UsageError if there is none.
+    """
+    # Fire turns a list with commas into a tuple.
+    parts = text if isinstance(text, tuple) else str(text).split(",")
+    urls = tuple(str(part).strip() for part in parts if str(part).strip())
+    if not urls:
+        raise UsageError("name at least one URL")
+    return urls
+
+
+def operator_key(key_file: str | None) -> str:
+    """Return the operator's key from a file or from the environment.
+
+    Raises UsageError if there is none.
+    """
+    if key_file is not None:
+        return Path(key_file).read_text(encoding="utf-8").strip()
+    key = os.environ.get(KEY_VARIABLE, "")
+    if not key:
+        raise UsageError(f"give an operator's key by --key-file or {KEY_VARIABLE}")
+    return key
+
+
 def parse_time(text: Any) -> datetime:
     """Return a time that is written with its zone.
 
--- a/src/agatehoist/frontend/app.py
+++ b/src/agatehoist/frontend/app.py
@@ -20,6 +20,7 @@
 )
 from agatehoist.frontend.closing import ClosingResponse
 from agatehoist.frontend.disconnect import run_while_connected
+from agatehoist.frontend.measuring import measured
 from agatehoist.frontend.parsing import (
     PARTS_READERS_BY_PATH,
     parse_completion,
@@ -44,10 +45,9 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import (
     IN_FLIGHT,
-    OUTCOMES_TOTAL,
     REFUSALS_TOTAL,
-    TTFT_SECONDS,
 )
+from agatehoist.operators.routes import operator_routes
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import InternalFault, UnknownService
 from agatehoist.router.dispatch import call, complete, resume
@@ -93,6 +93,7 @@
     return Starlette(
         routes=[
             *health_routes(lambda: state.ready),
+            *operator_routes(state),
             *completions,
             models,
             services,
@@ -194,12 +195,12 @@
         body = await read_body(request)
         require_ready(self._state)
         decoded = self._decode_call(request, organisation, body)
-        with self._in_flight():
-            if decoded.key is None:
-                answer = await call(self._state, decoded)
-            else:
-                answer = await call_once(self._state, decoded)
-        OUTCOMES_TOTAL.inc({"outcome": "whole"})
+        make_call = call if decoded.key is None else call_once
+        with (
+            self._in_flight(),
+            measured(self._state, organisation, decoded.service),
+        ):
+            answer = await make_call(self._state, decoded)
         headers = {**answer.headers_by_name, ENDPOINT_HEADER: answer.host}
         return Response(answer.body, answer.status, headers)
 
@@ -270,19 +271,12 @@
             yield render_stream_error(error.refusal)
 
     async def _events(self, answer: Answer) -> AsyncGenerator[Event]:
-        asked_at = self._state.clock.now()
-        outcome = "broken"
-        async with aclosing(answer.events(self._state)) as events:
-            try:
+        request = answer.request
+        with measured(self._state, request.organisation, request.model) as seen:
+            async with aclosing(answer.events(self._state)) as events:
                 async for event in events:
-                    if isinstance(event, Started):
-                        elapsed = self._state.clock.now() - asked_at
-                        TTFT_SECONDS.add({"model": answer.request.model}, elapsed)
-                    if isinstance(event, Finished):
-                        outcome = "whole"
+                    seen.note(event)
                     yield event
-            finally:
-                OUTCOMES_TOTAL.inc({"outcome": outcome})
 
     def _envelope(self, request: CompletionRequest) -> Envelope:
         now = self._state.clock.now()
--- /dev/null
+++ b/src/agatehoist/operators/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' interface of the processes."""
+
+from __future__ import annotations
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -14,6 +14,8 @@
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlight
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
+from agatehoist.reports.objectives import DEFAULT_OBJECTIVES_BY_NAME
+from agatehoist.reports.recorder import BurnRecorder
 from agatehoist.router.directory import Directory
 from agatehoist.router.links import LinkPool
 
@@ -47,6 +49,9 @@
         self.in_flight = InFlight()
         self.retry_budget = RetryBudget()
         self.suspects = Suspects()
+        self.burn = BurnRecorder(
+            settings.node.name, DEFAULT_OBJECTIVES_BY_NAME, clock.now()
+        )
         self._sequences = itertools.count(1)
         self.accept(FleetConfiguration())
 
--- a/src/agatehoist/settings/types.py
+++ b/src/agatehoist/settings/types.py
@@ -48,6 +48,7 @@
     platform: PlatformSettings
     inner: Address | None = None
     peers: tuple[Address, ...] = ()
+    operator_key_digests: tuple[str, ...] = ()
     log_level: str = "info"
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -31,6 +31,7 @@
 SERVICE = "ledger"
 ARCHIVE_KEY = "archive-key"
 COOPERATIVE_KEY = "cooperative-key"
+OPERATOR_KEY = "operator-key"
 
 
 class FleetError(Exception):
@@ -233,7 +234,11 @@
     names = [f"router-{index}" for index in range(routers)]
     fleet.ports_by_name.update(zip(names, free_ports(routers), strict=True))
     for name in names:
-        _start_process(fleet, name, "router", _common_settings(fleet, name))
+        settings = {
+            **_common_settings(fleet, name),
+            "operator_key_digests": [digest_key(OPERATOR_KEY)],
+        }
+        _start_process(fleet, name, "router", settings)
     for name in names:
         fleet.wait_ready(name)
 
--- /dev/null
+++ b/tests/test_operators/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the operators package."""
+
+from __future__ import annotations
