Show the budget spent, and raise no alert for one bad request

Change: the report gives the share spent, and an alert needs three bad requests in its long window. Ruled out: hiding small series, which hides a whole organisation's outage.

Before: one late request of one gives the alert ticket. After: none (test_one_bad_request_raises_no_alert failed first).

--- a/src/agatehoist/reports/burn.py
+++ b/src/agatehoist/reports/burn.py
@@ -1,4 +1,4 @@
-"""Burn rates and the error budget left."""
+"""Burn rates and the error budget spent."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
     from agatehoist.reports.types import Snapshot
 
 BUDGET_WINDOW = "3d"
+MIN_BAD_REQUESTS = 3
 
 
 class Alert(enum.StrEnum):
@@ -50,7 +51,7 @@
     objective: Objective
     tallies_by_window: dict[str, Tally]
     rates_by_window: dict[str, float]
-    budget_left: float
+    budget_spent: float
     alert: Alert
 
 
@@ -108,13 +109,18 @@
         objective,
         tallies_by_window,
         rates_by_window,
-        1 - rates_by_window[BUDGET_WINDOW],
-        _alert(rates_by_window),
+        rates_by_window[BUDGET_WINDOW],
+        _alert(rates_by_window, tallies_by_window),
     )
 
 
-def _alert(rates_by_window: dict[str, float]) -> Alert:
+def _alert(
+    rates_by_window: dict[str, float], tallies_by_window: dict[str, Tally]
+) -> Alert:
     for rule in ALERT_RULES:
+        # One bad request among few would else page somebody.
+        if tallies_by_window[rule.long_window].bad < MIN_BAD_REQUESTS:
+            continue
         long_rate = rates_by_window[rule.long_window]
         short_rate = rates_by_window[rule.short_window]
         if min(long_rate, short_rate) > rule.rate:
--- a/src/agatehoist/reports/formats.py
+++ b/src/agatehoist/reports/formats.py
@@ -18,7 +18,7 @@
 
 FORMATS: Registry[Callable[[BurnReport], str]] = Registry("report format")
 
-_HEADER = ("objective", "organisation", "model", *WINDOWS_S_BY_NAME, "left", "alert")
+_HEADER = ("objective", "organisation", "model", *WINDOWS_S_BY_NAME, "spent", "alert")
 
 
 @FORMATS.register("text")
@@ -55,8 +55,8 @@
 def _row(line: BurnLine) -> tuple[str, ...]:
     rates = (f"{line.rates_by_window[name]:.2f}" for name in WINDOWS_S_BY_NAME)
     key = line.key
-    left = f"{line.budget_left:.0%}"
-    return (key.objective, key.organisation, key.model, *rates, left, str(line.alert))
+    spent = f"{line.budget_spent:.0%}"
+    return (key.objective, key.organisation, key.model, *rates, spent, str(line.alert))
 
 
 def _align(row: tuple[str, ...], widths: list[int]) -> str:
--- a/src/agatehoist/reports/page.py
+++ b/src/agatehoist/reports/page.py
@@ -33,7 +33,7 @@
 h1 { font-size: 1.5rem; } h2 { font-size: 1.1rem; margin-top: 2rem; }
 p.meta { color: #666; }
 .cards { display: flex; flex-wrap: wrap; gap: 1rem; }
-.card { flex: 1 1 12rem; border: 1px solid #ddd; border-radius: 8px;
+.card { flex: 1 1 10rem; border: 1px solid #ddd; border-radius: 8px;
   padding: .8rem 1rem; background: #fff; border-left: 6px solid var(--colour); }
 .card b { font-size: 1.6rem; display: block; }
 table { border-collapse: collapse; width: 100%; font-variant-numeric: tabular-nums; }
@@ -77,8 +77,8 @@
 def _card(line: BurnLine) -> str:
     return (
         f"<div class='card' style='--colour:{COLOURS_BY_ALERT[line.alert]}'>"
-        f"{html.escape(line.key.objective)}<b>{line.budget_left:.0%}</b>"
-        f"of the budget left, {line.alert}<br>{_aim(line.objective)}</div>"
+        f"{html.escape(line.key.objective)}<b>{line.budget_spent:.0%}</b>"
+        f"of the budget spent, {line.alert}<br>{_aim(line.objective)}</div>"
     )
 
 
@@ -88,7 +88,7 @@
 
 
 def _table(lines: Iterable[BurnLine]) -> str:
-    names = ("objective", "organisation", "model", *WINDOWS_S_BY_NAME, "left", "alert")
+    names = ("objective", "organisation", "model", *WINDOWS_S_BY_NAME, "spent", "alert")
     head = "".join(f"<th>{name}</th>" for name in names)
     rows = "".join(_table_row(line) for line in lines)
     return f"<table><thead><tr>{head}</tr></thead><tbody>{rows}</tbody></table>"
@@ -101,7 +101,7 @@
     cells += [
         f"<td>{line.rates_by_window[name]:.2f}</td>" for name in WINDOWS_S_BY_NAME
     ]
-    cells.append(f"<td>{line.budget_left:.0%}</td>")
+    cells.append(f"<td>{line.budget_spent:.0%}</td>")
     colour = COLOURS_BY_ALERT[line.alert]
     cells.append(f"<td class='alert' style='--colour:{colour}'>{line.alert}</td>")
     return f"<tr>{''.join(cells)}</tr>"
--- a/src/agatehoist/reports/types.py
+++ b/src/agatehoist/reports/types.py
@@ -48,10 +48,15 @@
     def __add__(self, other: Tally) -> Tally:
         return Tally(self.good + other.good, self.total + other.total)
 
+    @property
+    def bad(self) -> int:
+        """Return the number of bad requests."""
+        return self.total - self.good
+
     @property
     def bad_share(self) -> float:
         """Return the share of bad requests."""
-        return (self.total - self.good) / self.total if self.total else 0.0
+        return self.bad / self.total if self.total else 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_reports/test_burn.py
+++ b/tests/test_reports/test_burn.py
@@ -80,6 +80,12 @@
         self.assertAlmostEqual(line.rates_by_window["5m"], five_minutes_rate)
         self.assertEqual(line.alert, alert)
 
+    def test_one_bad_request_raises_no_alert(self) -> None:
+        recorder = BurnRecorder("router-0", DEFAULT_OBJECTIVES_BY_NAME, START)
+        recorder.record(observe(START, LATE_TTFT_S))
+        alerts = {line.alert for line in report_at(recorder, 1).lines}
+        self.assertEqual(alerts, {Alert.NONE})
+
     def test_routers_are_added_up(self) -> None:
         snapshots = [
             record(10, late, node=node).snapshot(START + 10 * MINUTE_S - 1)
