--- /dev/null
+++ b/tests/test_whole/sessions.py
@@ -0,0 +1,100 @@
+"""Playing of recorded sessions against a fleet."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+if TYPE_CHECKING:
+    import httpx
+
+GOLDEN_FOLDER = Path("tests/golden/sessions")
+
+TEXTS_BY_NAME = {
+    "SONGBOOK": "The cannery whistle blew at dawn and all the crew sang out. " * 200,
+    "HISTORY": "1987: size 39, left heel rubbed. 1991: size 39.5, wide. " * 200,
+}
+
+# What differs from run to run.
+VOLATILE_FIELDS = frozenset({"id", "created"})
+
+
+def read_session(name: str) -> dict[str, Any]:
+    """Return the steps of a session."""
+    text = (GOLDEN_FOLDER / f"{name}.yaml").read_text(encoding="utf-8")
+    session: dict[str, Any] = yaml.safe_load(text)
+    return session
+
+
+def golden_file(name: str) -> Path:
+    """Return the file with the stated outcomes of a session."""
+    return GOLDEN_FOLDER / f"{name}.json"
+
+
+def play(client: httpx.Client, session: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return the outcome of each step."""
+    return [
+        {"name": step["name"], **_send(client, step["request"])}
+        for step in session["steps"]
+    ]
+
+
+def _send(client: httpx.Client, request: dict[str, Any]) -> dict[str, Any]:
+    answer = client.request(
+        request["method"],
+        request["path"],
+        json=_fill(request.get("body")),
+        headers=request.get("headers"),
+    )
+    outcome: dict[str, Any] = {
+        "status": answer.status_code,
+        "endpoint": answer.headers.get("x-agatehoist-endpoint"),
+    }
+    if answer.headers.get("content-type", "").startswith("text/event-stream"):
+        return {**outcome, **_join_stream(answer.text)}
+    try:
+        return {**outcome, "body": _without_volatile(answer.json())}
+    except ValueError:
+        return {**outcome, "text": answer.text}
+
+
+def _fill(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _fill(each) for key, each in value.items()}
+    if isinstance(value, list):
+        return [_fill(each) for each in value]
+    return TEXTS_BY_NAME.get(value, value) if isinstance(value, str) else value
+
+
+def _join_stream(text: str) -> dict[str, Any]:
+    payloads = [
+        line.removeprefix("data: ")
+        for line in text.splitlines()
+        if line.startswith("data: ")
+    ]
+    events = [json.loads(each) for each in payloads if each != "[DONE]"]
+    choices = [choice for event in events for choice in event.get("choices", ())]
+    return {
+        "joined": "".join(
+            choice.get("text", "") + choice.get("delta", {}).get("content", "")
+            for choice in choices
+        ),
+        "finish_reason": choices[-1]["finish_reason"],
+        "usage": next((each["usage"] for each in events if "usage" in each), None),
+        "done": payloads[-1] == "[DONE]",
+    }
+
+
+def _without_volatile(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {
+            key: _without_volatile(each)
+            for key, each in value.items()
+            if key not in VOLATILE_FIELDS or key == "id" and "owned_by" in value
+        }
+    if isinstance(value, list):
+        return [_without_volatile(each) for each in value]
+    return value
