Count failed and pinned endpoints against the capacity floor

Cause: a load that failed within the tolerated share, or at an endpoint that an exception pins to a version of its own, leaves an endpoint without weights, but the floor counted it as serving.

Change: the floor counts the hosts out in every roll-out of the model. Leases of the first load are told apart by roll-out, so a pinned endpoint doesn't hold the model's. The new row of the table failed before (the lease was granted).

Conclusion: the floor holds against all endpoints known to be out; a crash that nobody has noted is still unseen until the host list shows it.

--- a/src/agatehoist/orders/goals.py
+++ b/src/agatehoist/orders/goals.py
@@ -5,7 +5,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from agatehoist.orders.types import Goal, Holding, ModelEndpoints, Role
+from agatehoist.orders.types import PINNED, Goal, Holding, ModelEndpoints, Role
 from agatehoist.platform.types import HostState
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
         Holding(model_name, version, adapters, role),
         model.rollout_attempt,
         configuration.revision,
-        f"{model_name}@{host}" if is_pinned else model_name,
+        f"{model_name}{PINNED}{host}" if is_pinned else model_name,
     )
 
 
--- a/src/agatehoist/orders/leases.py
+++ b/src/agatehoist/orders/leases.py
@@ -8,6 +8,7 @@
 
 from agatehoist.configuration import Orders
 from agatehoist.orders.types import (
+    PINNED,
     Claimant,
     Failure,
     Goal,
@@ -142,27 +143,27 @@
 
 
 def _obstacle(ledger: Ledger, rollout: Rollout, ask: Ask) -> str:
-    model = ask.goal.holding.model
-    of_model = [each for each in ledger.leases if each.model == model]
     if len(ledger.leases) >= ask.orders.concurrent_loads:
         return "all leases are taken"
-    if rollout.loaded == 0 and any(
-        each.rollout == ask.goal.rollout for each in of_model
-    ):
+    is_first = rollout.loaded == 0
+    if is_first and any(each.rollout == ask.goal.rollout for each in ledger.leases):
         return "the first load of the target runs alone"
-    if ask.claimant.interrupts and _would_break_floor(of_model, rollout, ask):
+    if ask.claimant.interrupts and _would_break_floor(ledger, rollout, ask):
         return "the capacity floor is reached"
     return ""
 
 
-def _would_break_floor(of_model: list[Lease], rollout: Rollout, ask: Ask) -> bool:
-    endpoints = ask.endpoints
-    out = {each.host for each in of_model}
-    out.update(rollout.lapsed_hosts)
-    out.update(rollout.down_hosts)
+def _would_break_floor(ledger: Ledger, rollout: Rollout, ask: Ask) -> bool:
+    model = ask.goal.holding.model
+    out = {each.host for each in ledger.leases if each.model == model}
     out.add(ask.claimant.host)
-    serving = len(endpoints.live_hosts - out)
-    return serving < math.ceil(ask.orders.capacity_floor * endpoints.total)
+    rollouts_by_name = {**ledger.rollouts_by_name, ask.goal.rollout: rollout}
+    for name, each in rollouts_by_name.items():
+        if name.partition(PINNED)[0] == model:
+            out.update(each.lapsed_hosts, each.down_hosts)
+            out.update(failure.host for failure in each.failures)
+    serving = len(ask.endpoints.live_hosts - out)
+    return serving < math.ceil(ask.orders.capacity_floor * ask.endpoints.total)
 
 
 def _grant(ledger: Ledger, rollout: Rollout, ask: Ask) -> Granted:
--- a/src/agatehoist/orders/types.py
+++ b/src/agatehoist/orders/types.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass, field
 
+PINNED = "@"
+
 
 class Role(enum.StrEnum):
     """Say which part of the work an engine does."""
--- a/tests/test_orders/test_leases.py
+++ b/tests/test_orders/test_leases.py
@@ -78,6 +78,15 @@
         ask(capacity_floor=0.7),
         Waiting,
     ),
+    (
+        "floor_counts_a_pinned_host_that_failed",
+        Ledger(
+            (lease("h1"),),
+            {"m": PROVEN, "m@h4": Rollout("9+#1", 7, failures=(FAILED,))},
+        ),
+        ask(capacity_floor=0.7),
+        Waiting,
+    ),
     ("own_lease_again", ledger(PROVEN, lease("h0")), ask(), Granted),
     (
         "successor_holds_the_lease",
