Bound the items of a frame and take no loose types

Cause: a few bytes that claim an array of 8 million items made the unpacker reserve 64 MB, and one frame of short texts or empty arrays took far more memory than its bytes. A time that is not a number passed into deadlines, where no comparison ends it, and text passed for numbers.

--- /dev/null
+++ b/tests/test_fuzz/test_codec.py
@@ -0,0 +1,134 @@
+"""Generated frames for the inner codec."""
+
+from __future__ import annotations
+
+import math
+import tracemalloc
+import unittest
+
+import msgpack
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from agatehoist.protocol.codec import Decoder, encode
+from agatehoist.protocol.errors import BadFrameError
+from agatehoist.protocol.messages import MESSAGES
+from agatehoist.protocol.strict import MAX_ARRAY_ITEMS, MAX_FRAME_ITEMS
+from tests.test_protocol.test_codec import SAMPLES
+
+MEBIBYTE = 1024 * 1024
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+FIELD_NAMES = st.sampled_from(
+    ["attempt_id", "first", "texts", "identity", "levels", "deadline", "work", "node"]
+)
+FIELDS = st.dictionaries(FIELD_NAMES, VALUES, max_size=6)
+CODES = st.sampled_from(list(MESSAGES)) | VALUES
+
+
+def read_all(data: bytes) -> None:
+    """Decode bytes; only the typed error may come."""
+    try:
+        list(Decoder().feed(data))
+    except BadFrameError:
+        return
+
+
+class CodecFuzzTests(unittest.TestCase):
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, data: bytes) -> None:
+        read_all(data)
+
+    @given(st.lists(VALUES, max_size=3) | st.tuples(CODES, FIELDS | VALUES))
+    def test_any_frame(self, frame: object) -> None:
+        read_all(msgpack.packb(frame))
+
+    @given(st.sampled_from(SAMPLES), st.data())
+    def test_damaged_message(self, message: object, data: st.DataObject) -> None:
+        encoded = bytearray(encode(message))
+        index = data.draw(st.integers(0, len(encoded) - 1))
+        encoded[index] = data.draw(st.integers(0, 255))
+        read_all(bytes(encoded))
+
+    @parameterized.expand(
+        [
+            ("unhashable_code", msgpack.packb([[1], {}])),
+            ("code_is_a_bool", msgpack.packb([True, {}])),
+            ("nested_deeply", b"\x91" * 100_000),
+            ("extension", msgpack.packb(msgpack.ExtType(4, b"x"))),
+            (
+                "time_not_finite",
+                msgpack.packb(
+                    [
+                        2,
+                        {
+                            "probe_id": 1,
+                            "organisation": "a",
+                            "levels": [],
+                            "prompt_tokens": 1,
+                            "priority": 0,
+                            "deadline": math.nan,
+                        },
+                    ]
+                ),
+            ),
+            (
+                "text_for_a_number",
+                msgpack.packb(
+                    [
+                        10,
+                        {"attempt_id": {"router_incarnation": "a", "sequence": "5"}},
+                    ]
+                ),
+            ),
+        ]
+    )
+    def test_refused_frame(self, _name: str, data: bytes) -> None:
+        with self.assertRaises(BadFrameError):
+            list(Decoder().feed(data))
+
+    @parameterized.expand(
+        [
+            ("claimed_items", b"\xdd\x00\x7f\xff\xff" * 200, 1),
+            ("empty_arrays", (b"\xdc\xff\xff" + b"\x90" * 0xFFFF) * 100, 16),
+            ("short_texts", (b"\xdc\x20\x00" + b"\xa2ab" * 0x2000) * 300, 16),
+        ]
+    )
+    def test_memory_is_bounded(self, _name: str, data: bytes, limit_mib: int) -> None:
+        decoder = Decoder()
+        tracemalloc.start()
+        try:
+            with self.assertRaises(BadFrameError):
+                list(decoder.feed(b"\xdd\x00\x00\x10\x00" + data))
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak, limit_mib * MEBIBYTE)
+
+    def test_limits_leave_room_for_messages(self) -> None:
+        largest = max(len(msgpack.unpackb(encode(each))[1]) for each in SAMPLES)
+        self.assertLess(largest, MAX_ARRAY_ITEMS)
+        self.assertLess(largest, MAX_FRAME_ITEMS)
+
+    def test_bytes_before_the_handshake_are_bounded(self) -> None:
+        decoder = Decoder(max_frame_bytes=100)
+        with self.assertRaises(BadFrameError):
+            list(decoder.feed(msgpack.packb(b"x" * 200)[:150]))
+        decoder = Decoder(max_frame_bytes=100)
+        message = encode(SAMPLES[0])
+        self.assertEqual(list(decoder.feed(message * 20)), [SAMPLES[0]] * 20)
+        decoder.max_frame_bytes = 1000
+        self.assertEqual(list(decoder.feed(encode(SAMPLES[3]))), [SAMPLES[3]])
