Prove a shared key on every inner connection

Cause: anyone who reached a sidecar's port could hand it work.

Settings take `inner_keys`: the first signs, all are accepted, so a rotation has two valid keys at once; an empty list is for trials on loopback and is logged. Until the proof a frame may have 4,096 bytes. Keys are a type of their own that shows itself in no log and in no finding.

Ruled out: TLS with certificates of its own (an authority to run), and the server answering with the key that the client used (the settings say which key signs). Frames after the proof are not encrypted or signed: the network between the hosts has to keep others from rewriting a connection.

Checked by switching off, each failed a test: the comparison, the reflected nonce, the side, the nonces and the node names in the proof, the small frames.

Conclusion: a peer without a key costs one log line and a closed connection.

--- a/src/agatehoist/protocol/connection.py
+++ b/src/agatehoist/protocol/connection.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import anyio
 
-from agatehoist.protocol.codec import Decoder, encode
+from agatehoist.observability.logs import get_logger
+from agatehoist.protocol.authentication import (
+    Challenge,
+    Greeting,
+    KeyRing,
+    Proof,
+    Side,
+    check_challenges,
+)
+from agatehoist.protocol.codec import MAX_FRAME_BYTES, Decoder, encode
 from agatehoist.protocol.errors import (
+    AuthenticationError,
     BadFrameError,
     ConnectionLostError,
     VersionMismatchError,
@@ -19,8 +29,14 @@
 
     from anyio.abc import ByteStream
 
+logger = get_logger("protocol")
+
 HANDSHAKE_TIMEOUT_S = 1.0
+HANDSHAKE_FRAME_BYTES = 4096
 RECEIVE_BYTES = 65536
+NO_KEYS = KeyRing()
+
+Expected = TypeVar("Expected")
 
 
 class Connection:
@@ -28,27 +44,64 @@
 
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
-        self._decoder = Decoder()
+        self._decoder = Decoder(HANDSHAKE_FRAME_BYTES)
         self._send_lock = anyio.Lock()
         self._messages = self._receive_messages()
 
-    async def handshake(self, hello: Hello) -> Hello:
-        """Exchange hellos and return that of the peer.
+    async def handshake(
+        self, hello: Hello, side: Side = Side.CLIENT, keys: KeyRing = NO_KEYS
+    ) -> Hello:
+        """Exchange hellos, prove the keys and return the hello of the peer.
 
-        Raises VersionMismatchError, BadFrameError or ConnectionLostError.
+        Raises VersionMismatchError, BadFrameError, AuthenticationError or
+        ConnectionLostError.
         """
         try:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-                await self.send(hello)
-                theirs = await self.receive()
+                theirs = await self._exchange_hellos(hello)
+                await self._authenticate(hello, theirs, side, keys)
         except TimeoutError as error:
-            raise ConnectionLostError("no hello in time") from error
+            raise ConnectionLostError("no handshake in time") from error
+        self._decoder.max_frame_bytes = MAX_FRAME_BYTES
+        return theirs
+
+    async def _exchange_hellos(self, hello: Hello) -> Hello:
+        await self.send(hello)
+        theirs = await self.receive()
         if not isinstance(theirs, Hello):
             raise BadFrameError("first message is no hello")
         if theirs.version != PROTOCOL_VERSION:
             raise VersionMismatchError(f"peer speaks version {theirs.version}")
         return theirs
 
+    async def _authenticate(
+        self, hello: Hello, theirs: Hello, side: Side, keys: KeyRing
+    ) -> None:
+        mine = Greeting(hello, keys.challenge())
+        await self.send(mine.challenge)
+        peer = Greeting(theirs, await self._receive_a(Challenge))
+        client, server = (mine, peer) if side is Side.CLIENT else (peer, mine)
+        try:
+            check_challenges(mine.challenge, peer.challenge)
+            if not keys:
+                return
+            # The client proves first, so that a server answers no stranger.
+            if side is Side.CLIENT:
+                await self.send(keys.prove(side, client, server))
+            proof = await self._receive_a(Proof)
+            keys.verify(proof, side.other, client, server)
+            if side is Side.SERVER:
+                await self.send(keys.prove(side, client, server))
+        except AuthenticationError as error:
+            logger.warning("peer refused", peer=theirs.node, reason=str(error))
+            raise
+
+    async def _receive_a(self, expected: type[Expected]) -> Expected:
+        message = await self.receive()
+        if not isinstance(message, expected):
+            raise BadFrameError(f"message is no {expected.__name__.lower()}")
+        return message
+
     async def send(self, message: object) -> None:
         """Send one message.
 
@@ -87,3 +140,9 @@
                 return
             for each in self._decoder.feed(data):
                 yield each
+
+
+def warn_without_keys(keys: KeyRing) -> None:
+    """Log that anyone can connect if there is no key."""
+    if not keys:
+        logger.warning("inner connections are open to anyone")
--- a/src/agatehoist/protocol/errors.py
+++ b/src/agatehoist/protocol/errors.py
@@ -23,3 +23,7 @@
 
 class NotWrittenError(ConnectionLostError):
     """Report a message of which no byte was written."""
+
+
+class AuthenticationError(ProtocolError):
+    """Report a peer that didn't prove a key."""
--- a/src/agatehoist/protocol/link.py
+++ b/src/agatehoist/protocol/link.py
@@ -12,7 +12,8 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import DROPPED_FRAMES_TOTAL
 from agatehoist.protocol.attempt_messages import Ping, Pong
-from agatehoist.protocol.connection import Connection
+from agatehoist.protocol.authentication import Side
+from agatehoist.protocol.connection import NO_KEYS, Connection
 from agatehoist.protocol.errors import (
     ConnectionLostError,
     NotWrittenError,
@@ -27,6 +28,7 @@
     from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
     from agatehoist.core.identity import AttemptId
+    from agatehoist.protocol.authentication import KeyRing
     from agatehoist.protocol.messages import Hello
 
 logger = get_logger("protocol")
@@ -150,7 +152,13 @@
             await self._connection.aclose()
 
 
-async def open_link(host: str, port: int, hello: Hello, task_group: TaskGroup) -> Link:
+async def open_link(
+    host: str,
+    port: int,
+    hello: Hello,
+    task_group: TaskGroup,
+    keys: KeyRing = NO_KEYS,
+) -> Link:
     """Connect to a sidecar and start handing out its messages.
 
     Raises ConnectionLostError or another ProtocolError.
@@ -162,7 +170,7 @@
         raise ConnectionLostError(f"can't connect to {host}:{port}") from error
     connection = Connection(stream)
     try:
-        peer = await connection.handshake(hello)
+        peer = await connection.handshake(hello, Side.CLIENT, keys)
     except BaseException:
         await connection.aclose()
         raise
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -15,6 +15,7 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.platform.client import PlatformClient
 from agatehoist.platform.errors import PlatformError
+from agatehoist.protocol.connection import warn_without_keys
 from agatehoist.router.state import RouterState
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
         state = RouterState(settings, SystemClock(), task_group, platform)
         task_group.start_soon(_watch_configuration, state, platform)
         task_group.start_soon(_poll_hosts, state, platform)
+        warn_without_keys(state.inner_keys)
         async with http_server(make_app(state), settings.http):
             logger.info("ready", address=str(settings.http))
             await stop.wait()
--- a/src/agatehoist/router/links.py
+++ b/src/agatehoist/router/links.py
@@ -14,6 +14,7 @@
 
     from anyio.abc import TaskGroup
 
+    from agatehoist.protocol.authentication import KeyRing
     from agatehoist.protocol.messages import Hello
     from agatehoist.router.directory import Directory
 
@@ -22,11 +23,16 @@
     """Open links when they are first needed and keep them."""
 
     def __init__(
-        self, directory: Directory, hello: Callable[[], Hello], task_group: TaskGroup
+        self,
+        directory: Directory,
+        hello: Callable[[], Hello],
+        task_group: TaskGroup,
+        keys: KeyRing,
     ) -> None:
         self._directory = directory
         self._hello = hello
         self._task_group = task_group
+        self._keys = keys
         self._links_by_host: dict[str, Link] = {}
         self._locks_by_host: dict[str, anyio.Lock] = {}
         self._failed_at_by_host: dict[str, float] = {}
@@ -59,5 +65,5 @@
         if entry is None:
             raise ConnectionLostError(f"host {host} has left the list")
         return await open_link(
-            entry.address, entry.port, self._hello(), self._task_group
+            entry.address, entry.port, self._hello(), self._task_group, self._keys
         )
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -13,6 +13,7 @@
 from agatehoist.configuration.keys import names_by_digest
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlight
+from agatehoist.protocol.authentication import KeyRing
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
 from agatehoist.reports.objectives import DEFAULT_OBJECTIVES_BY_NAME
 from agatehoist.reports.recorder import BurnRecorder
@@ -44,7 +45,8 @@
         self.incarnation = new_incarnation()
         self.rng = random.Random(self.incarnation)
         self.directory = Directory()
-        self.links = LinkPool(self.directory, self._hello, task_group)
+        self.inner_keys = KeyRing(settings.inner_keys)
+        self.links = LinkPool(self.directory, self._hello, task_group, self.inner_keys)
         self.leaving = False
         self.in_flight = InFlight()
         self.retry_budget = RetryBudget()
--- a/src/agatehoist/settings/convert.py
+++ b/src/agatehoist/settings/convert.py
@@ -15,6 +15,8 @@
 )
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
+from agatehoist.settings.types import MIN_SECRET_CHARACTERS, Secret
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -30,6 +32,7 @@
     converter = Converter(forbid_extra_keys=True)
     for plain in _PLAIN_TYPES:
         converter.register_structure_hook(plain, _structure_plain)
+    converter.register_structure_hook(Secret, _structure_secret)
     # A string enumeration would take the hook of plain strings else.
     converter.register_structure_hook(enum.StrEnum, _structure_name)
     converter.register_unstructure_hook(enum.StrEnum, str)
@@ -114,3 +117,10 @@
     if moment.tzinfo is None:
         raise ValueError(f"{value!r} names no time zone")
     return moment
+
+
+def _structure_secret(value: Any, _target: type) -> Secret:
+    # The finding must not show the key.
+    if not isinstance(value, str) or len(value) < MIN_SECRET_CHARACTERS:
+        raise ValueError(f"must be text of {MIN_SECRET_CHARACTERS} characters or more")
+    return Secret(value)
--- a/src/agatehoist/settings/types.py
+++ b/src/agatehoist/settings/types.py
@@ -4,6 +4,17 @@
 
 from dataclasses import dataclass
 
+MIN_SECRET_CHARACTERS = 32
+
+
+class Secret(str):
+    """Hold a shared key that isn't shown in logs."""
+
+    __slots__ = ()
+
+    def __repr__(self) -> str:
+        return "Secret(...)"
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -49,6 +60,7 @@
     inner: Address | None = None
     peers: tuple[Address, ...] = ()
     operator_key_digests: tuple[str, ...] = ()
+    inner_keys: tuple[Secret, ...] = ()
     log_level: str = "info"
 
 
@@ -71,4 +83,5 @@
     platform: PlatformSettings
     endpoint: EndpointSettings
     peers: tuple[Address, ...] = ()
+    inner_keys: tuple[Secret, ...] = ()
     log_level: str = "info"
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -16,6 +16,7 @@
 from agatehoist.endpoints.errors import EndpointError
 from agatehoist.observability.http import health_routes, http_server
 from agatehoist.observability.logs import get_logger
+from agatehoist.protocol.connection import warn_without_keys
 from agatehoist.sidecar.session import serve_session
 from agatehoist.sidecar.state import SidecarState
 
@@ -42,6 +43,7 @@
         task_group.start_soon(listener.serve, partial(serve_session, state))
         task_group.start_soon(_watch_endpoint, state)
         task_group.start_soon(_sweep_executions, state)
+        warn_without_keys(state.inner_keys)
         async with http_server(app, settings.http):
             logger.info("ready", address=str(settings.inner))
             await stop.wait()
--- a/src/agatehoist/sidecar/session.py
+++ b/src/agatehoist/sidecar/session.py
@@ -8,6 +8,7 @@
 
 from agatehoist.errors import UnknownNameError
 from agatehoist.observability.logs import get_logger
+from agatehoist.protocol.authentication import Side
 from agatehoist.protocol.connection import Connection
 from agatehoist.protocol.errors import BadFrameError, ConnectionLostError, ProtocolError
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
@@ -66,7 +67,7 @@
     connection = Connection(stream)
     hello = Hello(PROTOCOL_VERSION, state.settings.node.name, state.incarnation, 0)
     try:
-        await connection.handshake(hello)
+        await connection.handshake(hello, Side.SERVER, state.inner_keys)
         async with anyio.create_task_group() as task_group:
             session = Session(state, connection, task_group)
             try:
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -11,6 +11,7 @@
 from agatehoist.core.identity import EndpointIdentity, new_incarnation
 from agatehoist.core.inflight import InFlight
 from agatehoist.endpoints.types import EndpointStatus
+from agatehoist.protocol.authentication import KeyRing
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -39,6 +40,7 @@
         self.client = client
         self.clock = clock
         self.task_group = task_group
+        self.inner_keys = KeyRing(settings.inner_keys)
         self.incarnation = new_incarnation()
         self.status = UNKNOWN_STATUS
         self.leaving = False
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -46,6 +46,7 @@
     processes_by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     ports_by_name: dict[str, int] = field(default_factory=dict)
     commands_by_name: dict[str, list[str]] = field(default_factory=dict)
+    settings: dict[str, Any] = field(default_factory=dict)
 
     def url(self, name: str) -> str:
         """Return the base URL of a process."""
@@ -158,9 +159,13 @@
     engines: int = 1,
     services: int = 1,
     engine_options: tuple[str, ...] = (),
+    settings: dict[str, Any] | None = None,
 ) -> Iterator[Fleet]:
-    """Run a fleet until the context ends; no process outlives it."""
-    fleet = Fleet(folder)
+    """Run a fleet until the context ends; no process outlives it.
+
+    The settings are added to those of every router and sidecar.
+    """
+    fleet = Fleet(folder, settings=settings or {})
     try:
         _start_standins(fleet, engines, services, engine_options)
         _start_sidecars(fleet, engines, services)
@@ -248,6 +253,7 @@
         "node": {"name": name, "data_centre": "dc1", "region": "coast"},
         "http": {"host": "127.0.0.1", "port": fleet.ports_by_name[name]},
         "platform": {"url": fleet.url("platform")},
+        **fleet.settings,
     }
 
 
--- a/tests/test_protocol/test_codec.py
+++ b/tests/test_protocol/test_codec.py
@@ -9,7 +9,7 @@
 
 from agatehoist.core.identity import AttemptId, EndpointIdentity
 from agatehoist.core.work import CallWork, CompletionWork, PrefixLevel, Priority, Run
-from agatehoist.protocol import attempt_messages, messages
+from agatehoist.protocol import attempt_messages, authentication, messages
 from agatehoist.protocol.codec import Decoder, encode
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.refusals.types import Refusal
@@ -37,6 +37,8 @@
     attempt_messages.Acknowledge(ATTEMPT),
     attempt_messages.Ping(),
     attempt_messages.Pong(),
+    authentication.Challenge(b"\x01" * 32),
+    authentication.Proof(b"\x02" * 32),
 ]
 
 BAD_FRAMES = [
