Measure processor time by tokens on processes; keep the benches importable

Cause: make capacity broke silently when the placement policies changed, and nothing told what a streamed token costs.

Change: slopes of the processor time of router and sidecar by tokens, of a cache event, and the idle share; tests import every slope and check the fit.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -11,6 +11,7 @@
     placement,
     reports,
     sizes,
+    traffic,
 )
 from bench.capacity.slopes import SLOPES, SlopeSpec, fit
 
@@ -20,6 +21,7 @@
     for name in names or SLOPES.names():
         _print(SLOPES[name])
     sizes.print_sizes()
+    traffic.print_idle()
 
 
 def _print(spec: SlopeSpec) -> None:
--- a/bench/capacity/cache.py
+++ b/bench/capacity/cache.py
@@ -3,32 +3,68 @@
 from __future__ import annotations
 
 from agatehoist.cache.picture import CachePicture
+from agatehoist.cache.types import CacheEpoch, CacheEvent, PromptReport
+from agatehoist.core.identity import AttemptId
 from agatehoist.core.work import PrefixLevel
 from bench.capacity.slopes import allocated_bytes, processor_us, slope
 
-LEVELS = (5_000, 10_000, 20_000, 40_000)
+BLOCKS = (5_000, 10_000, 20_000, 40_000)
 BLOCKS_OF_AN_ENGINE = 21_700
+BLOCKS_OF_A_PROMPT = 500
+LEVELS_OF_A_PROMPT = 10
+BLOCK_TOKENS = 16
+EPOCH = CacheEpoch("run", "1")
 
 
-@slope("sidecar: cache picture", "block", "bytes", LEVELS, BLOCKS_OF_AN_ENGINE)
+@slope("sidecar: cache picture", "block", "bytes", BLOCKS, BLOCKS_OF_AN_ENGINE)
 def picture_memory(count: int) -> float:
-    """Return the memory of a picture with so many levels."""
+    """Return the memory of a picture with so many blocks."""
     return allocated_bytes(lambda: _fill(count))
 
 
-@slope("sidecar: matching a prompt", "block", "us", LEVELS, BLOCKS_OF_AN_ENGINE)
+@slope("sidecar: matching a prompt", "block", "us", BLOCKS, BLOCKS_OF_AN_ENGINE)
 def picture_match(count: int) -> float:
     """Return the processor time of matching a prompt of ten levels."""
     picture = _fill(count)
-    levels = [PrefixLevel(_digest(index), 1) for index in range(count, count + 10)]
+    levels = _levels(0)
     return processor_us(lambda: picture.matched_tokens(levels))
 
 
+@slope("sidecar: taking a cache event", "block", "us", BLOCKS, BLOCKS_OF_AN_ENGINE)
+def picture_event(count: int) -> float:
+    """Return the processor time of an event that stores and removes a block."""
+    picture = _fill(count)
+    sequence = count
+
+    def take() -> None:
+        nonlocal sequence
+        sequence += 1
+        event = CacheEvent(sequence, (_block(sequence),), (_block(sequence - count),))
+        picture.apply(EPOCH, event)
+
+    return processor_us(take)
+
+
 def _fill(count: int) -> CachePicture:
     picture = CachePicture()
-    picture.record([PrefixLevel(_digest(index), index) for index in range(count)])
+    picture.reset(EPOCH)
+    for start in range(0, count, BLOCKS_OF_A_PROMPT):
+        blocks = tuple(_block(start + index) for index in range(BLOCKS_OF_A_PROMPT))
+        picture.apply(EPOCH, CacheEvent(start // BLOCKS_OF_A_PROMPT, blocks))
+        attempt_id = AttemptId("router", start)
+        picture.expect(attempt_id, _levels(start))
+        tokens = BLOCKS_OF_A_PROMPT * BLOCK_TOKENS
+        picture.record(attempt_id, PromptReport(tokens, 0, blocks))
     return picture
 
 
-def _digest(index: int) -> bytes:
-    return index.to_bytes(8, "big")
+def _levels(start: int) -> tuple[PrefixLevel, ...]:
+    step = BLOCKS_OF_A_PROMPT * BLOCK_TOKENS // LEVELS_OF_A_PROMPT
+    return tuple(
+        PrefixLevel((start + index).to_bytes(8, "big"), (index + 1) * step)
+        for index in range(LEVELS_OF_A_PROMPT)
+    )
+
+
+def _block(index: int) -> str:
+    return f"{index:016x}"
--- /dev/null
+++ b/tests/test_bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the measurements' arithmetic."""
+
+from __future__ import annotations
