Follow the engine's cache events and check each answer's run and weights

Cause: the sidecar believed that what it had once computed stayed cached, and an engine that crashed or changed its weights between two status polls went unseen.

Change: the sidecar follows /cache/events (numbered, late, gappy) and lists /cache/blocks on a gap, on a new stream, when an answer has fewer cached tokens than believed at admission, and every 30 s, as nothing shows that the very last event was lost; at most once a second. Events, listings and answers of another engine run or weights are dropped. An answer that names another run or version than the one it was placed for is broken off before its first token. Block hashes in the usage tie prefix levels to blocks; an engine that tells nothing is followed by its answers alone: a miss forgets all that was used earlier. The stand-in gets late and lost events, a listing, lagging load and an option to keep its blocks over a change of weights. Ruled out: adding the blocks at the end of an answer (brings back blocks evicted while it decoded); one mapping for continued answers (their blocks cover more than the levels).

--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from agatehoist.cache.types import CacheEvent
+from agatehoist.cache.types import CacheEpoch, CacheEvent
 from agatehoist.core.work import Priority
 from standins.engine.blocks import BlockCache
 
@@ -19,6 +19,7 @@
     from bench.replay.trace import Deployment, Part
 
 BLOCK_TOKENS = 64
+WEIGHTS_VERSION = "1"
 CHUNK_TOKENS = 2048
 PART_STRIDE = 1 << 20
 
@@ -56,6 +57,11 @@
         self._sequence = 0
         self._cache = self._empty_cache()
 
+    @property
+    def epoch(self) -> CacheEpoch:
+        """Return the run and the weights that the cached blocks belong to."""
+        return CacheEpoch(str(self.run), WEIGHTS_VERSION)
+
     def submit(self, job: Job) -> None:
         """Queue a prompt."""
         self._jobs[job] = _Progress()
@@ -136,7 +142,7 @@
         stored = job.blocks[cached_tokens // BLOCK_TOKENS :]
         removed = self._cache.store(job.blocks)
         self._sequence += 1
-        self.on_event(CacheEvent(self._sequence, stored, tuple(removed)))
+        self.on_event(CacheEvent(self.epoch, self._sequence, stored, tuple(removed)))
         run = self.run
         decode_s = job.answer_tokens / self._deployment.decode_tokens_per_s
         job.on_first_token(cached_tokens)
--- a/bench/replay/node.py
+++ b/bench/replay/node.py
@@ -13,7 +13,7 @@
 from agatehoist.core.identity import AttemptId, EndpointIdentity
 from agatehoist.core.work import Priority
 from agatehoist.placement.types import Candidate, Offer, Question
-from bench.replay.engine import BLOCK_TOKENS, Job, ReplayEngine
+from bench.replay.engine import BLOCK_TOKENS, WEIGHTS_VERSION, Job, ReplayEngine
 from bench.replay.trace import TraceRequest
 
 if TYPE_CHECKING:
@@ -23,7 +23,6 @@
 
 RESYNC_INTERVAL_S = 1.0
 LISTING_DELAY_S = 0.02
-WEIGHTS_VERSION = "1"
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,15 +157,14 @@
         self.picture.reset(self._epoch())
 
     def _epoch(self) -> CacheEpoch:
-        return CacheEpoch(str(self.engine.run), WEIGHTS_VERSION)
+        return self.engine.epoch
 
     def _receive_event(self, event: CacheEvent) -> None:
         if self._rng.random() < self._conditions.event_loss:
             return
-        epoch = self._epoch()
 
         def apply() -> None:
-            self.picture.apply(epoch, event)
+            self.picture.apply(event)
             self._resync_if_needed()
 
         self._timeline.after(self._conditions.lag_s, apply)
@@ -179,12 +177,11 @@
         self._timeline.at(max(now, self._resync_at), self._request_listing)
 
     def _request_listing(self) -> None:
-        epoch = self._epoch()
-        listing = BlockListing(*self.engine.listing())
+        listing = BlockListing(self._epoch(), *self.engine.listing())
 
         def take() -> None:
             self._resyncing = False
             self._resync_at = self._timeline.clock.now() + RESYNC_INTERVAL_S
-            self.picture.resync(epoch, listing)
+            self.picture.resync(listing)
 
         self._timeline.after(LISTING_DELAY_S, take)
--- a/src/agatehoist/cache/picture.py
+++ b/src/agatehoist/cache/picture.py
@@ -85,14 +85,18 @@
         while len(self._block_by_digest) > self._max_levels:
             self._block_by_digest.popitem(last=False)
 
-    def apply(self, epoch: CacheEpoch, event: CacheEvent) -> None:
+    def apply(self, event: CacheEvent) -> None:
         """Take an event; those of another engine run or weights are dropped."""
-        if epoch == self.epoch:
+        if event.epoch == self.epoch:
             self._blocks.apply(event)
 
-    def resync(self, epoch: CacheEpoch, listing: BlockListing) -> None:
+    def doubt(self) -> None:
+        """Ask for a listing, as after a time without events."""
+        self._blocks.resync_needed = True
+
+    def resync(self, listing: BlockListing) -> None:
         """Take a listing; that of another engine run or weights is dropped."""
-        if epoch == self.epoch:
+        if listing.epoch == self.epoch:
             self._blocks.resync(listing)
 
     def reset(self, epoch: CacheEpoch | None) -> None:
--- a/src/agatehoist/cache/types.py
+++ b/src/agatehoist/cache/types.py
@@ -17,6 +17,7 @@
 class CacheEvent:
     """Report blocks that were stored and then removed, by their hashes."""
 
+    epoch: CacheEpoch
     sequence: int
     stored: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
@@ -26,6 +27,7 @@
 class BlockListing:
     """List every cached block as of the event with the sequence number."""
 
+    epoch: CacheEpoch
     sequence: int
     blocks: tuple[str, ...]
 
--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -9,6 +9,7 @@
 import httpx
 
 from agatehoist.core.trust import tls_context
+from agatehoist.endpoints.engine_cache import EngineCacheClient
 from agatehoist.endpoints.errors import (
     EndpointBrokenError,
     EndpointError,
@@ -49,6 +50,7 @@
         self._http = httpx.AsyncClient(
             base_url=url, timeout=timeout, limits=limits, verify=tls_context(url)
         )
+        self.cache = EngineCacheClient(self._http)
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -68,7 +70,11 @@
             raise EndpointNotReachedError(f"no status: {error!r}") from error
 
     async def complete(
-        self, work: CompletionWork, salt: str, priority: Priority
+        self,
+        work: CompletionWork,
+        salt: str,
+        priority: Priority,
+        placed_for: EndpointStatus,
     ) -> AsyncIterator[EngineTokens | EngineEnd]:
         """Yield the tokens of a completion, then its end.
 
@@ -80,6 +86,7 @@
                 if answer.is_error:
                     await answer.aread()
                     raise _error_for(answer)
+                _check_unchanged(answer, placed_for)
                 async for event in _read_events(answer):
                     yield event
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
@@ -107,6 +114,16 @@
     body["continuation"] = {"text": continuation.text, "tokens": continuation.tokens}
 
 
+def _check_unchanged(answer: httpx.Response, placed_for: EndpointStatus) -> None:
+    expected_by_header = {
+        "x-engine-incarnation": placed_for.incarnation,
+        "x-weights-version": placed_for.weights_version,
+    }
+    for header, expected in expected_by_header.items():
+        if answer.headers.get(header, expected) != expected:
+            raise EndpointBrokenError("engine has changed since it was asked")
+
+
 def _error_for(answer: httpx.Response) -> EndpointError:
     text = f"engine answered {answer.status_code}: {answer.text}"
     if answer.status_code in _RETRIED_STATUSES or answer.is_server_error:
--- /dev/null
+++ b/src/agatehoist/endpoints/engine_cache.py
@@ -0,0 +1,81 @@
+"""Client of what an engine tells about its cache."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import httpx
+
+from agatehoist.cache.types import BlockListing, CacheEpoch, CacheEvent
+from agatehoist.endpoints.errors import (
+    EndpointBrokenError,
+    EndpointError,
+    EndpointRejectedError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+EVENTS_PATH = "/cache/events"
+BLOCKS_PATH = "/cache/blocks"
+EVENTS_TIMEOUT_S = 20.0
+LISTING_TIMEOUT_S = 5.0
+
+
+class EngineCacheClient:
+    """Follow the cache events of an engine and list its blocks."""
+
+    def __init__(self, http: httpx.AsyncClient) -> None:
+        self._http = http
+
+    async def events(self) -> AsyncGenerator[CacheEvent]:
+        """Yield the events from now on.
+
+        Raises EndpointError.
+        """
+        try:
+            async with self._http.stream(
+                "GET", EVENTS_PATH, timeout=EVENTS_TIMEOUT_S
+            ) as answer:
+                _check(answer)
+                async for line in answer.aiter_lines():
+                    if line:
+                        yield _read_event(json.loads(line))
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+            raise EndpointBrokenError(f"events ended: {error!r}") from error
+
+    async def listing(self) -> BlockListing:
+        """Return every block that the engine holds.
+
+        Raises EndpointError.
+        """
+        try:
+            answer = await self._http.get(BLOCKS_PATH, timeout=LISTING_TIMEOUT_S)
+            _check(answer)
+            fields = answer.json()
+            return BlockListing(
+                _read_epoch(fields), fields["sequence"], tuple(fields["blocks"])
+            )
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+            raise EndpointBrokenError(f"no listing: {error!r}") from error
+
+
+def _check(answer: httpx.Response) -> None:
+    if answer.is_client_error:
+        raise EndpointRejectedError(f"engine answered {answer.status_code}")
+    if answer.is_error:
+        raise EndpointError(f"engine answered {answer.status_code}")
+
+
+def _read_event(fields: dict[str, Any]) -> CacheEvent:
+    return CacheEvent(
+        _read_epoch(fields),
+        fields["sequence"],
+        tuple(fields["stored"]),
+        tuple(fields["removed"]),
+    )
+
+
+def _read_epoch(fields: dict[str, Any]) -> CacheEpoch:
+    return CacheEpoch(fields["incarnation"], fields["weights_version"])
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -13,10 +13,10 @@
 from agatehoist.core.lifetime import stop_signals
 from agatehoist.core.listening import open_listening_socket
 from agatehoist.endpoints import ENDPOINT_KINDS
-from agatehoist.endpoints.errors import EndpointError
 from agatehoist.observability.http import health_routes, http_server
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.connection import warn_without_keys
+from agatehoist.sidecar.cache_events import follow_cache
 from agatehoist.sidecar.session import serve_session
 from agatehoist.sidecar.state import SidecarState
 
@@ -42,6 +42,7 @@
         app = Starlette(routes=health_routes(lambda: state.ready))
         task_group.start_soon(listener.serve, partial(serve_session, state))
         task_group.start_soon(_watch_endpoint, state)
+        task_group.start_soon(follow_cache, state)
         task_group.start_soon(_sweep_executions, state)
         warn_without_keys(state.inner_keys)
         async with http_server(app, settings.http):
@@ -61,11 +62,7 @@
 
 async def _watch_endpoint(state: SidecarState) -> None:
     while True:
-        try:
-            state.take_status(await state.client.status())
-        except EndpointError as error:
-            logger.warning("endpoint lost", reason=str(error))
-            state.lose_endpoint()
+        await state.refresh_status()
         await anyio.sleep(STATUS_INTERVAL_S)
 
 
--- a/src/agatehoist/sidecar/running.py
+++ b/src/agatehoist/sidecar/running.py
@@ -13,7 +13,7 @@
     EndpointRejectedError,
 )
 from agatehoist.endpoints.service import ServiceClient, end_to_end
-from agatehoist.endpoints.types import EngineTokens
+from agatehoist.endpoints.types import EndpointStatus, EngineTokens
 from agatehoist.observability.metrics import HIT_TOKENS, RECOMPUTED_TOKENS
 from agatehoist.placement.levels import salt_for
 from agatehoist.protocol.messages import CallReply, CompletionEnd, Refused
@@ -93,7 +93,12 @@
         assignment.identity.weights_version,
     )
     execution.begin(state.clock.now(), state.load.ttft_estimate(0))
-    answer = state.client.complete(submit.work, salt.hex(), assignment.priority)
+    placed_for = EndpointStatus(
+        assignment.identity.endpoint_incarnation, assignment.identity.weights_version
+    )
+    answer = state.client.complete(
+        submit.work, salt.hex(), assignment.priority, placed_for
+    )
     async for event in answer:
         state.load.settle(assignment.attempt_id)
         if isinstance(event, EngineTokens):
@@ -109,8 +114,7 @@
     execution: Execution,
     end: EngineEnd,
 ) -> None:
-    report = PromptReport(end.prompt_tokens, end.cached_tokens, end.block_hashes)
-    state.picture.record(submit.assignment.attempt_id, report)
+    _note_prompt(state, submit, end)
     HIT_TOKENS.add({}, end.cached_tokens)
     RECOMPUTED_TOKENS.add({}, end.prompt_tokens - end.cached_tokens)
     execution.finish(
@@ -124,6 +128,15 @@
     )
 
 
+def _note_prompt(state: SidecarState, submit: SubmitCompletion, end: EngineEnd) -> None:
+    if submit.work.continuation is not None:
+        # The engine's blocks then cover more than the levels of the prompt.
+        return
+    report = PromptReport(end.prompt_tokens, end.cached_tokens, end.block_hashes)
+    state.picture.record(submit.assignment.attempt_id, report)
+    state.check_cache()
+
+
 def _cancelled(execution: Execution) -> Refusal:
     if not execution.started:
         return NotStarted.refuse("cancelled before the start").refusal
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -10,7 +10,9 @@
 from agatehoist.cache.types import CacheEpoch
 from agatehoist.core.identity import EndpointIdentity, new_incarnation
 from agatehoist.core.inflight import InFlight
+from agatehoist.endpoints.errors import EndpointError
 from agatehoist.endpoints.types import EndpointStatus
+from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
 
 if TYPE_CHECKING:
@@ -20,8 +22,11 @@
     from agatehoist.core.identity import AttemptId
     from agatehoist.endpoints.kinds import EndpointClient
     from agatehoist.settings.types import SidecarSettings
+    from agatehoist.sidecar.cache_events import CacheFollower
     from agatehoist.sidecar.execution import Execution
 
+logger = get_logger("sidecar")
+
 ENGINE = "engine"
 UNKNOWN_STATUS = EndpointStatus("", "")
 
@@ -48,6 +53,7 @@
         self.in_flight = InFlight()
         self.load = AdmittedLoad()
         self.picture = CachePicture()
+        self.cache_follower: CacheFollower | None = None
         self.ledger = AttemptLedger()
         self.executions_by_id: dict[AttemptId, Execution] = {}
 
@@ -72,6 +78,19 @@
             self.picture.reset(_epoch_of(status))
         self.status = status
 
+    async def refresh_status(self) -> None:
+        """Ask the endpoint for its status and note the answer."""
+        try:
+            self.take_status(await self.client.status())
+        except EndpointError as error:
+            logger.warning("endpoint lost", reason=str(error))
+            self.lose_endpoint()
+
+    def check_cache(self) -> None:
+        """Have the blocks listed if the cache picture is in doubt."""
+        if self.cache_follower is not None:
+            self.cache_follower.check()
+
     def lose_endpoint(self) -> None:
         """Note that the endpoint doesn't answer."""
         self.take_status(UNKNOWN_STATUS)
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -5,6 +5,7 @@
 import fire
 
 from standins.engine.app import make_app
+from standins.engine.events import CacheFaults
 from standins.engine.model import ANSWER_TOKENS, Engine, Speed
 from standins.engine.orders import HttpWeights, OrderDesk
 from standins.serving import serve
@@ -19,12 +20,17 @@
     answer: int = ANSWER_TOKENS,
     fencing: bool = False,
     weights: str = "",
+    event_delay: float = 0.0,
+    event_loss: float = 0.0,
+    load_lag: float = 0.0,
+    keep_blocks: bool = False,
 ) -> None:
     """Serve an engine on a port; speeds are in tokens a second.
 
     The engine reads weights from the platform stand-in at the URL in weights.
     """
-    engine = Engine(str(model), capacity, Speed(prefill, decode), answer)
+    faults = CacheFaults(event_delay, event_loss, load_lag, keep_blocks)
+    engine = Engine(str(model), capacity, Speed(prefill, decode), answer, faults)
     orders = OrderDesk(engine, fencing, HttpWeights(weights).load)
     serve(make_app(engine, orders), port)
 
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -10,6 +10,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from standins.engine.kv import cache_routes
 from standins.engine.orders import order_routes
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
 
     from starlette.requests import Request
 
+    from standins.engine.events import Epoch
     from standins.engine.model import Engine
     from standins.engine.orders import OrderDesk
 
@@ -34,7 +36,7 @@
                 "incarnation": self.engine.incarnation,
                 "weights_version": self.engine.weights_version,
                 "model": self.engine.model,
-                "running": self.engine.running,
+                "running": self.engine.reported_load.report(),
                 "cancelled": self.engine.cancelled,
             }
         )
@@ -50,7 +52,10 @@
         prompt = _render_chat(fields) if is_chat else fields["prompt"]
         events = self._generate(fields, prompt, is_chat)
         if fields.get("stream"):
-            return StreamingResponse(_encode(events), media_type="text/event-stream")
+            headers = _epoch_headers(self.engine.epoch)
+            return StreamingResponse(
+                _encode(events), headers=headers, media_type="text/event-stream"
+            )
         return JSONResponse(await _join(events, is_chat))
 
     async def _generate(
@@ -62,6 +67,7 @@
         longest = engine.answer_tokens
         count = min(first + limit if limit else longest, longest)
         engine.running += 1
+        engine.reported_load.note(engine.running)
         ended = False
         try:
             prefill = await engine.prefill(prompt + text, fields.get("cache_salt", ""))
@@ -77,11 +83,15 @@
                     "prompt_tokens": prefill.prompt_tokens,
                     "completion_tokens": count - first,
                     "total_tokens": prefill.prompt_tokens + count - first,
-                    "prompt_tokens_details": {"cached_tokens": prefill.cached_tokens},
+                    "prompt_tokens_details": {
+                        "cached_tokens": prefill.cached_tokens,
+                        "block_hashes": prefill.block_hashes,
+                    },
                 },
             }
         finally:
             engine.running -= 1
+            engine.reported_load.note(engine.running)
             engine.cancelled += not ended
 
 
@@ -92,12 +102,20 @@
         routes=[
             Route("/status", app.status),
             *order_routes(orders),
+            *cache_routes(engine),
             Route("/v1/completions", app.complete, methods=["POST"]),
             Route("/v1/chat/completions", app.complete, methods=["POST"]),
         ]
     )
 
 
+def _epoch_headers(epoch: Epoch) -> dict[str, str]:
+    return {
+        "x-engine-incarnation": epoch.incarnation,
+        "x-weights-version": epoch.weights_version,
+    }
+
+
 def _read_continuation(fields: dict[str, Any]) -> tuple[int, str]:
     """Return the index and the text behind which an answer goes on.
 
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -9,6 +9,7 @@
 import anyio
 
 from standins.engine.blocks import BLOCK_TOKENS, BlockCache, block_hashes, tokenize
+from standins.engine.events import CacheFaults, Epoch, EventFeed, LaggingLoad
 
 ANSWER_TOKENS = 24
 WORDS = (
@@ -49,6 +50,7 @@
 
     prompt_tokens: int
     cached_tokens: int
+    block_hashes: tuple[str, ...]
 
 
 class Engine:
@@ -60,6 +62,7 @@
         capacity: int,
         speed: Speed,
         answer_tokens: int = ANSWER_TOKENS,
+        faults: CacheFaults | None = None,
     ) -> None:
         self.model = model
         self.speed = speed
@@ -69,10 +72,22 @@
         self.answer_tokens = answer_tokens
         self.adapters: tuple[str, ...] = ()
         self.role = "mixed"
+        self.feed = EventFeed(faults or CacheFaults())
+        self.reported_load = LaggingLoad(self.feed.faults.load_lag)
         self.running = 0
         self.cancelled = 0
         self._prefill = anyio.Lock()
 
+    @property
+    def epoch(self) -> Epoch:
+        """Return what the cached blocks are reported to belong to."""
+        return Epoch(self.incarnation, self.weights_version)
+
+    def drop_blocks(self) -> None:
+        """Empty the cache as weights change, unless told to keep it."""
+        if not self.feed.faults.keep_blocks:
+            self.cache.clear()
+
     async def prefill(self, prompt: str, salt: str) -> Prefill:
         """Compute the part of the prompt that isn't cached."""
         tokens = tokenize(prompt)
@@ -80,8 +95,10 @@
         async with self._prefill:
             cached_tokens = self.cache.matched(hashes) * BLOCK_TOKENS
             await anyio.sleep((len(tokens) - cached_tokens) / self.speed.prefill)
-            self.cache.store(hashes)
-        return Prefill(len(tokens), cached_tokens)
+            removed = self.cache.store(hashes)
+            stored = hashes[cached_tokens // BLOCK_TOKENS :]
+            self.feed.publish(self.epoch, stored, removed)
+        return Prefill(len(tokens), cached_tokens, tuple(hashes))
 
     def token(self, prompt: str, index: int) -> str:
         """Return the token of an answer at an index."""
--- a/standins/engine/orders.py
+++ b/standins/engine/orders.py
@@ -102,7 +102,7 @@
         engine = self._engine
         if order == "load_weights":
             engine.weights_version = ""
-            engine.cache.clear()
+            engine.drop_blocks()
             await self._load(fields["weights_version"])
             engine.model = fields["model"]
             engine.weights_version = fields["weights_version"]
--- /dev/null
+++ b/tests/test_cache/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the cache package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_sidecar/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the sidecar package."""
+
+from __future__ import annotations
