--- a/bench/replay/run.py
+++ b/bench/replay/run.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from agatehoist.core.identity import EndpointIdentity
+from agatehoist.core.work import Priority
 from agatehoist.placement.levels import find_levels, salt_for
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Question
@@ -31,11 +33,30 @@
 TOKEN_BYTES = 4
 
 
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold where a request was to go, best host first."""
+
+    decided_at: float
+    order: int
+    priority: Priority
+    hosts: tuple[str, ...]
+    matched_tokens: int
+
+    def __str__(self) -> str:
+        hosts = " ".join(self.hosts) or "nobody"
+        name = self.priority.name.lower()
+        return (
+            f"{self.decided_at:.4f} request {self.order} {name} "
+            f"matched {self.matched_tokens} to {hosts}"
+        )
+
+
 class Replay:
     """Place the requests of a trace on a virtual clock."""
 
     def __init__(self, trace: Trace, policy: str, conditions: Conditions) -> None:
-        self.decisions: list[tuple[str, ...]] = []
+        self.decisions: list[Decision] = []
         self._trace = trace
         self._deployment = trace.deployment
         self._policy_name = policy
@@ -168,9 +189,18 @@
             self._probe(more, offers)
             return
         chosen = self._replay._policy.choose(self._question, offers)
-        self._replay.decisions.append(tuple(o.candidate.host for o in chosen))
+        self._replay.decisions.append(self._decision(chosen))
         self._try(chosen)
 
+    def _decision(self, chosen: tuple[Offer, ...]) -> Decision:
+        return Decision(
+            self._replay._timeline.clock.now(),
+            self._order,
+            self._request.priority,
+            tuple(each.candidate.host for each in chosen),
+            chosen[0].matched_tokens if chosen else 0,
+        )
+
     def _try(self, offers: tuple[Offer, ...]) -> None:
         replay = self._replay
         if not offers:
--- /dev/null
+++ b/tests/test_placement/test_sessions.py
@@ -0,0 +1,33 @@
+"""Tests that the decisions of whole sessions are as recorded."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.core.work import Priority
+from bench.replay.generate import ARCHIVE, COOPERATIVE
+from bench.replay.golden import SESSIONS, decide, golden_file
+from bench.replay.trace import load_trace
+
+WORKLOADS = [(each.deployment.name, each) for each in (ARCHIVE, COOPERATIVE)]
+
+
+class SessionTests(unittest.TestCase):
+    maxDiff = 2000
+
+    @parameterized.expand([(name,) for name in SESSIONS])
+    def test_decisions(self, name: str) -> None:
+        expected = golden_file(name).read_text(encoding="utf-8")
+        self.assertEqual(decide(name), expected)
+
+    @parameterized.expand(WORKLOADS)
+    def test_kept_trace_is_that_of_its_deployment(
+        self, name: str, workload: object
+    ) -> None:
+        trace = load_trace(name)
+        self.assertEqual(trace.deployment, workload.deployment)
+        self.assertEqual(len({each.organisation for each in trace.requests}), 8)
+        self.assertEqual(len(trace.crashes), 2)
+        self.assertEqual({each.priority for each in trace.requests}, set(Priority))
