Ask the endpoints of the own region first

Cause: ranking went over all regions, so a request could cross regions and its ranking cost grew with the whole fleet. Change: find_offers asks the endpoints of the router's region and turns to the others only when none of the own gives an offer. Without the split the test's own_region row fails.

--- a/src/agatehoist/router/directory.py
+++ b/src/agatehoist/router/directory.py
@@ -35,3 +35,15 @@
             and entry.serves == serves
             and entry.state is HostState.LIVE
         )
+
+    def split_by_region(
+        self, candidates: Iterable[Candidate], region: str
+    ) -> tuple[tuple[Candidate, ...], tuple[Candidate, ...]]:
+        """Return the candidates inside a region and those elsewhere."""
+        near: list[Candidate] = []
+        far: list[Candidate] = []
+        for candidate in candidates:
+            entry = self.hosts_by_name.get(candidate.host)
+            inside = entry is not None and entry.region == region
+            (near if inside else far).append(candidate)
+        return tuple(near), tuple(far)
--- a/src/agatehoist/router/placing.py
+++ b/src/agatehoist/router/placing.py
@@ -22,7 +22,23 @@
     organisation: str,
     deadline: float,
 ) -> tuple[Offer, ...]:
-    """Return the offers to try, best first, asking as far as the policy wants."""
+    """Return the offers to try, best first, from the own region if it has any."""
+    region = state.settings.node.region
+    for group in state.directory.split_by_region(candidates, region):
+        offers = await _ask(state, policy, question, group, organisation, deadline)
+        if offers:
+            return policy.choose(question, offers)
+    return ()
+
+
+async def _ask(
+    state: RouterState,
+    policy: Policy,
+    question: Question,
+    candidates: Sequence[Candidate],
+    organisation: str,
+    deadline: float,
+) -> tuple[Offer, ...]:
     offers: tuple[Offer, ...] = ()
     asked: tuple[Candidate, ...] = ()
     shortlist = policy.shortlist(question, candidates, state.rng)
@@ -30,4 +46,4 @@
         offers += await probe_all(state, shortlist, question, organisation, deadline)
         asked += shortlist
         shortlist = policy.widen(question, candidates, offers, asked)
-    return policy.choose(question, offers)
+    return offers
--- /dev/null
+++ b/tests/test_router/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the router package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_router/test_placing.py
@@ -0,0 +1,64 @@
+"""Tests of the finding of endpoints."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest.mock import Mock, patch
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.identity import EndpointIdentity
+from agatehoist.core.work import Priority
+from agatehoist.placement.policies import POLICIES
+from agatehoist.placement.types import Candidate, Offer, Question
+from agatehoist.platform.types import HostEntry, HostState
+from agatehoist.router import placing
+from agatehoist.router.directory import ENGINE, Directory
+
+MODEL = "songs-8b"
+IDENTITY = EndpointIdentity("s", "e", "1")
+QUESTION = Question((), 0, Priority.SHORT, "dc1")
+
+# Hosts that answer, and where the request goes.
+ANSWERS = [
+    ("own_region", {"near-0", "near-1", "far-0"}, {"near-0", "near-1"}),
+    ("own_region_silent", {"far-0", "far-1"}, {"far-0", "far-1"}),
+    ("nobody", set(), set()),
+]
+
+
+def entry(host: str, region: str) -> HostEntry:
+    return HostEntry(host, "127.0.0.1", 1, "dc1", region, ENGINE, MODEL, HostState.LIVE)
+
+
+class PlacingTests(unittest.TestCase):
+    @parameterized.expand(ANSWERS)
+    def test_region(self, _name: str, answering: set[str], expected: set[str]) -> None:
+        directory = Directory()
+        directory.replace(
+            entry(f"{side}-{index}", region)
+            for side, region in (("near", "coast"), ("far", "prairie"))
+            for index in range(2)
+        )
+        state = Mock(directory=directory, rng=random.Random(1))
+        state.settings.node.region = "coast"
+
+        async def probe_all(
+            _state: object, candidates: tuple[Candidate, ...], *_rest: object
+        ) -> tuple[Offer, ...]:
+            found = [each for each in candidates if each.host in answering]
+            return tuple(Offer(each, IDENTITY, 0, 0.0) for each in found)
+
+        with patch.object(placing, "probe_all", probe_all):
+            offers = anyio.run(
+                placing.find_offers,
+                state,
+                POLICIES["probe"](),
+                QUESTION,
+                directory.candidates(ENGINE, MODEL),
+                "archive",
+                1.0,
+            )
+        self.assertEqual({each.candidate.host for each in offers}, expected)
