--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -17,11 +17,12 @@
 
 
 def main(names: list[str]) -> None:
-    """Measure the named slopes, or all."""
+    """Measure the named slopes, or everything."""
     for name in names or SLOPES.names():
         _print(SLOPES[name])
-    sizes.print_sizes()
-    traffic.print_idle()
+    if not names:
+        sizes.print_sizes()
+        traffic.print_idle()
 
 
 def _print(spec: SlopeSpec) -> None:
--- a/bench/capacity/cache.py
+++ b/bench/capacity/cache.py
@@ -39,8 +39,10 @@
     def take() -> None:
         nonlocal sequence
         sequence += 1
-        event = CacheEvent(sequence, (_block(sequence),), (_block(sequence - count),))
-        picture.apply(EPOCH, event)
+        event = CacheEvent(
+            EPOCH, sequence, (_block(sequence),), (_block(sequence - count),)
+        )
+        picture.apply(event)
 
     return processor_us(take)
 
@@ -50,7 +52,7 @@
     picture.reset(EPOCH)
     for start in range(0, count, BLOCKS_OF_A_PROMPT):
         blocks = tuple(_block(start + index) for index in range(BLOCKS_OF_A_PROMPT))
-        picture.apply(EPOCH, CacheEvent(start // BLOCKS_OF_A_PROMPT, blocks))
+        picture.apply(CacheEvent(EPOCH, start // BLOCKS_OF_A_PROMPT, blocks))
         attempt_id = AttemptId("router", start)
         picture.expect(attempt_id, _levels(start))
         tokens = BLOCKS_OF_A_PROMPT * BLOCK_TOKENS
