--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from agatehoist.admission.load import AdmittedLoad
@@ -12,6 +13,8 @@
 from agatehoist.core.inflight import InFlight
 from agatehoist.endpoints.errors import EndpointError
 from agatehoist.endpoints.types import EndpointStatus
+from agatehoist.gossip.node import GossipNode
+from agatehoist.membership.view import FleetView
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
 
@@ -55,6 +58,15 @@
         self.picture = CachePicture()
         self.cache_follower: CacheFollower | None = None
         self.ledger = AttemptLedger()
+        self.fleet = FleetView(clock)
+        self.gossip = GossipNode(
+            settings.node,
+            settings.inner,
+            self.incarnation,
+            self.fleet,
+            random.Random(self.incarnation),
+            self.inner_keys,
+        )
         self.executions_by_id: dict[AttemptId, Execution] = {}
 
     @property
