Give orders from the running sidecar and roll out under load

Cause: the decisions on orders stood without a process that runs them.

Change: a sidecar raises its fencing number, follows the configuration and reconciles its endpoint. Until gossip brings the configuration, each sidecar holds a watch of the platform, which counts as a call. The engine stand-in counts work that an order interrupts; stand-in engines read their weights from the platform stand-in's store, which counts loads at once.

Ruled out: judging the floor by polling the sidecars' readiness, since polls of several processes aren't one instant; the test reads the times of the logs.

A start writes once, an order twice.

--- a/src/agatehoist/orders/objects.py
+++ b/src/agatehoist/orders/objects.py
@@ -6,6 +6,7 @@
 
 from agatehoist.orders.fencing import raised
 from agatehoist.orders.types import FencingRecord, Granted, Ledger
+from agatehoist.platform.budget import Purpose
 from agatehoist.platform.errors import ConflictError, ObjectNotFoundError
 from agatehoist.settings.convert import make_converter
 
@@ -98,7 +99,7 @@
     platform: PlatformClient, kind: str, name: str, target: type[Value]
 ) -> tuple[Value | None, int]:
     try:
-        found = await platform.get(kind, name)
+        found = await platform.get(kind, name, Purpose.ORDERS)
     except ObjectNotFoundError:
         return None, 0
     return _converter.structure(found.value, target), found.version
@@ -107,4 +108,5 @@
 async def _write(
     platform: PlatformClient, kind: str, name: str, value: object, version: int
 ) -> None:
-    await platform.put(kind, name, _converter.unstructure(value), version)
+    plain = _converter.unstructure(value)
+    await platform.put(kind, name, plain, version, Purpose.ORDERS)
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -9,14 +9,20 @@
 from anyio.abc import SocketListener
 from starlette.applications import Starlette
 
+from agatehoist.configuration.effective import effective_configuration
+from agatehoist.configuration.encoding import parse_record
 from agatehoist.core.clock import SystemClock
 from agatehoist.core.lifetime import stop_signals
 from agatehoist.core.listening import open_listening_socket
 from agatehoist.endpoints import ENDPOINT_KINDS
 from agatehoist.observability.http import health_routes, http_server
 from agatehoist.observability.logs import get_logger
+from agatehoist.platform.budget import Purpose
+from agatehoist.platform.client import PlatformClient
+from agatehoist.platform.errors import PlatformError
 from agatehoist.protocol.connection import warn_without_keys
 from agatehoist.sidecar.cache_events import follow_cache
+from agatehoist.sidecar.orders import run_orders
 from agatehoist.sidecar.session import serve_session
 from agatehoist.sidecar.state import SidecarState
 
@@ -25,6 +31,9 @@
 
 logger = get_logger("sidecar")
 
+CONFIGURATION_KIND = "configuration"
+CONFIGURATION_NAME = "fleet"
+PLATFORM_RETRY_S = 1.0
 STATUS_INTERVAL_S = 0.5
 SWEEP_INTERVAL_S = 5.0
 
@@ -37,6 +46,7 @@
     listening = open_listening_socket(settings.inner.host, settings.inner.port)
     listener = await SocketListener.from_socket(listening)
     client = ENDPOINT_KINDS[settings.endpoint.kind](settings.endpoint.url)
+    platform = PlatformClient(settings.platform)
     async with stop_signals() as stop, anyio.create_task_group() as task_group:
         state = SidecarState(settings, client, SystemClock(), task_group)
         app = Starlette(routes=health_routes(lambda: state.ready))
@@ -44,6 +54,8 @@
         task_group.start_soon(_watch_endpoint, state)
         task_group.start_soon(follow_cache, state)
         task_group.start_soon(_sweep_executions, state)
+        task_group.start_soon(_follow_configuration, state, platform)
+        task_group.start_soon(run_orders, state, platform, lambda: state.configuration)
         warn_without_keys(state.inner_keys)
         async with http_server(app, settings.http):
             logger.info("ready", address=str(settings.inner))
@@ -51,6 +63,7 @@
             await _drain(state)
         task_group.cancel_scope.cancel()
     await client.aclose()
+    await platform.aclose()
     logger.info("stopped")
 
 
@@ -60,6 +73,25 @@
     await state.in_flight.wait_idle()
 
 
+async def _follow_configuration(state: SidecarState, platform: PlatformClient) -> None:
+    # Gossip replaces this watch: the platform counts a waiting watch as a call.
+    revision = state.configuration.revision
+    while True:
+        try:
+            found = await platform.watch(
+                CONFIGURATION_KIND, CONFIGURATION_NAME, revision, Purpose.CONFIGURATION
+            )
+        except PlatformError as error:
+            logger.info("platform not reached", reason=str(error))
+            await anyio.sleep(PLATFORM_RETRY_S)
+            continue
+        if found is not None and found.version > revision:
+            revision = found.version
+            record = parse_record(found.value, revision)
+            now = state.clock.now()
+            state.configuration = effective_configuration(record, now)
+
+
 async def _watch_endpoint(state: SidecarState) -> None:
     while True:
         await state.refresh_status()
--- a/src/agatehoist/sidecar/orders.py
+++ b/src/agatehoist/sidecar/orders.py
@@ -219,6 +219,7 @@
         except EndpointError:
             self._state.lose_endpoint()
         self._state.loading = False
+        logger.info("work taken again", ready=self._state.ready)
 
     async def _settle(self) -> None:
         if self._unsettled is not None:
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -8,6 +8,7 @@
 from agatehoist.attempts.ledger import AttemptLedger
 from agatehoist.cache.picture import CachePicture
 from agatehoist.cache.types import CacheEpoch
+from agatehoist.configuration import FleetConfiguration
 from agatehoist.core.identity import EndpointIdentity, new_incarnation
 from agatehoist.core.inflight import InFlight
 from agatehoist.endpoints.errors import EndpointError
@@ -47,6 +48,7 @@
         self.task_group = task_group
         self.inner_keys = KeyRing(settings.inner_keys)
         self.incarnation = new_incarnation()
+        self.configuration = FleetConfiguration()
         self.status = UNKNOWN_STATUS
         self.leaving = False
         self.loading = False
--- a/standins/engine/orders.py
+++ b/standins/engine/orders.py
@@ -62,6 +62,7 @@
         self.loading = False
         self.error = ""
         self.taken: list[dict[str, Any]] = []
+        self.interrupted = 0
 
     def report(self) -> dict[str, Any]:
         """Return what the engine holds."""
@@ -86,6 +87,7 @@
         if self.loading:
             raise OrderError("the engine is loading")
         self.taken.append(body)
+        self.interrupted += self._engine.running
         self.error = ""
         self.loading = True
 
@@ -118,6 +120,11 @@
     async def report(_request: Request) -> Response:
         return JSONResponse(orders.report())
 
+    async def counts(_request: Request) -> Response:
+        return JSONResponse(
+            {"taken": len(orders.taken), "interrupted": orders.interrupted}
+        )
+
     async def take(request: Request) -> Response:
         body = await request.json()
         try:
@@ -130,4 +137,5 @@
     return [
         Route("/orders", report, methods=["GET"]),
         Route("/orders", take, methods=["POST"]),
+        Route("/orders/counts", counts, methods=["GET"]),
     ]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -200,7 +200,9 @@
     for name in names:
         port = str(fleet.ports_by_name[name])
         kind = name.partition("-")[0]
-        options = ("--model", MODEL, *engine_options) if kind == "engine" else ()
+        weights = ("--weights", fleet.url("platform"))
+        is_engine = kind == "engine"
+        options = ("--model", MODEL, *weights, *engine_options) if is_engine else ()
         fleet.start(name, f"standins.{kind}", "--port", port, *options)
     for name in names:
         path = {"platform": "/calls", "engine": "/status", "service": "/runs"}
--- a/tests/test_orders/support.py
+++ b/tests/test_orders/support.py
@@ -42,6 +42,7 @@
 
     from agatehoist.orders.clients import OrderClient
     from agatehoist.orders.kinds import Order
+    from agatehoist.platform.budget import Purpose
     from agatehoist.platform.client import PlatformClient
 
 MODEL = "songs-8b"
@@ -60,7 +61,7 @@
         self.after_get: Callable[[str], None] = lambda kind: None
         self._hosts = hosts
 
-    async def get(self, kind: str, name: str) -> StoredObject:
+    async def get(self, kind: str, name: str, _purpose: Purpose) -> StoredObject:
         self._require_up()
         found = self.store.get(kind, name)
         self.after_get(kind)
@@ -68,7 +69,9 @@
             raise ObjectNotFoundError(name)
         return StoredObject(kind, name, *found)
 
-    async def put(self, kind: str, name: str, value: Any, version: int) -> StoredObject:
+    async def put(
+        self, kind: str, name: str, value: Any, version: int, _purpose: Purpose
+    ) -> StoredObject:
         self._require_up()
         self.writes += 1
         try:
--- a/tests/test_orders/test_reconciler.py
+++ b/tests/test_orders/test_reconciler.py
@@ -72,6 +72,8 @@
             self.assertEqual(sidecar.state.identity.weights_version, version)
             self.assertTrue(sidecar.state.ready)
             self.assertEqual(fleet.platform.ledger().leases, ())
+            # One write for the start and two for each order.
+            self.assertEqual(fleet.platform.writes, 1 + 2 * len(expected))
 
         run(scenario)
 
