Refresh the status after an order in one place

Cause: the sidecar's state has gained a method that asks the endpoint and notes a lost one; the orders did the same by hand. Change: they call it. No behaviour changes; the tests of the orders and of the roll-out pass as before.

--- a/src/agatehoist/sidecar/orders.py
+++ b/src/agatehoist/sidecar/orders.py
@@ -214,10 +214,7 @@
 
     async def _resume(self) -> None:
         # Work must be placed for the new state before any is taken again.
-        try:
-            self._state.take_status(await self._state.client.status())
-        except EndpointError:
-            self._state.lose_endpoint()
+        await self._state.refresh_status()
         self._state.loading = False
         logger.info("work taken again", ready=self._state.ready)
 
