--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -20,6 +20,7 @@
 from agatehoist.protocol.connection import warn_without_keys
 from agatehoist.sidecar import gossiping  # noqa: F401
 from agatehoist.sidecar.cache_events import follow_cache
+from agatehoist.sidecar.orders import run_orders
 from agatehoist.sidecar.session import serve_session
 from agatehoist.sidecar.state import SidecarState
 
@@ -28,6 +29,9 @@
 
 logger = get_logger("sidecar")
 
+CONFIGURATION_KIND = "configuration"
+CONFIGURATION_NAME = "fleet"
+PLATFORM_RETRY_S = 1.0
 STATUS_INTERVAL_S = 0.5
 SWEEP_INTERVAL_S = 5.0
 
@@ -49,6 +53,9 @@
         task_group.start_soon(follow_cache, state)
         task_group.start_soon(run_gossip, state.gossip, platform, settings.peers)
         task_group.start_soon(_sweep_executions, state)
+        task_group.start_soon(
+            run_orders, state, platform, lambda: state.fleet.configuration
+        )
         warn_without_keys(state.inner_keys)
         async with http_server(app, settings.http):
             logger.info("ready", address=str(settings.inner))
