Schedule work at the sidecar: fair, short first, bounded, in time

Cause: the sidecar handed everything to the engine at once, so the engine's queue decided. One organisation could fill it, short work waited behind long, and followers of a prefix under way computed it again.

--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -43,6 +43,7 @@
         task_group.start_soon(listener.serve, partial(serve_session, state))
         task_group.start_soon(_watch_endpoint, state)
         task_group.start_soon(follow_cache, state)
+        task_group.start_soon(state.scheduling.run)
         task_group.start_soon(_sweep_executions, state)
         warn_without_keys(state.inner_keys)
         async with http_server(app, settings.http):
