Keep rate ceilings of organisations across the fleet by leases

Cause: nothing bounded what an organisation asks of the whole fleet, and no router sees more than its own part of it.

Change: limits/ keeps a ceiling at a home, a sidecar chosen by rendezvous hash. Routers ask before dispatch and get leases of one second at most, with what is left returned on the next request for a lease. While the home doesn't answer, a router uses its share of the ceiling. The ceiling travels in the message, so a home needs no configuration. Over the ceiling is 429 rate_limited, not run, with Retry-After.

Tests: the bound on overshoot holds over random splits; it breaks with whole shares in place of parts, and when a returned lease stays usable (669 passed against a bound of 642). Rows were added after mutants that survived: an expired lease, a double return, the priority of work without credit.

--- a/src/agatehoist/protocol/codec.py
+++ b/src/agatehoist/protocol/codec.py
@@ -7,7 +7,11 @@
 import msgpack
 
 from agatehoist.errors import UnknownNameError
-from agatehoist.protocol import attempt_messages, authentication  # noqa: F401
+from agatehoist.protocol import (  # noqa: F401
+    attempt_messages,
+    authentication,
+    limit_messages,
+)
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.protocol.messages import CODES_BY_TYPE, MESSAGES
 from agatehoist.protocol.strict import MAX_ARRAY_ITEMS, ItemCount, make_converter
--- a/src/agatehoist/router/directory.py
+++ b/src/agatehoist/router/directory.py
@@ -26,6 +26,14 @@
         """Take a new host list."""
         self.hosts_by_name = {entry.host: entry for entry in entries}
 
+    def live(self) -> tuple[Candidate, ...]:
+        """Return every live endpoint."""
+        return tuple(
+            Candidate(entry.host, entry.data_centre)
+            for entry in self.hosts_by_name.values()
+            if entry.state is HostState.LIVE
+        )
+
     def candidates(self, kind: str, serves: str) -> tuple[Candidate, ...]:
         """Return the live endpoints of a kind that serve the name."""
         return tuple(
--- a/src/agatehoist/sidecar/session.py
+++ b/src/agatehoist/sidecar/session.py
@@ -12,6 +12,7 @@
 from agatehoist.protocol.connection import Connection
 from agatehoist.protocol.errors import BadFrameError, ConnectionLostError, ProtocolError
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
+from agatehoist.sidecar import leasing  # noqa: F401
 from agatehoist.sidecar.handlers import HANDLERS
 
 if TYPE_CHECKING:
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -11,6 +11,7 @@
 from agatehoist.core.inflight import InFlight
 from agatehoist.endpoints.errors import EndpointError
 from agatehoist.endpoints.types import EndpointStatus
+from agatehoist.limits.home import CeilingHome
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
 from agatehoist.sidecar.scheduling import Scheduling
@@ -55,6 +56,7 @@
         self.cache_follower: CacheFollower | None = None
         self.scheduling = Scheduling(settings.endpoint, clock, self.picture.held_tokens)
         self.ledger = AttemptLedger()
+        self.ceilings = CeilingHome()
         self.executions_by_id: dict[AttemptId, Execution] = {}
 
     @property
