--- a/bench/capacity/placement.py
+++ b/bench/capacity/placement.py
@@ -4,6 +4,7 @@
 
 import random
 
+from agatehoist.core.clock import ManualClock
 from agatehoist.core.work import Priority
 from agatehoist.placement.levels import find_levels, salt_for
 from agatehoist.placement.policies import POLICIES
@@ -51,7 +52,7 @@
 
 def make_directory(runners: int) -> Directory:
     """Return a directory that lists so many engines."""
-    directory = Directory()
+    directory = Directory(ManualClock())
     directory.replace(
         HostEntry(
             f"host-{index}",
--- a/bench/capacity/sizes.py
+++ b/bench/capacity/sizes.py
@@ -20,7 +20,7 @@
     levels = find_levels(("v" * 120_000, "section", "who?"), salt_for("a", "m", "1"))
     probe = len(encode(Probe(1, "organisation", levels, 30_000, Priority.LONG, 1e9)))
     identity = EndpointIdentity(new_incarnation(), new_incarnation(), "12")
-    reply = len(encode(ProbeReply(1, identity, 30_000, 0.1, False)))
+    reply = len(encode(ProbeReply(1, identity, 30_000, 0.1, True, False)))
     print(f"\nprobe with {len(levels)} levels {probe} B, reply {reply} B")
     for role, probes_per_s in (
         ("router", REQUESTS_PER_S_OF_A_ROUTER * PROBE_COUNT),
--- a/bench/replay/run.py
+++ b/bench/replay/run.py
@@ -267,4 +267,4 @@
 
 
 _IDENTITY = EndpointIdentity("0" * 16, "0" * 16, "1")
-_REPLY_BYTES = len(encode(ProbeReply(1 << 20, _IDENTITY, 1 << 14, 0.5, False)))
+_REPLY_BYTES = len(encode(ProbeReply(1 << 20, _IDENTITY, 1 << 14, 0.5, True, False)))
--- a/src/agatehoist/protocol/messages.py
+++ b/src/agatehoist/protocol/messages.py
@@ -57,12 +57,16 @@
 @message(3)
 @dataclass(frozen=True, slots=True)
 class ProbeReply:
-    """Answer a probe; times are in seconds."""
+    """Answer a probe; times are in seconds.
+
+    An endpoint that isn't ready may soon be again; one that leaves will not.
+    """
 
     probe_id: int
     identity: EndpointIdentity
     matched_tokens: int
     ttft_estimate: float
+    ready: bool
     leaving: bool
 
 
@@ -75,6 +79,7 @@
     identity: EndpointIdentity
     priority: Priority
     deadline: float
+    weight: float = 1.0
 
 
 @message(4)
--- a/src/agatehoist/router/probing.py
+++ b/src/agatehoist/router/probing.py
@@ -15,6 +15,7 @@
     from collections.abc import Sequence
 
     from agatehoist.placement.types import Candidate, Question
+    from agatehoist.protocol.messages import ProbeReply
     from agatehoist.router.state import RouterState
 
 logger = get_logger("router")
@@ -30,43 +31,65 @@
     deadline: float,
 ) -> tuple[Offer, ...]:
     """Return the offers that came in time, in the order of the candidates."""
-    offers_by_host: dict[str, Offer] = {}
-    answered: set[str] = set()
+    replies_by_host: dict[str, ProbeReply] = {}
 
-    async def probe_one(candidate: Candidate) -> None:
-        state.suspects.begin_probe(candidate.host, state.clock.now())
+    async def probe_one(host: str) -> None:
+        state.suspects.begin_probe(host, state.clock.now())
         try:
-            link = await state.links.get(candidate.host)
-            probe = Probe(
-                link.next_probe_id(),
-                organisation,
-                question.levels,
-                question.prompt_tokens,
-                question.priority,
-                deadline,
-            )
-            reply = await link.probe(probe)
+            reply = await _probe(state, host, question, organisation, deadline)
         except ProtocolError as error:
-            logger.info("no offer", host=candidate.host, reason=str(error))
-            state.suspects.note_silence(candidate.host, state.clock.now())
+            logger.info("no offer", host=host, reason=str(error))
+            state.suspects.note_silence(host, state.clock.now())
             return
-        answered.add(candidate.host)
-        state.suspects.note_answer(candidate.host)
-        if reply.leaving:
-            state.directory.note_leaving(candidate.host)
-        else:
-            offers_by_host[candidate.host] = Offer(
-                candidate, reply.identity, reply.matched_tokens, reply.ttft_estimate
-            )
+        state.suspects.note_answer(host)
+        replies_by_host[host] = reply
 
     with anyio.move_on_after(PROBE_TIMEOUT_S) as scope:
         async with anyio.create_task_group() as task_group:
             for each in candidates:
-                task_group.start_soon(probe_one, each)
+                task_group.start_soon(probe_one, each.host)
     if scope.cancelled_caught:
         for each in candidates:
-            if each.host not in answered:
+            if each.host not in replies_by_host:
                 state.suspects.note_silence(each.host, state.clock.now())
-    return tuple(
-        offers_by_host[each.host] for each in candidates if each.host in offers_by_host
+    return _offers(state, candidates, replies_by_host)
+
+
+async def _probe(
+    state: RouterState,
+    host: str,
+    question: Question,
+    organisation: str,
+    deadline: float,
+) -> ProbeReply:
+    link = await state.links.get(host)
+    probe = Probe(
+        link.next_probe_id(),
+        organisation,
+        question.levels,
+        question.prompt_tokens,
+        question.priority,
+        deadline,
     )
+    return await link.probe(probe)
+
+
+def _offers(
+    state: RouterState,
+    candidates: Sequence[Candidate],
+    replies_by_host: dict[str, ProbeReply],
+) -> tuple[Offer, ...]:
+    offers = []
+    for candidate in candidates:
+        reply = replies_by_host.get(candidate.host)
+        if reply is None:
+            continue
+        if reply.leaving:
+            state.directory.note_leaving(candidate.host)
+        elif reply.ready:
+            offers.append(
+                Offer(
+                    candidate, reply.identity, reply.matched_tokens, reply.ttft_estimate
+                )
+            )
+    return tuple(offers)
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -29,9 +29,6 @@
 
 logger = get_logger("sidecar")
 
-CONFIGURATION_KIND = "configuration"
-CONFIGURATION_NAME = "fleet"
-PLATFORM_RETRY_S = 1.0
 STATUS_INTERVAL_S = 0.5
 SWEEP_INTERVAL_S = 5.0
 
@@ -52,6 +49,7 @@
         task_group.start_soon(_watch_endpoint, state)
         task_group.start_soon(follow_cache, state)
         task_group.start_soon(run_gossip, state.gossip, platform, settings.peers)
+        task_group.start_soon(state.scheduling.run)
         task_group.start_soon(_sweep_executions, state)
         task_group.start_soon(
             run_orders, state, platform, lambda: state.fleet.configuration
--- a/src/agatehoist/sidecar/handlers.py
+++ b/src/agatehoist/sidecar/handlers.py
@@ -44,8 +44,11 @@
         probe.probe_id,
         state.identity,
         matched_tokens,
-        state.load.ttft_estimate(missing_tokens),
-        not state.ready,
+        state.scheduling.ttft_estimate(
+            missing_tokens, probe.organisation, probe.priority, probe.levels
+        ),
+        state.ready,
+        state.leaving,
     )
     await session.send(reply)
 
--- a/tests/test_router/test_placing.py
+++ b/tests/test_router/test_placing.py
@@ -9,6 +9,7 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.core.clock import ManualClock
 from agatehoist.core.identity import EndpointIdentity
 from agatehoist.core.work import Priority
 from agatehoist.placement.policies import POLICIES
@@ -36,7 +37,7 @@
 class PlacingTests(unittest.TestCase):
     @parameterized.expand(ANSWERS)
     def test_region(self, _name: str, answering: set[str], expected: set[str]) -> None:
-        directory = Directory()
+        directory = Directory(ManualClock())
         directory.replace(
             entry(f"{side}-{index}", region)
             for side, region in (("near", "coast"), ("far", "prairie"))
