Prove outcomes on processes: component, moment and fault

Found and mended: two routers that read one answer cut each other off; two callers of one key in one router shared a subscription and one hung until its deadline; a gone sidecar held a booking until its deadline; a silent engine held its streams. A resume of an answer that another request reads now ends that other one with `answer_taken`.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -53,6 +53,7 @@
 
 MAX_PLACEMENTS = 6
 MAX_RESUMES = 2
+MAX_RESUMES_OF_CALL = 10
 RETRY_DELAY_S = 1.0
 
 EVENT_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt event")
@@ -251,7 +252,9 @@
     def _resume(self, now: float) -> Decisions:
         assert self.target is not None
         self._resumes += 1
-        if self._resumes > MAX_RESUMES and self.rules.idempotent:
+        # What can't be repeated is worth a longer wait for its outcome.
+        limit = MAX_RESUMES if self.rules.idempotent else MAX_RESUMES_OF_CALL
+        if self._resumes > limit:
             cancelled = self._cancel_current()
             lost = OutcomeUnknown.refuse("the sidecar isn't reached any more")
             return (*cancelled, *self._give_up_attempt(lost.refusal, now))
--- a/src/agatehoist/protocol/link.py
+++ b/src/agatehoist/protocol/link.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from agatehoist.core.identity import AttemptId
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import DROPPED_FRAMES_TOTAL
 from agatehoist.protocol.attempt_messages import Ping, Pong
@@ -20,7 +21,8 @@
     NotWrittenError,
     ProtocolError,
 )
-from agatehoist.protocol.messages import Probe, ProbeReply
+from agatehoist.protocol.messages import Probe, ProbeReply, Refused
+from agatehoist.refusals.kinds import AnswerTaken
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,7 +30,6 @@
     from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-    from agatehoist.core.identity import AttemptId
     from agatehoist.protocol.authentication import KeyRing
     from agatehoist.protocol.connection import Connection
     from agatehoist.protocol.messages import Hello
@@ -68,17 +69,25 @@
     def subscribe(
         self, key: AttemptId | int
     ) -> Iterator[MemoryObjectReceiveStream[Any]]:
-        """Give the stream of messages for an attempt or a probe."""
+        """Give the stream of messages for an attempt or a probe.
+
+        An earlier subscriber of the same attempt gets a refusal.
+        """
         sink, source = anyio.create_memory_object_stream[Any](math.inf)
         if self.closed:
             sink.close()
+        earlier = self._sinks_by_key.get(key)
+        if earlier is not None and isinstance(key, AttemptId):
+            taken = AnswerTaken.refuse("the answer is read by another request")
+            earlier.send_nowait(Refused(key, taken.refusal))
         self._sinks_by_key[key] = sink
         try:
             with source:
                 yield source
         finally:
             sink.close()
-            self._sinks_by_key.pop(key, None)
+            if self._sinks_by_key.get(key) is sink:
+                del self._sinks_by_key[key]
 
     async def send(self, message: object) -> None:
         """Send one message.
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -208,6 +208,15 @@
     run = Run.UNKNOWN
 
 
+@refusal
+class AnswerTaken(RefusalKind):
+    """Another request has resumed the same answer."""
+
+    code = "answer_taken"
+    status = Status.CONFLICT
+    run = Run.YES
+
+
 @refusal
 class InternalFault(RefusalKind):
     """The router failed at a request."""
@@ -254,4 +263,6 @@
 
 
 # Another endpoint would answer the same.
-FINAL_CODES = frozenset({DeadlineExceeded.code, EndpointRejected.code})
+FINAL_CODES = frozenset(
+    {AnswerTaken.code, DeadlineExceeded.code, EndpointRejected.code}
+)
--- a/src/agatehoist/router/keyed_calls.py
+++ b/src/agatehoist/router/keyed_calls.py
@@ -19,6 +19,7 @@
     make_outcome,
 )
 from agatehoist.claims.errors import ClaimTakenError
+from agatehoist.claims.store import WRITE_TIMEOUT_S
 from agatehoist.claims.types import Claim, ClaimState, Dispatch, StoredClaim
 from agatehoist.core.identity import new_incarnation
 from agatehoist.core.work import Run
@@ -27,7 +28,9 @@
 from agatehoist.platform.errors import PlatformError
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import (
+    AnswerTimeout,
     ClaimUnavailable,
+    EndpointFailed,
     KeyInUse,
     KeyReused,
     NotStarted,
@@ -45,6 +48,7 @@
 logger = get_logger("claims")
 
 CLAIM_RETENTION_S = 86_400.0
+FOLLOW_DELAY_S = 0.05
 FOLLOW_TIMEOUT_S = 5.0
 STORE_TIMEOUT_S = 10.0
 STORE_WAIT_S = 1.0
@@ -56,7 +60,12 @@
 
     Raises RequestRefusedError.
     """
-    return await KeyedCall(state, request).run()
+    keyed = KeyedCall(state, request)
+    lock = state.claim_locks_by_name.setdefault(keyed.name, anyio.Lock())
+    with anyio.move_on_after(max(0, request.deadline - state.clock.now())):
+        async with lock:
+            return await keyed.run()
+    raise KeyInUse.refuse("the first call with the key hasn't ended")
 
 
 class KeyedCall:
@@ -66,7 +75,7 @@
         assert request.key is not None
         self._state = state
         self._request = request
-        self._name = claim_name(request.organisation, request.service, request.key)
+        self.name = claim_name(request.organisation, request.service, request.key)
         self._digest = digest_work(request.work)
         self._owner = new_incarnation()
         self._version = 0
@@ -112,7 +121,7 @@
             Dispatch(target, self._request.deadline),
         )
         try:
-            written = await self._state.claims.write(self._name, claim, self._version)
+            written = await self._state.claims.write(self.name, claim, self._version)
         except PlatformError as error:
             retry_at = self._state.clock.now() + RETRY_DELAY_S
             raise ClaimUnavailable.refuse(str(error), retry_at) from error
@@ -127,7 +136,7 @@
         assert self._claim is not None
         free = replace(self._claim, state=ClaimState.FREE)
         try:
-            await self._state.claims.write(self._name, free, self._version)
+            await self._state.claims.write(self.name, free, self._version)
         except PlatformError as failure:
             logger.warning("claim not released", reason=str(failure))
             # Whoever withdrew the attempt may be running the call.
@@ -148,6 +157,8 @@
         return await self._follow(decision, found)
 
     async def _follow(self, follow: Follow, found: StoredClaim) -> CallAnswer | None:
+        # A resume that overtakes the submit of the claim's owner would withdraw it.
+        await anyio.sleep(FOLLOW_DELAY_S)
         now = self._state.clock.now()
         deadline = min(self._request.deadline, now + FOLLOW_TIMEOUT_S)
         request = replace(self._request, deadline=deadline)
@@ -161,20 +172,25 @@
                 # The sidecar never started the attempt and never will.
                 self._version = found.version
                 return None
-            return await self._wait_for_owner(dispatch, found)
+            if error.refusal.code == EndpointFailed.code:
+                raise
+            return await self._wait_for_owner(dispatch, found, error)
         await self._store(found.claim, found.version, answer)
         return answer
 
     async def _wait_for_owner(
-        self, dispatch: Dispatch, found: StoredClaim
+        self, dispatch: Dispatch, found: StoredClaim, error: RequestRefusedError
     ) -> CallAnswer | None:
         """Wait until the router that made the call has stored its outcome."""
         until = min(dispatch.deadline, self._request.deadline)
+        if error.refusal.code != AnswerTimeout.code:
+            # The sidecar can give nothing; only a write in flight may still come.
+            until = min(until, self._state.clock.now() + WRITE_TIMEOUT_S)
         with anyio.move_on_after(max(0, until - self._state.clock.now())):
             try:
                 while True:
                     changed = await self._state.claims.wait_past(
-                        self._name, found.version
+                        self.name, found.version
                     )
                     if changed is not None:
                         raise ClaimTakenError(changed)
@@ -200,7 +216,7 @@
         with self._state.in_flight.track():
             try:
                 await self._state.claims.write(
-                    self._name, claim, version, STORE_TIMEOUT_S
+                    self.name, claim, version, STORE_TIMEOUT_S
                 )
             except PlatformError as error:
                 logger.warning("outcome not stored", reason=str(error))
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from typing import TYPE_CHECKING
+from weakref import WeakValueDictionary
 
 from agatehoist.attempts.budget import RetryBudget
 from agatehoist.attempts.suspicion import Suspects
@@ -23,6 +24,7 @@
 from agatehoist.router.links import LinkPool
 
 if TYPE_CHECKING:
+    import anyio
     from anyio.abc import TaskGroup
 
     from agatehoist.core.clock import Clock
@@ -44,6 +46,9 @@
         self.clock = clock
         self.task_group = task_group
         self.claims = ClaimStore(platform)
+        self.claim_locks_by_name: WeakValueDictionary[str, anyio.Lock] = (
+            WeakValueDictionary()
+        )
         self.incarnation = new_incarnation()
         self.rng = random.Random(self.incarnation)
         self.directory = Directory(clock)
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -18,11 +19,13 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.platform.client import PlatformClient
 from agatehoist.protocol.connection import warn_without_keys
+from agatehoist.protocol.messages import Refused
+from agatehoist.refusals.kinds import EndpointFailed
 from agatehoist.sidecar import gossiping  # noqa: F401
 from agatehoist.sidecar.cache_events import follow_cache
 from agatehoist.sidecar.orders import run_orders
 from agatehoist.sidecar.session import serve_session
-from agatehoist.sidecar.state import SidecarState
+from agatehoist.sidecar.state import UNKNOWN_STATUS, SidecarState
 
 if TYPE_CHECKING:
     from agatehoist.settings.types import SidecarSettings
@@ -33,6 +36,7 @@
 CONFIGURATION_NAME = "fleet"
 PLATFORM_RETRY_S = 1.0
 STATUS_INTERVAL_S = 0.5
+ENDPOINT_SILENCE_S = 1.5
 SWEEP_INTERVAL_S = 5.0
 
 
@@ -74,11 +78,26 @@
 
 
 async def _watch_endpoint(state: SidecarState) -> None:
+    fail_at = math.inf
     while True:
         await state.refresh_status()
+        now = state.clock.now()
+        is_lost = state.status is UNKNOWN_STATUS
+        fail_at = min(fail_at, now + ENDPOINT_SILENCE_S) if is_lost else math.inf
+        if now >= fail_at:
+            _fail_executions(state)
         await anyio.sleep(STATUS_INTERVAL_S)
 
 
+def _fail_executions(state: SidecarState) -> None:
+    """End the attempts on a silent endpoint, so that others can take them over."""
+    refusal = EndpointFailed.refuse("the endpoint is silent").refusal
+    for attempt_id, execution in state.executions_by_id.items():
+        if execution.ending is None:
+            execution.finish(Refused(attempt_id, refusal))
+            execution.scope.cancel()
+
+
 async def _sweep_executions(state: SidecarState) -> None:
     while True:
         await anyio.sleep(SWEEP_INTERVAL_S)
--- a/src/agatehoist/sidecar/execution.py
+++ b/src/agatehoist/sidecar/execution.py
@@ -19,6 +19,16 @@
 MAX_AHEAD_TOKENS = 2 * WINDOW_TOKENS
 
 
+class Reader:
+    """Track how far one session has sent an answer and how far it may."""
+
+    def __init__(self, first: int) -> None:
+        self.sent = first
+        self.window_until = first + WINDOW_TOKENS
+        self.attached = True
+        self.acknowledged = False
+
+
 class Execution:
     """Collect the answer of an attempt and wake those who read it.
 
@@ -32,13 +42,10 @@
         self.scope = anyio.CancelScope()
         self.started = False
         self.prefill: Prefill | None = None
-        self.acknowledged = False
         self.orphaned_until = deadline
         self.kept_until = math.inf
         self._first = first
-        self._reader = 0
-        self._sent = first
-        self._window_until = first
+        self._readers_by_session: dict[object, Reader] = {}
         self._changed = anyio.Event()
 
     @property
@@ -62,25 +69,25 @@
             self.ending = ending
             self._notify()
 
-    def attach(self, first: int) -> int:
-        """Take a reader from a token on, which ends any earlier one."""
-        self._reader += 1
-        self._sent = first
-        self._window_until = first + WINDOW_TOKENS
+    def attach(self, session: object, first: int) -> Reader:
+        """Take a reader from a token on, which ends the session's earlier one."""
+        earlier = self._readers_by_session.get(session)
+        if earlier is not None:
+            earlier.attached = False
+        reader = Reader(first)
+        self._readers_by_session[session] = reader
         self.orphaned_until = math.inf
         self._notify()
-        return self._reader
+        return reader
 
-    def detach(self, reader: int, orphaned_until: float) -> None:
+    def detach(self, session: object, reader: Reader, orphaned_until: float) -> None:
         """Note that a reader has gone; work that nobody reads has a time limit."""
-        if reader == self._reader:
-            self._reader += 1
+        reader.attached = False
+        if self._readers_by_session.get(session) is reader:
+            del self._readers_by_session[session]
+        if not self._readers_by_session:
             self.orphaned_until = orphaned_until
-            self._notify()
-
-    def is_attached(self, reader: int) -> bool:
-        """Say whether a reader is still the latest one."""
-        return reader == self._reader
+        self._notify()
 
     def is_abandoned(self, now: float) -> bool:
         """Say whether nobody has read the answer for too long."""
@@ -91,38 +98,42 @@
         latest = min(self.kept_until, self.deadline + EXECUTION_RETENTION_S)
         return self.ending is not None and latest < now
 
-    def open_window(self, until: int) -> None:
-        """Allow the reader tokens up to an index."""
-        self._window_until = max(self._window_until, until)
-        self._notify()
+    def open_window(self, session: object, until: int) -> None:
+        """Allow the reader of a session tokens up to an index."""
+        reader = self._readers_by_session.get(session)
+        if reader is not None:
+            reader.window_until = max(reader.window_until, until)
+            self._notify()
 
-    def acknowledge(self) -> None:
-        """Note that the ending has arrived."""
-        self.acknowledged = True
-        self._notify()
+    def acknowledge(self, session: object) -> None:
+        """Note that the ending has arrived at the reader of a session."""
+        reader = self._readers_by_session.get(session)
+        if reader is not None:
+            reader.acknowledged = True
+            self._notify()
 
-    async def wait_sendable(self, reader: int, first: int) -> int:
+    async def wait_sendable(self, reader: Reader, first: int) -> int:
         """Return the index up to which tokens from first on may be sent.
 
         Return first itself once the reader may have the ending or is detached.
         """
-        self._sent = max(self._sent, first)
+        reader.sent = max(reader.sent, first)
         self._notify()
-        while self.is_attached(reader):
-            until = min(len(self.texts), self._window_until)
+        while reader.attached:
+            until = min(len(self.texts), reader.window_until)
             if until > first or self._ended_at(first):
                 return until
             await self._changed.wait()
         return first
 
-    async def wait_acknowledged(self, reader: int) -> None:
+    async def wait_acknowledged(self, reader: Reader) -> None:
         """Wait until the ending has arrived or the reader is detached."""
-        while not self.acknowledged and self.is_attached(reader):
+        while reader.attached and not reader.acknowledged:
             await self._changed.wait()
 
     async def wait_room(self) -> None:
-        """Wait until an attached reader is near enough for more tokens."""
-        while self._is_read() and len(self.texts) - self._sent >= MAX_AHEAD_TOKENS:
+        """Wait until the furthest reader, if any, is near enough for more tokens."""
+        while self._unread_tokens() >= MAX_AHEAD_TOKENS:
             await self._changed.wait()
 
     async def wait_first_token(self) -> None:
@@ -130,8 +141,9 @@
         while not self.has_tokens and self.ending is None:
             await self._changed.wait()
 
-    def _is_read(self) -> bool:
-        return self.orphaned_until == math.inf
+    def _unread_tokens(self) -> int:
+        sent = [each.sent for each in self._readers_by_session.values()]
+        return len(self.texts) - max(sent) if sent else 0
 
     def _ended_at(self, first: int) -> bool:
         return self.ending is not None and first >= len(self.texts)
--- a/src/agatehoist/sidecar/handlers.py
+++ b/src/agatehoist/sidecar/handlers.py
@@ -94,7 +94,7 @@
     """Allow more tokens of an answer."""
     execution = session.state.executions_by_id.get(window.attempt_id)
     if execution is not None:
-        execution.open_window(window.until)
+        execution.open_window(session, window.until)
 
 
 @HANDLERS.register(Acknowledge)
@@ -102,7 +102,7 @@
     """Note that an answer has arrived whole."""
     execution = session.state.executions_by_id.get(message.attempt_id)
     if execution is not None:
-        execution.acknowledge()
+        execution.acknowledge(session)
 
 
 @HANDLERS.register(Ping)
--- a/src/agatehoist/sidecar/streaming.py
+++ b/src/agatehoist/sidecar/streaming.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from agatehoist.core.identity import AttemptId
-    from agatehoist.sidecar.execution import Execution
+    from agatehoist.sidecar.execution import Execution, Reader
     from agatehoist.sidecar.session import Session
     from agatehoist.sidecar.state import SidecarState
 
@@ -30,13 +30,13 @@
     that stops doesn't cut off what is still on its way.
     """
     state = session.state
-    reader = execution.attach(first)
+    reader = execution.attach(session, first)
     try:
         with state.in_flight.track():
             await _send_all(session, attempt_id, execution, reader, first)
     finally:
         now = state.clock.now()
-        execution.detach(reader, now + ORPHAN_TIMEOUT_S)
+        execution.detach(session, reader, now + ORPHAN_TIMEOUT_S)
         if execution.ending is not None:
             execution.kept_until = now + EXECUTION_RETENTION_S
 
@@ -54,12 +54,12 @@
     session: Session,
     attempt_id: AttemptId,
     execution: Execution,
-    reader: int,
+    reader: Reader,
     first: int,
 ) -> None:
     while True:
         until = await execution.wait_sendable(reader, first)
-        if not execution.is_attached(reader):
+        if not reader.attached:
             return
         if until <= first:
             break
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,6 +29,7 @@
 BINARY_VARIABLE = "AGATEHOIST_BINARY"
 MODEL = "songs-8b"
 SERVICE = "ledger"
+JOURNAL_FILE = "runs.txt"
 ARCHIVE_KEY = "archive-key"
 COOPERATIVE_KEY = "cooperative-key"
 OPERATOR_KEY = "operator-key"
@@ -83,6 +84,14 @@
         process.kill()
         process.wait(STOP_TIMEOUT_S)
 
+    def freeze(self, name: str) -> None:
+        """Suspend a process."""
+        self.processes_by_name[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a suspended process go on."""
+        self.processes_by_name[name].send_signal(signal.SIGCONT)
+
     def stop_all(self) -> dict[str, int]:
         """Stop routers first, then sidecars, then stand-ins."""
         statuses_by_name = {}
@@ -202,8 +211,11 @@
         port = str(fleet.ports_by_name[name])
         kind = name.partition("-")[0]
         weights = ("--weights", fleet.url("platform"))
-        is_engine = kind == "engine"
-        options = ("--model", MODEL, *weights, *engine_options) if is_engine else ()
+        options_by_kind = {
+            "engine": ("--model", MODEL, *weights, *engine_options),
+            "service": ("--journal", str(fleet.folder / JOURNAL_FILE)),
+        }
+        options = options_by_kind.get(kind, ())
         fleet.start(name, f"standins.{kind}", "--port", port, *options)
     for name in names:
         path = {"platform": "/calls", "engine": "/status", "service": "/runs"}
--- a/standins/service/__main__.py
+++ b/standins/service/__main__.py
@@ -8,9 +8,9 @@
 from standins.serving import serve
 
 
-def main(port: int) -> None:
-    """Serve the service on a port."""
-    serve(make_app(), port)
+def main(port: int, journal: str = "") -> None:
+    """Serve the service on a port; the journal gets a line for each run."""
+    serve(make_app(journal), port)
 
 
 if __name__ == "__main__":
--- a/standins/service/app.py
+++ b/standins/service/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import anyio
@@ -17,7 +18,8 @@
 class Service:
     """Answer lookups and bookings."""
 
-    def __init__(self) -> None:
+    def __init__(self, journal: str) -> None:
+        self._journal = Path(journal) if journal else None
         self.runs_by_reference: collections.Counter[str] = collections.Counter()
 
     async def look_up(self, request: Request) -> Response:
@@ -29,19 +31,26 @@
         """Run a non-idempotent booking."""
         fields = await request.json()
         reference = str(fields["reference"])
-        self.runs_by_reference[reference] += 1
+        self._note_run(reference)
         await anyio.sleep(float(fields.get("delay", 0)))
         runs = self.runs_by_reference[reference]
         return JSONResponse({"reference": reference, "runs": runs}, 201)
 
+    def _note_run(self, reference: str) -> None:
+        self.runs_by_reference[reference] += 1
+        if self._journal is not None:
+            # Outlives the process, so that it can be the judge of double runs.
+            with self._journal.open("a", encoding="utf-8") as file:
+                file.write(f"{reference}\n")
+
     async def list_runs(self, _request: Request) -> Response:
         """Answer with the number of runs by reference."""
         return JSONResponse(dict(self.runs_by_reference))
 
 
-def make_app() -> Starlette:
+def make_app(journal: str = "") -> Starlette:
     """Return the ASGI application of the service."""
-    service = Service()
+    service = Service(journal)
     return Starlette(
         routes=[
             Route("/cards/{card}", service.look_up),
