--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench
+.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts
 
 env: $(VENV)/.made
 
@@ -45,3 +45,6 @@
 	AGATEHOIST_SCHEDULES=20000 AGATEHOIST_FIRST_SEED=1000000 $(PYTHON) -m tools.run_tests tests.test_attempts.test_schedules
 fuzz: env
 	FUZZ_PROFILE=long $(PYTHON) -m unittest discover -s tests/test_fuzz -t .
+
+bench-attempts: env
+	$(PYTHON) -m bench.attempts
--- /dev/null
+++ b/tests/test_claims/test_store.py
@@ -0,0 +1,112 @@
+"""Tests of the claims."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from typing import Any
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.attempts.types import Target
+from agatehoist.claims.decisions import (
+    MAX_OUTCOME_BYTES,
+    Follow,
+    Replay,
+    Reused,
+    Take,
+    claim_name,
+    digest_work,
+    judge,
+    make_outcome,
+)
+from agatehoist.claims.errors import ClaimTakenError
+from agatehoist.claims.store import ClaimStore
+from agatehoist.claims.types import Claim, ClaimState, Dispatch, StoredClaim
+from agatehoist.core.identity import AttemptId
+from agatehoist.core.work import CallWork
+from agatehoist.platform.errors import ConflictError, PlatformUnavailableError
+from agatehoist.platform.types import StoredObject
+
+DISPATCH = Dispatch(Target(AttemptId("r", 1), "host", "s"), 60.0)
+RUNNING = Claim("owner", "digest", ClaimState.RUNNING, 100.0, DISPATCH)
+OUTCOME = make_outcome("host", 201, {}, b"done")
+DONE = replace(RUNNING, state=ClaimState.DONE, outcome=OUTCOME)
+FREE = replace(RUNNING, state=ClaimState.FREE)
+
+JUDGEMENTS = [
+    ("running", RUNNING, "digest", 50.0, Follow(DISPATCH)),
+    ("done", DONE, "digest", 50.0, Replay(OUTCOME)),
+    ("free", FREE, "digest", 50.0, Take(7)),
+    ("free_other_body", FREE, "other", 50.0, Take(7)),
+    ("running_other_body", RUNNING, "other", 50.0, Reused()),
+    ("done_other_body", DONE, "other", 50.0, Reused()),
+    ("expired", DONE, "other", 100.0, Take(7)),
+]
+
+WORK = CallWork("POST", "/bookings", {}, b"body")
+OTHER_WORK = [
+    ("method", replace(WORK, method="PUT")),
+    ("path", replace(WORK, path="/bookings?x=1")),
+    ("body", replace(WORK, body=b"other")),
+]
+
+
+class FakePlatform:
+    """Hold one object and lose the answers of some writes."""
+
+    def __init__(self, lost: int) -> None:
+        self.lost = lost
+        self.writes = 0
+        self.stored: StoredObject | None = None
+
+    async def put(
+        self, kind: str, name: str, value: Any, version: int, _purpose: object
+    ) -> StoredObject:
+        self.writes += 1
+        if version != (self.stored.version if self.stored else 0):
+            raise ConflictError(name)
+        self.stored = StoredObject(kind, name, version + 1, value)
+        if self.lost:
+            self.lost -= 1
+            raise PlatformUnavailableError("answer lost")
+        return self.stored
+
+    async def get(self, _kind: str, _name: str, _purpose: object) -> StoredObject:
+        assert self.stored is not None
+        return self.stored
+
+
+class ClaimTests(unittest.TestCase):
+    @parameterized.expand(JUDGEMENTS)
+    def test_judgement(
+        self, _name: str, claim: Claim, digest: str, now: float, expected: object
+    ) -> None:
+        self.assertEqual(judge(StoredClaim(7, claim), digest, now), expected)
+
+    @parameterized.expand([("answered", 0, 1), ("lost", 1, 2)])
+    def test_own_write_is_known_again(self, _name: str, lost: int, writes: int) -> None:
+        platform = FakePlatform(lost)
+        store = ClaimStore(platform)  # type: ignore[arg-type]
+        self.assertEqual(anyio.run(store.write, "name", RUNNING, 0), 1)
+        self.assertEqual(platform.writes, writes)
+
+    def test_write_of_another_owner(self) -> None:
+        store = ClaimStore(FakePlatform(0))  # type: ignore[arg-type]
+        anyio.run(store.write, "name", RUNNING, 0)
+        with self.assertRaises(ClaimTakenError) as caught:
+            anyio.run(store.write, "name", replace(RUNNING, owner="other"), 0)
+        self.assertEqual(caught.exception.found, StoredClaim(1, RUNNING))
+
+    @parameterized.expand(OTHER_WORK)
+    def test_digest_tells_requests_apart(self, _name: str, other: CallWork) -> None:
+        self.assertNotEqual(digest_work(WORK), digest_work(other))
+
+    def test_name_binds_organisation_service_and_key(self) -> None:
+        names = {claim_name("a", "b", "c"), claim_name("ab", "", "c")}
+        names |= {claim_name("a", "x", "c"), claim_name("a", "b", "x")}
+        self.assertEqual(len(names), 4)
+
+    def test_outcome_over_the_limit_keeps_no_body(self) -> None:
+        self.assertIsNone(make_outcome("h", 201, {}, b"x" * MAX_OUTCOME_BYTES).body)
--- /dev/null
+++ b/tests/test_frontend/test_resuming.py
@@ -0,0 +1,35 @@
+"""Tests of the points from which callers resume."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.attempts.types import Target
+from agatehoist.core.identity import AttemptId
+from agatehoist.frontend.resuming import ResumePoint, decode_point, encode_point
+from agatehoist.refusals import RequestRefusedError
+
+POINT = ResumePoint(Target(AttemptId("r1", 7), "host-1", "s1"), 1234.5, 42)
+
+
+class ResumingTests(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        self.assertEqual(decode_point(encode_point(POINT)), POINT)
+
+    @parameterized.expand(
+        [
+            ("empty", ""),
+            ("no_base64", "!!"),
+            ("cut_off", encode_point(POINT)[:-4]),
+            ("longer", encode_point(POINT) + "AAAA"),
+            ("no_list", "AAAA"),
+            ("wrong_types", "lgECAwQFBg"),
+            ("too_long", "A" * 5000),
+        ]
+    )
+    def test_bad_point_is_refused(self, _name: str, text: str) -> None:
+        with self.assertRaises(RequestRefusedError) as caught:
+            decode_point(text)
+        self.assertEqual(caught.exception.refusal.code, "invalid_parameter")
--- a/tests/test_whole/test_failures.py
+++ b/tests/test_whole/test_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import tempfile
 import threading
 import time
@@ -280,6 +281,40 @@
         )
         self.assertEqual(theirs.json()["error"]["code"], "answer_not_kept")
 
+    def test_half_the_fleet_restarts(self) -> None:
+        texts_by_name: dict[str, str] = {}
+        begun = threading.Barrier(9)
+
+        def read(name: str, router: int) -> None:
+            text = ""
+            for _, _, piece in self._stream(router, name, {}):
+                if not text:
+                    begun.wait(WAIT_S)
+                text += piece or ""
+                done = piece is None
+            texts_by_name[name] = text if done else "cut off"
+
+        readers = [
+            threading.Thread(target=read, args=(f"restart {index}", index % 2))
+            for index in range(8)
+        ]
+        for each in readers:
+            each.start()
+        begun.wait(WAIT_S)
+        leaving = ["router-1", "sidecar-engine-0"]
+        for name in leaving:
+            self.fleet.processes_by_name[name].send_signal(signal.SIGTERM)
+        late = self.client(0).post("/v1/completions", json=prompt("late"))
+        self.assertEqual(late.json()["choices"][0]["text"], expected_text("late"))
+        statuses = [self.fleet.wait(name) for name in leaving]
+        for each in readers:
+            each.join(WAIT_S)
+        for name in leaving:
+            self._start_again(name)
+        self.assertEqual(statuses, [0, 0])
+        expected = {f"restart {i}": expected_text(f"restart {i}") for i in range(8)}
+        self.assertEqual(texts_by_name, expected)
+
     def test_caller_that_leaves_frees_the_engine(self) -> None:
         for stream in (True, False):
             cancelled = self._total("cancelled")
