Decide when an import of cached blocks beats computing them

Cause: what every engine has evicted is computed again, and a prefix that spreads is computed again on each new host.

Change: cache/transfer.py names the source that saves most time, from matched tokens, latency, transfer rate and prefill rate, passes over other weights and leaves gains under 20 ms. The replay runs it with the other hosts asked and with a kept store as sources; the engine stand-in exports and imports blocks and refuses those of other weights.

The processes don't import yet: the store's interface isn't known.

--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -20,10 +20,12 @@
     policies: str = "",
     reports: str = "",
     speed: float = 1.0,
+    import_rate: float = 0.0,
 ) -> None:
     """Replay the named traces, or all, under the named policies, or all.
 
-    Above 1 the speed makes the same requests come closer together.
+    Above 1 the speed makes the same requests come closer together. The import rate
+    is in tokens a second; zero turns imports off.
     """
     names = _split(policies) or POLICIES.names()
     for trace_name in _split(traces):
@@ -34,7 +36,7 @@
             if reports and conditions.name != reports:
                 continue
             for name in names:
-                figures = Replay(trace, str(name), conditions).run()
+                figures = Replay(trace, str(name), conditions, import_rate).run()
                 print(format_row(str(name), conditions.name, figures), flush=True)
     print()
     print_decision_times("probe")
--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -84,6 +84,13 @@
         count = bisect.bisect_left(blocks, True, key=lambda each: not self._has(each))
         return count * BLOCK_TOKENS
 
+    def cached_tokens(self, blocks: Sequence[int]) -> int:
+        """Return the leading tokens that are cached."""
+        count = bisect.bisect_left(
+            blocks, True, key=lambda each: not self._cache.holds(each)
+        )
+        return count * BLOCK_TOKENS
+
     def tokens_ahead(self, priority: Priority) -> int:
         """Return the tokens to compute before a new job of the priority."""
         total = 0
@@ -92,6 +99,16 @@
                 total += self._missing(job, progress)
         return total
 
+    def import_blocks(self, blocks: tuple[int, ...]) -> None:
+        """Take blocks that another computed."""
+        self._store(blocks)
+
+    def _store(self, blocks: tuple[int, ...], computed_from: int = 0) -> None:
+        removed = self._cache.store(blocks)
+        self._sequence += 1
+        stored = blocks[computed_from:]
+        self.on_event(CacheEvent(self.epoch, self._sequence, stored, tuple(removed)))
+
     def listing(self) -> tuple[int, tuple[Any, ...]]:
         """Return the last event's number and the cached blocks."""
         return self._sequence, self._cache.blocks()
@@ -139,10 +156,7 @@
     def _finish_prefill(self, job: Job, cached_tokens: int) -> None:
         del self._jobs[job]
         self._pending_blocks.subtract(job.blocks)
-        stored = job.blocks[cached_tokens // BLOCK_TOKENS :]
-        removed = self._cache.store(job.blocks)
-        self._sequence += 1
-        self.on_event(CacheEvent(self.epoch, self._sequence, stored, tuple(removed)))
+        self._store(job.blocks, cached_tokens // BLOCK_TOKENS)
         run = self.run
         decode_s = job.answer_tokens / self._deployment.decode_tokens_per_s
         job.on_first_token(cached_tokens)
--- /dev/null
+++ b/bench/replay/imports.py
@@ -0,0 +1,78 @@
+"""Imports of cached blocks from the other hosts and from a kept store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.cache.transfer import Holder, TransferRates, plan_import
+from bench.replay.engine import BLOCK_TOKENS
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from agatehoist.cache.transfer import ImportPlan
+    from agatehoist.cache.types import CacheEvent
+    from agatehoist.placement.types import Offer
+    from bench.replay.node import ReplayNode
+    from bench.replay.trace import Deployment
+
+LATENCY_S = 0.01
+STORE = "store"
+
+
+class Imports:
+    """Plan imports by the product's rule; a rate of zero turns them off.
+
+    The store keeps every block that was ever computed, an upper bound.
+    """
+
+    def __init__(
+        self,
+        nodes_by_host: Mapping[str, ReplayNode],
+        deployment: Deployment,
+        tokens_per_s: float,
+    ) -> None:
+        self._nodes_by_host = nodes_by_host
+        self._stored: set[object] = set()
+        self._rates: TransferRates | None = None
+        if tokens_per_s:
+            self._rates = TransferRates(
+                LATENCY_S, tokens_per_s, deployment.prefill_tokens_per_s
+            )
+            for node in nodes_by_host.values():
+                node.on_stored = self._keep
+
+    def plan(
+        self, chosen: Offer, offers: Sequence[Offer], blocks: tuple[int, ...]
+    ) -> ImportPlan | None:
+        """Return the import that pays before a prompt runs where it was placed."""
+        if self._rates is None:
+            return None
+        holders = [_holder(each) for each in offers if each is not chosen]
+        weights_version = chosen.identity.weights_version
+        holders.append(Holder(STORE, weights_version, self._stored_tokens(blocks)))
+        return plan_import(_holder(chosen), holders, self._rates)
+
+    def exported(self, plan: ImportPlan, blocks: tuple[int, ...]) -> tuple[int, ...]:
+        """Return the leading blocks that the source really holds now."""
+        wanted = blocks[: plan.last_token // BLOCK_TOKENS]
+        if plan.source == STORE:
+            return wanted
+        source = self._nodes_by_host[plan.source]
+        held = source.engine.cached_tokens(wanted) if source.up else 0
+        return wanted[: held // BLOCK_TOKENS]
+
+    def _keep(self, event: CacheEvent) -> None:
+        self._stored.update(event.stored)
+
+    def _stored_tokens(self, blocks: tuple[int, ...]) -> int:
+        for index, block in enumerate(blocks):
+            if block not in self._stored:
+                return index * BLOCK_TOKENS
+        return len(blocks) * BLOCK_TOKENS
+
+
+def _holder(offer: Offer) -> Holder:
+    return Holder(
+        offer.candidate.host, offer.identity.weights_version, offer.matched_tokens
+    )
--- a/bench/replay/node.py
+++ b/bench/replay/node.py
@@ -60,6 +60,7 @@
         self.up = True
         self.engine = ReplayEngine(deployment, timeline)
         self.engine.on_event = self._receive_event
+        self.on_stored: Callable[[CacheEvent], None] = lambda _event: None
         self._prefill_tokens_per_s = deployment.prefill_tokens_per_s
         self._timeline = timeline
         self._conditions = conditions
@@ -160,6 +161,7 @@
         return self.engine.epoch
 
     def _receive_event(self, event: CacheEvent) -> None:
+        self.on_stored(event)
         if self._rng.random() < self._conditions.event_loss:
             return
 
--- a/bench/replay/run.py
+++ b/bench/replay/run.py
@@ -15,6 +15,7 @@
 from agatehoist.protocol.messages import Probe, ProbeReply
 from bench.replay.choosers import PERFECT_POLICIES, REPORT_POLICIES
 from bench.replay.engine import blocks_of
+from bench.replay.imports import Imports
 from bench.replay.measures import Measures
 from bench.replay.node import Conditions, Placed, ReplayNode
 from bench.replay.timeline import Timeline
@@ -55,7 +56,13 @@
 class Replay:
     """Place the requests of a trace on a virtual clock."""
 
-    def __init__(self, trace: Trace, policy: str, conditions: Conditions) -> None:
+    def __init__(
+        self,
+        trace: Trace,
+        policy: str,
+        conditions: Conditions,
+        import_tokens_per_s: float = 0.0,
+    ) -> None:
         self.decisions: list[Decision] = []
         self._trace = trace
         self._deployment = trace.deployment
@@ -69,6 +76,9 @@
             host: ReplayNode(host, self._deployment, self._timeline, conditions)
             for host in self._deployment.hosts
         }
+        self.imports = Imports(
+            self._nodes_by_host, self._deployment, import_tokens_per_s
+        )
         self._candidates = tuple(e.candidate for e in self._nodes_by_host.values())
 
     def run(self) -> Figures:
@@ -121,6 +131,7 @@
             request.priority,
             request.data_centre,
         )
+        self._offers: tuple[Offer, ...] = ()
         self._counted = False
         self._asked: tuple[Candidate, ...] = ()
 
@@ -188,6 +199,7 @@
         if more:
             self._probe(more, offers)
             return
+        self._offers = offers
         chosen = self._replay._policy.choose(self._question, offers)
         self._replay.decisions.append(self._decision(chosen))
         self._try(chosen)
@@ -215,17 +227,32 @@
         if not node.up or node.identity != offer.identity:
             self._try(others)
             return
-        node.submit(
-            Placed(
-                self._order,
-                self._request,
-                self._question,
-                self._blocks,
-                lambda cached_tokens: self._finish(offer, cached_tokens),
-                self._retry,
-            )
+        placed = Placed(
+            self._order,
+            self._request,
+            self._question,
+            self._blocks,
+            lambda cached_tokens: self._finish(offer, cached_tokens),
+            self._retry,
+        )
+        plan = self._replay.imports.plan(offer, self._offers, self._blocks)
+        if plan is None:
+            node.submit(placed)
+            return
+        blocks = self._replay.imports.exported(plan, self._blocks)
+        self._replay._timeline.after(
+            plan.duration_s, lambda: self._import(node, offer, blocks, placed)
         )
 
+    def _import(
+        self, node: ReplayNode, offer: Offer, blocks: tuple[int, ...], placed: Placed
+    ) -> None:
+        if not node.up or node.identity != offer.identity:
+            self._retry()
+            return
+        node.engine.import_blocks(blocks)
+        node.submit(placed)
+
     def _retry(self) -> None:
         self._replay._measures.retries += 1
         self._replay._timeline.after(RETRY_DELAY_S, self.place)
--- /dev/null
+++ b/src/agatehoist/cache/transfer.py
@@ -0,0 +1,62 @@
+"""Decision to import cached blocks instead of computing them again."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MIN_GAIN_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class TransferRates:
+    """Say how fast blocks arrive and how fast they are computed."""
+
+    latency_s: float
+    import_tokens_per_s: float
+    prefill_tokens_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Name who holds the first tokens of a prompt, and under which weights."""
+
+    name: str
+    weights_version: str
+    matched_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ImportPlan:
+    """Say from whom to import which tokens, and how long that takes."""
+
+    source: str
+    first_token: int
+    last_token: int
+    duration_s: float
+
+
+def plan_import(
+    own: Holder, holders: Iterable[Holder], rates: TransferRates
+) -> ImportPlan | None:
+    """Return the import that saves most time, or none if computing is as good.
+
+    Holders under other weights are passed over.
+    """
+    best: ImportPlan | None = None
+    best_gain_s = MIN_GAIN_S
+    for holder in holders:
+        if holder.weights_version != own.weights_version:
+            continue
+        tokens = holder.matched_tokens - own.matched_tokens
+        duration_s = rates.latency_s + tokens / rates.import_tokens_per_s
+        gain_s = tokens / rates.prefill_tokens_per_s - duration_s
+        if gain_s > best_gain_s:
+            best_gain_s = gain_s
+            best = ImportPlan(
+                holder.name, own.matched_tokens, holder.matched_tokens, duration_s
+            )
+    return best
--- a/src/agatehoist/cache/types.py
+++ b/src/agatehoist/cache/types.py
@@ -32,6 +32,14 @@
     blocks: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class KvExport:
+    """Hold the leading blocks of a prompt that an engine gave away."""
+
+    epoch: CacheEpoch
+    blocks: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PromptReport:
     """Hold what an answer reports about its prompt; blocks may be missing."""
--- a/src/agatehoist/endpoints/engine_cache.py
+++ b/src/agatehoist/endpoints/engine_cache.py
@@ -7,7 +7,7 @@
 
 import httpx
 
-from agatehoist.cache.types import BlockListing, CacheEpoch, CacheEvent
+from agatehoist.cache.types import BlockListing, CacheEpoch, CacheEvent, KvExport
 from agatehoist.endpoints.errors import (
     EndpointBrokenError,
     EndpointError,
@@ -15,12 +15,15 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Sequence
 
 EVENTS_PATH = "/cache/events"
 BLOCKS_PATH = "/cache/blocks"
+EXPORT_PATH = "/cache/export"
+IMPORT_PATH = "/cache/import"
 EVENTS_TIMEOUT_S = 20.0
 LISTING_TIMEOUT_S = 5.0
+TRANSFER_TIMEOUT_S = 10.0
 
 
 class EngineCacheClient:
@@ -60,6 +63,36 @@
         except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
             raise EndpointBrokenError(f"no listing: {error!r}") from error
 
+    async def export(self, blocks: Sequence[str]) -> KvExport:
+        """Return those of the leading blocks that the engine holds.
+
+        Raises EndpointError.
+        """
+        fields = await self._post(EXPORT_PATH, {"blocks": list(blocks)})
+        try:
+            return KvExport(_read_epoch(fields), tuple(fields["blocks"]))
+        except (KeyError, TypeError) as error:
+            raise EndpointBrokenError(f"bad export: {error!r}") from error
+
+    async def take(self, export: KvExport) -> None:
+        """Hand exported blocks to the engine, which refuses other weights.
+
+        Raises EndpointError.
+        """
+        body = {
+            "weights_version": export.epoch.weights_version,
+            "blocks": list(export.blocks),
+        }
+        await self._post(IMPORT_PATH, body)
+
+    async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        try:
+            answer = await self._http.post(path, json=body, timeout=TRANSFER_TIMEOUT_S)
+            _check(answer)
+            return answer.json()
+        except (httpx.HTTPError, ValueError) as error:
+            raise EndpointBrokenError(f"no transfer: {error!r}") from error
+
 
 def _check(answer: httpx.Response) -> None:
     if answer.is_client_error:
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -88,6 +88,11 @@
         if not self.feed.faults.keep_blocks:
             self.cache.clear()
 
+    def take_blocks(self, blocks: list[str]) -> None:
+        """Keep blocks that another engine computed under the same weights."""
+        removed = self.cache.store(blocks)
+        self.feed.publish(self.epoch, blocks, removed)
+
     async def prefill(self, prompt: str, salt: str) -> Prefill:
         """Compute the part of the prompt that isn't cached."""
         tokens = tokenize(prompt)
--- a/tests/test_sidecar/test_cache_events.py
+++ b/tests/test_sidecar/test_cache_events.py
@@ -15,6 +15,7 @@
 from agatehoist.core.identity import AttemptId
 from agatehoist.core.work import CompletionWork, Priority
 from agatehoist.endpoints.engine import EngineClient
+from agatehoist.endpoints.errors import EndpointRejectedError
 from agatehoist.observability.http import http_server
 from agatehoist.placement.levels import find_levels, salt_for
 from agatehoist.protocol.messages import (
@@ -92,10 +93,13 @@
         assert execution.ending is not None
         return execution.ending
 
+    def block_hashes(self, text: str) -> list[str]:
+        """Return the engine's hashes of a prompt of the archive."""
+        return block_hashes(tokenize(text), salt_for("archive", MODEL, "1").hex())
+
     def held_tokens(self, text: str) -> int:
         """Return the leading tokens that the engine has cached."""
-        salt = salt_for("archive", MODEL, "1").hex()
-        hashes = block_hashes(tokenize(text), salt)
+        hashes = self.block_hashes(text)
         held = itertools.takewhile(self.engine.cache.holds, hashes)
         return BLOCK_TOKENS * len(tuple(held))
 
@@ -212,6 +216,32 @@
             end = await pair.run(book(1), organisation)
             self.assertEqual(end.cached_tokens, 0)
 
+    @parameterized.expand(
+        [
+            ("same_weights", "1", "archive", True),
+            ("older_weights", "2", "archive", False),
+            ("foreign", "1", "cooperative", False),
+        ]
+    )
+    @in_loop
+    async def test_imported_blocks(
+        self, _name: str, weights_version: str, organisation: str, hit: bool
+    ):
+        async with run_pair(CacheFaults()) as source, run_pair(CacheFaults()) as target:
+            target.engine.weights_version = weights_version
+            await target.state.refresh_status()
+            await source.run(book(1))
+            blocks = source.block_hashes(book(1))
+            export = await source.state.client.cache.export((*blocks, "unknown"))
+            self.assertEqual(export.blocks, tuple(blocks))
+            if weights_version != "1":
+                with self.assertRaises(EndpointRejectedError):
+                    await target.state.client.cache.take(export)
+            else:
+                await target.state.client.cache.take(export)
+            end = await target.run(book(1), organisation)
+            self.assertEqual(end.cached_tokens > 1900, hit)
+
     @in_loop
     async def test_load_lags(self):
         async with run_pair(CacheFaults(load_lag=60.0)) as pair:
