Measure the spread on processes and on a virtual clock; prove starts in faults

Cause: nothing showed that a change reaches every process in time, that a herd starts while the platform is down, or that an old read reverts nothing.

--- a/bench/spread_events.py
+++ b/bench/spread_events.py
@@ -141,6 +141,8 @@
         _count(peer, node, overhead)
 
         def arrive() -> None:
+            if not self._connected(node, peer):
+                return
             answer = peer.gossip.answer(versions, self.now)
             _count(peer, node, len(encode(ExchangeReply(answer.items, answer.wanted))))
             self.at(latency + HANDLING_S, lambda: self._replied(node, peer, answer))
@@ -148,6 +150,8 @@
         self.at(4 * latency + HANDLING_S, arrive)
 
     def _replied(self, node: Node, peer: Node, answer: object) -> None:
+        if not self._connected(node, peer):
+            return
         node.gossip.note_answered(peer.entry.host)
         for item in answer.items:
             self._take(node, item)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -191,6 +191,14 @@
     answer.raise_for_status()
 
 
+def set_faults(fleet: Fleet, **faults: Any) -> None:
+    """Set what the platform stand-in does wrong; without a name, nothing.
+
+    Raises httpx.HTTPError.
+    """
+    httpx.post(f"{fleet.url('platform')}/faults", json=faults).raise_for_status()
+
+
 def _start_standins(
     fleet: Fleet, engines: int, services: int, engine_options: tuple[str, ...]
 ) -> None:
