Ask endpoints that loaded weights again after a second

Change: a host that takes no new work is left out for 1 s, and all are asked when none is left; the directory makes its own clock if it gets none. Ruled out: a flag of its own in the probe's answer, since the sidecar refuses anyway and the mark only saves probes.

--- a/src/agatehoist/membership/departures.py
+++ b/src/agatehoist/membership/departures.py
@@ -1,27 +1,27 @@
-"""Hosts that said themselves that they leave."""
+"""Hosts that said themselves that they take no new work."""
 
 from __future__ import annotations
 
-LEAVING_RETRY_S = 10.0
+LEAVING_RETRY_S = 1.0
 
 
 class Departures:
-    """Remember which hosts announced that they leave; times are in seconds.
+    """Remember which hosts take no new work; times are in seconds.
 
     The host list may lag by long, so the word of the host counts first. A host
-    that is still listed after a while is asked again, since another may have
-    taken its place.
+    that is still listed after a while is asked again: it may only have loaded
+    weights, or another may have taken its place.
     """
 
     def __init__(self) -> None:
         self._excluded_until_by_host: dict[str, float] = {}
 
     def note_leaving(self, host: str, now: float) -> None:
-        """Exclude a host that says it leaves."""
+        """Exclude a host for a while."""
         self._excluded_until_by_host[host] = now + LEAVING_RETRY_S
 
     def is_excluded(self, host: str, now: float) -> bool:
-        """Say whether a host gets no new work."""
+        """Say whether a host isn't asked at a time."""
         until = self._excluded_until_by_host.get(host)
         return until is not None and until > now
 
--- a/src/agatehoist/router/directory.py
+++ b/src/agatehoist/router/directory.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from agatehoist.core.clock import SystemClock
 from agatehoist.membership.departures import Departures
 from agatehoist.placement.types import Candidate
 from agatehoist.platform.types import HostState
@@ -21,8 +22,8 @@
 class Directory:
     """Hold the host list and answer who serves what."""
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
         self._departures = Departures()
         self.hosts_by_name: dict[str, HostEntry] = {}
 
@@ -32,20 +33,25 @@
         self._departures.keep_only(frozenset(self.hosts_by_name))
 
     def note_leaving(self, host: str) -> None:
-        """Give no new work to a host that says it leaves."""
+        """Prefer others to a host that says it takes no new work."""
         self._departures.note_leaving(host, self._clock.now())
 
     def candidates(self, kind: str, serves: str) -> tuple[Candidate, ...]:
         """Return the live endpoints of a kind that serve the name."""
         now = self._clock.now()
-        return tuple(
+        listed = tuple(
             Candidate(entry.host, entry.data_centre)
             for entry in self.hosts_by_name.values()
             if entry.kind == kind
             and entry.serves == serves
             and entry.state is HostState.LIVE
-            and not self._departures.is_excluded(entry.host, now)
         )
+        staying = tuple(
+            each for each in listed if not self._departures.is_excluded(each.host, now)
+        )
+        # One that loads weights says the same and may be back, so all are asked
+        # when nothing else is left.
+        return staying or listed
 
     def split_by_region(
         self, candidates: Iterable[Candidate], region: str
