--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts
+.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-spread
 
 env: $(VENV)/.made
 
@@ -22,6 +23,10 @@
 bench: env
 	$(PYTHON) -m bench.replay
 
+bench-spread: env
+	$(PYTHON) -m bench.spread
+	$(PYTHON) -m bench.spread_simulation
+
 lint: env
 	$(VENV)/bin/ruff format --check --no-cache .
 	$(VENV)/bin/ruff check --no-cache .
