--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts
-.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-spread
+.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts bench-spread
 
 env: $(VENV)/.made
 
