Schedule work at the sidecar: fair, short first, bounded, in time

Cause: the sidecar handed everything to the engine at once, so the engine's queue decided. One organisation could fill it, short work waited behind long, and followers of a prefix under way computed it again.

Change: a pure scheduler in admission/ (start-time fair queueing with credit, ageing, single flight, slots, learned rates, deadlines) and its runtime in sidecar/scheduling.py. Probes are answered from its queue. Plain services get slots and the deadline rule. The job's cached tokens come from the levels that the picture holds, not from those it expects, as else followers look cached.

Tests: each mechanism has a row that shows the order without it.

--- /dev/null
+++ b/src/agatehoist/admission/scheduler.py
@@ -0,0 +1,299 @@
+"""Decide which work an endpoint runs, and when."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import agatehoist.admission.fair  # noqa: F401
+from agatehoist.admission.flights import Flights
+from agatehoist.admission.load import PROBE_OVERHEAD_S
+from agatehoist.admission.order import ORDERS
+from agatehoist.admission.rates import LearnedRates
+from agatehoist.admission.running import RunningJobs
+from agatehoist.admission.types import (
+    Decision,
+    Job,
+    Reject,
+    SchedulerLimits,
+    Start,
+    Usage,
+    Waiting,
+)
+from agatehoist.core.work import Priority
+from agatehoist.refusals.kinds import DeadlineExceeded, Overloaded, QueueFull
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from agatehoist.admission.flights import Flight
+    from agatehoist.core.identity import AttemptId
+    from agatehoist.core.work import PrefixLevel
+    from agatehoist.refusals.types import RequestRefusedError
+
+Decisions = tuple[Decision, ...]
+
+
+class Scheduler:
+    """Turn submissions, first tokens and ends into starts and refusals.
+
+    Each event takes the time in epoch seconds and returns the decisions due.
+    """
+
+    def __init__(
+        self,
+        limits: SchedulerLimits,
+        matched_tokens: Callable[[Sequence[PrefixLevel]], int] | None = None,
+    ) -> None:
+        self.rates = LearnedRates()
+        self._limits = limits
+        self._matched_tokens = matched_tokens
+        self._order = ORDERS[limits.order](limits)
+        self._running = RunningJobs(self.rates)
+        self._flights = Flights()
+        self._waiting_by_id: dict[AttemptId, Waiting] = {}
+        self._sequences = itertools.count()
+        self._expiries: list[tuple[float, int, AttemptId]] = []
+
+    @property
+    def queued(self) -> int:
+        """Return the jobs that wait for their turn."""
+        return len(self._waiting_by_id)
+
+    @property
+    def running(self) -> int:
+        """Return the jobs that hold a slot."""
+        return len(self._running)
+
+    @property
+    def wake_at(self) -> float | None:
+        """Return when the next stored deadline is due, if any."""
+        self._drop_stale_expiries()
+        points = [self._flights.next_overdue_at()]
+        if self._expiries:
+            points.append(self._expiries[0][0])
+        return min((each for each in points if each is not None), default=None)
+
+    def submit(self, job: Job, now: float) -> Decisions:
+        """Queue a job, or refuse it if it can't meet its deadline."""
+        answer_tokens = min(job.max_tokens, self.rates.answer_tokens)
+        waiting = Waiting(job, now, answer_tokens)
+        late = self._refuse_late(waiting, now)
+        if late is not None:
+            return (late,)
+        evicted = self._make_room(waiting, now)
+        if evicted is not None and evicted.attempt_id == job.attempt_id:
+            return (evicted,)
+        self._enqueue(waiting, now)
+        decisions = self._fill(now)
+        return (*decisions,) if evicted is None else (evicted, *decisions)
+
+    def first_token(self, attempt_id: AttemptId, now: float) -> Decisions:
+        """Note that a job's prefill has ended; its followers can use it."""
+        running = self._running.first_token(attempt_id, now)
+        if running is None:
+            return ()
+        self._end_flight(attempt_id, now, computed=True)
+        return self.tick(now)
+
+    def finish(
+        self, attempt_id: AttemptId, now: float, usage: Usage | None = None
+    ) -> Decisions:
+        """Note that a job has ended or, still queued, is no longer wanted."""
+        self._withdraw(attempt_id)
+        running = self._running.finish(attempt_id, usage, now)
+        if running is not None:
+            self._end_flight(attempt_id, now, computed=usage is not None)
+            self._correct(running.waiting, usage)
+        if not self.queued and not self.running:
+            self._order.reset()
+        return self.tick(now)
+
+    def observe(self, running: int, now: float) -> Decisions:
+        """Take the endpoint's own count of jobs, which lags."""
+        self._running.observe(running, now)
+        return self.tick(now)
+
+    def tick(self, now: float) -> Decisions:
+        """Refuse what is late, release followers and fill the free slots."""
+        for flight in self._flights.overdue(now):
+            self._end_flight(flight.leader, now, computed=False)
+        return (*self._expire(now), *self._fill(now))
+
+    def ttft_estimate(
+        self,
+        missing_tokens: float,
+        organisation: str = "",
+        priority: Priority = Priority.SHORT,
+        levels: Sequence[PrefixLevel] = (),
+    ) -> float:
+        """Return the expected time to first token of new work in seconds."""
+        missing_tokens = min(missing_tokens, self._tokens_past_flights(levels))
+        ahead = self._order.ahead(organisation, priority)
+        endpoint_priority = self._order.endpoint_priority(organisation, priority)
+        pending_tokens = self._running.pending_tokens(endpoint_priority)
+        tokens = pending_tokens + ahead.prefill_tokens
+        prefill_s = (tokens + missing_tokens) / self.rates.prefill
+        return PROBE_OVERHEAD_S + max(prefill_s, self._slot_wait(ahead.jobs))
+
+    def _tokens_past_flights(self, levels: Sequence[PrefixLevel]) -> float:
+        shared = self._flights.shared(levels) if self._limits.single_flight else None
+        if shared is None:
+            return math.inf
+        return levels[-1].tokens - shared.prefix_tokens
+
+    def _slot_wait(self, jobs_ahead: float) -> float:
+        slots = self._free_limit()
+        excess = self.running + jobs_ahead + 1 - slots
+        return max(0.0, excess) * self.rates.hold_s / slots
+
+    def _free_limit(self) -> int:
+        return max(1, self._limits.slots - self._running.foreign)
+
+    def _refuse_late(self, waiting: Waiting, now: float) -> Reject | None:
+        if not self._limits.deadline_rule:
+            return None
+        job = waiting.job
+        ttft = self.ttft_estimate(
+            job.missing_tokens, job.organisation, job.priority, job.levels
+        )
+        late_s = now + ttft + self._answer_s(waiting) - job.deadline
+        if late_s <= 0:
+            return None
+        detail = "the queue is too long for the deadline"
+        return _reject(job, Overloaded.refuse(detail, now + late_s))
+
+    def _answer_s(self, waiting: Waiting) -> float:
+        return waiting.answer_tokens / self.rates.decode
+
+    def _make_room(self, waiting: Waiting, now: float) -> Reject | None:
+        if self.queued < self._limits.max_queued:
+            return None
+        newest = self._order.newest_of_longest() or waiting
+        if newest.job.organisation == waiting.job.organisation:
+            newest = waiting
+        else:
+            self._withdraw(newest.job.attempt_id)
+        retry_at = now + self.ttft_estimate(0, newest.job.organisation, Priority.LONG)
+        return _reject(newest.job, QueueFull.refuse("the queue is full", retry_at))
+
+    def _enqueue(self, waiting: Waiting, now: float) -> None:
+        job = waiting.job
+        self._waiting_by_id[job.attempt_id] = waiting
+        self._order.push(waiting, now)
+        prefill_s = job.missing_tokens / self.rates.prefill
+        latest_start_at = job.deadline - prefill_s - self._answer_s(waiting)
+        expiry = (latest_start_at, next(self._sequences), job.attempt_id)
+        if self._limits.deadline_rule:
+            heapq.heappush(self._expiries, expiry)
+
+    def _withdraw(self, attempt_id: AttemptId) -> None:
+        waiting = self._waiting_by_id.pop(attempt_id, None)
+        if waiting is not None and not self._flights.leave(attempt_id):
+            self._order.remove(waiting)
+
+    def _expire(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        self._drop_stale_expiries()
+        while self._expiries and self._expiries[0][0] <= now:
+            attempt_id = heapq.heappop(self._expiries)[2]
+            job = self._waiting_by_id[attempt_id].job
+            self._withdraw(attempt_id)
+            retry_at = now + self.ttft_estimate(0, job.organisation, job.priority)
+            detail = "the deadline can no longer be met from the queue"
+            error = DeadlineExceeded.refuse(detail, retry_at)
+            decisions.append(_reject(job, error))
+            self._drop_stale_expiries()
+        return decisions
+
+    def _drop_stale_expiries(self) -> None:
+        while self._expiries and self._expiries[0][2] not in self._waiting_by_id:
+            heapq.heappop(self._expiries)
+
+    def _fill(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._has_slot():
+            long_slots = self._running.long_slots(self._limits.long_prefill_slots)
+            pick = self._order.select(now, long_slots)
+            if pick is None:
+                break
+            waiting = self._refresh(pick.waiting)
+            flight = self._worth_following(waiting.job, pick.endpoint_priority, now)
+            if flight is not None:
+                self._order.remove(pick.waiting)
+                self._flights.follow(flight, waiting)
+                continue
+            self._order.commit(pick, now)
+            saved_tokens = pick.waiting.cost_tokens - waiting.cost_tokens
+            self._order.correct(waiting.job, -saved_tokens)
+            decisions.append(self._start(waiting, pick.endpoint_priority, now))
+        return decisions
+
+    def _refresh(self, waiting: Waiting) -> Waiting:
+        if self._matched_tokens is None:
+            return waiting
+        return _with_cached(waiting, self._matched_tokens(waiting.job.levels))
+
+    def _has_slot(self) -> bool:
+        if self.running >= self._free_limit():
+            return False
+        return len(self._running.load) < self._limits.prefill_slots
+
+    def _start(self, waiting: Waiting, endpoint_priority: int, now: float) -> Start:
+        job = waiting.job
+        del self._waiting_by_id[job.attempt_id]
+        pending_tokens = self._running.pending_tokens(endpoint_priority)
+        self._running.start(waiting, endpoint_priority, now)
+        prefill_s = (pending_tokens + job.missing_tokens) / self.rates.prefill
+        self._flights.lead(job, now, now + prefill_s)
+        return Start(job.attempt_id, endpoint_priority, prefill_s)
+
+    def _worth_following(
+        self, job: Job, endpoint_priority: int, now: float
+    ) -> Flight | None:
+        if not self._limits.single_flight:
+            return None
+        shared = self._flights.shared(job.levels, job.cached_tokens)
+        if shared is None:
+            return None
+        rate = self.rates.prefill
+        rest_tokens = max(0, job.prompt_tokens - shared.prefix_tokens)
+        follow_s = max(0.0, shared.flight.expected_at - now) + rest_tokens / rate
+        pending_tokens = self._running.pending_tokens(endpoint_priority)
+        compute_s = (pending_tokens + job.missing_tokens) / rate
+        return shared.flight if follow_s < compute_s else None
+
+    def _end_flight(self, leader: AttemptId, now: float, computed: bool) -> None:
+        landing = self._flights.end(leader)
+        if landing is None:
+            return
+        for waiting in reversed(landing.followers):
+            if computed:
+                waiting = _after_flight(waiting, landing.flight)
+            self._waiting_by_id[waiting.job.attempt_id] = waiting
+            self._order.push(waiting, now, first=True)
+
+    def _correct(self, waiting: Waiting, usage: Usage | None) -> None:
+        if usage is not None:
+            actual_tokens = usage.computed_tokens + usage.answer_tokens
+            self._order.correct(waiting.job, actual_tokens - waiting.cost_tokens)
+
+
+def _after_flight(waiting: Waiting, flight: Flight) -> Waiting:
+    computed = [flight.tokens_by_digest.get(e.digest, 0) for e in waiting.job.levels]
+    return _with_cached(waiting, max(computed))
+
+
+def _with_cached(waiting: Waiting, cached_tokens: int) -> Waiting:
+    job = waiting.job
+    if cached_tokens <= job.cached_tokens:
+        return waiting
+    missing_tokens = max(0, job.prompt_tokens - cached_tokens)
+    return replace(waiting, job=replace(job, missing_tokens=missing_tokens))
+
+
+def _reject(job: Job, error: RequestRefusedError) -> Reject:
+    return Reject(job.attempt_id, error.refusal)
--- /dev/null
+++ b/src/agatehoist/admission/types.py
@@ -0,0 +1,111 @@
+"""Types of the scheduler's events and decisions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from agatehoist.core.identity import AttemptId
+from agatehoist.core.work import PrefixLevel, Priority
+from agatehoist.refusals.types import Refusal
+
+MIN_WEIGHT = 0.01
+BACKGROUND_PRIORITY = Priority.LONG + 1
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerLimits:
+    """Bound what an endpoint runs and how far work may be reordered."""
+
+    slots: int = 64
+    prefill_slots: int = 4
+    long_prefill_slots: int = 1
+    max_queued: int = 4096
+    ageing_s: float = 10.0
+    credit_tokens: float = 65_536.0
+    idle_credit_tokens: float = 131_072.0
+    order: str = "fair"
+    single_flight: bool = True
+    deadline_rule: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Describe work that asks for its turn; the deadline is in epoch seconds."""
+
+    attempt_id: AttemptId
+    organisation: str
+    priority: Priority
+    deadline: float
+    prompt_tokens: int = 0
+    missing_tokens: int = 0
+    max_tokens: int = 1
+    levels: tuple[PrefixLevel, ...] = ()
+    weight: float = 1.0
+
+    @property
+    def cached_tokens(self) -> int:
+        """Return the prompt tokens that are believed to be cached."""
+        return max(0, self.prompt_tokens - self.missing_tokens)
+
+    @property
+    def fair_weight(self) -> float:
+        """Return the weight, above zero."""
+        return max(MIN_WEIGHT, self.weight)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Hold a queued job and the answer length that is expected of it."""
+
+    job: Job
+    arrived_at: float
+    answer_tokens: float
+
+    @property
+    def cost_tokens(self) -> float:
+        """Return the tokens that the organisation is charged at the start."""
+        return self.job.missing_tokens + self.answer_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold what a finished job computed."""
+
+    computed_tokens: int
+    answer_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Let a job run now; the endpoint runs lower priorities first."""
+
+    attempt_id: AttemptId
+    endpoint_priority: int = 0
+    prefill_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Refuse a job that was not run."""
+
+    attempt_id: AttemptId
+    refusal: Refusal
+
+
+Decision = Start | Reject
+
+
+@dataclass(frozen=True, slots=True)
+class LongSlots:
+    """Say whether long work may start, by whether its organisation has credit."""
+
+    foreground: bool = True
+    background: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Ahead:
+    """Count the queued work that would run before a new job."""
+
+    prefill_tokens: float = 0.0
+    jobs: float = 0.0
--- a/src/agatehoist/cache/picture.py
+++ b/src/agatehoist/cache/picture.py
@@ -57,6 +57,11 @@
                 return level.tokens
         return 0
 
+    def held_tokens(self, levels: Sequence[PrefixLevel]) -> int:
+        """Return the tokens of the longest level that is held."""
+        held = filter(self._holds, reversed(levels))
+        return next((level.tokens for level in held), 0)
+
     def expect(self, attempt_id: AttemptId, levels: Sequence[PrefixLevel]) -> None:
         """Count the levels of an admitted prompt as soon to be computed."""
         held = next(filter(self._holds, reversed(levels)), None)
--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from agatehoist.core.work import CompletionWork, Continuation, Priority
+    from agatehoist.core.work import CompletionWork, Continuation
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 60.0
@@ -65,7 +65,11 @@
             answer = await self._http.get("/status", timeout=STATUS_TIMEOUT_S)
             answer.raise_for_status()
             fields = answer.json()
-            return EndpointStatus(fields["incarnation"], fields["weights_version"])
+            return EndpointStatus(
+                fields["incarnation"],
+                fields["weights_version"],
+                int(fields.get("running", 0)),
+            )
         except (httpx.HTTPError, ValueError, KeyError) as error:
             raise EndpointNotReachedError(f"no status: {error!r}") from error
 
@@ -73,7 +77,7 @@
         self,
         work: CompletionWork,
         salt: str,
-        priority: Priority,
+        priority: int,
         placed_for: EndpointStatus,
     ) -> AsyncIterator[EngineTokens | EngineEnd]:
         """Yield the tokens of a completion, then its end.
@@ -95,7 +99,7 @@
             raise EndpointBrokenError(f"engine failed: {error!r}") from error
 
 
-def _engine_body(work: CompletionWork, salt: str, priority: Priority) -> dict[str, Any]:
+def _engine_body(work: CompletionWork, salt: str, priority: int) -> dict[str, Any]:
     body = json.loads(work.body)
     body["stream"] = True
     body["stream_options"] = {"include_usage": True}
--- a/src/agatehoist/endpoints/types.py
+++ b/src/agatehoist/endpoints/types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,6 +11,7 @@
 
     incarnation: str
     weights_version: str
+    running: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/protocol/messages.py
+++ b/src/agatehoist/protocol/messages.py
@@ -75,6 +75,7 @@
     identity: EndpointIdentity
     priority: Priority
     deadline: float
+    weight: float = 1.0
 
 
 @message(4)
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -123,6 +123,33 @@
     error_type = "overloaded_error"
 
 
+@refusal
+class Overloaded(RefusalKind):
+    """The queue is too long for the deadline."""
+
+    code = "overloaded"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class QueueFull(RefusalKind):
+    """The endpoint queues as much as it can hold."""
+
+    code = "queue_full"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@refusal
+class RateLimited(RefusalKind):
+    """The organisation is over its ceiling."""
+
+    code = "rate_limited"
+    status = Status.TOO_MANY_REQUESTS
+    error_type = "rate_limit_error"
+
+
 @refusal
 class DeadlineExceeded(RefusalKind):
     """The deadline passed before the work started."""
--- a/src/agatehoist/settings/types.py
+++ b/src/agatehoist/settings/types.py
@@ -66,11 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSettings:
-    """Name the endpoint beside a sidecar."""
+    """Name the endpoint beside a sidecar and bound the work that it runs at once."""
 
     kind: str
     url: str
     serves: str
+    slots: int = 64
+    prefill_slots: int = 4
+    long_prefill_slots: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -52,6 +52,7 @@
         task_group.start_soon(_watch_endpoint, state)
         task_group.start_soon(follow_cache, state)
         task_group.start_soon(run_gossip, state.gossip, platform, settings.peers)
+        task_group.start_soon(state.scheduling.run)
         task_group.start_soon(_sweep_executions, state)
         task_group.start_soon(
             run_orders, state, platform, lambda: state.fleet.configuration
--- a/src/agatehoist/sidecar/execution.py
+++ b/src/agatehoist/sidecar/execution.py
@@ -41,6 +41,11 @@
         self._window_until = first
         self._changed = anyio.Event()
 
+    @property
+    def answer_tokens(self) -> int:
+        """Return the number of tokens that this attempt has given."""
+        return len(self.texts) - self._first
+
     @property
     def has_tokens(self) -> bool:
         """Say whether the endpoint has given a token."""
--- a/src/agatehoist/sidecar/handlers.py
+++ b/src/agatehoist/sidecar/handlers.py
@@ -44,7 +44,9 @@
         probe.probe_id,
         state.identity,
         matched_tokens,
-        state.load.ttft_estimate(missing_tokens),
+        state.scheduling.ttft_estimate(
+            missing_tokens, probe.organisation, probe.priority, probe.levels
+        ),
         not state.ready,
     )
     await session.send(reply)
--- a/src/agatehoist/sidecar/running.py
+++ b/src/agatehoist/sidecar/running.py
@@ -17,6 +17,7 @@
 from agatehoist.observability.metrics import HIT_TOKENS, RECOMPUTED_TOKENS
 from agatehoist.placement.levels import salt_for
 from agatehoist.protocol.messages import CallReply, CompletionEnd, Refused
+from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import (
     EndpointFailed,
     EndpointRejected,
@@ -30,6 +31,7 @@
     from agatehoist.protocol.messages import SubmitCall, SubmitCompletion
     from agatehoist.refusals.types import Refusal
     from agatehoist.sidecar.execution import Execution
+    from agatehoist.sidecar.scheduling import Turn
     from agatehoist.sidecar.state import SidecarState
 
 
@@ -38,17 +40,16 @@
 ) -> None:
     """Run a completion on the engine and collect its answer."""
     attempt_id = submit.assignment.attempt_id
-    matched_tokens = state.picture.matched_tokens(submit.levels)
-    missing_tokens = max(0, submit.work.prompt_tokens - matched_tokens)
-    state.load.admit(attempt_id, missing_tokens)
     state.picture.expect(attempt_id, submit.levels)
     try:
         with execution.scope:
-            await _collect_completion(state, submit, execution)
+            async with state.scheduling.completion_turn(submit) as turn:
+                await _collect_completion(state, submit, execution, turn)
+    except RequestRefusedError as error:
+        execution.finish(Refused(attempt_id, error.refusal))
     except EndpointError as error:
         execution.finish(Refused(attempt_id, refusal_for(error)))
     finally:
-        state.load.settle(attempt_id)
         state.picture.settle(attempt_id)
     if execution.scope.cancelled_caught:
         execution.finish(Refused(attempt_id, _cancelled(execution)))
@@ -60,9 +61,13 @@
     """Run a service call and collect its answer."""
     attempt_id = submit.assignment.attempt_id
     assert isinstance(state.client, ServiceClient)
-    execution.begin(state.clock.now(), 0.0)
     try:
-        answer = await state.client.call(submit.work)
+        async with state.scheduling.call_turn(submit, execution.scope):
+            execution.begin(state.clock.now(), 0.0)
+            answer = await state.client.call(submit.work)
+    except RequestRefusedError as error:
+        execution.finish(Refused(attempt_id, error.refusal))
+        return
     except EndpointError as error:
         execution.finish(Refused(attempt_id, refusal_for(error)))
         return
@@ -83,7 +88,7 @@
 
 
 async def _collect_completion(
-    state: SidecarState, submit: SubmitCompletion, execution: Execution
+    state: SidecarState, submit: SubmitCompletion, execution: Execution, turn: Turn
 ) -> None:
     assignment = submit.assignment
     assert isinstance(state.client, EngineClient)
@@ -92,20 +97,21 @@
         state.settings.endpoint.serves,
         assignment.identity.weights_version,
     )
-    execution.begin(state.clock.now(), state.load.ttft_estimate(0))
+    execution.begin(state.clock.now(), turn.prefill_s)
     placed_for = EndpointStatus(
         assignment.identity.endpoint_incarnation, assignment.identity.weights_version
     )
     answer = state.client.complete(
-        submit.work, salt.hex(), assignment.priority, placed_for
+        submit.work, salt.hex(), turn.endpoint_priority, placed_for
     )
     async for event in answer:
-        state.load.settle(assignment.attempt_id)
+        turn.first_token()
         if isinstance(event, EngineTokens):
             execution.append(event.texts)
             await execution.wait_room()
         else:
             _finish_completion(state, submit, execution, event)
+            turn.end(event, execution.answer_tokens)
 
 
 def _finish_completion(
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -5,7 +5,6 @@
 import random
 from typing import TYPE_CHECKING
 
-from agatehoist.admission.load import AdmittedLoad
 from agatehoist.attempts.ledger import AttemptLedger
 from agatehoist.cache.picture import CachePicture
 from agatehoist.cache.types import CacheEpoch
@@ -17,6 +16,7 @@
 from agatehoist.membership.view import FleetView
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
+from agatehoist.sidecar.scheduling import Scheduling
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -54,9 +54,9 @@
         self.leaving = False
         self.loading = False
         self.in_flight = InFlight()
-        self.load = AdmittedLoad()
         self.picture = CachePicture()
         self.cache_follower: CacheFollower | None = None
+        self.scheduling = Scheduling(settings.endpoint, clock, self.picture.held_tokens)
         self.ledger = AttemptLedger()
         self.fleet = FleetView(clock)
         self.gossip = GossipNode(
@@ -89,6 +89,7 @@
         if status != self.status:
             self.picture.reset(_epoch_of(status))
         self.status = status
+        self.scheduling.observe(status.running)
 
     async def refresh_status(self) -> None:
         """Ask the endpoint for its status and note the answer."""
--- /dev/null
+++ b/tests/test_admission/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the admission package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_admission/test_order.py
@@ -0,0 +1,174 @@
+"""Tests of the order between organisations and classes of work."""
+
+from __future__ import annotations
+
+import math
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from agatehoist.admission.fair import FairOrder
+from agatehoist.admission.flow import Flow
+from agatehoist.admission.types import LongSlots, SchedulerLimits, Waiting
+from tests.test_admission.support import LONG, ONE_SLOT, SHORT, make_job, run_in_turn
+
+if TYPE_CHECKING:
+    from agatehoist.core.work import Priority
+
+ARRIVAL = replace(ONE_SLOT, order="arrival")
+NO_AGEING = replace(ONE_SLOT, ageing_s=math.inf)
+FLOOD = [("a", LONG, 1000)] * 5 + [("b", LONG, 1000)] * 2
+SHORT_LAST = [("a", LONG, 1000)] * 3 + [("b", SHORT, 10)]
+STARVED = [("b", SHORT, 10), ("a", LONG, 1000)] + [("b", SHORT, 10)] * 30
+OWN_SHORTS = [("a", SHORT, 10), ("a", LONG, 1000)] + [("a", SHORT, 10)] * 30
+GREEDY = [("a", SHORT, 30_000)] * 6 + [("b", LONG, 1000)]
+
+# What comes at which place in the order of starts, 1 s apart.
+ORDERS = [
+    ("fair_to_the_light", ONE_SLOT, FLOOD, 5, 1),
+    ("arrival_is_not", ARRIVAL, FLOOD, 5, 5),
+    ("short_first", ONE_SLOT, SHORT_LAST, 3, 1),
+    ("arrival_has_no_classes", ARRIVAL, SHORT_LAST, 3, 3),
+    ("long_ages", ONE_SLOT, STARVED, 1, 10),
+    ("without_ageing_last", NO_AGEING, STARVED, 1, 31),
+    ("own_long_ages", ONE_SLOT, OWN_SHORTS, 1, 10),
+    ("own_long_without_ageing", NO_AGEING, OWN_SHORTS, 1, 31),
+    ("credit_ends", replace(ONE_SLOT, idle_credit_tokens=0.0), GREEDY, 6, 3),
+    (
+        "unbounded_credit",
+        replace(ONE_SLOT, idle_credit_tokens=0.0, credit_tokens=math.inf),
+        GREEDY,
+        6,
+        6,
+    ),
+]
+
+COST_LIMIT = 100
+BOUND_LIMITS = SchedulerLimits(
+    ageing_s=5.0, credit_tokens=150.0, idle_credit_tokens=200.0
+)
+WEIGHTS = {"a": 1.0, "b": 0.5, "c": 2.0, "d": 1.0}
+SHARES = st.sampled_from([1, 1, 5, 50])
+BACKLOG = 40
+TURNS = 300
+
+
+class OrderTests(unittest.TestCase):
+    @parameterized.expand(ORDERS)
+    def test_place(
+        self,
+        _name: str,
+        limits: SchedulerLimits,
+        work: list[tuple[str, Priority, int]],
+        number: int,
+        place: int,
+    ) -> None:
+        jobs = [make_job(index, *each) for index, each in enumerate(work)]
+        order = run_in_turn(limits, jobs, 1.0)
+        self.assertEqual(sorted(order), list(range(len(jobs))))
+        self.assertEqual(order.index(number), place)
+
+    @parameterized.expand([(1.0, 10), (3.0, 15)])
+    def test_weights_share(self, weight: float, starts: int) -> None:
+        jobs = [make_job(n, "a", LONG, 1000, weight=weight) for n in range(40)]
+        jobs += [make_job(40 + n, "b", LONG, 1000) for n in range(40)]
+        order = run_in_turn(replace(ONE_SLOT, idle_credit_tokens=0.0), jobs, 0.1)
+        self.assertAlmostEqual(sum(n < 40 for n in order[:20]), starts, delta=1)
+
+
+class FairOrderTests(unittest.TestCase):
+    def test_idle_organisations_are_forgotten(self) -> None:
+        order = FairOrder(SchedulerLimits())
+        for number in range(2000):
+            job = make_job(number, f"o{number}", LONG, 40_000)
+            order.push(Waiting(job, 0.0, 0.0), 0.0)
+            order.push(Waiting(make_job(-number - 1, "x", LONG, 40_000), 0.0, 0), 0.0)
+            for _ in range(2):
+                pick = order.select(0.0, LongSlots())
+                assert pick is not None
+                order.commit(pick, 0.0)
+        self.assertLess(order.organisation_count, 40)
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32), st.floats(0, 1), st.lists(SHARES, min_size=4))
+    def test_bound_before_aged_long_work(
+        self, seed: int, short_share: float, shares: list[int]
+    ) -> None:
+        rng = random.Random(seed)
+        order = FairOrder(BOUND_LIMITS)
+        watch = StarvationWatch()
+        number = 0
+        for turn in range(TURNS):
+            now = float(turn)
+            while len(order) < BACKLOG:
+                number += 1
+                name = rng.choices(sorted(WEIGHTS), shares[: len(WEIGHTS)])[0]
+                priority = SHORT if rng.random() < short_share else LONG
+                cost = rng.randint(1, COST_LIMIT)
+                job = make_job(number, name, priority, cost, weight=WEIGHTS[name])
+                order.push(Waiting(job, now, 0.0), now)
+                watch.note_queued(name, priority, now)
+            watch.advance(now)
+            pick = order.select(now, LongSlots())
+            assert pick is not None
+            order.commit(pick, now)
+            watch.note_start(pick.waiting, now)
+            watch.note_left(order)
+            self.assertLessEqual(watch.excess(), 0.0)
+
+
+class StarvationWatch:
+    """Count what others start while the long work of an organisation is aged."""
+
+    def __init__(self) -> None:
+        self._served: Counter[str] = Counter()
+        self._aged_at: dict[str, float] = {}
+        self._served_at_ageing: dict[str, Counter[str]] = {}
+
+    def note_queued(self, organisation: str, priority: Priority, now: float) -> None:
+        """Start the ageing of an organisation's first long job."""
+        if priority is LONG:
+            self._aged_at.setdefault(organisation, now + BOUND_LIMITS.ageing_s)
+
+    def advance(self, now: float) -> None:
+        """Remember what was served when long work became aged."""
+        for organisation, aged_at in self._aged_at.items():
+            if aged_at <= now:
+                served = Counter(self._served)
+                self._served_at_ageing.setdefault(organisation, served)
+
+    def excess(self) -> float:
+        """Return by how much any organisation is over the stated bound."""
+        worst = -math.inf
+        for waiting, before in self._served_at_ageing.items():
+            for other in set(WEIGHTS) - {waiting}:
+                served = self._served[other] - before[other]
+                worst = max(worst, served - _bound(other, waiting))
+        return worst
+
+    def note_start(self, waiting: Waiting, now: float) -> None:
+        """Count a start; the next long job of its organisation ages anew."""
+        name = waiting.job.organisation
+        self._served[name] += waiting.job.missing_tokens
+        if waiting.job.priority is LONG:
+            self._aged_at[name] = now + BOUND_LIMITS.ageing_s
+            self._served_at_ageing.pop(name, None)
+
+    def note_left(self, order: FairOrder) -> None:
+        """Stop the ageing of organisations that queue no long work."""
+        for name in tuple(self._aged_at):
+            if not len(order._flows_by_organisation.get(name, Flow(0)).longs):
+                del self._aged_at[name]
+                self._served_at_ageing.pop(name, None)
+
+
+def _bound(other: str, waiting: str) -> float:
+    credit = 2 * BOUND_LIMITS.credit_tokens + BOUND_LIMITS.idle_credit_tokens
+    normalised = credit + COST_LIMIT / WEIGHTS[waiting]
+    return WEIGHTS[other] * normalised + 2 * COST_LIMIT
