Weigh credit against the organisation that has had least

Its short work, a seventh of the capacity, went on credit before the long work of organisations that had had less.

Change: credit is measured from the least served organisation that queues, not from the base order; 131,072 tokens of it, and ageing after 20 s.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench
+.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-admission
 
 env: $(VENV)/.made
 
@@ -22,6 +22,9 @@
 bench: env
 	$(PYTHON) -m bench.replay
 
+bench-admission: env
+	$(PYTHON) -m bench.admission
+
 lint: env
 	$(VENV)/bin/ruff format --check --no-cache .
 	$(VENV)/bin/ruff check --no-cache .
--- a/bench/admission.py
+++ b/bench/admission.py
@@ -11,10 +11,14 @@
 from agatehoist.admission.types import Job, SchedulerLimits
 from agatehoist.core.identity import AttemptId
 from agatehoist.core.work import PrefixLevel, Priority
+from agatehoist.limits.bounds import Split, admitted_bound
+from agatehoist.limits.home import CeilingHome
+from agatehoist.limits.shares import Ask, RouterShares
+from agatehoist.limits.types import Admit, Amount, Ceiling, LeaseAsk
 from bench.virtual_engine import Arrival, EngineModel, Outcome, VirtualEngine
 
 SEEDS = (1, 2, 3)
-DURATION_S = 600.0
+DURATION_S = 1200.0
 ORGANISATIONS = 8
 DEADLINE_S = 60.0
 LONG_SHARE = 0.2
@@ -42,6 +46,7 @@
     _report_short_behind_long()
     _report_single_flight()
     _report_decision_time()
+    _report_overshoot()
 
 
 def make_arrivals(traffic: Traffic, seed: int) -> list[Arrival]:
@@ -110,56 +115,60 @@
     print(f"one organisation of {ORGANISATIONS} at {FLOOD} times its share,")
     print(f"load {LOAD} without it, TTFT p95 of the others in seconds")
     print("| order | engine | seed | without | with | ratio | short | long | refused |")
-    for order in ("fair", "arrival"):
-        for name, model in (("chunks", EngineModel()), ("whole", WHOLE)):
-            for seed in SEEDS:
-                _report_flood(replace(FAIR, order=order), name, model, seed)
+    for seed in SEEDS:
+        _report_flood(FAIR, "chunks", EngineModel(), (seed,))
+    _report_flood(FAIR, "chunks", EngineModel(), SEEDS)
+    _report_flood(FAIR, "whole", WHOLE, SEEDS)
+    _report_flood(replace(FAIR, idle_credit_tokens=0.0), "chunks", EngineModel(), SEEDS)
+    _report_flood(replace(FAIR, order="arrival"), "chunks", EngineModel(), (1,))
     _report_jain()
 
 
 def _report_flood(
-    limits: SchedulerLimits, name: str, model: EngineModel, seed: int
+    limits: SchedulerLimits, name: str, model: EngineModel, seeds: tuple[int, ...]
 ) -> None:
-    calm = _others(_run(Traffic(), seed, limits, model))
-    flooded = _others(_run(Traffic(first_factor=FLOOD), seed, limits, model))
+    calm: list[Outcome] = []
+    flooded: list[Outcome] = []
+    for seed in seeds:
+        calm += _others(_run(Traffic(), seed, limits, model))
+        flooded += _others(_run(Traffic(first_factor=FLOOD), seed, limits, model))
     ratios = [
         p95([e for e in flooded if chosen(e)]) / p95([e for e in calm if chosen(e)])
         for chosen in (lambda _: True, _is_short, lambda each: not _is_short(each))
     ]
     refused = sum(each.refusal is not None for each in flooded)
     before, after = p95(calm), p95(flooded)
+    listed = ", ".join(str(seed) for seed in seeds)
     print(
-        f"| {limits.order} | {name} | {seed} | {before:.2f} | {after:.2f} "
+        f"| {limits.order} | {name} | {listed} | {before:.2f} | {after:.2f} "
         f"| {ratios[0]:.2f} | {ratios[1]:.2f} | {ratios[2]:.2f} "
         f"| {refused}/{len(flooded)} |"
     )
 
 
 def _report_jain() -> None:
-    print("Jain index of served tokens, every organisation above its share")
-    print("(first asks 20 times, load 2), by order and seed")
+    print("Jain index of served tokens at load 2, the first asks 20 times its share")
     for order in ("fair", "arrival"):
         limits = replace(FAIR, order=order)
-        for seed in SEEDS:
-            traffic = Traffic(load=2.0, first_factor=FLOOD)
-            outcomes = _run(traffic, seed, limits, EngineModel())
-            served: dict[str, float] = {}
-            for each in outcomes:
-                if each.first_token_at is not None and each.arrival.at < DURATION_S:
-                    name = each.arrival.job.organisation
-                    tokens = each.computed_tokens + each.arrival.answer_tokens
-                    served[name] = served.get(name, 0.0) + tokens
-            print(f"| {order} | {seed} | {jain(list(served.values())):.3f} |")
+        traffic = Traffic(load=2.0, first_factor=FLOOD)
+        outcomes = _run(traffic, SEEDS[0], limits, EngineModel())
+        served: dict[str, float] = {}
+        for each in outcomes:
+            if each.first_token_at is not None:
+                name = each.arrival.job.organisation
+                tokens = each.computed_tokens + each.arrival.answer_tokens
+                served[name] = served.get(name, 0.0) + tokens
+        print(f"| {order} | {jain(list(served.values())):.3f} |")
 
 
 def _report_short_behind_long() -> None:
-    print("short and long TTFT p95, p99 and longest wait of long, seconds")
-    print("| order | engine | load | ageing | short p95 | long p95 | long max |")
-    for limits in (FAIR, replace(FAIR, order="arrival")):
-        for name, model in (("chunks", EngineModel()), ("whole", WHOLE)):
-            for load in (0.6, 0.8, 0.95):
-                _report_classes(limits, name, model, load)
-    for ageing_s in (0.5, 2.0, 5.0, 10.0, float("inf")):
+    print("TTFT p95 of short and long work and the longest, in seconds")
+    print("| order | engine | load | ageing | short p95 | long p95 | longest |")
+    for load in (0.6, 0.8, 0.95):
+        _report_classes(FAIR, "chunks", EngineModel(), load)
+    _report_classes(FAIR, "whole", WHOLE, 0.8)
+    _report_classes(replace(FAIR, order="arrival"), "chunks", EngineModel(), 0.8)
+    for ageing_s in (2.0, 10.0, float("inf")):
         limits = replace(FAIR, ageing_s=ageing_s)
         _report_classes(limits, "chunks", EngineModel(), 0.95)
 
@@ -183,14 +192,17 @@
 
 def _report_single_flight() -> None:
     print("30 requests for each new 20,000-token songbook within 0.5 s, 20 songbooks")
-    print("| single flight | computed tokens | needed tokens | TTFT p95 |")
-    for single_flight in (True, False):
-        limits = replace(FAIR, single_flight=single_flight)
+    print("| single flight | long prefills | computed | needed | TTFT p95 |")
+    for single_flight, slots in ((True, 4), (False, 4), (True, 1), (False, 1)):
+        limits = replace(FAIR, single_flight=single_flight, long_prefill_slots=slots)
         arrivals = [_reader(book, n) for book in range(20) for n in range(30)]
         needed = 20 * 20_000 + len(arrivals) * 200
         outcomes = VirtualEngine(limits, EngineModel()).run(arrivals)
         computed = sum(each.computed_tokens for each in outcomes)
-        print(f"| {single_flight} | {computed} | {needed} | {p95(outcomes):.2f} |")
+        print(
+            f"| {single_flight} | {slots} | {computed} | {needed} "
+            f"| {p95(outcomes):.2f} |"
+        )
 
 
 def _reader(book: int, number: int) -> Arrival:
@@ -213,20 +225,22 @@
 
 
 def _report_decision_time() -> None:
-    print("processor time of one decision, microseconds, 100 organisations")
-    print("| queued | submit | start and finish | estimate |")
-    for queued in (10, 100, 1_000, 10_000):
-        print(f"| {queued} | {_time_decisions(queued)} |")
+    print("processor time of one decision, microseconds")
+    print("| queued | organisations | submit | finish and start | estimate |")
+    for organisations in (8, 100):
+        for queued in (10, 100, 1_000, 10_000):
+            times = _time_decisions(queued, organisations)
+            print(f"| {queued} | {organisations} | {times} |")
 
 
-def _time_decisions(queued: int) -> str:
+def _time_decisions(queued: int, organisations: int) -> str:
     limits = SchedulerLimits(max_queued=20_000, slots=1, single_flight=False)
     scheduler = Scheduler(limits)
     for number in range(queued + 1):
-        scheduler.submit(_plain_job(number), 0.0)
+        scheduler.submit(_plain_job(number, organisations), 0.0)
     began = time.process_time()
     for number in range(200):
-        scheduler.submit(_plain_job(queued + 1 + number), 0.0)
+        scheduler.submit(_plain_job(queued + 1 + number, organisations), 0.0)
     submit = time.process_time() - began
     running = AttemptId("bench", 0)
     began = time.process_time()
@@ -241,10 +255,10 @@
     return " | ".join(f"{each / 200 * 1e6:.1f}" for each in (submit, turn, estimate))
 
 
-def _plain_job(number: int) -> Job:
+def _plain_job(number: int, organisations: int) -> Job:
     return Job(
         AttemptId("bench", number),
-        f"organisation-{number % 100}",
+        f"organisation-{number % organisations}",
         Priority(number % 2),
         1e9,
         prompt_tokens=100,
@@ -252,5 +266,45 @@
     )
 
 
+def _report_overshoot() -> None:
+    print("requests passed in 60 s under a ceiling of 10/s, flood on 8 routers")
+    print("| cut off | homes | passed | bound |")
+    for cut_off, homes in ((0, 1), (4, 1), (8, 1), (0, 2), (4, 2)):
+        passed, bound = _flood_ceiling(cut_off, homes)
+        print(f"| {cut_off} | {homes} | {passed} | {bound:.0f} |")
+
+
+def _flood_ceiling(cut_off: int, home_count: int) -> tuple[int, float]:
+    ceiling = Ceiling(requests_per_s=10.0)
+    cost = Amount(1.0)
+    homes = [CeilingHome() for _ in range(home_count)]
+    routers = [RouterShares() for _ in range(8)]
+    rng = random.Random(1)
+    passed = 0
+    for tick in range(6_000):
+        now = tick / 100
+        index = rng.randrange(len(routers))
+        verdict = routers[index].admit("o", ceiling, cost, now)
+        if isinstance(verdict, Ask):
+            home = homes[index % home_count]
+            ask = LeaseAsk(
+                str(index),
+                "o",
+                1,
+                ceiling,
+                verdict.need,
+                verdict.wish,
+                verdict.returned,
+            )
+            if index < cut_off and now > 3:
+                verdict = routers[index].lose_home("o", ceiling, cost, now)
+            else:
+                grant = home.lease(ask, now)
+                verdict = routers[index].grant("o", cost, verdict, grant, now)
+        passed += isinstance(verdict, Admit)
+    split = Split(homes=home_count, cut_off=cut_off, sharers=8 // home_count)
+    return passed, admitted_bound(10.0, 60.0, 1.0, split)
+
+
 if __name__ == "__main__":
     main()
--- a/src/agatehoist/admission/fair.py
+++ b/src/agatehoist/admission/fair.py
@@ -22,8 +22,9 @@
     """Start the organisation that has had least, and short work before long.
 
     Short work goes ahead while its organisation is less than the credit ahead of
-    the base order. Every ageing period one turn follows the base order, and long
-    work that has aged goes before the short work of its own organisation.
+    the one that has had least of those that queue. Every ageing period one turn
+    follows the base order, and long work that has aged goes before the short work
+    of its own organisation.
     """
 
     def __init__(self, limits: SchedulerLimits) -> None:
@@ -73,8 +74,10 @@
         """Remove a picked job and charge its organisation."""
         waiting = pick.waiting
         flow = self._flows_by_organisation[waiting.job.organisation]
+        least = self._least(self._all_heap, len)
+        assert least is not None
+        self._virtual_time = max(self._virtual_time, least.virtual_time)
         if pick.in_base_order:
-            self._virtual_time = max(self._virtual_time, flow.virtual_time)
             self._base_turn_at = now + self._limits.ageing_s
         flow.start(waiting, now, self._limits.ageing_s)
         flow.charge(waiting.cost_tokens)
@@ -157,7 +160,9 @@
         flow = self._least(self._shorts_heap, _count_shorts)
         if flow is None or now >= flow.aged_at:
             return None
-        if flow.virtual_time - self._virtual_time > self._limits.credit_tokens:
+        least = self._least(self._all_heap, len)
+        assert least is not None
+        if flow.virtual_time - least.virtual_time > self._limits.credit_tokens:
             return None
         return Pick(flow.shorts.oldest, Priority.SHORT, in_base_order=False)
 
--- a/src/agatehoist/admission/types.py
+++ b/src/agatehoist/admission/types.py
@@ -20,8 +20,8 @@
     prefill_slots: int = 4
     long_prefill_slots: int = 1
     max_queued: int = 4096
-    ageing_s: float = 10.0
-    credit_tokens: float = 65_536.0
+    ageing_s: float = 20.0
+    credit_tokens: float = 131_072.0
     idle_credit_tokens: float = 131_072.0
     order: str = "fair"
     single_flight: bool = True
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -30,6 +30,8 @@
 EXCHANGES_TOTAL = Counter(
     "agatehoist_exchanges_total", "Exchanges with peers by outcome."
 )
+QUEUED_JOBS = Gauge("agatehoist_queued_jobs", "Work that waits for its turn.")
+RUNNING_JOBS = Gauge("agatehoist_running_jobs", "Work that holds a slot.")
 IN_FLIGHT = Gauge("agatehoist_in_flight", "Requests in flight.")
 
 __all__ = [
--- a/src/agatehoist/sidecar/scheduling.py
+++ b/src/agatehoist/sidecar/scheduling.py
@@ -12,6 +12,7 @@
 from agatehoist.admission.types import Job, Reject, SchedulerLimits, Start, Usage
 from agatehoist.core.registry import Registry
 from agatehoist.core.work import Priority
+from agatehoist.observability.metrics import QUEUED_JOBS, RUNNING_JOBS
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import NotStarted
 
@@ -146,6 +147,8 @@
     def _apply(self, decisions: Iterable[Decision]) -> None:
         for decision in decisions:
             self._turns_by_id[decision.attempt_id].decide(decision)
+        QUEUED_JOBS.set({}, self._scheduler.queued)
+        RUNNING_JOBS.set({}, self._scheduler.running)
         wake_at = self._scheduler.wake_at
         if wake_at != self._wake_at:
             self._wake_at = wake_at
--- a/tests/test_admission/support.py
+++ b/tests/test_admission/support.py
@@ -16,7 +16,7 @@
 
 SHORT = Priority.SHORT
 LONG = Priority.LONG
-ONE_SLOT = SchedulerLimits(slots=1)
+ONE_SLOT = SchedulerLimits(slots=1, ageing_s=10.0, credit_tokens=65_536.0)
 
 
 def attempt(number: int) -> AttemptId:
--- a/tests/test_sidecar/test_status.py
+++ b/tests/test_sidecar/test_status.py
@@ -12,6 +12,7 @@
 from agatehoist.core.identity import AttemptId
 from agatehoist.core.work import PrefixLevel
 from agatehoist.endpoints.types import EndpointStatus
+from agatehoist.settings.types import EndpointSettings
 from agatehoist.sidecar.state import UNKNOWN_STATUS, SidecarState
 
 LEVELS = (PrefixLevel(b"book", 64),)
@@ -31,7 +32,9 @@
     def test_change_empties_the_picture(
         self, _name: str, status: EndpointStatus, matched_tokens: int
     ) -> None:
-        state = SidecarState(Mock(inner_keys=()), Mock(), ManualClock(), Mock())
+        endpoint = EndpointSettings("engine", "http://127.0.0.1:1", "songs-8b")
+        settings = Mock(inner_keys=(), endpoint=endpoint)
+        state = SidecarState(settings, Mock(), ManualClock(), Mock())
         state.take_status(FIRST)
         state.picture.expect(ATTEMPT, LEVELS)
         state.picture.record(ATTEMPT, PromptReport(64, 0))
