--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts bench-spread
+.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts bench-spread bench-admission
 
 env: $(VENV)/.made
 
@@ -25,6 +25,8 @@
 bench-spread: env
 	$(PYTHON) -m bench.spread
 	$(PYTHON) -m bench.spread_simulation
+bench-admission: env
+	$(PYTHON) -m bench.admission
 
 lint: env
 	$(VENV)/bin/ruff format --check --no-cache .
