Bound bodies, requests and sessions; look keys up by a secret tag

A key was found by its plain digest in a map, whose time depends on the digest.

Change: 20 s and 256 MiB in all for bodies being read, 2,048 requests in flight, 2,048 sessions a sidecar with 1,024 streams each, 15 min idle; header and idle limits of the HTTP server are stated. Keys are found by a tag of the digest under a secret of the process and then compared in constant time.

Ruled out: comparing with all digests.

Conclusion: no input grows without a bound in size, count or time.

--- a/bench/capacity/configuration.py
+++ b/bench/capacity/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from agatehoist.configuration.keys import digest_key, names_by_digest
+from agatehoist.configuration.keys import KeyIndex, digest_key
 from agatehoist.configuration.types import FleetConfiguration, Organisation
 from bench.capacity.slopes import allocated_bytes, slope
 
@@ -28,4 +28,4 @@
         for index in range(count)
     }
     configuration = FleetConfiguration(1, organisations_by_name)
-    return configuration, names_by_digest(configuration)
+    return configuration, KeyIndex(configuration)
--- a/src/agatehoist/frontend/access.py
+++ b/src/agatehoist/frontend/access.py
@@ -4,20 +4,27 @@
 
 from typing import TYPE_CHECKING
 
-from agatehoist.configuration.keys import digest_key
+import anyio
+
+from agatehoist.core.byte_budget import ByteBudgetExceededError
 from agatehoist.refusals.kinds import (
+    BodyTimeout,
     BodyTooLarge,
     InvalidParameter,
     Leaving,
     MissingKey,
+    RouterBusy,
     UnknownKey,
 )
 
 if TYPE_CHECKING:
     from starlette.requests import Request
 
+    from agatehoist.core.byte_budget import Holding
     from agatehoist.router.state import RouterState
 
+BODY_TIMEOUT_S = 20.0
+MAX_REQUESTS_IN_FLIGHT = 2048
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BEARER = "bearer "
 KEY_HEADER = "idempotency-key"
@@ -32,20 +39,21 @@
     header = request.headers.get("authorization", "")
     if not header.lower().startswith(BEARER):
         raise MissingKey.refuse("send a bearer key in the Authorization header")
-    digest = digest_key(header[len(BEARER) :].strip())
-    organisation = state.organisations_by_digest.get(digest)
+    organisation = state.key_index.organisation_of(header[len(BEARER) :].strip())
     if organisation is None:
         raise UnknownKey.refuse("the key belongs to no organisation")
     return organisation
 
 
 def require_ready(state: RouterState) -> None:
-    """Refuse new work while the router leaves or has no configuration.
+    """Refuse new work while the router leaves, is full or has no configuration.
 
     Raises RequestRefusedError.
     """
     if not state.ready:
         raise Leaving.refuse("the router takes no new work", state.clock.now() + 1)
+    if state.in_flight.count >= MAX_REQUESTS_IN_FLIGHT:
+        raise RouterBusy.refuse("too many requests in flight", state.clock.now() + 1)
 
 
 def read_key(request: Request) -> str | None:
@@ -63,16 +71,29 @@
     return key
 
 
-async def read_body(request: Request) -> bytes:
+async def read_body(state: RouterState, request: Request) -> bytes:
     """Return the body.
 
-    Raises RequestRefusedError if it is over the limit.
+    Raises RequestRefusedError if it is too large, too slow or one too many.
     """
+    try:
+        with (
+            anyio.fail_after(BODY_TIMEOUT_S),
+            state.body_budget.hold() as holding,
+        ):
+            return await _read_chunks(request, holding)
+    except TimeoutError:
+        detail = f"body took over {BODY_TIMEOUT_S:g} s"
+        raise BodyTimeout.refuse(detail) from None
+    except ByteBudgetExceededError as error:
+        raise RouterBusy.refuse(str(error), state.clock.now() + 1) from error
+
+
+async def _read_chunks(request: Request, holding: Holding) -> bytes:
     chunks: list[bytes] = []
-    length = 0
     async for chunk in request.stream():
-        length += len(chunk)
-        if length > MAX_BODY_BYTES:
+        holding.take(len(chunk))
+        if holding.held_bytes > MAX_BODY_BYTES:
             raise BodyTooLarge.refuse(f"body is over {MAX_BODY_BYTES} bytes")
         chunks.append(chunk)
     return b"".join(chunks)
--- a/src/agatehoist/frontend/app.py
+++ b/src/agatehoist/frontend/app.py
@@ -169,7 +169,7 @@
     async def complete(self, request: Request) -> Response:
         """Answer a completion, whole or streamed, or resume a stream."""
         organisation = authorise(self._state, request)
-        body = await read_body(request)
+        body = await read_body(self._state, request)
         require_ready(self._state)
         decoded = parse_completion(
             request.url.path,
@@ -192,7 +192,7 @@
     async def call(self, request: Request) -> Response:
         """Answer a service call."""
         organisation = authorise(self._state, request)
-        body = await read_body(request)
+        body = await read_body(self._state, request)
         require_ready(self._state)
         decoded = self._decode_call(request, organisation, body)
         make_call = call if decoded.key is None else call_once
--- a/src/agatehoist/observability/http.py
+++ b/src/agatehoist/observability/http.py
@@ -24,6 +24,10 @@
     from agatehoist.settings.types import Address
 
 GRACEFUL_TIMEOUT_S = 5.0
+# Also bounds the time from the start of a connection to the end of its headers.
+IDLE_TIMEOUT_S = 5.0
+MAX_HEADER_BYTES = 16 * 1024
+MAX_HTTP2_STREAMS = 100
 
 
 def health_routes(is_ready: Callable[[], bool]) -> list[Route]:
@@ -68,6 +72,10 @@
     config = Config()
     config.bind = [f"fd://{listening.detach()}"]
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
+    config.keep_alive_timeout = IDLE_TIMEOUT_S
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.h2_max_header_list_size = MAX_HEADER_BYTES
+    config.h2_max_concurrent_streams = MAX_HTTP2_STREAMS
     config.accesslog = None
     config.errorlog = None
     # Hypercorn and Starlette type the same ASGI callable differently.
--- a/src/agatehoist/protocol/errors.py
+++ b/src/agatehoist/protocol/errors.py
@@ -27,3 +27,7 @@
 
 class AuthenticationError(ProtocolError):
     """Report a peer that didn't prove a key."""
+
+
+class LimitExceededError(ProtocolError):
+    """Report a peer that uses more than its share."""
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -96,6 +96,24 @@
     status = Status.REQUEST_ENTITY_TOO_LARGE
 
 
+@refusal
+class BodyTimeout(RefusalKind):
+    """The body didn't arrive in time."""
+
+    code = "body_timeout"
+    status = Status.REQUEST_TIMEOUT
+    error_type = "timeout_error"
+
+
+@refusal
+class RouterBusy(RefusalKind):
+    """The router holds as many requests as it can."""
+
+    code = "router_busy"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
 @refusal
 class NoEndpoint(RefusalKind):
     """No endpoint took the work."""
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -10,7 +10,8 @@
 from agatehoist.attempts.suspicion import Suspects
 from agatehoist.claims.store import ClaimStore
 from agatehoist.configuration import FleetConfiguration
-from agatehoist.configuration.keys import names_by_digest
+from agatehoist.configuration.keys import KeyIndex
+from agatehoist.core.byte_budget import ByteBudget
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlight
 from agatehoist.gossip.node import GossipNode
@@ -29,6 +30,8 @@
     from agatehoist.platform.client import PlatformClient
     from agatehoist.settings.types import RouterSettings
 
+MAX_BUFFERED_BODY_BYTES = 256 * 1024 * 1024
+
 
 class RouterState:
     """Hold what a router knows; all of it can be lost."""
@@ -51,6 +54,7 @@
         self.links = LinkPool(self.directory, self._hello, task_group, self.inner_keys)
         self.leaving = False
         self.in_flight = InFlight()
+        self.body_budget = ByteBudget(MAX_BUFFERED_BODY_BYTES)
         self.retry_budget = RetryBudget()
         self.suspects = Suspects()
         self.burn = BurnRecorder(
@@ -79,7 +83,7 @@
     def accept(self, configuration: FleetConfiguration) -> None:
         """Put a configuration in force."""
         self.configuration = configuration
-        self.organisations_by_digest = names_by_digest(configuration)
+        self.key_index = KeyIndex(configuration)
 
     def next_attempt_id(self) -> AttemptId:
         """Return an id that no other attempt carries."""
--- /dev/null
+++ b/src/agatehoist/sidecar/limits.py
@@ -0,0 +1,38 @@
+"""Limits on the sessions of a sidecar and on their streams."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from agatehoist.protocol.errors import LimitExceededError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_SESSIONS = 2048
+MAX_STREAMS = 1024
+IDLE_TIMEOUT_S = 900.0
+
+
+class Slots:
+    """Count what runs at once and refuse more than the limit."""
+
+    def __init__(self, kind: str, limit: int) -> None:
+        self.count = 0
+        self._kind = kind
+        self._limit = limit
+
+    @contextmanager
+    def take(self) -> Iterator[None]:
+        """Hold one slot while the context lasts.
+
+        Raises LimitExceededError.
+        """
+        if self.count >= self._limit:
+            raise LimitExceededError(f"over {self._limit} {self._kind}")
+        self.count += 1
+        try:
+            yield
+        finally:
+            self.count -= 1
--- a/src/agatehoist/sidecar/session.py
+++ b/src/agatehoist/sidecar/session.py
@@ -12,6 +12,7 @@
 from agatehoist.protocol.connection import Connection
 from agatehoist.protocol.errors import BadFrameError, ConnectionLostError, ProtocolError
 from agatehoist.sidecar.handlers import HANDLERS
+from agatehoist.sidecar.limits import IDLE_TIMEOUT_S, MAX_STREAMS, Slots
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +33,8 @@
         self.state = state
         self._connection = connection
         self._task_group = task_group
+        self._stream_slots = Slots("streams", MAX_STREAMS)
+        self._idle_at = anyio.current_time() + IDLE_TIMEOUT_S
 
     async def send(self, message: Any) -> None:
         """Send one message.
@@ -46,17 +49,26 @@
 
     async def run(self) -> None:
         """Handle messages until the connection ends."""
+        self._task_group.start_soon(self._close_when_idle)
         while True:
             message = await self._connection.receive()
+            self._idle_at = anyio.current_time() + IDLE_TIMEOUT_S
             try:
                 handler = HANDLERS[type(message)]
             except UnknownNameError as error:
                 raise BadFrameError(str(error)) from error
             await handler(self, message)
 
+    async def _close_when_idle(self) -> None:
+        while self._stream_slots.count or anyio.current_time() < self._idle_at:
+            wait_s = self._idle_at - anyio.current_time()
+            await anyio.sleep(wait_s if wait_s > 0 else IDLE_TIMEOUT_S)
+        self._task_group.cancel_scope.cancel()
+
     async def _guard(self, function: Callable[..., Any], *arguments: Any) -> None:
         try:
-            await function(self, *arguments)
+            with self._stream_slots.take():
+                await function(self, *arguments)
         except ConnectionLostError:
             self._task_group.cancel_scope.cancel()
 
@@ -65,14 +77,10 @@
     """Serve one connection; a bad frame ends only this one."""
     connection = Connection(stream)
     try:
-        hello = state.gossip.hello()
-        await connection.handshake(hello, Side.SERVER, state.inner_keys)
-        async with anyio.create_task_group() as task_group:
-            session = Session(state, connection, task_group)
-            try:
-                await session.run()
-            finally:
-                task_group.cancel_scope.cancel()
+        with state.session_slots.take():
+            hello = state.gossip.hello()
+            await connection.handshake(hello, Side.SERVER, state.inner_keys)
+            await _run_session(state, connection)
     except* ConnectionLostError:
         logger.debug("connection closed")
     except* ProtocolError as group:
@@ -81,3 +89,12 @@
     finally:
         with anyio.CancelScope(shield=True):
             await connection.aclose()
+
+
+async def _run_session(state: SidecarState, connection: Connection) -> None:
+    async with anyio.create_task_group() as task_group:
+        session = Session(state, connection, task_group)
+        try:
+            await session.run()
+        finally:
+            task_group.cancel_scope.cancel()
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -17,6 +17,7 @@
 from agatehoist.membership.view import FleetView
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
+from agatehoist.sidecar.limits import MAX_SESSIONS, Slots
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -51,6 +52,7 @@
         self.inner_keys = KeyRing(settings.inner_keys)
         self.incarnation = new_incarnation()
         self.status = UNKNOWN_STATUS
+        self.session_slots = Slots("sessions", MAX_SESSIONS)
         self.leaving = False
         self.loading = False
         self.in_flight = InFlight()
--- /dev/null
+++ b/tests/test_sidecar/test_session.py
@@ -0,0 +1,111 @@
+"""Tests of the limits on the sessions of a sidecar."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
+from unittest import mock
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.registry import Registry
+from agatehoist.protocol.authentication import KeyRing, Side
+from agatehoist.protocol.connection import Connection
+from agatehoist.protocol.errors import ConnectionLostError
+from agatehoist.protocol.messages import Cancel
+from agatehoist.sidecar import session
+from agatehoist.sidecar.limits import Slots
+from tests.test_protocol.test_authentication import ROUTER, open_streams
+from tests.test_protocol.test_codec import ATTEMPT
+
+if TYPE_CHECKING:
+    from agatehoist.sidecar.session import Session
+    from agatehoist.sidecar.state import SidecarState
+
+HANDLERS: Registry[Any] = Registry("message handler")
+
+
+@HANDLERS.register(Cancel)
+async def start_stream(session: Session, _message: Cancel) -> None:
+    """Start a stream that doesn't end."""
+    session.start_soon(wait_forever)
+
+
+async def wait_forever(_session: Session) -> None:
+    """Keep a stream open."""
+    await anyio.sleep_forever()
+
+
+def make_state(sessions: int) -> SidecarState:
+    """Return what a session needs of a sidecar."""
+    settings = SimpleNamespace(node=SimpleNamespace(name="sidecar-0"))
+    state = SimpleNamespace(
+        settings=settings,
+        incarnation="s1",
+        inner_keys=KeyRing(),
+        session_slots=Slots("sessions", sessions),
+    )
+    return cast("SidecarState", state)
+
+
+async def is_closed(connection: Connection) -> bool:
+    """Say whether the peer closes a connection within a short time."""
+    with anyio.move_on_after(0.3):
+        try:
+            await connection.receive()
+        except ConnectionLostError:
+            return True
+    return False
+
+
+class SessionLimitTests(unittest.TestCase):
+    @parameterized.expand([("in_the_limit", 2, False), ("over_it", 1, True)])
+    def test_sessions(self, _name: str, limit: int, closed: bool) -> None:
+        self.assertEqual(self._second_is_closed(limit), closed)
+
+    @parameterized.expand([("in_the_limit", 2, False), ("over_it", 3, True)])
+    def test_streams(self, _name: str, count: int, closed: bool) -> None:
+        with mock.patch.object(session, "MAX_STREAMS", 2):
+            self.assertEqual(self._is_closed_after(count), closed)
+
+    @parameterized.expand([("idle", 0, True), ("with_a_stream", 1, False)])
+    def test_idle(self, _name: str, streams: int, closed: bool) -> None:
+        with mock.patch.object(session, "IDLE_TIMEOUT_S", 0.05):
+            self.assertEqual(self._is_closed_after(streams), closed)
+
+    def _is_closed_after(self, streams: int) -> bool:
+        async def scenario(connections: list[Connection]) -> bool:
+            for _ in range(streams):
+                await connections[0].send(Cancel(ATTEMPT))
+            return await is_closed(connections[0])
+
+        return self._run(1, 1, scenario)
+
+    def _second_is_closed(self, limit: int) -> bool:
+        async def scenario(connections: list[Connection]) -> bool:
+            return len(connections) == 1 or await is_closed(connections[1])
+
+        return self._run(2, limit, scenario)
+
+    def _run(self, count: int, limit: int, scenario: Any) -> bool:
+        async def main() -> bool:
+            state = make_state(limit)
+            connections = []
+            async with anyio.create_task_group() as task_group:
+                for _ in range(count):
+                    near, far = open_streams()
+                    task_group.start_soon(session.serve_session, state, far)
+                    connection = Connection(near)
+                    try:
+                        await connection.handshake(ROUTER, Side.CLIENT)
+                    except ConnectionLostError:
+                        continue
+                    connections.append(connection)
+                result = await scenario(connections)
+                task_group.cancel_scope.cancel()
+            return result
+
+        with mock.patch.object(session, "HANDLERS", HANDLERS):
+            return anyio.run(main)
