--- a/tests/test_sidecar/test_session.py
+++ b/tests/test_sidecar/test_session.py
@@ -17,7 +17,7 @@
 from agatehoist.protocol.messages import Cancel
 from agatehoist.sidecar import session
 from agatehoist.sidecar.limits import Slots
-from tests.test_protocol.test_authentication import ROUTER, open_streams
+from tests.test_protocol.test_authentication import ROUTER, SIDECAR, open_streams
 from tests.test_protocol.test_codec import ATTEMPT
 
 if TYPE_CHECKING:
@@ -45,6 +45,7 @@
         settings=settings,
         incarnation="s1",
         inner_keys=KeyRing(),
+        gossip=SimpleNamespace(hello=lambda: SIDECAR),
         session_slots=Slots("sessions", sessions),
     )
     return cast("SidecarState", state)
