--- a/src/agatehoist/frontend/app.py
+++ b/src/agatehoist/frontend/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack, aclosing, contextmanager
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
@@ -18,6 +17,7 @@
     read_key,
     require_ready,
 )
+from agatehoist.frontend.answers import Answer
 from agatehoist.frontend.closing import ClosingResponse
 from agatehoist.frontend.disconnect import run_while_connected
 from agatehoist.frontend.measuring import measured
@@ -37,9 +37,7 @@
 )
 from agatehoist.frontend.resuming import (
     RESUME_HEADER,
-    ResumePoint,
     decode_point,
-    encode_point,
 )
 from agatehoist.observability.http import health_routes
 from agatehoist.observability.logs import get_logger
@@ -50,14 +48,12 @@
 from agatehoist.operators.routes import operator_routes
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import InternalFault, UnknownService
-from agatehoist.router.dispatch import resume
-from agatehoist.router.limiting import call, complete
+from agatehoist.router.limiting import call
 from agatehoist.router.requests import (
     CallRequest,
     CompletionRequest,
     Delta,
     Finished,
-    ResumeRequest,
     Started,
 )
 
@@ -66,7 +62,7 @@
 
     from starlette.requests import Request
 
-    from agatehoist.attempts.types import Target
+    from agatehoist.frontend.answers import Event
     from agatehoist.router.state import RouterState
 
 logger = get_logger("frontend")
@@ -76,8 +72,6 @@
 STATUS_CALLER_LEFT = 499
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
-Event = Started | Delta | Finished
-
 
 def make_app(state: RouterState) -> Starlette:
     """Return the ASGI application of a router."""
@@ -105,38 +99,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Hold a decoded completion and, if it is resumed, from where."""
-
-    request: CompletionRequest
-    point: ResumePoint | None
-
-    @property
-    def first(self) -> int:
-        """Return the index of the first token to give."""
-        return self.point.first if self.point else 0
-
-    def events(self, state: RouterState) -> AsyncGenerator[Event]:
-        """Return what happens to the request."""
-        request = self.request
-        if self.point is None:
-            return complete(state, request)
-        again = ResumeRequest(
-            request.organisation,
-            self.point.target,
-            self.point.first,
-            self.point.deadline,
-            request.deadline,
-        )
-        return resume(state, again)
-
-    def point_at(self, target: Target, first: int) -> str:
-        """Return the text of the point from which a caller can resume."""
-        deadline = self.point.deadline if self.point else self.request.deadline
-        return encode_point(ResumePoint(target, deadline, first))
-
-
 class Frontend:
     """Decode callers' requests and encode their answers."""
 
--- a/tests/test_attempts/test_schedules.py
+++ b/tests/test_attempts/test_schedules.py
@@ -9,7 +9,8 @@
 
 from agatehoist.attempts.types import Finish, Refuse
 from agatehoist.core.work import Run
-from tests.test_attempts.world import Faults, World
+from tests.test_attempts.sidecars import Faults
+from tests.test_attempts.world import World
 
 SCHEDULES = int(os.environ.get("AGATEHOIST_SCHEDULES", "500"))
 FIRST_SEED = int(os.environ.get("AGATEHOIST_FIRST_SEED", "1"))
--- a/tests/test_attempts/world.py
+++ b/tests/test_attempts/world.py
@@ -5,14 +5,13 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from agatehoist.attempts import types
 from agatehoist.attempts.budget import RetryBudget
 from agatehoist.attempts.ledger import Attach, AttemptLedger, Reject, Start
 from agatehoist.attempts.machine import RequestMachine
-from agatehoist.core.identity import AttemptId, EndpointIdentity
+from agatehoist.core.identity import AttemptId
 from agatehoist.core.work import Priority
 from agatehoist.placement.types import Candidate, Offer
 from agatehoist.protocol.messages import (
@@ -25,6 +24,7 @@
     Tokens,
 )
 from agatehoist.refusals.kinds import EndpointFailed
+from tests.test_attempts.sidecars import Faults, Running, Sidecar
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,50 +36,6 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
-@dataclass(frozen=True)
-class Faults:
-    """Say how often each fault strikes; the values are shares of one."""
-
-    lost: float = 0.0
-    duplicate: float = 0.0
-    slow: float = 0.0
-    hold: float = 0.0
-    strikes: tuple[str, ...] = ()
-    strike_count: int = 1
-
-
-@dataclass
-class Running:
-    """Hold one attempt on a sidecar."""
-
-    texts: list[str]
-    ending: Any = None
-    cancelled: bool = False
-    reader: int = 0
-
-
-@dataclass
-class Sidecar:
-    """Hold the state of one sidecar process and its endpoint."""
-
-    host: str
-    serial: int = 0
-    endpoint_serial: int = 0
-    up: bool = True
-    frozen_until: float = 0.0
-    leaving: bool = False
-    connection: int = 0
-    ledger: AttemptLedger = field(default_factory=AttemptLedger)
-    running_by_id: dict[AttemptId, Running] = field(default_factory=dict)
-
-    @property
-    def identity(self) -> EndpointIdentity:
-        """Return the identity that offers carry."""
-        return EndpointIdentity(
-            f"{self.host}-{self.serial}", str(self.endpoint_serial), "1"
-        )
-
-
 class World:
     """Run one request under a seeded schedule of faults."""
 
--- a/tests/test_whole/test_failures.py
+++ b/tests/test_whole/test_failures.py
@@ -4,36 +4,25 @@
 
 import json
 import signal
-import tempfile
 import threading
 import time
-import unittest
-from pathlib import Path
-from typing import Any, ClassVar
+from typing import Any
 
 import httpx
 from parameterized import parameterized
 
 from agatehoist.frontend.resuming import RESUME_HEADER
-from standins.engine.model import Engine, Speed
-from standins.fleet import (
-    JOURNAL_FILE,
-    MODEL,
-    SERVICE,
-    put_object,
-    read_json,
-    run_fleet,
+from standins.fleet import SERVICE, read_json
+from tests.test_whole.faults import (
+    RUN_S,
+    SERVICE_SIDECAR,
+    WAIT_S,
+    FailureTestCase,
+    expected_text,
 )
-from standins.relay import Relay
-from tests.test_whole.support import FleetTestCase, prompt
+from tests.test_whole.support import prompt
 
-ANSWER_TOKENS = 40
 BOOKINGS = f"/services/{SERVICE}/bookings"
-SERVICE_SIDECAR = "sidecar-service-0"
-RUN_S = 0.3
-WAIT_S = 15.0
-# The sidecar stays silent for longer than a link waits for a sign of life.
-THAW_AFTER_S = {SERVICE_SIDECAR: 4.5, "platform": 1.0}
 
 # Fault, whether the call itself is answered, and what a retry with its key gets.
 BOOKING_FAULTS = [
@@ -64,84 +53,6 @@
 ]
 
 
-class FailureTestCase(FleetTestCase):
-    sizes = {
-        "routers": 2,
-        "engines": 2,
-        "engine_options": ("--decode", "50", "--answer", str(ANSWER_TOKENS)),
-    }
-    relays_by_host: ClassVar[dict[str, Relay]] = {}
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        if FailureTestCase.relays_by_host:
-            return
-        # One fleet serves both classes of this module.
-        folder = unittest.enterModuleContext(tempfile.TemporaryDirectory())
-        fleet = unittest.enterModuleContext(run_fleet(Path(folder), **cls.sizes))
-        FailureTestCase.fleet = fleet
-        for entry in read_json(httpx.get(f"{fleet.url('platform')}/hosts")):
-            relay = Relay(entry["port"])
-            unittest.addModuleCleanup(relay.close)
-            cls.relays_by_host[entry["host"]] = relay
-            relayed = {**entry, "port": relay.port}
-            put_object(fleet, "hosts", entry["host"], relayed, version=1)
-        # Routers read the host list once a second.
-        time.sleep(1.2)
-
-    def strike(self, fault: str, name: str) -> None:
-        """Let a fault happen and undo it when the test ends."""
-        getattr(self, f"_{fault}")(name)
-
-    def _kill(self, name: str) -> None:
-        self.fleet.kill(name)
-        start = threading.Timer(0.5, self._start_again, [name])
-        start.start()
-        self.addCleanup(start.join)
-
-    def _freeze(self, name: str) -> None:
-        self.fleet.freeze(name)
-        self.addCleanup(self.fleet.thaw, name)
-        if name in THAW_AFTER_S:
-            threading.Timer(THAW_AFTER_S[name], self.fleet.thaw, [name]).start()
-
-    def _cut(self, name: str) -> None:
-        self.relays_by_host[name].cut()
-
-    def _lose_answers(self, name: str) -> None:
-        relay = self.relays_by_host[name]
-        relay.drop_answers()
-        cut = threading.Timer(2 * RUN_S, relay.cut)
-        cut.start()
-        self.addCleanup(cut.join)
-
-    def _platform_down(self, _name: str) -> None:
-        self._set_platform(down=True)
-        up = threading.Timer(2 * RUN_S, self._set_platform)
-        up.start()
-        self.addCleanup(up.join)
-
-    def _set_platform(self, **faults: Any) -> None:
-        httpx.post(f"{self.fleet.url('platform')}/faults", json=faults)
-
-    def _start_again(self, name: str) -> None:
-        self.fleet.restart(name)
-        paths = {"engine": "/status", "service": "/runs"}
-        self.fleet.wait_ready(name, paths.get(name.partition("-")[0], "/readyz"))
-
-    def runs(self, reference: str) -> int:
-        """Return how often the service has run a booking."""
-        file = self.fleet.folder / JOURNAL_FILE
-        return file.read_text().split().count(reference) if file.exists() else 0
-
-    def wait_for_run(self, reference: str) -> None:
-        """Wait until the service has begun a booking."""
-        deadline = time.monotonic() + WAIT_S
-        while not self.runs(reference):
-            self.assertLess(time.monotonic(), deadline, "the booking didn't start")
-            time.sleep(0.02)
-
-
 class BookingTests(FailureTestCase):
     @parameterized.expand([(f"{f}_{n}", f, n, a, r) for f, n, a, r in BOOKING_FAULTS])
     def test_keyed_booking(
@@ -357,9 +268,3 @@
     def _total(self, field: str) -> int:
         urls = [self.fleet.url(f"engine-{index}") for index in range(2)]
         return sum(read_json(httpx.get(f"{url}/status"))[field] for url in urls)
-
-
-def expected_text(text: str) -> str:
-    """Return what the engine stand-in answers to a prompt."""
-    engine = Engine(MODEL, 1, Speed())
-    return "".join(engine.token(text, index) for index in range(ANSWER_TOKENS))
