Show the fleet at a glance: agatehoist status

Cause: the pair on call had no view of endpoints, revisions and loads.

Change: a router tells at /operators/status, behind the operator's key, what it knows; the command adds up all routers: revisions behind the newest, who leaves or is suspected and by how many routers, platform calls a second by purpose against the allowance, and the weight loads that run.

--- a/src/agatehoist/attempts/suspicion.py
+++ b/src/agatehoist/attempts/suspicion.py
@@ -60,6 +60,11 @@
         while len(self._suspicions_by_host) > MAX_SUSPECTS:
             del self._suspicions_by_host[next(iter(self._suspicions_by_host))]
 
+    def is_suspected(self, host: str, now: float) -> bool:
+        """Say whether a host is left out at an epoch time."""
+        suspicion = self._suspicions_by_host.get(host)
+        return suspicion is not None and suspicion.suspected_until > now
+
     def note_answer(self, host: str) -> None:
         """Trust a host again."""
         self._suspicions_by_host.pop(host, None)
--- a/src/agatehoist/cli/main.py
+++ b/src/agatehoist/cli/main.py
@@ -7,7 +7,7 @@
 
 import fire
 
-from agatehoist.cli import apply, check, processes, report, show  # noqa: F401
+from agatehoist.cli import apply, check, processes, report, show, status  # noqa: F401
 from agatehoist.cli.commands import COMMANDS
 from agatehoist.errors import AgatehoistError
 from agatehoist.settings import InvalidFileError
--- a/src/agatehoist/cli/report.py
+++ b/src/agatehoist/cli/report.py
@@ -9,7 +9,13 @@
 import anyio
 
 from agatehoist.cli.commands import COMMANDS
-from agatehoist.cli.operators import UsageError, fail, operator_key, split_urls
+from agatehoist.cli.operators import (
+    EXIT_INCOMPLETE,
+    UsageError,
+    fail,
+    operator_key,
+    split_urls,
+)
 from agatehoist.operators.collecting import collect
 from agatehoist.operators.routes import BURN_PATH
 from agatehoist.reports.burn import make_report
@@ -19,8 +25,6 @@
 if TYPE_CHECKING:
     from agatehoist.operators.collecting import Collected
 
-EXIT_INCOMPLETE = 5
-
 
 @COMMANDS.register("report burn")
 def burn(
--- a/src/agatehoist/operators/routes.py
+++ b/src/agatehoist/operators/routes.py
@@ -8,6 +8,7 @@
 from starlette.routing import Route
 
 from agatehoist.operators.access import for_operators
+from agatehoist.operators.status import EndpointView, RouterStatus
 from agatehoist.settings.convert import make_converter
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
     from agatehoist.router.state import RouterState
 
 BURN_PATH = "/operators/burn"
+STATUS_PATH = "/operators/status"
 
 _converter = make_converter()
 
@@ -28,4 +30,37 @@
         snapshot = state.burn.snapshot(state.clock.now())
         return JSONResponse(_converter.unstructure(snapshot))
 
-    return [Route(BURN_PATH, for_operators(key_digests, burn))]
+    async def status(_request: Request) -> Response:
+        return JSONResponse(_converter.unstructure(_status_of(state)))
+
+    return [
+        Route(BURN_PATH, for_operators(key_digests, burn)),
+        Route(STATUS_PATH, for_operators(key_digests, status)),
+    ]
+
+
+def _status_of(state: RouterState) -> RouterStatus:
+    now = state.clock.now()
+    return RouterStatus(
+        state.settings.node.name,
+        state.settings.node.data_centre,
+        state.configuration.revision,
+        state.ready,
+        state.leaving,
+        state.in_flight.count,
+        state.started_at,
+        now,
+        tuple(
+            EndpointView(
+                entry.host,
+                entry.kind,
+                entry.serves,
+                entry.data_centre,
+                str(entry.state),
+                state.directory.is_leaving(entry.host),
+                state.suspects.is_suspected(entry.host, now),
+            )
+            for entry in state.directory.hosts_by_name.values()
+        ),
+        {str(name): count for name, count in state.platform.calls_by_purpose.items()},
+    )
--- a/src/agatehoist/orders/objects.py
+++ b/src/agatehoist/orders/objects.py
@@ -56,6 +56,15 @@
     return record
 
 
+async def read_ledger(platform: PlatformClient) -> Ledger:
+    """Return the leases and roll-outs.
+
+    Raises PlatformError.
+    """
+    ledger, _ = await _read(platform, LEDGER_KIND, LEDGER_NAME, Ledger)
+    return ledger or Ledger()
+
+
 async def take_lease(
     platform: PlatformClient, decide: Callable[[Ledger], Decision]
 ) -> Decision:
--- a/src/agatehoist/platform/client.py
+++ b/src/agatehoist/platform/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -44,6 +45,7 @@
         )
         self._budget = budget or CallBudget()
         self._flights = SingleFlight()
+        self.calls_by_purpose: Counter[Purpose] = Counter()
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -148,6 +150,7 @@
             outcome = "answered"
             raise
         finally:
+            self.calls_by_purpose[purpose] += 1
             PLATFORM_CALLS_TOTAL.inc({"purpose": str(purpose), "outcome": outcome})
         return answer
 
--- a/src/agatehoist/router/directory.py
+++ b/src/agatehoist/router/directory.py
@@ -36,6 +36,10 @@
         """Prefer others to a host that says it takes no new work."""
         self._departures.note_leaving(host, self._clock.now())
 
+    def is_leaving(self, host: str) -> bool:
+        """Say whether a host said lately that it takes no new work."""
+        return self._departures.is_excluded(host, self._clock.now())
+
     def live(self) -> tuple[Candidate, ...]:
         """Return every live endpoint."""
         return tuple(
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -49,7 +49,9 @@
         self.settings = settings
         self.clock = clock
         self.task_group = task_group
+        self.platform = platform
         self.claims = ClaimStore(platform)
+        self.started_at = clock.now()
         self.claim_locks_by_name: WeakValueDictionary[str, anyio.Lock] = (
             WeakValueDictionary()
         )
--- a/tests/test_whole/test_reports.py
+++ b/tests/test_whole/test_reports.py
@@ -49,6 +49,15 @@
         self.assertEqual(totals["whole_answers", "(all)"]["1h"]["total"], 4)
         self.assertEqual(totals["first_token", "(all)"]["1h"]["total"], 2)
 
+    def test_status_shows_the_fleet(self) -> None:
+        urls = ",".join(self.fleet.url(f"router-{index}") for index in (0, 1))
+        platform = self.fleet.url("platform")
+        run = self.run_command("status", "--routers", urls, "--platform", platform)
+        self.assertEqual(run.returncode, 0, run.stderr)
+        self.assertIn("revision 1, 2 routers", run.stdout)
+        self.assertIn("sidecar-engine-0  dc1  engine songs-8b  live", run.stdout)
+        self.assertIn("0 weight loads run", run.stdout)
+
     @parameterized.expand([("text",), ("html",)])
     def test_forms(self, form: str) -> None:
         url = self.fleet.url("router-0")
