Replay through the sidecar's scheduler

Cause: the replay ran AdmittedLoad, while the processes now queue in the scheduler; its rule is that it runs what the processes run. Change: a replayed host submits to Scheduler, starts what it starts, with the endpoint priority that it gives, and answers probes with its estimate. The greedy chooser sees the whole queue of each host, also what the scheduler still holds. The fair order makes the long requests of the large organisations wait behind later ones, which no estimate at a probe sees.

--- a/bench/replay/run.py
+++ b/bench/replay/run.py
@@ -162,7 +162,7 @@
             return
         self._counted = True
         held = max(
-            node.engine.held_tokens(self._blocks) if node.up else 0
+            node.held_tokens(self._blocks) if node.up else 0
             for node in self._replay._nodes_by_host.values()
         )
         self._replay._measures.arrive(self._request.prompt_tokens - held)
@@ -189,7 +189,7 @@
             return node.perfect_offer(self._question, self._blocks)
         if name in REPORT_POLICIES:
             return node.reported_offer(self._question)
-        return node.offer(self._question)
+        return node.offer(self._question, self._request.organisation)
 
     def _choose(self, offers: tuple[Offer, ...]) -> None:
         policy = self._replay._policy
@@ -233,6 +233,7 @@
             self._question,
             self._blocks,
             lambda cached_tokens: self._finish(offer, cached_tokens),
+            lambda: self._try(others),
             self._retry,
         )
         plan = self._replay.imports.plan(offer, self._offers, self._blocks)
