Show the whole backlog of an endpoint to a probe

Cause: under fair queueing a probe was answered with the wait of its own organisation. Change: placement_estimate is at least the time for the whole backlog; deadlines and refusals keep the own estimate.

--- a/bench/replay/node.py
+++ b/bench/replay/node.py
@@ -95,7 +95,7 @@
         """Return what a probe is answered with."""
         matched_tokens = self.picture.matched_tokens(question.levels)
         missing_tokens = max(0, question.prompt_tokens - matched_tokens)
-        estimate = self.scheduler.ttft_estimate(
+        estimate = self.scheduler.placement_estimate(
             missing_tokens, organisation, question.priority, question.levels
         )
         return Offer(self.candidate, self.identity, matched_tokens, estimate)
--- a/src/agatehoist/admission/scheduler.py
+++ b/src/agatehoist/admission/scheduler.py
@@ -139,6 +139,26 @@
         prefill_s = (tokens + missing_tokens) / self.rates.prefill
         return PROBE_OVERHEAD_S + max(prefill_s, self._slot_wait(ahead.jobs))
 
+    def placement_estimate(
+        self,
+        missing_tokens: float,
+        organisation: str,
+        priority: Priority,
+        levels: Sequence[PrefixLevel] = (),
+    ) -> float:
+        """Return the estimate for a probe in seconds, at least the whole backlog.
+
+        New work may go ahead of the queue, but then what it overtakes waits longer,
+        so an endpoint with a backlog must not look idle.
+        """
+        queued_tokens = sum(
+            waiting.job.missing_tokens for waiting in self._waiting_by_id.values()
+        )
+        tokens = self._running.load.pending_tokens + queued_tokens + missing_tokens
+        backlog_s = PROBE_OVERHEAD_S + tokens / self.rates.prefill
+        own_s = self.ttft_estimate(missing_tokens, organisation, priority, levels)
+        return max(own_s, backlog_s)
+
     def _tokens_past_flights(self, levels: Sequence[PrefixLevel]) -> float:
         shared = self._flights.shared(levels) if self._limits.single_flight else None
         if shared is None:
--- a/src/agatehoist/sidecar/handlers.py
+++ b/src/agatehoist/sidecar/handlers.py
@@ -44,7 +44,7 @@
         probe.probe_id,
         state.identity,
         matched_tokens,
-        state.scheduling.ttft_estimate(
+        state.scheduling.placement_estimate(
             missing_tokens, probe.organisation, probe.priority, probe.levels
         ),
         state.ready,
--- a/src/agatehoist/sidecar/scheduling.py
+++ b/src/agatehoist/sidecar/scheduling.py
@@ -11,7 +11,6 @@
 from agatehoist.admission.scheduler import Scheduler
 from agatehoist.admission.types import Job, Reject, SchedulerLimits, Start, Usage
 from agatehoist.core.registry import Registry
-from agatehoist.core.work import Priority
 from agatehoist.observability.metrics import QUEUED_JOBS, RUNNING_JOBS
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import NotStarted
@@ -22,7 +21,7 @@
     from agatehoist.admission.types import Decision
     from agatehoist.core.clock import Clock
     from agatehoist.core.identity import AttemptId
-    from agatehoist.core.work import PrefixLevel
+    from agatehoist.core.work import PrefixLevel, Priority
     from agatehoist.endpoints.types import EngineEnd
     from agatehoist.protocol.messages import SubmitCall, SubmitCompletion
     from agatehoist.settings.types import EndpointSettings
@@ -50,15 +49,15 @@
         self._wake_at: float | None = None
         self._replanned = anyio.Event()
 
-    def ttft_estimate(
+    def placement_estimate(
         self,
         missing_tokens: int,
-        organisation: str = "",
-        priority: Priority = Priority.SHORT,
+        organisation: str,
+        priority: Priority,
         levels: Sequence[PrefixLevel] = (),
     ) -> float:
-        """Return the expected time to first token of new work in seconds."""
-        return self._scheduler.ttft_estimate(
+        """Return the estimate for a probe in seconds, at least the whole backlog."""
+        return self._scheduler.placement_estimate(
             missing_tokens, organisation, priority, levels
         )
 
