--- a/src/agatehoist/placement/policies.py
+++ b/src/agatehoist/placement/policies.py
@@ -65,7 +65,7 @@
 class ProbeLatencyPolicy:
     """Probe a few ranks, more while they are busy, and weigh time most."""
 
-    rule = CostRule(missing_weight=3.0)
+    rule = CostRule(missing_weight=5.0)
 
     def shortlist(
         self, question: Question, candidates: Sequence[Candidate], rng: random.Random
