--- /dev/null
+++ b/tests/test_docs/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the docs."""
+
+from __future__ import annotations
