--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -29,6 +29,8 @@
 
 def main() -> int:
     """Run the demonstration and return the exit status."""
+    # A shell that starts the demo in its background has SIGINT ignored.
+    signal.signal(signal.SIGINT, _interrupt)
     signal.signal(signal.SIGTERM, _interrupt)
     try:
         with (
