--- a/src/agatehoist/admission/load.py
+++ b/src/agatehoist/admission/load.py
@@ -24,6 +24,11 @@
     def __contains__(self, attempt_id: object) -> bool:
         return attempt_id in self._pending_by_attempt
 
+    @property
+    def pending_tokens(self) -> int:
+        """Return the prompt tokens that wait."""
+        return sum(self._pending_by_attempt.values())
+
     def admit(self, attempt_id: AttemptId, missing_tokens: int) -> None:
         """Count an attempt whose prefix lacks so many tokens."""
         self._pending_by_attempt[attempt_id] = missing_tokens
@@ -34,5 +39,5 @@
 
     def ttft_estimate(self, missing_tokens: int) -> float:
         """Return the expected time to first token in seconds."""
-        pending = sum(self._pending_by_attempt.values())
-        return PROBE_OVERHEAD_S + (pending + missing_tokens) / PREFILL_TOKENS_PER_S
+        tokens = self.pending_tokens + missing_tokens
+        return PROBE_OVERHEAD_S + tokens / PREFILL_TOKENS_PER_S
