--- a/src/agatehoist/admission/load.py
+++ b/src/agatehoist/admission/load.py
@@ -37,8 +37,7 @@
         """Stop counting an attempt that has its first token or has ended."""
         self._pending_by_attempt.pop(attempt_id, None)
 
-    def ttft_estimate(
-        self, missing_tokens: float, prefill_rate: float = PREFILL_TOKENS_PER_S
-    ) -> float:
+    def ttft_estimate(self, missing_tokens: int) -> float:
         """Return the expected time to first token in seconds."""
-        return PROBE_OVERHEAD_S + (self.pending_tokens + missing_tokens) / prefill_rate
+        tokens = self.pending_tokens + missing_tokens
+        return PROBE_OVERHEAD_S + tokens / PREFILL_TOKENS_PER_S
