Take test ports that no connection is given; refuse endless resume points

Cause: two processes of a fleet were seen to meet a taken port once: a free port was taken from the kernel's ephemeral range, where an outgoing connection can have it before the process binds. A resume point could hold a deadline that is no number, so its attempt would be withdrawn for ever.

Change: ports come from below that range in a random order, each tried; a point needs a finite deadline. Ruled out: trying again in run_fleet, which hides other failures to start.

Before: two new rows of test_resuming fail.

--- a/src/agatehoist/frontend/resuming.py
+++ b/src/agatehoist/frontend/resuming.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import math
 from dataclasses import dataclass
 
 import msgpack
@@ -53,9 +54,11 @@
             raise ValueError("wrong type")
         if type(sequence) is not int or type(first) is not int or first < 0:
             raise ValueError("wrong type")
+        if type(deadline) is not float or not math.isfinite(deadline):
+            raise ValueError("no deadline")
         attempt_id = AttemptId(router, sequence)
         target = Target(attempt_id, host, incarnation)
-        return ResumePoint(target, float(deadline), first)
+        return ResumePoint(target, deadline, first)
     except (ValueError, TypeError, binascii.Error, msgpack.UnpackException) as error:
         detail = f"{RESUME_HEADER} holds no resume point: {error}"
         raise InvalidParameter.refuse(detail) from error
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -35,6 +37,15 @@
 OPERATOR_KEY = "operator-key"
 
 
+# The kernel gives outgoing connections ports from 32768 on. The order is random, so
+# that fleets that run side by side don't meet.
+FIRST_PORT = 10_240
+LAST_PORT = 32_767
+_PORTS = itertools.cycle(
+    random.SystemRandom().sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
+)
+
+
 class FleetError(Exception):
     """Report a process that didn't start."""
 
@@ -130,13 +141,13 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(count)
-        ]
-        return [each.getsockname()[1] for each in sockets]
+    """Return ports that are free now and that no outgoing connection is given."""
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            found.append(port)
+    return found
 
 
 def default_configuration() -> dict[str, Any]:
--- a/tests/test_frontend/test_resuming.py
+++ b/tests/test_frontend/test_resuming.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
@@ -27,6 +29,8 @@
             ("no_list", "AAAA"),
             ("wrong_types", "lgECAwQFBg"),
             ("too_long", "A" * 5000),
+            ("no_time", encode_point(replace(POINT, deadline=math.nan))),
+            ("endless", encode_point(replace(POINT, deadline=math.inf))),
         ]
     )
     def test_bad_point_is_refused(self, _name: str, text: str) -> None:
