--- a/src/agatehoist/admission/scheduler.py
+++ b/src/agatehoist/admission/scheduler.py
@@ -23,6 +23,7 @@
     Usage,
     Waiting,
 )
+from agatehoist.admission.waiting import WaitingJobs
 from agatehoist.core.work import Priority
 from agatehoist.refusals.kinds import DeadlineExceeded, Overloaded, QueueFull
 
@@ -54,14 +55,14 @@
         self._order = ORDERS[limits.order](limits)
         self._running = RunningJobs(self.rates)
         self._flights = Flights()
-        self._waiting_by_id: dict[AttemptId, Waiting] = {}
+        self._waiting = WaitingJobs()
         self._sequences = itertools.count()
         self._expiries: list[tuple[float, int, AttemptId]] = []
 
     @property
     def queued(self) -> int:
         """Return the jobs that wait for their turn."""
-        return len(self._waiting_by_id)
+        return len(self._waiting)
 
     @property
     def running(self) -> int:
@@ -151,10 +152,11 @@
         New work may go ahead of the queue, but then what it overtakes waits longer,
         so an endpoint with a backlog must not look idle.
         """
-        queued_tokens = sum(
-            waiting.job.missing_tokens for waiting in self._waiting_by_id.values()
+        tokens = (
+            self._running.load.pending_tokens
+            + self._waiting.missing_tokens
+            + missing_tokens
         )
-        tokens = self._running.load.pending_tokens + queued_tokens + missing_tokens
         backlog_s = PROBE_OVERHEAD_S + tokens / self.rates.prefill
         own_s = self.ttft_estimate(missing_tokens, organisation, priority, levels)
         return max(own_s, backlog_s)
@@ -202,7 +204,7 @@
 
     def _enqueue(self, waiting: Waiting, now: float) -> None:
         job = waiting.job
-        self._waiting_by_id[job.attempt_id] = waiting
+        self._waiting.put(waiting)
         self._order.push(waiting, now)
         prefill_s = job.missing_tokens / self.rates.prefill
         latest_start_at = job.deadline - prefill_s - self._answer_s(waiting)
@@ -211,7 +213,7 @@
             heapq.heappush(self._expiries, expiry)
 
     def _withdraw(self, attempt_id: AttemptId) -> None:
-        waiting = self._waiting_by_id.pop(attempt_id, None)
+        waiting = self._waiting.pop(attempt_id)
         if waiting is not None and not self._flights.leave(attempt_id):
             self._order.remove(waiting)
 
@@ -220,7 +222,7 @@
         self._drop_stale_expiries()
         while self._expiries and self._expiries[0][0] <= now:
             attempt_id = heapq.heappop(self._expiries)[2]
-            job = self._waiting_by_id[attempt_id].job
+            job = self._waiting[attempt_id].job
             self._withdraw(attempt_id)
             retry_at = now + self.ttft_estimate(0, job.organisation, job.priority)
             detail = "the deadline can no longer be met from the queue"
@@ -230,7 +232,7 @@
         return decisions
 
     def _drop_stale_expiries(self) -> None:
-        while self._expiries and self._expiries[0][2] not in self._waiting_by_id:
+        while self._expiries and self._expiries[0][2] not in self._waiting:
             heapq.heappop(self._expiries)
 
     def _fill(self, now: float) -> list[Decision]:
@@ -264,7 +266,7 @@
 
     def _start(self, waiting: Waiting, endpoint_priority: int, now: float) -> Start:
         job = waiting.job
-        del self._waiting_by_id[job.attempt_id]
+        self._waiting.pop(job.attempt_id)
         pending_tokens = self._running.pending_tokens(endpoint_priority)
         self._running.start(waiting, endpoint_priority, now)
         prefill_s = (pending_tokens + job.missing_tokens) / self.rates.prefill
@@ -293,7 +295,7 @@
         for waiting in reversed(landing.followers):
             if computed:
                 waiting = _after_flight(waiting, landing.flight)
-            self._waiting_by_id[waiting.job.attempt_id] = waiting
+            self._waiting.put(waiting)
             self._order.push(waiting, now, first=True)
 
     def _correct(self, waiting: Waiting, usage: Usage | None) -> None:
