Let a fault in one attempt end that attempt alone

Cause: reading the sidecar as a newcomer: an attempt runs in the task group of the process, and only refusals and endpoint errors were caught. An engine whose event is a list, a body nested too deep for its JSON, or a call sent to an engine's sidecar ended the whole sidecar with every stream in flight.

Change: any other fault is logged and becomes an unknown outcome, which is true whatever had happened. Ruled out: a check of each cause, as the next one would be missing. Also, the two copies of the unwrapping of exception groups in the commands are one now.

Before: the three rows of test_running end the task group. After: they pass.

--- a/src/agatehoist/cli/operators.py
+++ b/src/agatehoist/cli/operators.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from agatehoist.cli.groups import first_error
 from agatehoist.configuration.errors import ConfigurationError
 from agatehoist.configuration.store import ConfigurationStore
 from agatehoist.errors import AgatehoistError
@@ -53,7 +54,7 @@
     try:
         return anyio.run(run)
     except BaseExceptionGroup as group:
-        raise _first(group) from None
+        raise first_error(group) from None
 
 
 async def require_in_force(store: ConfigurationStore) -> Record:
@@ -146,9 +147,3 @@
         return PlatformSettings(platform)
     assert settings is not None
     return load_file(settings, OperatorSettings).platform
-
-
-def _first(error: BaseException) -> BaseException:
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- a/src/agatehoist/cli/running.py
+++ b/src/agatehoist/cli/running.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from agatehoist.cli.groups import first_error
 from agatehoist.core.listening import ListenError
 from agatehoist.observability.logs import configure_logs
 from agatehoist.settings.types import RouterSettings, SidecarSettings
@@ -31,10 +32,4 @@
         _, others = group.split(ListenError)
         if others is not None:
             raise
-        raise _first(group) from None
-
-
-def _first(error: BaseException) -> BaseException:
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
+        raise first_error(group) from None
--- a/src/agatehoist/sidecar/handlers.py
+++ b/src/agatehoist/sidecar/handlers.py
@@ -7,6 +7,7 @@
 
 from agatehoist.attempts.ledger import Reject, Start
 from agatehoist.core.registry import Registry
+from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.attempt_messages import Acknowledge, Ping, Pong, Window
 from agatehoist.protocol.messages import (
     Assignment,
@@ -18,7 +19,7 @@
     SubmitCall,
     SubmitCompletion,
 )
-from agatehoist.refusals.kinds import AnswerNotKept
+from agatehoist.refusals.kinds import AnswerNotKept, OutcomeUnknown
 from agatehoist.sidecar.execution import Execution
 from agatehoist.sidecar.running import run_call, run_completion
 from agatehoist.sidecar.streaming import cancel_execution, stream_answer
@@ -31,6 +32,8 @@
 
     Handler = Callable[[Session, Any], Awaitable[None]]
 
+logger = get_logger("sidecar")
+
 HANDLERS: Registry[Handler] = Registry("message handler")
 
 
@@ -146,4 +149,11 @@
     counted: ExitStack,
 ) -> None:
     with counted:
-        await run(state, submit, execution)
+        try:
+            await run(state, submit, execution)
+        except Exception as error:
+            # The task group is that of the process, which must outlive the fault.
+            logger.error("attempt failed", exc_info=error)
+            unknown = OutcomeUnknown.refuse("the sidecar failed at the attempt")
+            attempt_id = submit.assignment.attempt_id
+            execution.finish(Refused(attempt_id, unknown.refusal))
--- /dev/null
+++ b/tests/test_sidecar/test_running.py
@@ -0,0 +1,50 @@
+"""Tests that a fault in one attempt ends nothing but that attempt."""
+
+from __future__ import annotations
+
+import unittest
+from contextlib import ExitStack
+from typing import Any, cast
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.work import Run
+from agatehoist.protocol.messages import Refused, SubmitCall
+from agatehoist.sidecar import handlers
+from agatehoist.sidecar.execution import Execution
+from tests.test_protocol.test_codec import SAMPLES
+
+SUBMIT = next(each for each in SAMPLES if isinstance(each, SubmitCall))
+
+FAULTS = [
+    ("wrong_kind_of_endpoint", AssertionError()),
+    ("answer_of_another_shape", AttributeError("'list' object has no attribute 'get'")),
+    ("body_nested_too_deep", RecursionError()),
+]
+
+
+class FaultTests(unittest.TestCase):
+    @parameterized.expand(FAULTS)
+    def test_fault_is_an_unknown_outcome(self, _name: str, fault: Exception) -> None:
+        async def fail(*_arguments: Any) -> None:
+            raise fault
+
+        async def main() -> object:
+            execution = Execution(60.0)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(
+                    handlers._run_counted,
+                    cast("Any", None),
+                    fail,
+                    SUBMIT,
+                    execution,
+                    ExitStack(),
+                )
+
+            return execution.ending
+
+        ending = anyio.run(main)
+        assert isinstance(ending, Refused)
+        self.assertEqual(ending.refusal.run, Run.UNKNOWN)
+        self.assertEqual(ending.attempt_id, SUBMIT.assignment.attempt_id)
