Take an answer of the platform that isn't understood for a lost one

Cause: only HTTP errors were caught, so a page of a proxy with status 200, or an answer of another shape, raised out of the watch and ended the process: a fault of the platform would have taken every router with a duty with it.

Change: decoding happens in one place and its failure is PlatformUnavailableError, which every caller handles, and which for a write means that it may have taken effect.

Before: 15 of 15 rows of test_answers fail. After: they pass.

--- a/src/agatehoist/platform/client.py
+++ b/src/agatehoist/platform/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import typing
 from collections import Counter
 from functools import partial
 from http import HTTPStatus
@@ -59,7 +60,7 @@
         Raises ObjectNotFoundError or PlatformUnavailableError.
         """
         answer = await self._call(purpose, "GET", f"/objects/{kind}/{name}")
-        return cattrs.structure(answer.json(), StoredObject)
+        return _decode(answer, StoredObject)
 
     async def get_shared(
         self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
@@ -79,7 +80,7 @@
         Raises PlatformUnavailableError.
         """
         answer = await self._call(purpose, "GET", f"/objects/{kind}")
-        return cattrs.structure(answer.json(), tuple[str, ...])
+        return _decode(answer, tuple[str, ...])
 
     async def put(
         self,
@@ -100,7 +101,7 @@
             json={"value": value},
             headers={"If-Match": str(version)},
         )
-        return cattrs.structure(answer.json(), StoredObject)
+        return _decode(answer, StoredObject)
 
     async def delete(
         self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
@@ -127,7 +128,7 @@
         )
         if answer.status_code == HTTPStatus.NO_CONTENT:
             return None
-        return cattrs.structure(answer.json(), StoredObject)
+        return _decode(answer, StoredObject)
 
     async def hosts(self, purpose: Purpose = Purpose.HOSTS) -> tuple[HostEntry, ...]:
         """Return the lagging list of endpoint hosts.
@@ -136,7 +137,7 @@
         """
         read = partial(self._call, purpose, "GET", "/hosts")
         answer = await self._flights.run("/hosts", read)
-        return cattrs.structure(answer.json(), tuple[HostEntry, ...])
+        return _decode(answer, tuple[HostEntry, ...])
 
     async def _call(
         self, purpose: Purpose, method: str, path: str, **options: Any
@@ -177,3 +178,14 @@
         if answer.is_error:
             raise PlatformError(f"{method} {path}: {answer.status_code}")
         return answer
+
+
+def _decode(answer: httpx.Response, target: Any) -> Any:
+    try:
+        value = answer.json()
+        if typing.get_origin(target) is tuple and not isinstance(value, list):
+            raise TypeError("no list")
+        return cattrs.structure(value, target)
+    except Exception as error:
+        # A write may have taken effect, so this counts as a lost answer.
+        raise PlatformUnavailableError(f"answer not understood: {error!r}") from error
--- /dev/null
+++ b/tests/test_platform/test_answers.py
@@ -0,0 +1,56 @@
+"""Tests of answers of the platform that can't be understood."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+from parameterized import parameterized
+
+from agatehoist.platform.client import PlatformClient
+from agatehoist.platform.errors import PlatformUnavailableError
+from agatehoist.settings.types import PlatformSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+BODIES = [("html", b"<html>"), ("other_shape", b'{"a": 1}'), ("empty", b"")]
+
+CALLS: list[tuple[str, Callable[[PlatformClient], Awaitable[Any]]]] = [
+    ("get", lambda client: client.get("kind", "name")),
+    ("names", lambda client: client.names("kind")),
+    ("put", lambda client: client.put("kind", "name", {}, 1)),
+    ("watch", lambda client: client.watch("kind", "name", 1)),
+    ("hosts", lambda client: client.hosts()),
+]
+
+
+class AnswerTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (f"{call}_{body}", make_call, content)
+            for call, make_call in CALLS
+            for body, content in BODIES
+        ]
+    )
+    def test_counts_as_lost(
+        self,
+        _name: str,
+        make_call: Callable[[PlatformClient], Awaitable[Any]],
+        content: bytes,
+    ) -> None:
+        def answer(_request: httpx.Request) -> httpx.Response:
+            return httpx.Response(200, content=content)
+
+        async def main() -> None:
+            url = "http://platform"
+            client = PlatformClient(PlatformSettings(url))
+            transport = httpx.MockTransport(answer)
+            client._http = httpx.AsyncClient(transport=transport, base_url=url)
+            with self.assertRaises(PlatformUnavailableError):
+                await make_call(client)
+            await client.aclose()
+
+        anyio.run(main)
