Refuse a link to another node than the listed one

Cause: the host list lags, and a replaced host may have another sidecar at the same address. The router took whoever answered, so a booking meant for one service could have reached another service's sidecar, whose own probe answer made the placement look right.

Change: the node in the hello must be the listed host; entries of closed links to unlisted hosts are forgotten. Ruled out: matching the address alone, which is what failed; the incarnation, which no list knows.

Before: the row its_successor of test_links fails (the link opens).

--- a/src/agatehoist/protocol/errors.py
+++ b/src/agatehoist/protocol/errors.py
@@ -29,5 +29,9 @@
     """Report a peer that didn't prove a key."""
 
 
+class WrongPeerError(ProtocolError):
+    """Report an address at which another node answers than the expected one."""
+
+
 class LimitExceededError(ProtocolError):
     """Report a peer that uses more than its share."""
--- a/src/agatehoist/protocol/link.py
+++ b/src/agatehoist/protocol/link.py
@@ -20,6 +20,7 @@
     ConnectionLostError,
     NotWrittenError,
     ProtocolError,
+    WrongPeerError,
 )
 from agatehoist.protocol.limit_messages import LeaseReply
 from agatehoist.protocol.messages import Probe, ProbeReply, Refused
@@ -175,14 +176,18 @@
     hello: Hello,
     task_group: TaskGroup,
     keys: KeyRing = NO_KEYS,
+    node: str | None = None,
 ) -> Link:
     """Connect to a sidecar and start handing out its messages.
 
-    Raises ConnectionLostError or another ProtocolError.
+    Raises WrongPeerError if another node answers than the one given, and
+    ConnectionLostError or another ProtocolError.
     """
     connection = await dial(host, port)
     try:
         peer = await connection.handshake(hello, Side.CLIENT, keys)
+        if node is not None and peer.node != node:
+            raise WrongPeerError(f"{host}:{port} is {peer.node}, not {node}")
     except BaseException:
         await connection.aclose()
         raise
--- a/src/agatehoist/router/links.py
+++ b/src/agatehoist/router/links.py
@@ -51,6 +51,7 @@
             return link
 
     async def _open_once(self, host: str, asked_at: float) -> Link:
+        self._forget_gone()
         # Those who waited for a try that failed share its failure.
         if self._failed_at_by_host.get(host, 0.0) > asked_at:
             raise ConnectionLostError(f"host {host} wasn't reached")
@@ -60,10 +61,24 @@
             self._failed_at_by_host[host] = anyio.current_time()
             raise
 
+    def _forget_gone(self) -> None:
+        for host, link in tuple(self._links_by_host.items()):
+            if link.closed and host not in self._directory.hosts_by_name:
+                del self._links_by_host[host]
+                self._locks_by_host.pop(host, None)
+                self._failed_at_by_host.pop(host, None)
+
     async def _open(self, host: str) -> Link:
         entry = self._directory.hosts_by_name.get(host)
         if entry is None:
             raise ConnectionLostError(f"host {host} has left the list")
+        # The list lags, and another host may have taken the address over; a call
+        # meant for one service must not reach another.
         return await open_link(
-            entry.address, entry.port, self._hello(), self._task_group, self._keys
+            entry.address,
+            entry.port,
+            self._hello(),
+            self._task_group,
+            self._keys,
+            node=host,
         )
--- /dev/null
+++ b/tests/test_router/test_links.py
@@ -0,0 +1,51 @@
+"""Tests of the links to the sidecars."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from parameterized import parameterized
+
+from agatehoist.protocol.authentication import KeyRing, Side
+from agatehoist.protocol.connection import Connection
+from agatehoist.protocol.errors import ProtocolError, WrongPeerError
+from agatehoist.router.directory import Directory
+from agatehoist.router.links import LinkPool
+from tests.test_protocol.test_authentication import ROUTER, SIDECAR
+from tests.test_router.test_placing import entry
+
+HOST = "near-0"
+
+
+class LinkPoolTests(unittest.TestCase):
+    @parameterized.expand(
+        [("the_listed_host", HOST, None), ("its_successor", "near-1", WrongPeerError)]
+    )
+    def test_address_may_be_taken_over(
+        self, _name: str, node: str, expected: type[ProtocolError] | None
+    ) -> None:
+        self.assertEqual(anyio.run(self._open, node), expected)
+
+    async def _open(self, node: str) -> type[ProtocolError] | None:
+        async def serve(stream: SocketStream) -> None:
+            connection = Connection(stream)
+            await connection.handshake(replace(SIDECAR, node=node), Side.SERVER)
+            await anyio.sleep_forever()
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        directory = Directory()
+        directory.replace([replace(entry(HOST, "coast"), port=port)])
+        found = None
+        async with listener, anyio.create_task_group() as task_group:
+            task_group.start_soon(listener.serve, serve)
+            pool = LinkPool(directory, lambda: ROUTER, task_group, KeyRing())
+            try:
+                await pool.get(HOST)
+            except ProtocolError as error:
+                found = type(error)
+            task_group.cancel_scope.cancel()
+        return found
