Parse a caller's body once

Cause: reading the front end: the body of a completion was parsed for its checks, again to learn whether a stream is wanted, and again for the usage.

Change: parse_completion returns the request with the form of the answer. A name that nothing used is gone. The fuzz test covers the form as part of the parse; its assertions stay.

--- a/src/agatehoist/frontend/answers.py
+++ b/src/agatehoist/frontend/answers.py
@@ -30,6 +30,7 @@
 
     request: CompletionRequest
     point: ResumePoint | None
+    with_usage: bool
 
     @property
     def first(self) -> int:
--- a/src/agatehoist/frontend/app.py
+++ b/src/agatehoist/frontend/app.py
@@ -24,8 +24,6 @@
 from agatehoist.frontend.parsing import (
     PARTS_READERS_BY_PATH,
     parse_completion,
-    wants_stream,
-    wants_usage,
 )
 from agatehoist.frontend.rendering import (
     Envelope,
@@ -141,11 +139,15 @@
             self._state.clock.now() + REQUEST_TIMEOUT_S,
         )
         point = request.headers.get(RESUME_HEADER)
-        answer = Answer(decoded, decode_point(point) if point else None)
+        answer = Answer(
+            decoded.request,
+            decode_point(point) if point else None,
+            decoded.with_usage,
+        )
         try:
             async with AsyncExitStack() as closing:
                 closing.enter_context(self._in_flight())
-                if wants_stream(body):
+                if decoded.stream:
                     return await self._stream(request, answer, closing)
                 return await self._answer_whole(request, answer)
         except ClientDisconnect:
@@ -220,14 +222,13 @@
         self, answer: Answer, events: AsyncGenerator[Event]
     ) -> AsyncIterator[bytes]:
         envelope = self._envelope(answer.request)
-        with_usage = wants_usage(answer.request.work.body)
         try:
             async for event in events:
                 if isinstance(event, Delta):
                     point = answer.point_at(event.target, event.until)
                     yield render_delta(envelope, event.text, point)
                 elif isinstance(event, Finished):
-                    yield render_end(envelope, event, with_usage)
+                    yield render_end(envelope, event, answer.with_usage)
         except RequestRefusedError as error:
             yield render_stream_error(error.refusal)
 
--- a/src/agatehoist/frontend/parsing.py
+++ b/src/agatehoist/frontend/parsing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from agatehoist.core.work import CompletionWork, Priority
@@ -23,7 +23,14 @@
 
 UNSUPPORTED_PARAMETERS = ("tools", "functions", "logprobs", "audio", "best_of")
 
-PartsReader = "Callable[[dict[str, Any]], tuple[str, ...]]"
+
+@dataclass(frozen=True, slots=True)
+class DecodedCompletion:
+    """Hold a completion and the form in which the caller wants its answer."""
+
+    request: CompletionRequest
+    stream: bool
+    with_usage: bool
 
 
 def parse_completion(
@@ -32,7 +39,7 @@
     organisation: str,
     configuration: FleetConfiguration,
     deadline: float,
-) -> CompletionRequest:
+) -> DecodedCompletion:
     """Decode and check the body of a completion.
 
     Raises RequestRefusedError.
@@ -51,18 +58,13 @@
         )
     priority = Priority.LONG if prompt_tokens > LONG_PROMPT_TOKENS else Priority.SHORT
     work = CompletionWork(path, body, prompt_tokens, max_tokens)
-    return CompletionRequest(organisation, model, parts, work, priority, deadline)
-
-
-def wants_stream(body: bytes) -> bool:
-    """Say whether the caller asked for a stream."""
-    return bool(json.loads(body).get("stream", False))
-
-
-def wants_usage(body: bytes) -> bool:
-    """Say whether the caller asked for the usage at the end of a stream."""
-    options = json.loads(body).get("stream_options") or {}
-    return bool(options.get("include_usage", False))
+    request = CompletionRequest(organisation, model, parts, work, priority, deadline)
+    options = fields.get("stream_options") or {}
+    return DecodedCompletion(
+        request,
+        bool(fields.get("stream", False)),
+        bool(options.get("include_usage", False)),
+    )
 
 
 def read_chat_parts(fields: dict[str, Any]) -> tuple[str, ...]:
--- a/tests/test_fuzz/test_bodies.py
+++ b/tests/test_fuzz/test_bodies.py
@@ -14,8 +14,6 @@
 from agatehoist.frontend.parsing import (
     PARTS_READERS_BY_PATH,
     parse_completion,
-    wants_stream,
-    wants_usage,
 )
 from agatehoist.frontend.rendering import render_refusal
 from agatehoist.refusals import RequestRefusedError
@@ -54,16 +52,14 @@
 def read(path: str, body: bytes) -> RequestRefusedError | None:
     """Decode a body as a router does; only the typed error may come."""
     try:
-        request = parse_completion(path, body, "archive", CONFIGURATION, 1.0)
+        decoded = parse_completion(path, body, "archive", CONFIGURATION, 1.0)
     except RequestRefusedError as error:
         render_refusal(error.refusal, 0.0)
         return error
-    wants_stream(body)
-    wants_usage(body)
     # A sidecar encodes the body again for the engine.
-    encoded = json.dumps(json.loads(request.work.body), ensure_ascii=False)
+    encoded = json.dumps(json.loads(decoded.request.work.body), ensure_ascii=False)
     json.dumps(json.loads(encoded), allow_nan=False).encode()
-    "".join(request.parts).encode()
+    "".join(decoded.request.parts).encode()
     return None
 
 
