Read bearer keys in one place; drop a read that nothing used

Cause: reading the whole change once more: callers' and operators' access cut the key out of the Authorization header with the same lines, and get_shared of the platform client had no caller.

Change: configuration.keys.bearer_key serves both; get_shared is gone (the host list still shares one read in flight). Behaviour stays as it is.

--- a/src/agatehoist/configuration/keys.py
+++ b/src/agatehoist/configuration/keys.py
@@ -13,6 +13,16 @@
 TAG_BYTES = 16
 
 
+BEARER = "bearer "
+
+
+def bearer_key(header: str) -> str | None:
+    """Return the key of an Authorization header, or None if it holds none."""
+    if not header.lower().startswith(BEARER):
+        return None
+    return header[len(BEARER) :].strip()
+
+
 def digest_key(key: str) -> str:
     """Return the digest under which a key is configured."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/src/agatehoist/frontend/access.py
+++ b/src/agatehoist/frontend/access.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from agatehoist.configuration.keys import bearer_key
 from agatehoist.core.byte_budget import ByteBudgetExceededError
 from agatehoist.refusals.kinds import (
     BodyTimeout,
@@ -26,7 +27,6 @@
 BODY_TIMEOUT_S = 20.0
 MAX_REQUESTS_IN_FLIGHT = 2048
 MAX_BODY_BYTES = 4 * 1024 * 1024
-BEARER = "bearer "
 KEY_HEADER = "idempotency-key"
 MAX_KEY_LENGTH = 255
 
@@ -36,10 +36,10 @@
 
     Raises RequestRefusedError.
     """
-    header = request.headers.get("authorization", "")
-    if not header.lower().startswith(BEARER):
+    key = bearer_key(request.headers.get("authorization", ""))
+    if key is None:
         raise MissingKey.refuse("send a bearer key in the Authorization header")
-    organisation = state.key_index.organisation_of(header[len(BEARER) :].strip())
+    organisation = state.key_index.organisation_of(key)
     if organisation is None:
         raise UnknownKey.refuse("the key belongs to no organisation")
     return organisation
--- a/src/agatehoist/operators/access.py
+++ b/src/agatehoist/operators/access.py
@@ -8,7 +8,7 @@
 
 from starlette.responses import JSONResponse, Response
 
-from agatehoist.configuration.keys import digest_key
+from agatehoist.configuration.keys import bearer_key, digest_key
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -17,14 +17,13 @@
 
     Endpoint = Callable[[Request], Awaitable[Response]]
 
-BEARER = "bearer "
-
 
 def holds_operator_key(header: str, key_digests: tuple[str, ...]) -> bool:
     """Say whether an Authorization header carries one of the keys."""
-    if not header.lower().startswith(BEARER):
+    key = bearer_key(header)
+    if key is None:
         return False
-    digest = digest_key(header[len(BEARER) :].strip())
+    digest = digest_key(key)
     # Every digest is compared, so that the time tells nothing of which fits.
     matches = [hmac.compare_digest(digest, known) for known in key_digests]
     return any(matches)
--- a/src/agatehoist/platform/client.py
+++ b/src/agatehoist/platform/client.py
@@ -62,16 +62,6 @@
         answer = await self._call(purpose, "GET", f"/objects/{kind}/{name}")
         return _decode(answer, StoredObject)
 
-    async def get_shared(
-        self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
-    ) -> StoredObject:
-        """Return an object, perhaps from a read that was in flight before.
-
-        Raises ObjectNotFoundError or PlatformUnavailableError.
-        """
-        read = partial(self.get, kind, name, purpose)
-        return await self._flights.run((kind, name), read)
-
     async def names(
         self, kind: str, purpose: Purpose = Purpose.OTHER
     ) -> tuple[str, ...]:
