--- a/bench/capacity/placement.py
+++ b/bench/capacity/placement.py
@@ -10,8 +10,8 @@
 from agatehoist.placement.levels import find_levels, salt_for
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Question
-from agatehoist.platform.types import HostEntry
 from agatehoist.router.directory import ENGINE, Directory
+from agatehoist.storage.types import HostEntry
 from bench.capacity.slopes import allocated_bytes, processor_us, slope
 
 FLEET_SIZES = (40, 170, 400, 800, 1_200)
--- a/bench/spread_events.py
+++ b/bench/spread_events.py
@@ -12,11 +12,11 @@
 from agatehoist.gossip.node import EXCHANGE_TIMEOUT_S
 from agatehoist.gossip.types import Item
 from agatehoist.membership.election import elected
-from agatehoist.platform.types import HostEntry
 from agatehoist.protocol.codec import encode
 from agatehoist.protocol.gossip_messages import Exchange, ExchangeReply, Items
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
 from agatehoist.settings.types import Address
+from agatehoist.storage.types import HostEntry
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bench/spread_simulation.py
+++ b/bench/spread_simulation.py
@@ -6,7 +6,7 @@
 
 from agatehoist.gossip.sources import HOSTS_INTERVAL_S
 from agatehoist.membership.election import elected
-from agatehoist.platform.client import WATCH_TIMEOUT_S
+from agatehoist.storage.client import WATCH_TIMEOUT_S
 from bench.spread_events import Node, Shape, SpreadEvents
 
 NODES = 1590
--- a/src/agatehoist/attempts/budget.py
+++ b/src/agatehoist/attempts/budget.py
@@ -23,6 +23,11 @@
         self._reserve = reserve
         self._balance = reserve
 
+    def set_reserve(self, reserve: float) -> None:
+        """Change the reserve; what was spent stays spent."""
+        self._balance = min(reserve, max(0.0, self._balance + reserve - self._reserve))
+        self._reserve = reserve
+
     def note_request(self) -> None:
         """Count a request, which earns its share of a retry."""
         self._balance = min(self._reserve, self._balance + self._share)
--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -6,30 +6,34 @@
 
 from agatehoist.attempts.budget import backoff_until
 from agatehoist.attempts.types import (
+    AnswerEvent,
+    AttemptRefused,
     CallerGone,
     CancelAttempt,
     DeadlinePassed,
     Decision,
     Deliver,
     Drop,
+    Ending,
     Event,
     Fault,
     Finish,
-    Frame,
     LinkLost,
     NotWritten,
     Offered,
+    PiecesArrived,
     Place,
     Refuse,
+    ReplyArrived,
     ResumeAt,
     ResumeFailed,
     Rules,
+    StreamEnded,
     Submit,
     Target,
 )
 from agatehoist.core.registry import Registry
 from agatehoist.core.work import Run
-from agatehoist.protocol.messages import CallReply, CompletionEnd, Refused, Tokens
 from agatehoist.refusals.kinds import (
     FINAL_CODES,
     AnswerTimeout,
@@ -51,13 +55,11 @@
 
     Decisions = tuple[Decision, ...]
 
-MAX_PLACEMENTS = 6
 MAX_RESUMES = 2
 MAX_RESUMES_OF_CALL = 10
 RETRY_DELAY_S = 1.0
 
 EVENT_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt event")
-FRAME_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt frame")
 
 
 class RequestMachine:
@@ -71,7 +73,7 @@
         rng: random.Random,
     ) -> None:
         self.rules = rules
-        self.texts: list[str] = []
+        self.pieces: list[Any] = []
         self.target: Target | None = None
         self.ended = False
         self._budget = budget
@@ -94,7 +96,7 @@
 
     def follow(self, target: Target, first: int, now: float) -> Decisions:
         """Begin by reading the answer of an attempt that another router made."""
-        self.texts = [""] * first
+        self.pieces = [""] * first
         self.target = target
         self._dispatches = 1
         self._may_have_run.add(target.attempt_id)
@@ -103,8 +105,11 @@
 
     def handle(self, event: Event, now: float) -> Decisions:
         """Take an event at an epoch time and return what to do."""
-        if self.ended:
-            return (Drop(Fault.LATE),) if isinstance(event, Frame) else ()
+        if isinstance(event, AnswerEvent):
+            if self.ended or not self._is_current(event.attempt_id):
+                return (Drop(Fault.LATE),)
+        elif self.ended:
+            return ()
         decisions: Decisions = EVENT_HANDLERS[type(event)](self, event, now)
         return decisions
 
@@ -146,48 +151,40 @@
         self.ended = True
         return self._cancel_current()
 
-    @EVENT_HANDLERS.register(Frame)
-    def _on_frame(self, event: Frame, now: float) -> Decisions:
-        message = event.message
-        if not self._is_current(message.attempt_id):
-            return (Drop(Fault.LATE),)
-        decisions: Decisions = FRAME_HANDLERS[type(message)](self, message, now)
-        return decisions
-
-    @FRAME_HANDLERS.register(Tokens)
-    def _on_tokens(self, message: Tokens, now: float) -> Decisions:
-        received = len(self.texts)
-        if message.first > received:
+    @EVENT_HANDLERS.register(PiecesArrived)
+    def _on_pieces(self, event: PiecesArrived, now: float) -> Decisions:
+        received = len(self.pieces)
+        if event.first > received:
             return (Drop(Fault.GAP), *self._resume_gap(now))
-        new = message.texts[received - message.first :]
+        new = event.pieces[received - event.first :]
         if not new:
             return (Drop(Fault.REPEATED),)
-        self.texts.extend(new)
+        self.pieces.extend(new)
         self._resumes = 0
         self._resuming = False
         again = self._resume(now) if self._missed else ()
         return (Deliver(received, tuple(new)), *again)
 
-    @FRAME_HANDLERS.register(CompletionEnd)
-    def _on_end(self, message: CompletionEnd, now: float) -> Decisions:
-        if message.token_count > len(self.texts):
+    @EVENT_HANDLERS.register(StreamEnded)
+    def _on_end(self, event: StreamEnded, now: float) -> Decisions:
+        if event.ending.piece_count > len(self.pieces):
             return (Drop(Fault.GAP), *self._resume_gap(now))
-        if message.token_count < len(self.texts):
-            broken = BrokenStream.refuse("the end counts fewer tokens than came")
+        if event.ending.piece_count < len(self.pieces):
+            broken = BrokenStream.refuse("the end counts fewer pieces than came")
             return (Drop(Fault.MALFORMED), *self._refuse(broken.refusal, now))
         self.ended = True
-        return (Finish(message),)
+        return (Finish(event.ending),)
 
-    @FRAME_HANDLERS.register(CallReply)
-    def _on_reply(self, message: CallReply, _now: float) -> Decisions:
+    @EVENT_HANDLERS.register(ReplyArrived)
+    def _on_reply(self, event: ReplyArrived, _now: float) -> Decisions:
         self.ended = True
-        return (Finish(message),)
+        return (Finish(event.reply),)
 
-    @FRAME_HANDLERS.register(Refused)
-    def _on_refused(self, message: Refused, now: float) -> Decisions:
-        refusal = message.refusal
+    @EVENT_HANDLERS.register(AttemptRefused)
+    def _on_refused(self, event: AttemptRefused, now: float) -> Decisions:
+        refusal = event.refusal
         if refusal.run is Run.NO:
-            self._may_have_run.discard(message.attempt_id)
+            self._may_have_run.discard(event.attempt_id)
         if refusal.code in FINAL_CODES:
             return self._refuse(refusal, now)
         return self._give_up_attempt(refusal, now)
@@ -212,38 +209,37 @@
         self._resuming = False
         self._missed = False
         self._may_have_run.add(target.attempt_id)
-        return (Submit(target, offer, tuple(self.texts)),)
+        return (Submit(target, offer, tuple(self.pieces)),)
 
     def _place_again(self, now: float) -> Decisions:
-        if self._placements >= MAX_PLACEMENTS:
+        if self._placements >= self.rules.max_placements:
             return self._refuse(self._last_refusal(), now)
         self._placements += 1
         return (Place(backoff_until(now, self._placements, self._rng)),)
 
     def _give_up_attempt(self, refusal: Refusal, now: float) -> Decisions:
-        attempt = self.target
         self.target = None
         self._refusal = refusal
         if self._may_have_run and not self.rules.idempotent:
             return self._refuse(refusal, now)
-        if self._dispatches == self.rules.max_dispatches:
+        if self._dispatches == self.rules.max_dispatches or self._has_run_enough():
             return self._refuse(refusal, now)
-        if self.rules.max_tokens and len(self.texts) >= self.rules.max_tokens:
-            assert attempt is not None
-            return self._finish_at_limit(attempt)
+        if self.rules.max_tokens and len(self.pieces) >= self.rules.max_tokens:
+            return self._finish_at_limit()
         return self._dispatch(now)
 
-    def _finish_at_limit(self, attempt: Target) -> Decisions:
+    def _has_run_enough(self) -> bool:
+        limit = self.rules.max_runs
+        return limit is not None and len(self._may_have_run) >= limit
+
+    def _finish_at_limit(self) -> Decisions:
         self.ended = True
-        end = CompletionEnd(
-            attempt.attempt_id, len(self.texts), "length", self.rules.prompt_tokens, 0
-        )
-        return (Finish(end),)
+        return (Finish(Ending(len(self.pieces), "length", self.rules.prompt_tokens)),)
 
     def _resume_gap(self, now: float) -> Decisions:
         if not self._resuming:
             return self._resume(now)
-        # The frame may belong to the resumed answer, so it's asked for once more.
+        # The pieces may belong to the resumed answer, so it's asked for once more.
         self._missed = True
         return ()
 
@@ -259,11 +255,13 @@
         self._resuming = True
         self._missed = False
         at = backoff_until(now, self._resumes, self._rng)
-        return (ResumeAt(self.target, len(self.texts), at),)
+        return (ResumeAt(self.target, len(self.pieces), at),)
 
     def _cancel_current(self) -> Decisions:
-        # Work that can't be repeated is left to end, so that its outcome is known.
-        if self.target is None or not self.rules.idempotent:
+        # A call that can't be repeated is left to end, so that its outcome is known.
+        if self.target is None:
+            return ()
+        if not self.rules.idempotent and not self.rules.cancellable:
             return ()
         return (CancelAttempt(self.target),)
 
@@ -280,7 +278,7 @@
 
     def _truthful(self, refusal: Refusal, now: float) -> Refusal:
         """Return the refusal with what is known of all attempts together."""
-        if self.texts:
+        if self.pieces:
             return BrokenStream.refuse(refusal.detail).refusal
         if not self._may_have_run:
             retry_at = refusal.retry_at or now + RETRY_DELAY_S
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -12,7 +12,7 @@
 
 
 class Fault(enum.StrEnum):
-    """Name what is wrong with a frame."""
+    """Name what is wrong with an event about an attempt."""
 
     LATE = "late"
     REPEATED = "repeated"
@@ -22,13 +22,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """Say how one request may be tried; the deadline is in epoch seconds."""
+    """Say how one request may be tried; the deadline is in epoch seconds.
+
+    What can't be repeated may still be cancelled, such as a stream.
+    """
 
     idempotent: bool
     deadline: float
     max_tokens: int = 0
     prompt_tokens: int = 0
     max_dispatches: int | None = None
+    max_runs: int | None = None
+    max_placements: int = 6
+    cancellable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +62,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Frame:
-    """Bring a message of a sidecar about an attempt."""
+class Ending:
+    """Describe an answer that ended whole; counts are in pieces and tokens."""
+
+    piece_count: int
+    finish_reason: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
 
-    message: Any
+@dataclass(frozen=True, slots=True)
+class PiecesArrived:
+    """Bring pieces of an answer; first counts from the start of the answer."""
+
+    attempt_id: AttemptId
+    first: int
+    pieces: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnded:
+    """Report that an endpoint has sent all pieces of an answer."""
+
+    attempt_id: AttemptId
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyArrived:
+    """Bring a whole answer that isn't a stream, in the form of its front end."""
+
+    attempt_id: AttemptId
+    reply: Any
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRefused:
+    """Report that an attempt gets no answer."""
+
+    attempt_id: AttemptId
+    refusal: Refusal
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +129,16 @@
     """Report that nobody waits for the answer."""
 
 
+AnswerEvent = PiecesArrived | StreamEnded | ReplyArrived | AttemptRefused
+
 Event = (
-    Offered | NotWritten | Frame | LinkLost | ResumeFailed | DeadlinePassed | CallerGone
+    Offered
+    | NotWritten
+    | AnswerEvent
+    | LinkLost
+    | ResumeFailed
+    | DeadlinePassed
+    | CallerGone
 )
 
 
@@ -101,16 +151,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """Hand the work to an offer, behind the texts delivered so far."""
+    """Hand the work to an offer, behind the pieces delivered so far."""
 
     target: Target
     offer: Offer
-    texts: tuple[str, ...]
+    pieces: tuple[Any, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ResumeAt:
-    """Read an attempt's answer again from a token on, at an epoch time."""
+    """Read an attempt's answer again from a piece on, at an epoch time."""
 
     target: Target
     first: int
@@ -126,17 +176,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Deliver:
-    """Pass tokens on to the caller; first counts from the start of the answer."""
+    """Pass pieces on to the caller; first counts from the start of the answer."""
 
     first: int
-    texts: tuple[str, ...]
+    pieces: tuple[Any, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Finish:
-    """End the request with the last message of a whole answer."""
+    """End the request with the ending of a stream or the whole reply."""
 
-    message: Any
+    result: Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +198,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Drop:
-    """Leave a frame out and count it."""
+    """Leave an event out and count it."""
 
     fault: Fault
 
--- a/src/agatehoist/claims/store.py
+++ b/src/agatehoist/claims/store.py
@@ -9,12 +9,12 @@
 
 from agatehoist.claims.errors import ClaimTakenError
 from agatehoist.claims.types import Claim, StoredClaim
-from agatehoist.platform.budget import Purpose
-from agatehoist.platform.errors import ConflictError, PlatformUnavailableError
+from agatehoist.storage.budget import Purpose
+from agatehoist.storage.errors import ConflictError, PlatformUnavailableError
 
 if TYPE_CHECKING:
-    from agatehoist.platform.client import PlatformClient
-    from agatehoist.platform.types import StoredObject
+    from agatehoist.storage.client import PlatformClient
+    from agatehoist.storage.types import StoredObject
 
 CLAIM_KIND = "claims"
 RETRY_INTERVAL_S = 0.1
--- /dev/null
+++ b/src/agatehoist/cli/gateway.py
@@ -0,0 +1,27 @@
+"""Command that runs a gateway on the users' platform."""
+
+from __future__ import annotations
+
+import os
+from functools import partial
+from pathlib import Path
+
+import anyio
+
+from agatehoist.cli.commands import COMMANDS
+from agatehoist.gateway.app import run_gateway
+from agatehoist.observability.logs import configure_service_logs
+from agatehoist.platform.adapter import UsersPlatform
+from agatehoist.platform.boot import load_settings
+from agatehoist.platform.names import SETTINGS_VARIABLE
+from agatehoist.platform.store import PlatformStore
+
+
+@COMMANDS.register("gateway")
+def gateway(settings: str = "", log_level: str = "info") -> None:
+    """Run a gateway with the platform's settings file."""
+    path = Path(settings or os.environ.get(SETTINGS_VARIABLE, ""))
+    loaded = load_settings(path)
+    configure_service_logs(log_level, loaded.node)
+    make_store = partial(PlatformStore, loaded.store)
+    anyio.run(run_gateway, loaded, UsersPlatform(), make_store)
--- a/src/agatehoist/cli/main.py
+++ b/src/agatehoist/cli/main.py
@@ -11,8 +11,7 @@
 import fire
 
 from agatehoist.cli.commands import COMMANDS
-from agatehoist.errors import AgatehoistError
-from agatehoist.settings import InvalidFileError
+from agatehoist.errors import AgatehoistError, InvalidInputError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -27,7 +26,7 @@
     _import_commands(given[0] if given else "")
     try:
         fire.Fire(_command_tree(), command=arguments, name="agatehoist")
-    except InvalidFileError as error:
+    except InvalidInputError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID)
     except (AgatehoistError, OSError) as error:
--- a/src/agatehoist/cli/operators.py
+++ b/src/agatehoist/cli/operators.py
@@ -14,9 +14,9 @@
 from agatehoist.configuration.errors import ConfigurationError
 from agatehoist.configuration.store import ConfigurationStore
 from agatehoist.errors import AgatehoistError
-from agatehoist.platform.client import PlatformClient
 from agatehoist.settings import load_file
 from agatehoist.settings.types import OperatorSettings, PlatformSettings
+from agatehoist.storage.client import PlatformClient
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
--- a/src/agatehoist/cli/status.py
+++ b/src/agatehoist/cli/status.py
@@ -18,8 +18,8 @@
 from agatehoist.operators.routes import STATUS_PATH
 from agatehoist.operators.status import RouterStatus, merge_status, status_lines
 from agatehoist.orders.objects import read_ledger
-from agatehoist.platform.client import PlatformClient
 from agatehoist.settings.types import PlatformSettings
+from agatehoist.storage.client import PlatformClient
 
 if TYPE_CHECKING:
     from agatehoist.orders.types import Ledger
--- a/src/agatehoist/configuration/applying.py
+++ b/src/agatehoist/configuration/applying.py
@@ -10,8 +10,8 @@
 
 from agatehoist.configuration.document import Change, Document, Record
 from agatehoist.configuration.errors import ChangeConflictError, OutcomeUnknownError
-from agatehoist.platform.backoff import Backoff
-from agatehoist.platform.errors import (
+from agatehoist.storage.backoff import Backoff
+from agatehoist.storage.errors import (
     ConflictError,
     PlatformError,
     PlatformUnavailableError,
--- a/src/agatehoist/configuration/store.py
+++ b/src/agatehoist/configuration/store.py
@@ -8,14 +8,14 @@
 import anyio
 
 from agatehoist.configuration.encoding import parse_record, record_value
-from agatehoist.platform.budget import Purpose
-from agatehoist.platform.errors import ConflictError, ObjectNotFoundError
+from agatehoist.storage.budget import Purpose
+from agatehoist.storage.errors import ConflictError, ObjectNotFoundError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from agatehoist.configuration.document import Record
-    from agatehoist.platform.client import PlatformClient
+    from agatehoist.storage.client import PlatformClient
 
 CONFIGURATION_KIND = "configuration"
 CONFIGURATION_NAME = "fleet"
--- a/src/agatehoist/errors.py
+++ b/src/agatehoist/errors.py
@@ -16,3 +16,7 @@
         self.registry = registry
         self.name = name
         self.known = known
+
+
+class InvalidInputError(AgatehoistError):
+    """Base of the errors that name places in a file or document."""
--- /dev/null
+++ b/src/agatehoist/gateway/calling.py
@@ -0,0 +1,80 @@
+"""Short calls to endpoints: reports and orders."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.errors import AgatehoistError
+from agatehoist.http1.types import Reply
+
+if TYPE_CHECKING:
+    from agatehoist.fleet.types import Endpoint, EndpointReport
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.http1.types import RequestHead
+    from agatehoist.weights.types import WeightsOrder
+
+# A report takes a few milliseconds; an order is acknowledged at once.
+CALL_TIMEOUT_S = 0.4
+MAX_REPLY_BYTES = 256 * 1024
+
+
+class CallFailedError(AgatehoistError):
+    """Report a call that got no usable answer; an order may have taken effect."""
+
+
+async def read_report(state: GatewayState, endpoint: Endpoint) -> EndpointReport:
+    """Return an engine's report.
+
+    Raises CallFailedError.
+    """
+    reply = await _call(state, endpoint, state.platform.report_head(endpoint), b"")
+    try:
+        return state.platform.read_report(reply)
+    except AgatehoistError as error:
+        raise CallFailedError(f"{endpoint.name}: {error}") from error
+
+
+async def give_order(
+    state: GatewayState, endpoint: Endpoint, order: WeightsOrder
+) -> HTTPStatus:
+    """Return the status with which an engine answers an order.
+
+    Raises CallFailedError.
+    """
+    head, body = state.platform.order_request(endpoint, order)
+    reply = await _call(state, endpoint, head, body)
+    try:
+        return HTTPStatus(reply.head.status)
+    except ValueError as error:
+        raise CallFailedError(f"{endpoint.name}: {error}") from error
+
+
+async def _call(
+    state: GatewayState, endpoint: Endpoint, head: RequestHead, body: bytes
+) -> Reply:
+    try:
+        with anyio.fail_after(CALL_TIMEOUT_S):
+            return await _exchange(state, endpoint, head, body)
+    except TimeoutError as error:
+        raise CallFailedError(f"{endpoint.name}: no answer in time") from error
+    except AgatehoistError as error:
+        raise CallFailedError(f"{endpoint.name}: {error}") from error
+
+
+async def _exchange(
+    state: GatewayState, endpoint: Endpoint, head: RequestHead, body: bytes
+) -> Reply:
+    peer = endpoint.lifetime
+    connection = await state.pool.take(peer, endpoint.host, endpoint.port)
+    try:
+        await connection.send(head, body)
+        reply_head = await connection.read_head()
+        reply = Reply(reply_head, await connection.read_body(MAX_REPLY_BYTES))
+    except BaseException:
+        connection.close()
+        raise
+    state.pool.give_back(peer, connection, state.platform.idle_limit_s(reply_head))
+    return reply
--- /dev/null
+++ b/src/agatehoist/gateway/ingress.py
@@ -0,0 +1,182 @@
+"""Connections of callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.gateway.driving import DirectDriver
+from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
+from agatehoist.http1.server import ServerConnection
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import OUTCOMES_TOTAL, REFUSALS_TOTAL
+from agatehoist.refusals import RequestRefusedError
+from agatehoist.refusals.kinds import NotConfigured
+from agatehoist.routing.resolving import resolve
+
+if TYPE_CHECKING:
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.http1.channel import Channel
+    from agatehoist.http1.event_stream import StreamEvent
+    from agatehoist.http1.types import Headers, Reply, ReplyHead, Request
+    from agatehoist.refusals.types import Refusal
+    from agatehoist.routing.types import RoutedRequest
+
+logger = get_logger("gateway")
+
+CLOSE: Headers = ((b"connection", b"close"),)
+# When a process has no configuration yet, one is usually there after this time.
+CONFIGURATION_DELAY_S = 0.3
+
+
+class HttpCaller:
+    """Give the answer to one request on its connection."""
+
+    def __init__(
+        self, state: GatewayState, connection: ServerConnection, request_id: str | None
+    ) -> None:
+        self._state = state
+        self._connection = connection
+        self._request_id = request_id
+
+    async def start(self, head: ReplyHead) -> None:
+        """Begin a streamed answer."""
+        headers = self._headers(self._state.platform.returned_headers(head))
+        chunked = ((b"transfer-encoding", b"chunked"),)
+        await self._connection.send_head(head.status, (*headers, *chunked))
+
+    async def send(self, events: tuple[StreamEvent, ...]) -> None:
+        """Pass events on."""
+        await self._connection.send_data(b"".join(each.data for each in events))
+
+    async def finish(self) -> None:
+        """End a streamed answer as complete."""
+        await self._connection.end()
+        OUTCOMES_TOTAL.inc({"outcome": "streamed"})
+
+    async def reply(self, reply: Reply) -> None:
+        """Give a whole answer."""
+        headers = self._headers(self._state.platform.returned_headers(reply.head))
+        await self._connection.send_whole(reply.head.status, headers, reply.body)
+        OUTCOMES_TOTAL.inc({"outcome": "replied"})
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Give a refusal, or break off an answer that has begun."""
+        REFUSALS_TOTAL.inc({"code": refusal.code, "run": str(refusal.run)})
+        if self._connection.answering:
+            self._connection.abort()
+            return
+        now = self._state.clock.now()
+        reply = self._state.platform.refusal_reply(refusal, self._request_id, now)
+        headers = self._headers(reply.head.headers)
+        await self._connection.send_whole(reply.head.status, headers, reply.body)
+
+    def _headers(self, headers: Headers) -> Headers:
+        return (*headers, *CLOSE) if self._state.leaving else headers
+
+
+class Ingress:
+    """Serve the requests of callers, one after the other on each connection."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve a connection until it ends."""
+        state = self._state
+        connection = ServerConnection(channel, state.clock, state.limits)
+        try:
+            while await self._serve_next(connection):
+                pass
+        except BadRequestError as error:
+            await self._reject(connection, error)
+        except ConnectionFailedError as error:
+            logger.debug("connection ended", reason=str(error))
+        except Exception:
+            # A fault in one connection must not end the others.
+            logger.exception("connection failed", peer=connection.peer)
+            connection.abort()
+        finally:
+            state.idle_connections.discard(connection)
+            connection.close()
+
+    async def _serve_next(self, connection: ServerConnection) -> bool:
+        state = self._state
+        idle = state.idle_connections
+        idle.add(connection)
+        request = await connection.next_request(lambda: idle.discard(connection))
+        idle.discard(connection)
+        if request is None:
+            return False
+        with state.in_flight.track():
+            await self._answer(connection, request)
+        return connection.can_continue() and not state.leaving
+
+    async def _answer(self, connection: ServerConnection, request: Request) -> None:
+        caller = HttpCaller(self._state, connection, None)
+        try:
+            routed = self._route(request)
+        except RequestRefusedError as error:
+            logger.info(
+                "request refused",
+                code=error.refusal.code,
+                detail=error.refusal.detail,
+                configuration=self._state.table.version if self._state.table else 0,
+            )
+            await caller.refuse(error.refusal)
+            return
+        caller = HttpCaller(self._state, connection, routed.envelope.request_id)
+        driver = DirectDriver(self._state, routed, caller)
+        self._state.budget(routed.service)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(_watch, connection, driver)
+            await driver.run()
+            task_group.cancel_scope.cancel()
+
+    def _route(self, request: Request) -> RoutedRequest:
+        state = self._state
+        if state.table is None:
+            retry_at = state.clock.now() + CONFIGURATION_DELAY_S
+            raise NotConfigured.refuse("no configuration has been read yet", retry_at)
+        return resolve(state.table, state.platform.read_envelope(request))
+
+    async def _reject(
+        self, connection: ServerConnection, error: BadRequestError
+    ) -> None:
+        logger.info("request rejected", peer=connection.peer, reason=str(error))
+        if not connection.can_answer():
+            connection.abort()
+            return
+        try:
+            await connection.send_whole(error.status, CLOSE, error.detail.encode())
+        except ConnectionFailedError as lost:
+            logger.debug("connection ended", reason=str(lost))
+
+
+async def _watch(connection: ServerConnection, driver: DirectDriver) -> None:
+    await connection.wait_closed()
+    driver.caller_gone()
+
+
+class ReadyEndpoint:
+    """Tell the platform whether callers may be sent here."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve a connection until it ends."""
+        state = self._state
+        connection = ServerConnection(channel, state.clock, state.limits)
+        try:
+            while request := await connection.next_request(lambda: None):
+                known = state.platform.is_ready_check(request.head)
+                status = 404 if not known else 200 if state.ready else 503
+                await connection.send_whole(status, (), b"")
+                if not connection.can_continue():
+                    break
+        except (BadRequestError, ConnectionFailedError) as error:
+            logger.debug("readiness connection ended", reason=str(error))
+        finally:
+            connection.close()
--- /dev/null
+++ b/src/agatehoist/gateway/settings.py
@@ -0,0 +1,44 @@
+"""Settings of a gateway."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Name a host by IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """Bound the repeats that all nodes together may send to a service.
+
+    Within any window the repeats stay under the ratio of the requests plus the slack.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Hold what a gateway is told at its start; times are in seconds."""
+
+    node: str
+    data_centre: str
+    front: Address
+    ready: Address
+    store: Address
+    stop_grace_s: float
+    drain_s: float
+    order_turn_s: float
+    weights_in_force_s: float
+    retries: RetryBounds
--- /dev/null
+++ b/src/agatehoist/gateway/state.py
@@ -0,0 +1,133 @@
+"""What a gateway holds while it runs; all of it can be lost."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.attempts.budget import RetryBudget
+from agatehoist.attempts.suspicion import Suspects
+from agatehoist.core.identity import AttemptId, new_incarnation
+from agatehoist.core.inflight import InFlight
+from agatehoist.fleet.load import Load
+from agatehoist.fleet.view import FleetView
+from agatehoist.http1.pool import Pool
+from agatehoist.http1.types import ConnectionLimits
+from agatehoist.observability.logs import get_logger
+from agatehoist.weights.plan import WeightsView
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from agatehoist.core.clock import Clock
+    from agatehoist.gateway.settings import GatewaySettings
+    from agatehoist.gateway.types import Platform
+    from agatehoist.http1.server import ServerConnection
+    from agatehoist.routing.types import RoutingTable
+    from agatehoist.storage.objects import ObjectStore
+    from agatehoist.weights.types import SeenPlan
+
+logger = get_logger("gateway")
+
+# The slack for repeats is shared by all nodes; until they are counted, by so many.
+NODES_ASSUMED = 8
+# What the nodes keep back together for those that aren't counted yet.
+SLACK_SHARE = 0.9
+
+
+class GatewayState:
+    """Hold the beliefs, the counters and the connections of a gateway."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        platform: Platform,
+        store: ObjectStore,
+        task_group: TaskGroup,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.platform = platform
+        self.store = store
+        self.task_group = task_group
+        self.table: RoutingTable | None = None
+        self.table_at = 0.0
+        self.fleet = FleetView()
+        self.weights = WeightsView()
+        self.load = Load()
+        self.suspects = Suspects()
+        self.pool = Pool(clock)
+        self.in_flight = InFlight()
+        self.leaving = False
+        self.idle_connections: set[ServerConnection] = set()
+        self.rng = random.Random()
+        self.incarnation = new_incarnation()
+        self._work = anyio.Event()
+        self._sequence = itertools.count(1)
+        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._node_count = NODES_ASSUMED
+
+    @property
+    def ready(self) -> bool:
+        """Say whether callers may be sent here."""
+        return not self.leaving and self.table is not None and bool(self.fleet.revision)
+
+    def wake_keeper(self) -> None:
+        """Let the keeper of the weights look at what is to be done."""
+        self._work.set()
+
+    async def wait_for_work(self, timeout_s: float) -> None:
+        """Wait until the keeper is woken, or for a while."""
+        with anyio.move_on_after(timeout_s):
+            await self._work.wait()
+        self._work = anyio.Event()
+
+    def see_plan(self, seen: SeenPlan) -> None:
+        """Take a plan and what it tells of the endpoints."""
+        if not self.weights.see(seen):
+            return
+        plan = seen.plan
+        for endpoint in tuple(self.fleet.by_name.values()):
+            if endpoint.lifetime in plan.changed:
+                self.fleet.note_version(endpoint, plan.model, plan.target)
+        logger.info(
+            "plan seen",
+            model=plan.model,
+            holder=plan.holder,
+            target=plan.target,
+            changing=plan.changing,
+            revision=seen.revision,
+        )
+        self.wake_keeper()
+
+    def next_attempt_id(self) -> AttemptId:
+        """Return a new name for an attempt."""
+        return AttemptId(self.incarnation, next(self._sequence))
+
+    def limits(self) -> ConnectionLimits:
+        """Return what bounds callers now."""
+        return self.table.limits if self.table is not None else ConnectionLimits()
+
+    def set_node_count(self, count: int) -> None:
+        """Take the number of nodes that share the slack for repeats."""
+        if count == self._node_count:
+            return
+        logger.info("nodes counted", count=count, before=self._node_count)
+        self._node_count = count
+        for budget in self._budgets_by_service.values():
+            budget.set_reserve(self._reserve())
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return this node's share of the repeats to a service."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(self.settings.retries.ratio, self._reserve())
+            self._budgets_by_service[service] = budget
+        return budget
+
+    def _reserve(self) -> float:
+        return SLACK_SHARE * self.settings.retries.slack / self._node_count
--- /dev/null
+++ b/src/agatehoist/gateway/topics.py
@@ -0,0 +1,172 @@
+"""Kinds of object that a gateway follows, and what it does with each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from agatehoist.core.registry import Registry
+from agatehoist.errors import AgatehoistError
+from agatehoist.gateway.plans import PLAN_KIND, read_plan
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import CONFIGURATION_REVISION
+from agatehoist.weights.types import SeenPlan
+
+if TYPE_CHECKING:
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.gateway.types import ObjectKinds
+    from agatehoist.storage.objects import Changes, Listing, StoredValue
+
+logger = get_logger("gateway")
+
+
+class Topic(Protocol):
+    """Take what the store says of one kind of object."""
+
+    def kind(self, kinds: ObjectKinds) -> str:
+        """Return the kind of object."""
+
+    def replace(self, state: GatewayState, listing: Listing) -> None:
+        """Take a whole list."""
+
+    def change(self, state: GatewayState, changes: Changes) -> None:
+        """Take changes in order."""
+
+
+TOPICS: Registry[type[Topic]] = Registry("topic")
+
+
+class EachValue:
+    """Treat a list like writes of all its objects."""
+
+    def put(self, state: GatewayState, value: StoredValue) -> None:
+        """Take one object."""
+        raise NotImplementedError
+
+    def replace(self, state: GatewayState, listing: Listing) -> None:
+        """Take a whole list."""
+        for value in listing.values:
+            self.put(state, value)
+
+    def change(self, state: GatewayState, changes: Changes) -> None:
+        """Take changes in order; removals mean nothing here."""
+        for each in changes.changes:
+            if not each.removed:
+                self.put(state, each.value)
+
+
+@TOPICS.register("configuration")
+class ConfigurationTopic(EachValue):
+    """Take the newest accepted configuration, never an older one."""
+
+    def kind(self, kinds: ObjectKinds) -> str:
+        """Return the kind of object."""
+        return kinds.configuration
+
+    def put(self, state: GatewayState, value: StoredValue) -> None:
+        """Take one object."""
+        try:
+            table = state.platform.read_configuration(value.name, value.spec)
+        except AgatehoistError as error:
+            logger.error("configuration not understood", reason=str(error))
+            return
+        if table is None:
+            return
+        before = state.table.version if state.table else 0
+        if table.version <= before:
+            return
+        state.table = table
+        state.table_at = state.clock.now()
+        CONFIGURATION_REVISION.set({}, table.version)
+        logger.info(
+            "configuration in force",
+            version=table.version,
+            before=before,
+            revision=value.revision,
+        )
+
+
+@TOPICS.register("endpoints")
+class EndpointsTopic:
+    """Follow who serves; an entry that can't be read names no endpoint."""
+
+    def kind(self, kinds: ObjectKinds) -> str:
+        """Return the kind of object."""
+        return kinds.endpoints
+
+    def replace(self, state: GatewayState, listing: Listing) -> None:
+        """Take a whole list."""
+        found = []
+        for value in listing.values:
+            try:
+                found.append(state.platform.read_endpoint(value.name, value.spec))
+            except AgatehoistError as error:
+                logger.warning("entry left out", endpoint=value.name, reason=str(error))
+        state.fleet.replace(found, listing.revision, state.clock.now())
+        logger.info("endpoints listed", count=len(found), revision=listing.revision)
+
+    def change(self, state: GatewayState, changes: Changes) -> None:
+        """Take changes in order."""
+        for each in changes.changes:
+            if each.removed:
+                self._remove(state, each.value)
+            else:
+                self._put(state, each.value)
+        state.fleet.revision = changes.revision
+
+    def _put(self, state: GatewayState, value: StoredValue) -> None:
+        try:
+            endpoint = state.platform.read_endpoint(value.name, value.spec)
+        except AgatehoistError as error:
+            logger.warning("entry left out", endpoint=value.name, reason=str(error))
+            state.fleet.remove(value.name, state.clock.now())
+            return
+        state.fleet.put(endpoint)
+        logger.info(
+            "endpoint listed",
+            endpoint=endpoint.lifetime,
+            leaving=endpoint.leaving,
+            weights=endpoint.versions_by_model,
+            revision=value.revision,
+        )
+
+    def _remove(self, state: GatewayState, value: StoredValue) -> None:
+        state.fleet.remove(value.name, state.clock.now())
+        logger.info("endpoint removed", endpoint=value.name, revision=value.revision)
+
+
+@TOPICS.register("weights")
+class WeightsTopic(EachValue):
+    """Follow the weights that operators name."""
+
+    def kind(self, kinds: ObjectKinds) -> str:
+        """Return the kind of object."""
+        return kinds.weights
+
+    def put(self, state: GatewayState, value: StoredValue) -> None:
+        """Take one object."""
+        try:
+            named = state.platform.read_weights(value.spec)
+        except AgatehoistError as error:
+            logger.error("weights not understood", name=value.name, reason=str(error))
+            return
+        if state.weights.name(named, state.clock.now()):
+            logger.info("weights named", model=named.model, version=named.version)
+            state.wake_keeper()
+
+
+@TOPICS.register("plans")
+class PlansTopic(EachValue):
+    """Follow the roll-outs of weights."""
+
+    def kind(self, kinds: ObjectKinds) -> str:
+        """Return the kind of object."""
+        return PLAN_KIND
+
+    def put(self, state: GatewayState, value: StoredValue) -> None:
+        """Take one object."""
+        try:
+            plan = read_plan(value.spec)
+        except AgatehoistError as error:
+            logger.error("plan not understood", name=value.name, reason=str(error))
+            return
+        state.see_plan(SeenPlan(plan, value.revision, state.clock.now()))
--- a/src/agatehoist/gossip/node.py
+++ b/src/agatehoist/gossip/node.py
@@ -29,10 +29,10 @@
 
     from agatehoist.gossip.types import Item, Topic
     from agatehoist.membership.view import FleetView
-    from agatehoist.platform.types import HostEntry
     from agatehoist.protocol.authentication import KeyRing
     from agatehoist.protocol.connection import Connection
     from agatehoist.settings.types import NodeSettings
+    from agatehoist.storage.types import HostEntry
 
 logger = get_logger("gossip")
 
--- a/src/agatehoist/gossip/runtime.py
+++ b/src/agatehoist/gossip/runtime.py
@@ -11,8 +11,8 @@
 
 if TYPE_CHECKING:
     from agatehoist.gossip.node import GossipNode
-    from agatehoist.platform.client import PlatformClient
     from agatehoist.settings.types import Address
+    from agatehoist.storage.client import PlatformClient
 
 
 async def run_gossip(
--- a/src/agatehoist/gossip/sources.py
+++ b/src/agatehoist/gossip/sources.py
@@ -13,15 +13,15 @@
 from agatehoist.gossip.types import Item, Topic
 from agatehoist.membership.encoding import pack_hosts
 from agatehoist.observability.logs import get_logger
-from agatehoist.platform.backoff import Backoff
-from agatehoist.platform.budget import Purpose
-from agatehoist.platform.errors import ObjectNotFoundError, PlatformError
+from agatehoist.storage.backoff import Backoff
+from agatehoist.storage.budget import Purpose
+from agatehoist.storage.errors import ObjectNotFoundError, PlatformError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from agatehoist.gossip.node import GossipNode
-    from agatehoist.platform.client import PlatformClient
+    from agatehoist.storage.client import PlatformClient
 
 logger = get_logger("gossip")
 
--- /dev/null
+++ b/src/agatehoist/http1/server.py
@@ -0,0 +1,193 @@
+"""Server side of an HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import h11
+
+from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
+from agatehoist.http1.types import Request, RequestHead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agatehoist.core.clock import Clock
+    from agatehoist.http1.channel import Channel
+    from agatehoist.http1.types import ConnectionLimits, Headers
+
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+CONTENT_TOO_LARGE = 413
+# Bytes of further requests that are kept while one is served.
+MAX_READ_AHEAD_BYTES = 64 * 1024
+
+
+class ServerConnection:
+    """Read requests one after the other and write their answers."""
+
+    def __init__(
+        self, channel: Channel, clock: Clock, limits: Callable[[], ConnectionLimits]
+    ) -> None:
+        self._channel = channel
+        self._clock = clock
+        self._limits = limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
+        )
+        self.answering = False
+
+    @property
+    def peer(self) -> str:
+        """Return the address of the caller."""
+        return self._channel.peer
+
+    async def next_request(self, on_begin: Callable[[], None]) -> Request | None:
+        """Return the next request, or None once the caller has closed or is idle.
+
+        Raises BadRequestError and ConnectionFailedError.
+        """
+        with anyio.move_on_after(self._limits().idle_timeout_s):
+            await self._fill_first()
+        if not self._has_begun():
+            return None
+        on_begin()
+        try:
+            with anyio.fail_after(self._limits().header_timeout_s):
+                head = await self._read_head()
+        except TimeoutError as error:
+            raise BadRequestError(REQUEST_TIMEOUT, "headers took too long") from error
+        if head is None:
+            return None
+        received_at = self._clock.now()
+        return Request(head, await self._read_body(head), received_at)
+
+    async def wait_closed(self) -> None:
+        """Return once the caller has closed the connection."""
+        kept = 0
+        while kept < MAX_READ_AHEAD_BYTES:
+            try:
+                data = await self._channel.receive()
+            except ConnectionFailedError:
+                return
+            self._http.receive_data(data)
+            if not data:
+                return
+            kept += len(data)
+        await anyio.sleep_forever()
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Begin an answer.
+
+        Raises ConnectionFailedError.
+        """
+        self.answering = True
+        reply = h11.Response(status_code=status, headers=list(headers))
+        await self._channel.send(self._encode(reply))
+
+    async def send_data(self, data: bytes) -> None:
+        """Send a part of the body.
+
+        Raises ConnectionFailedError.
+        """
+        await self._channel.send(self._encode(h11.Data(data=data)))
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer with its length.
+
+        Raises ConnectionFailedError.
+        """
+        self.answering = True
+        sized = [*headers, (b"content-length", str(len(body)).encode())]
+        parts = [self._encode(h11.Response(status_code=status, headers=sized))]
+        if body:
+            parts.append(self._encode(h11.Data(data=body)))
+        parts.append(self._encode(h11.EndOfMessage()))
+        await self._channel.send(b"".join(parts))
+
+    async def end(self) -> None:
+        """End the answer as complete.
+
+        Raises ConnectionFailedError.
+        """
+        await self._channel.send(self._encode(h11.EndOfMessage()))
+
+    def can_answer(self) -> bool:
+        """Say whether an answer may still be begun."""
+        return self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def can_continue(self) -> bool:
+        """Make ready for the next request and say whether one may follow."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        self.answering = False
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+    def abort(self) -> None:
+        """Break the connection off, so that no answer looks complete."""
+        self._channel.abort()
+
+    def _encode(self, event: h11.Event) -> bytes:
+        return self._http.send(event) or b""
+
+    def _has_begun(self) -> bool:
+        data, closed = self._http.trailing_data
+        return bool(data) or closed
+
+    async def _fill_first(self) -> None:
+        if not self._has_begun():
+            self._http.receive_data(await self._channel.receive())
+
+    async def _read_head(self) -> RequestHead | None:
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._channel.receive())
+            elif isinstance(event, h11.Request):
+                return _checked_head(event)
+            else:
+                return None
+
+    async def _read_body(self, head: RequestHead) -> bytes:
+        limit = self._limits().max_body_bytes
+        for length in head.values(b"content-length"):
+            if int(length) > limit:
+                raise BadRequestError(CONTENT_TOO_LARGE, f"body over {limit} bytes")
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._channel.send(self._encode(go_on))
+        body = bytearray()
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._channel.receive())
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limit:
+                    raise BadRequestError(CONTENT_TOO_LARGE, f"body over {limit} bytes")
+            else:
+                return bytes(body)
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadRequestError(error.error_status_hint, str(error)) from error
+
+
+def _checked_head(event: h11.Request) -> RequestHead:
+    head = RequestHead(event.method, event.target, tuple(event.headers))
+    # Two framings in one request are read differently by different parties.
+    if head.values(b"transfer-encoding") and head.values(b"content-length"):
+        raise BadRequestError(BAD_REQUEST, "both a length and a transfer encoding")
+    if event.http_version != b"1.1":
+        raise BadRequestError(505, "only HTTP/1.1 is served")
+    return head
--- /dev/null
+++ b/src/agatehoist/http1/types.py
@@ -0,0 +1,59 @@
+"""Messages of HTTP/1.1 and the limits on them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Hold the first line and the headers of a request; names are lowercase."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+    def values(self, name: bytes) -> tuple[bytes, ...]:
+        """Return all values of a header in order."""
+        return tuple(value for each, value in self.headers if each == name)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold a whole request and the epoch time at which its head was read."""
+
+    head: RequestHead
+    body: bytes
+    received_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyHead:
+    """Hold the status and the headers of an answer; names are lowercase."""
+
+    status: int
+    headers: Headers
+
+    def value(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return next((value for each, value in self.headers if each == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold a whole answer."""
+
+    head: ReplyHead
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Bound what a caller may send and how long it may take."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
--- a/src/agatehoist/membership/election.py
+++ b/src/agatehoist/membership/election.py
@@ -7,13 +7,13 @@
 from agatehoist.core.registry import Registry
 from agatehoist.placement.ranking import rank
 from agatehoist.placement.types import Candidate
-from agatehoist.platform.types import HostState
+from agatehoist.storage.types import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from typing import Any
 
-    from agatehoist.platform.types import HostEntry
+    from agatehoist.storage.types import HostEntry
 
 WATCHERS_PER_DATA_CENTRE = 2
 POLLERS_PER_DATA_CENTRE = 1
--- a/src/agatehoist/membership/encoding.py
+++ b/src/agatehoist/membership/encoding.py
@@ -9,7 +9,7 @@
 from cattrs.preconf.msgpack import make_converter
 
 from agatehoist.membership.errors import BadHostListError
-from agatehoist.platform.types import HostEntry
+from agatehoist.storage.types import HostEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/agatehoist/membership/view.py
+++ b/src/agatehoist/membership/view.py
@@ -17,7 +17,7 @@
 
     from agatehoist.configuration.document import Record
     from agatehoist.core.clock import Clock
-    from agatehoist.platform.types import HostEntry
+    from agatehoist.storage.types import HostEntry
 
 logger = get_logger("membership")
 
--- a/src/agatehoist/observability/logs.py
+++ b/src/agatehoist/observability/logs.py
@@ -8,6 +8,8 @@
 
 import structlog
 
+from agatehoist.observability.output import BoundedOutput
+
 if TYPE_CHECKING:
     from structlog.typing import EventDict, WrappedLogger
 
@@ -44,6 +46,27 @@
     structlog.contextvars.bind_contextvars(node=node)
 
 
+def configure_service_logs(level: str, node: str) -> None:
+    """Send logs of the level and above to standard output as JSON lines.
+
+    The output is bounded and never blocks; what is dropped is counted in a later line.
+    """
+    output = BoundedOutput(sys.stdout.fileno())
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            _prefix_part,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(default=str),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS_BY_NAME[level]),
+        logger_factory=structlog.PrintLoggerFactory(output),  # type: ignore[arg-type]
+        cache_logger_on_first_use=True,
+    )
+    structlog.get_logger(part="logs").info("begin", node=node)
+
+
 def _prefix_part(
     _logger: WrappedLogger, _method: str, event_dict: EventDict
 ) -> EventDict:
--- a/src/agatehoist/operators/status.py
+++ b/src/agatehoist/operators/status.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from agatehoist.orders.types import Ledger
-from agatehoist.platform.budget import ALLOWANCES_BY_PURPOSE
+from agatehoist.storage.budget import ALLOWANCES_BY_PURPOSE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/agatehoist/orders/goals.py
+++ b/src/agatehoist/orders/goals.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 
 from agatehoist.orders.types import PINNED, Goal, Holding, ModelEndpoints, Role
-from agatehoist.platform.types import HostState
+from agatehoist.storage.types import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from agatehoist.configuration import FleetConfiguration
-    from agatehoist.platform.types import HostEntry
+    from agatehoist.storage.types import HostEntry
 
 ENGINE = "engine"
 
--- a/src/agatehoist/orders/objects.py
+++ b/src/agatehoist/orders/objects.py
@@ -6,15 +6,15 @@
 
 from agatehoist.orders.fencing import raised
 from agatehoist.orders.types import FencingRecord, Granted, Ledger
-from agatehoist.platform.budget import Purpose
-from agatehoist.platform.errors import ConflictError, ObjectNotFoundError
 from agatehoist.settings.convert import make_converter
+from agatehoist.storage.budget import Purpose
+from agatehoist.storage.errors import ConflictError, ObjectNotFoundError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from agatehoist.orders.leases import Decision
-    from agatehoist.platform.client import PlatformClient
+    from agatehoist.storage.client import PlatformClient
 
 FENCING_KIND = "fencing"
 LEDGER_KIND = "orders"
--- a/src/agatehoist/placement/policies.py
+++ b/src/agatehoist/placement/policies.py
@@ -7,7 +7,7 @@
 
 from agatehoist.core.registry import Registry
 from agatehoist.placement.costs import CostRule, waiting_s
-from agatehoist.placement.keys import placement_keys
+from agatehoist.placement.keys import NO_KEY, placement_keys
 from agatehoist.placement.ranking import rank
 
 if TYPE_CHECKING:
@@ -20,6 +20,8 @@
 RANKS_BY_KEY = (3, 2)
 SPREAD_RATIO = 2.0
 MAX_PROBES = 40
+# How much longer than elsewhere a prompt may wait where its cache is, in seconds.
+BOUND_S = 0.15
 
 
 class Policy(Protocol):
@@ -111,6 +113,31 @@
     rule = CostRule(missing_weight=8.0)
 
 
+@POLICIES.register("home_bounded")
+class HomeBoundedPolicy(FixedShortlist):
+    """Take the first rank that isn't much busier than the least busy endpoint."""
+
+    def shortlist(
+        self, question: Question, candidates: Sequence[Candidate], rng: random.Random
+    ) -> tuple[Candidate, ...]:
+        """Return every candidate."""
+        return tuple(candidates)
+
+    def choose(self, question: Question, offers: Sequence[Offer]) -> tuple[Offer, ...]:
+        """Return the offers by rank, the busy ones behind."""
+        least_s = min((each.ttft_estimate for each in offers), default=0.0)
+        by_host = {each.candidate.host: each for each in offers}
+        key = placement_keys(question)[0] if question.levels else NO_KEY
+        if key == NO_KEY:
+            return tuple(sorted(offers, key=lambda each: each.ttft_estimate))
+        ranked = rank(key, [each.candidate for each in offers], len(offers))
+        in_order = [by_host[each.host] for each in ranked]
+        limit_s = least_s + BOUND_S
+        free = [each for each in in_order if each.ttft_estimate <= limit_s]
+        busy = [each for each in in_order if each.ttft_estimate > limit_s]
+        return (*free, *sorted(busy, key=lambda each: each.ttft_estimate))
+
+
 @POLICIES.register("random")
 class RandomPolicy(FixedShortlist):
     """Take endpoints at random."""
--- a/src/agatehoist/platform/__init__.py
+++ b/src/agatehoist/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Client of the platform's service."""
+"""Translation between the product's types and the users' platform."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/platform/adapter.py
@@ -0,0 +1,47 @@
+"""The users' platform behind the port of the gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.gateway.types import ObjectKinds
+from agatehoist.platform import answers, documents, engines, names, requests
+
+if TYPE_CHECKING:
+    from agatehoist.http1.types import RequestHead
+    from agatehoist.routing.types import RoutingTable
+
+
+class UsersPlatform:
+    """Translate between the platform's messages and the product's types."""
+
+    kinds = ObjectKinds(
+        names.CONFIGURATION_KIND, names.ENDPOINT_KIND, names.WEIGHTS_KIND
+    )
+    read_envelope = staticmethod(requests.read_envelope)
+    dispatched_head = staticmethod(requests.dispatched_head)
+    not_executed = staticmethod(answers.not_executed)
+    answered_id = staticmethod(answers.answered_id)
+    weights_version = staticmethod(answers.weights_version)
+    check_success = staticmethod(answers.check_success)
+    idle_limit_s = staticmethod(answers.idle_limit_s)
+    returned_headers = staticmethod(answers.returned_headers)
+    refusal_reply = staticmethod(answers.refusal_reply)
+    read_endpoint = staticmethod(documents.read_endpoint)
+    read_weights = staticmethod(documents.read_weights)
+    report_head = staticmethod(engines.report_head)
+    read_report = staticmethod(engines.read_report)
+    order_request = staticmethod(engines.order_request)
+
+    def is_ready_check(self, head: RequestHead) -> bool:
+        """Say whether a request asks for readiness."""
+        return head.target.partition(b"?")[0] == names.READY_PATH.encode()
+
+    def read_configuration(self, name: str, spec: object) -> RoutingTable | None:
+        """Return the routing table that an object holds, None for another object.
+
+        Raises InvalidDocumentError.
+        """
+        if name != names.CONFIGURATION_NAME:
+            return None
+        return documents.read_configuration(spec)
--- /dev/null
+++ b/src/agatehoist/platform/boot.py
@@ -0,0 +1,52 @@
+"""Settings of a process as the platform writes them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import yaml
+
+from agatehoist.gateway.settings import Address, GatewaySettings, RetryBounds
+from agatehoist.platform.reading import Finding, Reader, check
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+MS_PER_S = 1000.0
+DEFAULT_MEMORY_MB = 150
+
+
+def load_settings(path: Path) -> GatewaySettings:
+    """Return the settings of a process from its file.
+
+    Raises InvalidDocumentError, or OSError if the file can't be read.
+    """
+    findings: list[Finding] = []
+    try:
+        value = yaml.safe_load(path.read_text())
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        check(str(path), [Finding("file", f"no YAML: {error}")])
+    settings = _read(Reader(value, "", findings))
+    check(str(path), findings)
+    return settings
+
+
+def _read(reader: Reader) -> GatewaySettings:
+    listen = reader.part("Listen")
+    bounds = reader.part("Bounds")
+    return GatewaySettings(
+        node=reader.text("NodeName"),
+        data_centre=reader.text("Zone"),
+        front=Address(*listen.address("Front")),
+        ready=Address(*listen.address("Ready")),
+        store=Address(*reader.part("Platform").address("Address")),
+        stop_grace_s=bounds.number("GraceS", 8),
+        drain_s=bounds.number("DrainMs", 2000) / MS_PER_S,
+        order_turn_s=bounds.number("LeaseMs", 3000) / MS_PER_S,
+        weights_in_force_s=bounds.number("VersionMs", 8000) / MS_PER_S,
+        retries=RetryBounds(
+            ratio=bounds.number("RetryBudgetRatio", 0.2),
+            slack=bounds.number("RetrySlack", 0),
+            window_s=bounds.number("BudgetWindowS", 10),
+        ),
+    )
--- /dev/null
+++ b/src/agatehoist/platform/engines.py
@@ -0,0 +1,92 @@
+"""Reports of model engines and orders to them."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from agatehoist.fleet.types import EndpointReport
+from agatehoist.http1.errors import AnswerGarbledError
+from agatehoist.http1.types import RequestHead
+from agatehoist.platform import names
+from agatehoist.platform.priorities import is_uncuttable
+from agatehoist.platform.reading import Finding, Reader, check
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from agatehoist.fleet.types import Endpoint
+    from agatehoist.http1.types import Reply
+    from agatehoist.weights.types import WeightsOrder
+
+# Runs that have begun end before the weights change.
+RUNS_FINISH_FIRST = "queue"
+RUNS_ARE_CUT = "truncate"
+# Where the priority stands in the description of a run.
+RUN_PRIORITY_INDEX = 3
+
+
+def report_head(endpoint: Endpoint) -> RequestHead:
+    """Return the request for an engine's report."""
+    return RequestHead(b"GET", names.REPORT_TARGET, _headers(endpoint))
+
+
+def read_report(reply: Reply) -> EndpointReport:
+    """Return what an engine reports.
+
+    Raises AnswerGarbledError and InvalidDocumentError.
+    """
+    if reply.head.status != HTTPStatus.OK:
+        raise AnswerGarbledError(f"a report came with status {reply.head.status}")
+    try:
+        value = json.loads(reply.body)
+    except ValueError as error:
+        raise AnswerGarbledError(f"a report is no JSON: {error}") from error
+    findings: list[Finding] = []
+    reader = Reader(value, "", findings)
+    report = EndpointReport(
+        {each.text("Name"): each.count("Version") for each in reader.parts("Models")},
+        reader.flag("Busy"),
+        reader.count("SeqNo"),
+        sum(is_uncuttable(each) for each in _run_priorities(value)),
+    )
+    check("report", findings)
+    return report
+
+
+def order_request(endpoint: Endpoint, order: WeightsOrder) -> tuple[RequestHead, bytes]:
+    """Return the request that orders new weights."""
+    body = json.dumps(
+        {
+            "Op": "Version",
+            "Model": order.model,
+            "Version": order.version,
+            "Mode": RUNS_ARE_CUT if order.cuts_runs else RUNS_FINISH_FIRST,
+            "Holder": order.holder,
+            "FencingToken": order.token,
+            "ExpectedRev": order.expected_order_count,
+        }
+    ).encode()
+    headers = (
+        *_headers(endpoint),
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    )
+    return RequestHead(b"POST", names.ORDER_TARGET, headers), body
+
+
+def _run_priorities(report: dict[str, Any]) -> Iterator[int]:
+    runs = report.get("Runs")
+    for run in runs if isinstance(runs, list) else ():
+        if isinstance(run, list) and len(run) > RUN_PRIORITY_INDEX:
+            priority = run[RUN_PRIORITY_INDEX]
+            if isinstance(priority, int):
+                yield priority
+
+
+def _headers(endpoint: Endpoint) -> tuple[tuple[bytes, bytes], ...]:
+    return (
+        (b"host", f"{endpoint.host}:{endpoint.port}".encode()),
+        (names.EXPECTED_ENDPOINT, endpoint.name.encode()),
+    )
--- /dev/null
+++ b/src/agatehoist/platform/names.py
@@ -0,0 +1,70 @@
+"""Names of the platform's headers, kinds of object and calls."""
+
+from __future__ import annotations
+
+SETTINGS_VARIABLE = "AGATEHOIST_CONFIG"
+
+READY_PATH = "/agatehoist/ready"
+OBJECTS_PATH = "/agatehoist/objects"
+REPORT_TARGET = b"/agatehoist/report"
+ORDER_TARGET = b"/agatehoist/order"
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+ENDPOINT_KIND = "servers"
+WEIGHTS_KIND = "versions"
+
+REQUEST_ID = b"x-agatehoist-request-id"
+MODEL = b"x-agatehoist-model-name"
+TOKEN_COUNT = b"x-agatehoist-token-count"
+PROMPT_PARTS = b"x-agatehoist-prompt-prefix"
+TIME_LEFT_MS = b"x-agatehoist-deadline-ms"
+KEY = b"api-key"
+LAST_EVENT_ID = b"last-event-id"
+ORGANISATION = b"x-agatehoist-tenant-id"
+EXPECTED_ENDPOINT = b"x-agatehoist-expect-instance"
+EXPECTED_WEIGHTS = b"x-agatehoist-expect-version"
+PRIORITY = b"x-agatehoist-request-priority"
+CACHE_SALT = b"x-agatehoist-cache-salt"
+FETCH_CACHE_FROM = b"x-agatehoist-kv-fetch"
+SAVE_CACHE_TO = b"x-agatehoist-kv-save"
+
+# Proof of the endpoint's authorship; it goes back to the caller unchanged.
+ENDPOINT_STAMP = b"x-agatehoist-server-stamp"
+NOT_EXECUTED = b"x-agatehoist-not-executed"
+WEIGHTS = b"x-agatehoist-weight-versions"
+
+# Only the system may set these, so a caller's values go no further.
+SYSTEM_HEADERS = frozenset(
+    {
+        ORGANISATION,
+        EXPECTED_ENDPOINT,
+        EXPECTED_WEIGHTS,
+        PRIORITY,
+        CACHE_SALT,
+        FETCH_CACHE_FROM,
+        SAVE_CACHE_TO,
+        b"x-agatehoist-hold",
+        b"x-agatehoist-pin-ms",
+        b"x-agatehoist-kv-backup",
+        b"kv-from",
+        b"x-agatehoist-not-executed",
+        b"x-agatehoist-server-stamp",
+    }
+)
+# These concern one connection alone.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -88,6 +88,23 @@
     status = Status.NOT_FOUND
 
 
+@refusal
+class UnknownRoute(RefusalKind):
+    """No route has the host and a prefix of the path."""
+
+    code = "unknown_route"
+    status = Status.NOT_FOUND
+
+
+@refusal
+class NotConfigured(RefusalKind):
+    """The process has no configuration yet."""
+
+    code = "not_configured"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "server_error"
+
+
 @refusal
 class BodyTooLarge(RefusalKind):
     """The body is over the limit."""
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -16,9 +16,9 @@
 from agatehoist.gossip.serving import serve_peer
 from agatehoist.observability.http import http_server
 from agatehoist.observability.logs import get_logger
-from agatehoist.platform.client import PlatformClient
 from agatehoist.protocol.connection import warn_without_keys
 from agatehoist.router.state import RouterState
+from agatehoist.storage.client import PlatformClient
 
 if TYPE_CHECKING:
     from agatehoist.settings.types import Address, RouterSettings
--- a/src/agatehoist/router/directory.py
+++ b/src/agatehoist/router/directory.py
@@ -7,13 +7,13 @@
 from agatehoist.core.clock import SystemClock
 from agatehoist.membership.departures import Departures
 from agatehoist.placement.types import Candidate
-from agatehoist.platform.types import HostState
+from agatehoist.storage.types import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from agatehoist.core.clock import Clock
-    from agatehoist.platform.types import HostEntry
+    from agatehoist.storage.types import HostEntry
 
 ENGINE = "engine"
 SERVICE = "service"
--- a/src/agatehoist/router/dispatch.py
+++ b/src/agatehoist/router/dispatch.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from agatehoist.attempts.types import Deliver, Finish, Rules, Submit, Target
+from agatehoist.attempts.types import Deliver, Ending, Finish, Rules, Submit, Target
 from agatehoist.core.work import Continuation, Priority
 from agatehoist.placement.levels import find_levels, salt_for
 from agatehoist.placement.policies import POLICIES
@@ -14,7 +14,6 @@
 from agatehoist.protocol.messages import (
     Assignment,
     CallReply,
-    CompletionEnd,
     SubmitCall,
     SubmitCompletion,
 )
@@ -51,8 +50,8 @@
 
     def make_submit(submit: Submit) -> SubmitCompletion:
         work = request.work
-        if submit.texts:
-            continuation = Continuation("".join(submit.texts), len(submit.texts))
+        if submit.pieces:
+            continuation = Continuation("".join(submit.pieces), len(submit.pieces))
             work = replace(work, continuation=continuation)
         assignment = _assign(state, request, request.priority, submit)
         return SubmitCompletion(assignment, levels, work)
@@ -126,7 +125,7 @@
                 yield Started(each.target)
                 started = True
             if isinstance(each.decision, Deliver):
-                texts = each.decision.texts
+                texts = each.decision.pieces
                 until = each.decision.first + len(texts)
                 yield Delta("".join(texts), until, each.target)
             else:
@@ -137,7 +136,7 @@
     async with aclosing(deliveries):
         async for each in deliveries:
             assert isinstance(each.decision, Finish)
-            reply = each.decision.message
+            reply = each.decision.result
             assert isinstance(reply, CallReply)
             host = each.target.host
             # The driver still has to acknowledge the reply.
@@ -146,10 +145,10 @@
 
 
 def _finished(decision: Finish) -> Finished:
-    end = decision.message
-    assert isinstance(end, CompletionEnd)
+    end = decision.result
+    assert isinstance(end, Ending)
     return Finished(
-        end.finish_reason, end.prompt_tokens, end.token_count, end.cached_tokens
+        end.finish_reason, end.prompt_tokens, end.piece_count, end.cached_tokens
     )
 
 
--- a/src/agatehoist/router/driving.py
+++ b/src/agatehoist/router/driving.py
@@ -19,7 +19,6 @@
     Drop,
     Event,
     Finish,
-    Frame,
     LinkLost,
     NotWritten,
     Offered,
@@ -48,6 +47,7 @@
 from agatehoist.protocol.messages import Cancel, Resume
 from agatehoist.protocol.windows import WINDOW_TOKENS, next_window
 from agatehoist.refusals import RequestRefusedError
+from agatehoist.router.frames import event_of
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Awaitable, Callable
@@ -159,7 +159,7 @@
             await self._before_submit(target)
         try:
             link = await self._state.links.get(target.host)
-            self._subscribe(link, target, len(decision.texts))
+            self._subscribe(link, target, len(decision.pieces))
             await link.send(self._make_submit(decision))
         except NotWrittenError as error:
             return NotWritten(target.attempt_id, str(error))
@@ -211,8 +211,9 @@
         pass
 
     @PERFORMERS.register(Finish)
-    async def _finished(self, decision: Finish) -> None:
-        await self._send_quietly(Acknowledge(decision.message.attempt_id))
+    async def _finished(self, _decision: Finish) -> None:
+        assert self._machine.target is not None
+        await self._send_quietly(Acknowledge(self._machine.target.attempt_id))
 
     @PERFORMERS.register(Refuse)
     async def _refuse(self, decision: Refuse) -> None:
@@ -224,7 +225,7 @@
         attempt_id = self._machine.target.attempt_id
         with anyio.move_on_after(max(0, self._rules.deadline - self._now())):
             try:
-                return Frame(await receive_from(self._messages))
+                return event_of(await receive_from(self._messages))
             except ConnectionLostError:
                 return LinkLost(attempt_id)
         return DeadlinePassed()
@@ -233,7 +234,7 @@
         """Open the window again once the caller has taken enough tokens."""
         if not isinstance(decision, Deliver):
             return
-        consumed = decision.first + len(decision.texts)
+        consumed = decision.first + len(decision.pieces)
         until = next_window(consumed, self._window_until)
         if until > self._window_until and self._machine.target is not None:
             self._window_until = until
--- a/src/agatehoist/router/keyed_calls.py
+++ b/src/agatehoist/router/keyed_calls.py
@@ -25,7 +25,6 @@
 from agatehoist.core.work import Run
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import CLAIMS_TOTAL
-from agatehoist.platform.errors import PlatformError
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import (
     AnswerTimeout,
@@ -38,6 +37,7 @@
 )
 from agatehoist.router.dispatch import call, follow_call
 from agatehoist.router.requests import CallAnswer
+from agatehoist.storage.errors import PlatformError
 
 if TYPE_CHECKING:
     from agatehoist.attempts.types import Target
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -30,8 +30,8 @@
     from anyio.abc import TaskGroup
 
     from agatehoist.core.clock import Clock
-    from agatehoist.platform.client import PlatformClient
     from agatehoist.settings.types import RouterSettings
+    from agatehoist.storage.client import PlatformClient
 
 MAX_BUFFERED_BODY_BYTES = 256 * 1024 * 1024
 
--- /dev/null
+++ b/src/agatehoist/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Routes from hosts and paths to services, and who may use them."""
+
+from __future__ import annotations
--- a/src/agatehoist/settings/errors.py
+++ b/src/agatehoist/settings/errors.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from agatehoist.errors import AgatehoistError
+from agatehoist.errors import InvalidInputError
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -20,7 +20,7 @@
         return f"{self.file}:{self.line}:{self.column}: {self.text}"
 
 
-class InvalidFileError(AgatehoistError):
+class InvalidFileError(InvalidInputError):
     """Report every fault found in a file."""
 
     def __init__(self, findings: tuple[Finding, ...]) -> None:
--- a/src/agatehoist/sidecar/app.py
+++ b/src/agatehoist/sidecar/app.py
@@ -17,7 +17,6 @@
 from agatehoist.gossip.runtime import run_gossip
 from agatehoist.observability.http import health_routes, http_server
 from agatehoist.observability.logs import get_logger
-from agatehoist.platform.client import PlatformClient
 from agatehoist.protocol.connection import warn_without_keys
 from agatehoist.protocol.messages import Refused
 from agatehoist.refusals.kinds import EndpointFailed
@@ -26,6 +25,7 @@
 from agatehoist.sidecar.orders import run_orders
 from agatehoist.sidecar.session import serve_session
 from agatehoist.sidecar.state import UNKNOWN_STATUS, SidecarState
+from agatehoist.storage.client import PlatformClient
 
 if TYPE_CHECKING:
     from agatehoist.settings.types import SidecarSettings
--- a/src/agatehoist/sidecar/orders.py
+++ b/src/agatehoist/sidecar/orders.py
@@ -27,8 +27,8 @@
     take_lease,
 )
 from agatehoist.orders.types import Claimant, Granted, Stopped
-from agatehoist.platform.errors import PlatformError
 from agatehoist.sidecar.sending import LOAD_TIMEOUT_S, OrderSender
+from agatehoist.storage.errors import PlatformError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -38,9 +38,9 @@
     from agatehoist.orders.kinds import Order
     from agatehoist.orders.leases import Decision
     from agatehoist.orders.types import FencingRecord, Goal, Lease, Ledger, Report
-    from agatehoist.platform.client import PlatformClient
-    from agatehoist.platform.types import HostEntry
     from agatehoist.sidecar.state import SidecarState
+    from agatehoist.storage.client import PlatformClient
+    from agatehoist.storage.types import HostEntry
 
 logger = get_logger("orders")
 
--- a/src/agatehoist/sidecar/sending.py
+++ b/src/agatehoist/sidecar/sending.py
@@ -17,8 +17,8 @@
     from agatehoist.orders.clients import OrderClient
     from agatehoist.orders.kinds import Order
     from agatehoist.orders.types import FencingRecord
-    from agatehoist.platform.client import PlatformClient
     from agatehoist.sidecar.state import SidecarState
+    from agatehoist.storage.client import PlatformClient
 
 logger = get_logger("orders")
 
--- a/src/agatehoist/platform/client.py
+++ b/src/agatehoist/storage/client.py
@@ -14,16 +14,16 @@
 
 from agatehoist.core.trust import tls_context
 from agatehoist.observability.metrics import PLATFORM_CALLS_TOTAL
-from agatehoist.platform.budget import CallBudget, Purpose
-from agatehoist.platform.errors import (
+from agatehoist.storage.budget import CallBudget, Purpose
+from agatehoist.storage.errors import (
     BudgetExhaustedError,
     ConflictError,
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
 )
-from agatehoist.platform.single_flight import SingleFlight
-from agatehoist.platform.types import HostEntry, StoredObject
+from agatehoist.storage.single_flight import SingleFlight
+from agatehoist.storage.types import HostEntry, StoredObject
 
 if TYPE_CHECKING:
     from agatehoist.settings.types import PlatformSettings
--- a/src/agatehoist/platform/errors.py
+++ b/src/agatehoist/storage/errors.py
@@ -23,3 +23,7 @@
 
 class ObjectNotFoundError(PlatformError):
     """Report that the object doesn't exist."""
+
+
+class HistoryLostError(PlatformError):
+    """Report that a watch can't go on from its revision; a list is needed."""
--- /dev/null
+++ b/src/agatehoist/weights/plan.py
@@ -0,0 +1,68 @@
+"""What a process believes about named weights and the roll-outs under way."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from agatehoist.fleet.types import Endpoint
+    from agatehoist.weights.types import NamedWeights, Plan, SeenPlan
+
+# A change of weights that takes longer has failed, so its endpoint may be tried.
+MAX_CHANGE_S = 5.0
+# Namings of a model that are remembered with their times.
+MAX_NAMINGS = 16
+
+
+class WeightsView:
+    """Follow the named weights and the plans; times are in epoch seconds."""
+
+    def __init__(self) -> None:
+        self.named_by_model: dict[str, NamedWeights] = {}
+        self._named_at_by_model: dict[str, dict[int, float]] = {}
+        self.plans_by_model: dict[str, SeenPlan] = {}
+
+    def name(self, weights: NamedWeights, now: float) -> bool:
+        """Take named weights and say whether they are new; older ones are ignored."""
+        before = self.named_by_model.get(weights.model)
+        if before is not None and before.version >= weights.version:
+            return False
+        self.named_by_model[weights.model] = weights
+        named_at = self._named_at_by_model.setdefault(weights.model, {})
+        named_at[weights.version] = now
+        for version in sorted(named_at)[:-MAX_NAMINGS]:
+            del named_at[version]
+        return True
+
+    def see(self, seen: SeenPlan) -> bool:
+        """Take a plan and say whether it is newer than the one known."""
+        before = self.plans_by_model.get(seen.plan.model)
+        if before is not None and before.revision >= seen.revision:
+            return False
+        self.plans_by_model[seen.plan.model] = seen
+        return True
+
+    def target(self, model: str) -> int:
+        """Return the weights version that a model should have, or 0."""
+        named = self.named_by_model.get(model)
+        return named.version if named else 0
+
+    def required_version(self, model: str, named_until: float) -> int:
+        """Return the newest weights version that was named until a time, or 0."""
+        named_at = self._named_at_by_model.get(model, {})
+        return max((v for v, at in named_at.items() if at <= named_until), default=0)
+
+    def is_changing(self, endpoint: Endpoint, now: float) -> bool:
+        """Say whether an endpoint is about to take new weights, or takes them."""
+        return any(
+            endpoint.lifetime in seen.plan.changing
+            and now < seen.seen_at + MAX_CHANGE_S
+            for seen in self.plans_by_model.values()
+        )
+
+
+def without(plan: Plan, lifetime: str) -> Plan:
+    """Return a plan in which an endpoint has taken the weights."""
+    changing = tuple(each for each in plan.changing if each != lifetime)
+    return replace(plan, changing=changing, changed=(*plan.changed, lifetime))
--- a/tests/test_attempts/world.py
+++ b/tests/test_attempts/world.py
@@ -24,6 +24,7 @@
     Tokens,
 )
 from agatehoist.refusals.kinds import EndpointFailed
+from agatehoist.router.frames import event_of
 from tests.test_attempts.sidecars import Faults, Running, Sidecar
 
 if TYPE_CHECKING:
@@ -86,7 +87,7 @@
     def _perform(self, decisions: tuple[types.Decision, ...]) -> None:
         for each in decisions:
             if isinstance(each, types.Deliver):
-                self.delivered += each.texts
+                self.delivered += each.pieces
             elif isinstance(each, types.Finish | types.Refuse):
                 self.result = each
             elif isinstance(each, types.Place):
@@ -124,7 +125,7 @@
             Priority.SHORT,
             DEADLINE,
         )
-        self._send(sidecar, (assignment, len(submit.texts)))
+        self._send(sidecar, (assignment, len(submit.pieces)))
 
     def _resume(self, resume: types.ResumeAt) -> None:
         target = resume.target
@@ -272,7 +273,7 @@
 
     def _receive(self, sidecar: Sidecar, connection: int, message: Any) -> None:
         if sidecar.connection == connection:
-            self._event(types.Frame(message))
+            self._event(event_of(message))
 
     def _lose_link(self, sidecar: Sidecar) -> None:
         target = self.machine.target
--- a/tests/test_claims/test_store.py
+++ b/tests/test_claims/test_store.py
@@ -26,8 +26,8 @@
 from agatehoist.claims.types import Claim, ClaimState, Dispatch, StoredClaim
 from agatehoist.core.identity import AttemptId
 from agatehoist.core.work import CallWork
-from agatehoist.platform.errors import ConflictError, PlatformUnavailableError
-from agatehoist.platform.types import StoredObject
+from agatehoist.storage.errors import ConflictError, PlatformUnavailableError
+from agatehoist.storage.types import StoredObject
 
 DISPATCH = Dispatch(Target(AttemptId("r", 1), "host", "s"), 60.0)
 RUNNING = Claim("owner", "digest", ClaimState.RUNNING, 100.0, DISPATCH)
--- a/tests/test_configuration/fakes.py
+++ b/tests/test_configuration/fakes.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any
 
-from agatehoist.platform.errors import (
+from agatehoist.storage.errors import (
     ConflictError,
     ObjectNotFoundError,
     PlatformUnavailableError,
 )
-from agatehoist.platform.types import StoredObject
+from agatehoist.storage.types import StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_configuration/test_applying.py
+++ b/tests/test_configuration/test_applying.py
@@ -19,7 +19,7 @@
 from agatehoist.configuration.errors import ChangeConflictError, OutcomeUnknownError
 from agatehoist.configuration.store import ConfigurationStore
 from agatehoist.configuration.types import Model
-from agatehoist.platform.errors import PlatformUnavailableError
+from agatehoist.storage.errors import PlatformUnavailableError
 from tests.test_configuration.fakes import FakePlatform
 
 NOON = datetime(2026, 12, 4, 12, tzinfo=UTC)
--- a/tests/test_membership/test_election.py
+++ b/tests/test_membership/test_election.py
@@ -14,8 +14,8 @@
     elected,
     has_duty,
 )
-from agatehoist.platform.types import HostEntry, HostState
 from agatehoist.router.directory import Directory
+from agatehoist.storage.types import HostEntry, HostState
 
 DUTY = "watch_configuration"
 
--- a/tests/test_orders/support.py
+++ b/tests/test_orders/support.py
@@ -15,12 +15,6 @@
 from agatehoist.orders.errors import OrderRefusedError
 from agatehoist.orders.kinds import NAMES_BY_KIND
 from agatehoist.orders.types import Ledger, Report
-from agatehoist.platform.errors import (
-    ConflictError,
-    ObjectNotFoundError,
-    PlatformUnavailableError,
-)
-from agatehoist.platform.types import HostEntry, StoredObject
 from agatehoist.settings.convert import make_converter
 from agatehoist.settings.types import (
     Address,
@@ -31,6 +25,12 @@
 )
 from agatehoist.sidecar.orders import Reconciler
 from agatehoist.sidecar.state import SidecarState
+from agatehoist.storage.errors import (
+    ConflictError,
+    ObjectNotFoundError,
+    PlatformUnavailableError,
+)
+from agatehoist.storage.types import HostEntry, StoredObject
 from standins.engine.model import Engine, Speed
 from standins.engine.orders import OrderDesk, OrderError, WeightsError
 from standins.platform.store import Store, VersionConflict
@@ -42,8 +42,8 @@
 
     from agatehoist.orders.clients import OrderClient
     from agatehoist.orders.kinds import Order
-    from agatehoist.platform.budget import Purpose
-    from agatehoist.platform.client import PlatformClient
+    from agatehoist.storage.budget import Purpose
+    from agatehoist.storage.client import PlatformClient
 
 MODEL = "songs-8b"
 
--- a/tests/test_orders/test_reconciler.py
+++ b/tests/test_orders/test_reconciler.py
@@ -11,7 +11,7 @@
 from agatehoist.configuration import EndpointRules
 from agatehoist.endpoints.errors import EndpointError
 from agatehoist.orders.errors import OrderError, OrderExpiredError, SupersededError
-from agatehoist.platform.errors import PlatformError
+from agatehoist.storage.errors import PlatformError
 from tests.test_orders.support import MODEL, FakeEngine, FakeFleet
 
 if TYPE_CHECKING:
--- a/tests/test_router/test_placing.py
+++ b/tests/test_router/test_placing.py
@@ -14,9 +14,9 @@
 from agatehoist.core.work import Priority
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Candidate, Offer, Question
-from agatehoist.platform.types import HostEntry, HostState
 from agatehoist.router import placing
 from agatehoist.router.directory import ENGINE, Directory
+from agatehoist.storage.types import HostEntry, HostState
 
 MODEL = "songs-8b"
 IDENTITY = EndpointIdentity("s", "e", "1")
--- a/tests/test_platform/test_answers.py
+++ b/tests/test_storage/test_answers.py
@@ -9,9 +9,9 @@
 import httpx
 from parameterized import parameterized
 
-from agatehoist.platform.client import PlatformClient
-from agatehoist.platform.errors import PlatformUnavailableError
 from agatehoist.settings.types import PlatformSettings
+from agatehoist.storage.client import PlatformClient
+from agatehoist.storage.errors import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/tests/test_platform/test_pacing.py
+++ b/tests/test_storage/test_pacing.py
@@ -9,9 +9,9 @@
 import anyio
 from parameterized import parameterized
 
-from agatehoist.platform.backoff import Backoff
-from agatehoist.platform.budget import Allowance, CallBudget, Purpose
-from agatehoist.platform.single_flight import SingleFlight
+from agatehoist.storage.backoff import Backoff
+from agatehoist.storage.budget import Allowance, CallBudget, Purpose
+from agatehoist.storage.single_flight import SingleFlight
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
