--- a/src/agatehoist/cli/gateway.py
+++ b/src/agatehoist/cli/gateway.py
@@ -9,7 +9,7 @@
 import anyio
 
 from agatehoist.cli.commands import COMMANDS
-from agatehoist.gateway.app import run_gateway
+from agatehoist.gateway.app import SettingsSource, run_gateway
 from agatehoist.observability.logs import configure_service_logs
 from agatehoist.platform.adapter import UsersPlatform
 from agatehoist.platform.boot import load_settings
@@ -18,10 +18,11 @@
 
 
 @COMMANDS.register("gateway")
-def gateway(settings: str = "", log_level: str = "info") -> None:
+def gateway(settings: str = "", log_level: str = "info", metrics_port: int = 0) -> None:
     """Run a gateway with the platform's settings file."""
     path = Path(settings or os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = load_settings(path)
     configure_service_logs(log_level, loaded.node)
     make_store = partial(PlatformStore, loaded.store)
-    anyio.run(run_gateway, loaded, UsersPlatform(), make_store)
+    source = SettingsSource(path, load_settings)
+    anyio.run(run_gateway, loaded, UsersPlatform(), make_store, source, metrics_port)
--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import anyio
@@ -9,24 +12,37 @@
 from agatehoist.core.clock import SystemClock
 from agatehoist.core.lifetime import stop_signals
 from agatehoist.core.listening import open_listening_socket
+from agatehoist.gateway.exposing import MetricsEndpoint
 from agatehoist.gateway.ingress import Ingress, ReadyEndpoint
 from agatehoist.gateway.keeping import keep_weights
 from agatehoist.gateway.nodes import follow_nodes
+from agatehoist.gateway.reloading import follow_settings
+from agatehoist.gateway.settings import GatewaySettings
 from agatehoist.gateway.state import GatewayState
 from agatehoist.gateway.watching import follow_store
 from agatehoist.http1.channel import accept_forever
 from agatehoist.observability.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    import socket
+
+    from anyio.abc import TaskStatus
 
     from agatehoist.core.clock import Clock
-    from agatehoist.gateway.settings import GatewaySettings
     from agatehoist.gateway.types import Platform
     from agatehoist.storage.objects import ObjectStore
 
 logger = get_logger("gateway")
 
+
+@dataclass(frozen=True, slots=True)
+class SettingsSource:
+    """Name the settings file and how it is read."""
+
+    path: Path
+    load: Callable[[Path], GatewaySettings]
+
+
 # The platform asks once a second and takes a process out after two misses; callers
 # that it sent before may still come on connections they hold.
 IDLE_CLOSE_S = 3.0
@@ -38,6 +54,8 @@
     settings: GatewaySettings,
     platform: Platform,
     make_store: Callable[[Clock], ObjectStore],
+    source: SettingsSource,
+    metrics_port: int = 0,
 ) -> None:
     """Serve callers until told to stop, then finish the requests in flight.
 
@@ -50,22 +68,44 @@
         state = GatewayState(settings, clock, platform, make_store(clock), task_group)
         task_group.start_soon(follow_store, state)
         task_group.start_soon(follow_nodes, state)
+        task_group.start_soon(follow_settings, state, source.path, source.load)
+        if metrics_port:
+            exposed = open_listening_socket(settings.front.host, metrics_port)
+            metrics = MetricsEndpoint(state)
+            task_group.start_soon(accept_forever, exposed, metrics.serve, task_group)
         task_group.start_soon(keep_weights, state)
-        task_group.start_soon(accept_forever, front, Ingress(state).serve)
-        task_group.start_soon(accept_forever, ready, ReadyEndpoint(state).serve)
+        accepting = await task_group.start(_accept, front, Ingress(state))
+        readiness = ReadyEndpoint(state)
+        task_group.start_soon(accept_forever, ready, readiness.serve, task_group)
         logger.info("started", node=settings.node, front=str(settings.front))
         await stop.wait()
-        await _drain(state)
+        await _drain(state, accepting)
         task_group.cancel_scope.cancel()
     logger.info("stopped")
 
 
-async def _drain(state: GatewayState) -> None:
+async def _accept(
+    front: socket.socket,
+    ingress: Ingress,
+    *,
+    task_status: TaskStatus[anyio.CancelScope],
+) -> None:
+    """Accept callers until the scope that is given is cancelled."""
+    async with anyio.create_task_group() as serving:
+        with front, anyio.CancelScope() as accepting:
+            task_status.started(accepting)
+            await accept_forever(front, ingress.serve, serving)
+
+
+async def _drain(state: GatewayState, accepting: anyio.CancelScope) -> None:
     logger.info("leaving", in_flight=state.in_flight.count)
     state.leaving = True
     state.wake_keeper()
     deadline = anyio.current_time() + state.settings.stop_grace_s - STOP_MARGIN_S
     await anyio.sleep(IDLE_CLOSE_S)
+    # Where all nodes of a zone leave, callers would still be sent here; they ask
+    # another node if this one takes no connection.
+    accepting.cancel()
     for connection in tuple(state.idle_connections):
         connection.close()
     with anyio.CancelScope(deadline=deadline):
--- a/src/agatehoist/gateway/driving.py
+++ b/src/agatehoist/gateway/driving.py
@@ -30,7 +30,12 @@
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.types import Reply
 from agatehoist.observability.logs import get_logger
-from agatehoist.observability.metrics import DROPPED_FRAMES_TOTAL, RETRIES_TOTAL
+from agatehoist.observability.metrics import (
+    DROPPED_FRAMES_TOTAL,
+    REQUEST_SECONDS,
+    RETRIES_TOTAL,
+    TTFT_SECONDS,
+)
 from agatehoist.refusals.kinds import EndpointFailed
 
 if TYPE_CHECKING:
@@ -48,6 +53,7 @@
 # Endpoints that one request is offered to, those that reject it included.
 MAX_DISPATCHES = 4
 MAX_PLACEMENTS = 2
+MS_PER_S = 1000
 
 PERFORMERS: Registry[Callable[..., Any]] = Registry("decision on a direct request")
 
@@ -71,6 +77,7 @@
         self._tried: list[str] = []
         self._steps: list[str] = []
         self._started = False
+        self._outcome = "caller gone"
         self._gone = False
         self._waiting = anyio.CancelScope()
         self._sender, self._events = anyio.create_memory_object_stream[Any](
@@ -159,10 +166,10 @@
     @PERFORMERS.register(Finish)
     async def _finish(self, decision: Finish) -> None:
         if isinstance(decision.result, Reply):
-            self._steps.append(f"answered {decision.result.head.status}")
+            self._outcome = f"answered {decision.result.head.status}"
             await self._caller.reply(decision.result)
             return
-        self._steps.append(f"answered whole, {decision.result.piece_count} events")
+        self._outcome = "streamed"
         await self._start()
         await self._caller.finish()
 
@@ -172,16 +179,18 @@
         failure = self._attempt.failure if self._attempt else None
         if failure is not None and refusal.code == EndpointFailed.code:
             # The endpoint's own failure says more than one made here.
-            self._steps.append(f"answered {failure.head.status}")
+            self._outcome = f"answered {failure.head.status}"
             await self._caller.reply(failure)
             return
-        self._steps.append(f"refused {refusal.code}, run {refusal.run}")
+        self._outcome = f"refused {refusal.code}, run {refusal.run}"
         await self._caller.refuse(refusal)
 
     async def _start(self) -> None:
         if self._started:
             return
         self._started = True
+        first_s = self._now() - self._request.envelope.received_at
+        TTFT_SECONDS.observe({"route": self._request.route.name}, first_s)
         assert self._attempt is not None
         assert self._attempt.head is not None
         await self._caller.start(self._attempt.head)
@@ -201,6 +210,9 @@
 
     def _log(self) -> None:
         request = self._request
+        took_s = self._now() - request.envelope.received_at
+        labels = {"route": request.route.name, "outcome": self._outcome}
+        REQUEST_SECONDS.observe(labels, took_s)
         logger.info(
             "request ended",
             request=request.envelope.request_id,
@@ -209,8 +221,10 @@
             configuration=request.table_version,
             fleet=self._state.fleet.revision,
             steps=self._steps,
-            gone=self._gone,
-            took_ms=round((self._now() - request.envelope.received_at) * 1000),
+            outcome=self._outcome,
+            in_flight=self._state.in_flight.count,
+            table_age_s=round(self._now() - self._state.table_at, 1),
+            took_ms=round(took_s * MS_PER_S),
         )
 
     def _now(self) -> float:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -112,6 +112,13 @@
         """Return what bounds callers now."""
         return self.table.limits if self.table is not None else ConnectionLimits()
 
+    def set_settings(self, settings: GatewaySettings) -> None:
+        """Take changed settings; addresses to listen on hold until the next start."""
+        self.settings = settings
+        self.store.move(settings.store.host, settings.store.port)
+        for budget in self._budgets_by_service.values():
+            budget.set_reserve(self._reserve())
+
     def set_node_count(self, count: int) -> None:
         """Take the number of nodes that share the slack for repeats."""
         if count == self._node_count:
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
+    from anyio.abc import TaskGroup
+
 RECEIVE_BYTES = 32 * 1024
 # A peer that lost power or its path must show within about two seconds.
 KEEPALIVE_IDLE_S = 1
@@ -138,21 +140,22 @@
 
 
 async def accept_forever(
-    listening: socket.socket, serve: Callable[[Channel], Coroutine[Any, Any, None]]
+    listening: socket.socket,
+    serve: Callable[[Channel], Coroutine[Any, Any, None]],
+    task_group: TaskGroup,
 ) -> None:
-    """Serve each connection in a task of its own until cancelled."""
+    """Serve each connection in a task of the group until cancelled."""
     listening.setblocking(False)
-    async with anyio.create_task_group() as task_group:
-        while True:
-            try:
-                sock, address = listening.accept()
-            except BlockingIOError:
-                await anyio.wait_readable(listening)
-                continue
-            except OSError:
-                await anyio.sleep(ACCEPT_PAUSE_S)
-                continue
-            sock.setblocking(False)
-            watch_peer(sock)
-            peer = f"{address[0]}:{address[1]}"
-            task_group.start_soon(serve, Channel(sock, peer))
+    while True:
+        try:
+            sock, address = listening.accept()
+        except BlockingIOError:
+            await anyio.wait_readable(listening)
+            continue
+        except OSError:
+            await anyio.sleep(ACCEPT_PAUSE_S)
+            continue
+        sock.setblocking(False)
+        watch_peer(sock)
+        peer = f"{address[0]}:{address[1]}"
+        task_group.start_soon(serve, Channel(sock, peer))
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -20,6 +20,8 @@
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+VERSION_NOT_SUPPORTED = 505
 # Bytes of further requests that are kept while one is served.
 MAX_READ_AHEAD_BYTES = 64 * 1024
 
@@ -152,7 +154,7 @@
             if event is h11.NEED_DATA:
                 self._http.receive_data(await self._channel.receive())
             elif isinstance(event, h11.Request):
-                return _checked_head(event)
+                return _checked_head(event, self._limits().max_header_bytes)
             else:
                 return None
 
@@ -183,11 +185,14 @@
             raise BadRequestError(error.error_status_hint, str(error)) from error
 
 
-def _checked_head(event: h11.Request) -> RequestHead:
+def _checked_head(event: h11.Request, max_bytes: int) -> RequestHead:
+    size = len(event.target) + sum(len(name) + len(v) for name, v in event.headers)
+    if size > max_bytes:
+        raise BadRequestError(HEADERS_TOO_LARGE, f"headers over {max_bytes} bytes")
     head = RequestHead(event.method, event.target, tuple(event.headers))
     # Two framings in one request are read differently by different parties.
     if head.values(b"transfer-encoding") and head.values(b"content-length"):
         raise BadRequestError(BAD_REQUEST, "both a length and a transfer encoding")
     if event.http_version != b"1.1":
-        raise BadRequestError(505, "only HTTP/1.1 is served")
+        raise BadRequestError(VERSION_NOT_SUPPORTED, "only HTTP/1.1 is served")
     return head
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -9,6 +9,11 @@
 TTFT_SECONDS = Histogram(
     "agatehoist_ttft_seconds", "Time to first token.", buckets=TTFT_BUCKETS_S
 )
+REQUEST_SECONDS = Histogram(
+    "agatehoist_request_seconds",
+    "Time from a request's head to the end of its answer, by route and outcome.",
+    buckets=TTFT_BUCKETS_S,
+)
 HIT_TOKENS = Counter("agatehoist_hit_tokens_total", "Prompt tokens found cached.")
 RECOMPUTED_TOKENS = Counter(
     "agatehoist_recomputed_tokens_total", "Prompt tokens computed."
@@ -46,6 +51,7 @@
     "REFUSALS_TOTAL",
     "PLATFORM_CALLS_TOTAL",
     "RESUMES_TOTAL",
+    "REQUEST_SECONDS",
     "RETRIES_TOTAL",
     "REGISTRY",
     "TTFT_SECONDS",
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from agatehoist.gateway.settings import Address
 from agatehoist.http1.errors import AnswerGarbledError, ConnectionFailedError
 from agatehoist.http1.pool import Pool
 from agatehoist.http1.types import RequestHead
@@ -24,7 +25,6 @@
 
 if TYPE_CHECKING:
     from agatehoist.core.clock import Clock
-    from agatehoist.gateway.settings import Address
 
 # An answer takes 4 ms; under an outage it may take a hundred times as long.
 CALL_TIMEOUT_S = 1.5
@@ -43,6 +43,14 @@
         self._pool = Pool(clock)
         self._host = str(address).encode()
 
+    def move(self, host: str, port: int) -> None:
+        """Take another address of the store for the calls to come."""
+        if (host, port) == (self._address.host, self._address.port):
+            return
+        self._address = Address(host, port)
+        self._host = str(self._address).encode()
+        self._pool.forget(PEER)
+
     async def list(self, kind: str, stale: bool = False) -> Listing:
         """Return all objects of a kind; a stale list is cheap and seconds old.
 
--- a/src/agatehoist/storage/objects.py
+++ b/src/agatehoist/storage/objects.py
@@ -42,6 +42,9 @@
 class ObjectStore(Protocol):
     """Keep the objects that must last."""
 
+    def move(self, host: str, port: int) -> None:
+        """Take another address of the store for the calls to come."""
+
     async def list(self, kind: str, stale: bool = False) -> Listing:
         """Return all objects of a kind; a stale list is cheap and seconds old."""
 
--- /dev/null
+++ b/standins/users_platform/__init__.py
@@ -0,0 +1,3 @@
+"""The users' platform: its store, its endpoints and its callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/users_platform/endpoint.py
@@ -0,0 +1,232 @@
+"""Endpoints: model engines and applications."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from agatehoist.core.registry import Registry
+from standins.users_platform.serving import HOST, serve_requests
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from agatehoist.http1.channel import Channel
+    from agatehoist.http1.server import ServerConnection
+    from agatehoist.http1.types import Request
+
+REQUEST_ID = b"x-agatehoist-request-id"
+STAMP = b"x-agatehoist-server-stamp"
+STREAM = (b"content-type", b"text/event-stream")
+CHUNKED = (b"transfer-encoding", b"chunked")
+EVENT_PAUSE_S = 0.01
+LOAD_S = 0.05
+
+FAULTS: Registry[Callable[..., Awaitable[None]]] = Registry("fault of an endpoint")
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Hold a request that has run, with what the endpoint was told."""
+
+    request_id: str
+    headers_by_name: dict[str, str]
+    target: str
+    body: bytes
+
+
+@dataclass
+class EndpointStandIn:
+    """Run requests; the next ones meet the faults in the list, in order."""
+
+    name: str
+    service: str
+    model: str = ""
+    version: int = 1
+    event_count: int = 5
+    faults: list[str] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    order_faults: list[str] = field(default_factory=list)
+    active: int = 0
+    busy: bool = False
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve a connection."""
+        await serve_requests(channel, self._answer)
+
+    def entry(self, port: int) -> dict[str, Any]:
+        """Return the entry that the endpoint writes to the store."""
+        models = [{"Name": self.model, "Version": self.version}] if self.model else []
+        return {
+            "Service": self.service,
+            "Address": f"{HOST}:{port}",
+            "Zone": "z1",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Models": models,
+            "SeqNo": len(self.orders),
+            "born": 1_700_000_000_000,
+        }
+
+    async def _answer(self, connection: ServerConnection, request: Request) -> None:
+        headers = {
+            name.decode(): value.decode() for name, value in request.head.headers
+        }
+        if request.head.target == b"/agatehoist/report":
+            await _send_json(connection, 200, self._report())
+        elif headers.get("x-agatehoist-expect-instance") not in (None, self.name):
+            await connection.send_whole(421, (), b"")
+        elif request.head.target == b"/agatehoist/order":
+            await self._order(connection, json.loads(request.body))
+        elif self._has_other_weights(headers):
+            await connection.send_whole(421, (), b"")
+        else:
+            await self._run(connection, request, headers)
+
+    async def _run(
+        self, connection: ServerConnection, request: Request, headers: dict[str, str]
+    ) -> None:
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "shed":
+            await connection.send_whole(
+                503, ((b"x-agatehoist-not-executed", b"1"),), b""
+            )
+            return
+        request_id = headers.get(REQUEST_ID.decode(), "")
+        run = Run(request_id, headers, request.head.target.decode(), request.body)
+        self.runs.append(run)
+        self.active += 1
+        try:
+            if fault:
+                await FAULTS[fault](self, connection, run)
+            elif "x-agatehoist-model-name" in headers:
+                await self.stream(connection, run)
+            else:
+                await self.reply(connection, run, 200)
+        finally:
+            self.active -= 1
+
+    async def reply(self, connection: ServerConnection, run: Run, status: int) -> None:
+        """Give a whole answer."""
+        body = f"{run.request_id} by {self.name}".encode()
+        await connection.send_whole(status, self.stamped(run), body)
+
+    async def stream(
+        self, connection: ServerConnection, run: Run, count: int | None = None
+    ) -> None:
+        """Give events behind the last one that the request names, whole or cut."""
+        first = int(run.headers_by_name.get("last-event-id", "0"))
+        await connection.send_head(200, (*self.stamped(run), STREAM, CHUNKED))
+        until = self.event_count if count is None else first + count
+        for number in range(first + 1, until + 1):
+            await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
+            await anyio.sleep(EVENT_PAUSE_S)
+        if count is None:
+            await connection.end()
+        else:
+            connection.abort()
+
+    def stamped(self, run: Run) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers of an answer."""
+        own = (REQUEST_ID, run.request_id.encode()), (STAMP, self.name.encode())
+        if not self.model:
+            return own
+        weights = (b"x-agatehoist-weight-versions", str(self.version).encode())
+        return (*own, weights)
+
+    def _has_other_weights(self, headers: dict[str, str]) -> bool:
+        expected = headers.get("x-agatehoist-expect-version")
+        return expected is not None and int(expected) != self.version
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "Stage": "colocated",
+            "Models": [{"Name": self.model, "Version": self.version, "Adapters": []}],
+            "Busy": self.busy,
+            "SeqNo": len(self.orders),
+            "Queued": 0,
+            "Running": self.active,
+            "Runs": [],
+        }
+
+    async def _order(self, connection: ServerConnection, order: dict[str, Any]) -> None:
+        fault = self.order_faults.pop(0) if self.order_faults else ""
+        if order["ExpectedRev"] != len(self.orders) or self.busy:
+            await connection.send_whole(409, (), b"")
+            return
+        self.orders.append(order)
+        self.busy = True
+        if fault == "lost":
+            await self._load(order["Version"])
+            connection.abort()
+            return
+        await connection.send_whole(202, (), b"")
+        await self._load(order["Version"])
+
+    async def _load(self, version: int) -> None:
+        await anyio.sleep(LOAD_S)
+        self.version = version
+        self.busy = False
+
+
+@FAULTS.register("reset")
+async def _reset(
+    _endpoint: EndpointStandIn, connection: ServerConnection, _run: Run
+) -> None:
+    connection.abort()
+
+
+@FAULTS.register("mute")
+async def _mute(
+    _endpoint: EndpointStandIn, connection: ServerConnection, _run: Run
+) -> None:
+    await connection.wait_closed()
+
+
+@FAULTS.register("fail")
+async def _fail(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: Run
+) -> None:
+    await endpoint.reply(connection, run, 500)
+
+
+@FAULTS.register("cut")
+async def _cut(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: Run
+) -> None:
+    await endpoint.stream(connection, run, 2)
+
+
+@FAULTS.register("unstamped")
+async def _unstamped(
+    _endpoint: EndpointStandIn, connection: ServerConnection, run: Run
+) -> None:
+    own = ((REQUEST_ID, run.request_id.encode()),)
+    await connection.send_whole(200, own, b"somebody's bytes")
+
+
+@FAULTS.register("crossed")
+async def _crossed(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: Run
+) -> None:
+    other = Run("another", {}, "/", b"")
+    await endpoint.reply(connection, other, 200)
+
+
+@FAULTS.register("garbled")
+async def _garbled(
+    _endpoint: EndpointStandIn, connection: ServerConnection, _run: Run
+) -> None:
+    await connection._channel.send(b"\x00\x01 no answer\r\n\r\n")
+    connection.abort()
+
+
+async def _send_json(connection: ServerConnection, status: int, value: Any) -> None:
+    headers = ((b"content-type", b"application/json"),)
+    await connection.send_whole(status, headers, json.dumps(value).encode())
--- /dev/null
+++ b/standins/users_platform/serving.py
@@ -0,0 +1,50 @@
+"""Listening of stand-ins on loopback."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from agatehoist.core.clock import SystemClock
+from agatehoist.http1.channel import accept_forever
+from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
+from agatehoist.http1.server import ServerConnection
+from agatehoist.http1.types import ConnectionLimits
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from agatehoist.http1.channel import Channel
+    from agatehoist.http1.types import Request
+
+    Answer = Callable[[ServerConnection, Request], Awaitable[None]]
+
+HOST = "127.0.0.1"
+
+
+@asynccontextmanager
+async def listening(serve: Callable[[Channel], Any]) -> AsyncIterator[int]:
+    """Accept connections while the context lasts and give the port."""
+    sock = socket.create_server((HOST, 0))
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(accept_forever, sock, serve, task_group)
+        yield sock.getsockname()[1]
+        task_group.cancel_scope.cancel()
+    sock.close()
+
+
+async def serve_requests(channel: Channel, answer: Answer) -> None:
+    """Answer the requests of a connection until it ends."""
+    connection = ServerConnection(channel, SystemClock(), ConnectionLimits)
+    try:
+        while request := await connection.next_request(lambda: None):
+            await answer(connection, request)
+            if not connection.can_continue():
+                return
+    except (BadRequestError, ConnectionFailedError):
+        return
+    finally:
+        connection.close()
--- /dev/null
+++ b/tests/test_fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the fleet package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the gateway package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_gateway/test_requests.py
@@ -0,0 +1,173 @@
+"""Tests of requests from callers to endpoints and back."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.http1.errors import ConnectionFailedError
+from standins.users_platform.world import World, running, until
+
+if TYPE_CHECKING:
+    from agatehoist.http1.types import Reply
+
+WHOLE = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, 6))
+
+
+def play(world: World, path: str, method: str = "GET") -> Reply | None:
+    """Return the answer to one request, or None if it was broken off."""
+
+    async def run() -> Reply | None:
+        async with running(world):
+            try:
+                if path.startswith(("/trace/", "/credit/")):
+                    return await world.ask_prompt(path)
+                return await world.ask(path, method)
+            except ConnectionFailedError:
+                return None
+
+    return anyio.run(run)
+
+
+class CallTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("whole", "/look/1", "GET", "", 200, 1),
+            ("failure_repeated", "/look/1", "GET", "fail", 200, 2),
+            ("reset_repeated", "/look/1", "GET", "reset", 200, 2),
+            ("silence_repeated", "/look/1", "GET", "mute", 200, 2),
+            ("no_stamp_repeated", "/look/1", "GET", "unstamped", 200, 2),
+            ("crossed_repeated", "/look/1", "GET", "crossed", 200, 2),
+            ("garbled_repeated", "/look/1", "GET", "garbled", 200, 2),
+            ("rejected_elsewhere", "/look/1", "GET", "shed", 200, 1),
+            ("once_whole", "/post/1", "POST", "", 200, 1),
+            ("once_failure_returned", "/post/1", "POST", "fail", 500, 1),
+            ("once_reset", "/post/1", "POST", "reset", 502, 1),
+            ("once_silent", "/post/1", "POST", "mute", 504, 1),
+            ("once_no_stamp", "/post/1", "POST", "unstamped", 502, 1),
+            ("once_crossed", "/post/1", "POST", "crossed", 504, 1),
+            ("once_garbled", "/post/1", "POST", "garbled", 502, 1),
+            ("once_rejected_elsewhere", "/post/1", "POST", "shed", 200, 1),
+        ]
+    )
+    def test_faults(
+        self, _name: str, path: str, method: str, fault: str, status: int, runs: int
+    ) -> None:
+        world = World()
+        first = [fault] if fault else []
+        # Whichever endpoint is chosen first meets the fault, the other one doesn't.
+        shared = world.applications[0].faults
+        shared += first
+        world.applications[1].faults = shared
+        reply = play(world, path, method)
+        assert reply is not None
+        self.assertEqual(reply.head.status, status)
+        self.assertEqual(len(world.runs()), runs)
+
+    def test_everybody_rejects(self) -> None:
+        world = World()
+        for each in world.applications:
+            each.faults = ["shed"] * 9
+        reply = play(world, "/post/1", "POST")
+        assert reply is not None
+        self.assertEqual(reply.head.status, 503)
+        self.assertIsNotNone(reply.head.value(b"retry-after"))
+        self.assertEqual(world.runs(), [])
+
+
+class StreamTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("whole", "/trace/1", [], WHOLE, 1),
+            ("resumed", "/trace/1", ["cut"], WHOLE, 2),
+            ("resumed_after_silence", "/trace/1", ["mute"], WHOLE, 2),
+            ("cut_twice", "/trace/1", ["cut", "cut"], None, 2),
+            ("not_resumable_whole", "/credit/1", [], WHOLE, 1),
+            ("not_resumable_cut", "/credit/1", ["cut"], None, 1),
+        ]
+    )
+    def test_answers(
+        self, _name: str, path: str, faults: list[str], body: bytes | None, runs: int
+    ) -> None:
+        world = World()
+        for each in world.engines:
+            each.faults = faults
+        reply = play(world, path)
+        self.assertEqual(reply.body if reply else None, body)
+        self.assertEqual(len(world.runs()), runs)
+
+    def test_a_reset_before_the_first_event_is_not_repeated(self) -> None:
+        world = World()
+        for each in world.engines:
+            each.faults = ["reset"]
+        reply = play(world, "/credit/1")
+        assert reply is not None
+        self.assertEqual(reply.head.status, 502)
+        self.assertEqual(len(world.runs()), 1)
+
+    def test_headers_of_the_system_are_its_own(self) -> None:
+        world = World()
+
+        async def run() -> None:
+            async with running(world):
+                await world.ask_prompt(
+                    "/trace/1",
+                    x_agatehoist_cache_salt="theirs",
+                    x_agatehoist_tenant_id="theirs",
+                    x_agatehoist_hold="theirs",
+                    kv_from="theirs",
+                    x_other="kept",
+                )
+
+        anyio.run(run)
+        (headers,) = [
+            run.headers_by_name for each in world.engines for run in each.runs
+        ]
+        self.assertNotIn("theirs", headers.values())
+        self.assertNotIn("api-key", headers)
+        self.assertEqual(headers["x-agatehoist-tenant-id"], "crew")
+        self.assertEqual(headers["x-other"], "kept")
+        self.assertIn("crew", headers["x-agatehoist-cache-salt"])
+
+
+class CallerTests(unittest.TestCase):
+    def test_work_ends_when_the_caller_leaves(self) -> None:
+        world = World()
+        for each in world.engines:
+            each.event_count = 10_000
+
+        async def run() -> None:
+            async with running(world):
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(world.ask_prompt, "/credit/1")
+                    await until(lambda: any(each.active for each in world.engines))
+                    task_group.cancel_scope.cancel()
+                await until(lambda: not any(each.active for each in world.engines))
+
+        anyio.run(run)
+
+    @parameterized.expand(
+        [
+            ("unknown_path", "/nothing/", {}, 404),
+            ("unknown_host", "/look/1", {"host": "b.example"}, 404),
+            ("unknown_key", "/look/1", {"api_key": "other"}, 401),
+            ("no_id", "/look/1", {"x_agatehoist_request_id": ""}, 400),
+            ("bad_time", "/look/1", {"x_agatehoist_deadline_ms": "soon"}, 400),
+            ("long_header", "/look/1", {"x_long": "x" * 8000}, 431),
+        ]
+    )
+    def test_requests_that_go_no_further(
+        self, _name: str, path: str, headers: dict[str, str], status: int
+    ) -> None:
+        world = World()
+
+        async def run() -> Reply:
+            async with running(world):
+                return await world.ask(path, **headers)
+
+        reply = anyio.run(run)
+        self.assertEqual(reply.head.status, status)
+        self.assertEqual(world.runs(), [])
--- /dev/null
+++ b/tests/test_http1/test_event_stream.py
@@ -0,0 +1,41 @@
+"""Tests of the cutting of a body into events."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.http1.event_stream import EventSplitter
+
+BODY = b"id: 1\ndata: a\n\nid: 5\ndata: b\ndata: c\n\n"
+EVENTS = [(b"id: 1\ndata: a\n\n", b"1"), (b"id: 5\ndata: b\ndata: c\n\n", b"5")]
+
+
+class EventSplitterTests(unittest.TestCase):
+    @parameterized.expand([(size,) for size in (1, 2, 3, 7, 15, 16, 100)])
+    def test_pieces_of_any_size_give_the_same_events(self, size: int) -> None:
+        splitter = EventSplitter()
+        found = []
+        for start in range(0, len(BODY), size):
+            found += splitter.feed(BODY[start : start + size])
+        self.assertEqual([(each.data, each.event_id) for each in found], EVENTS)
+        self.assertEqual(splitter.rest, b"")
+
+    @parameterized.expand(
+        [
+            ("carriage_returns", b"id: 7\r\ndata: x\r\n\r\n", b"7"),
+            ("no_blank_after_colon", b"id:7\ndata: x\n\n", b"7"),
+            ("no_id", b"data: x\n\n", None),
+            ("line_before_the_id", b"weights: 4\nid: 7\n\n", b"7"),
+        ]
+    )
+    def test_ids(self, _name: str, data: bytes, event_id: bytes | None) -> None:
+        (event,) = EventSplitter().feed(data)
+        self.assertEqual((event.data, event.event_id), (data, event_id))
+
+    def test_a_cut_event_is_kept_back_until_the_body_ends(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\nda"), ())
+        self.assertEqual(splitter.rest, b"id: 1\nda")
+        self.assertEqual([each.data for each in splitter.finish()], [b"id: 1\nda"])
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the platform package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_platform/test_documents.py
@@ -0,0 +1,124 @@
+"""Tests of configurations and entries of the platform."""
+
+from __future__ import annotations
+
+import copy
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from agatehoist.platform.documents import (
+    read_configuration,
+    read_endpoint,
+    read_weights,
+)
+from agatehoist.platform.reading import InvalidDocumentError
+
+ENTRY: dict[str, Any] = {
+    "Service": "engines",
+    "Address": "10.128.0.9:8080",
+    "Zone": "fraser",
+    "Version": "v1",
+    "Slots": 64,
+    "State": "ready",
+    "ColdLeftMs": 0,
+    "Models": [{"Name": "songs", "Version": 3, "Adapters": []}],
+    "SeqNo": 4,
+    "born": 1784186469033,
+}
+ROUTE: dict[str, Any] = {
+    "Name": "r1",
+    "Host": "Jepu9.example",
+    "PathPrefix": "/lepu/",
+    "Kind": "stream",
+    "TimeoutMs": 6000,
+    "TargetLatencyMs": 600,
+    "Priority": 1,
+    "TrafficSplit": [
+        {"Service": "a", "Weight": 90},
+        {"Service": "b", "Weight": 10},
+    ],
+    "MaxAttempts": 2,
+    "Public": False,
+    "Sticky": True,
+    "Resumable": True,
+    "TargetGapMs": 300,
+}
+CONFIGURATION: dict[str, Any] = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [
+        {"Name": "a", "Engine": {"Slots": 64, "KvCapacity": 9, "Models": []}},
+        {"Name": "kept", "KvStoreAddr": "172.20.0.2:8781", "Zone": "skeena"},
+    ],
+    "Tenants": [{"Name": "crew", "ApiKeys": ["k1", "k2"], "Isolated": True}],
+}
+
+
+class EndpointTests(unittest.TestCase):
+    def test_entry(self) -> None:
+        endpoint = read_endpoint("i-1", ENTRY)
+        self.assertEqual((endpoint.host, endpoint.port), ("10.128.0.9", 8080))
+        self.assertEqual(endpoint.versions_by_model, {"songs": 3})
+        self.assertEqual(endpoint.lifetime, "i-1@1784186469033")
+        self.assertFalse(endpoint.leaving)
+
+    @parameterized.expand(
+        [
+            ("no_table", None, None),
+            ("text", "State", "READY"),
+            ("unknown_state", "State", "paused"),
+            ("no_service", "Service", None),
+            ("number_for_service", "Service", 7),
+            ("no_port", "Address", "10.0.0.1"),
+            ("port_too_high", "Address", "10.0.0.1:99999"),
+            ("text_for_slots", "Slots", "many"),
+            ("negative_slots", "Slots", -1),
+            ("text_for_models", "Models", "songs"),
+            ("models_of_texts", "Models", ["songs"]),
+        ]
+    )
+    def test_entries_of_other_writers_name_no_endpoint(
+        self, _name: str, field: str | None, value: object
+    ) -> None:
+        entry: Any = None if field is None else {**ENTRY, field: value}
+        with self.assertRaises(InvalidDocumentError):
+            read_endpoint("i-1", entry)
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        read_endpoint("i-1", {**ENTRY, "New": [1]})
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_configuration(self) -> None:
+        table = read_configuration(CONFIGURATION)
+        (route,) = table.routes_by_host["jepu9.example"]
+        self.assertEqual(route.timeout_s, 6.0)
+        self.assertTrue(route.repeatable)
+        self.assertEqual([each.service for each in route.services], ["a", "b"])
+        self.assertEqual(
+            [each.address for each in table.kept_caches], ["172.20.0.2:8781"]
+        )
+        self.assertEqual(set(table.organisations_by_key), {b"k1", b"k2"})
+        self.assertTrue(table.keys_required)
+
+    def test_without_organisations_no_key_is_needed(self) -> None:
+        value = {**CONFIGURATION, "Tenants": None}
+        self.assertFalse(read_configuration(value).keys_required)
+
+    def test_all_findings_come_together_with_their_place(self) -> None:
+        value = copy.deepcopy(CONFIGURATION)
+        value["Routes"][0]["TimeoutMs"] = "long"
+        value["Services"][0]["Name"] = None
+        with self.assertRaises(InvalidDocumentError) as caught:
+            read_configuration(value)
+        places = [each.place for each in caught.exception.findings]
+        self.assertEqual(places, ["Routes[0].TimeoutMs", "Services[0].Name"])
+
+
+class WeightsTests(unittest.TestCase):
+    @parameterized.expand([(None,), ({"Model": "m"},), ({"Model": 1, "Version": 2},)])
+    def test_faults(self, value: object) -> None:
+        with self.assertRaises(InvalidDocumentError):
+            read_weights(value)
--- /dev/null
+++ b/tests/test_platform/test_store.py
@@ -0,0 +1,106 @@
+"""Tests of the client of the platform's store."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.clock import SystemClock
+from agatehoist.gateway.settings import Address
+from agatehoist.platform.store import PlatformStore
+from agatehoist.storage.errors import (
+    ConflictError,
+    HistoryLostError,
+    ObjectNotFoundError,
+    PlatformUnavailableError,
+)
+from standins.users_platform.serving import HOST, listening
+from standins.users_platform.store import StoreStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Step = Callable[[StoreStandIn, PlatformStore], Awaitable[object]]
+
+
+async def _create_twice(_standin: StoreStandIn, store: PlatformStore) -> None:
+    await store.create("k", "a", {"x": 1})
+    await store.create("k", "a", {"x": 2})
+
+
+async def _replace_older(_standin: StoreStandIn, store: PlatformStore) -> None:
+    first = await store.create("k", "a", {"x": 1})
+    await store.replace("k", "a", {"x": 2}, first.revision)
+    await store.replace("k", "a", {"x": 3}, first.revision)
+
+
+async def _watch_forgotten(standin: StoreStandIn, store: PlatformStore) -> None:
+    standin.put("k", "a", {})
+    standin.put("k", "b", {})
+    standin.forget_history()
+    await store.watch("k", 1, 1.0)
+
+
+async def _get_nothing(_standin: StoreStandIn, store: PlatformStore) -> None:
+    await store.get("k", "a")
+
+
+async def _ask_while_down(standin: StoreStandIn, store: PlatformStore) -> None:
+    standin.down = True
+    await store.list("k")
+
+
+async def _lose_an_answer(standin: StoreStandIn, store: PlatformStore) -> None:
+    standin.loses_writes = 1
+    await store.create("k", "a", {})
+
+
+def play(step: Step) -> None:
+    """Run a step against a store of its own and raise what it raises."""
+
+    async def run() -> Exception | None:
+        standin = StoreStandIn()
+        async with listening(standin.serve) as port:
+            try:
+                await step(standin, PlatformStore(Address(HOST, port), SystemClock()))
+            except Exception as error:
+                # Raised outside of the task group, which would wrap it.
+                return error
+        return None
+
+    error = anyio.run(run)
+    if error is not None:
+        raise error
+
+
+class StoreTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (_create_twice, ConflictError),
+            (_replace_older, ConflictError),
+            (_watch_forgotten, HistoryLostError),
+            (_get_nothing, ObjectNotFoundError),
+            (_ask_while_down, PlatformUnavailableError),
+            (_lose_an_answer, PlatformUnavailableError),
+        ]
+    )
+    def test_faults(self, step: Step, error: type[Exception]) -> None:
+        with self.assertRaises(error):
+            play(step)
+
+    def test_a_watch_brings_changes_in_order(self) -> None:
+        async def step(standin: StoreStandIn, store: PlatformStore) -> None:
+            listing = await store.list("k")
+            standin.put("k", "a", {"x": 1})
+            standin.put("other", "a", {})
+            standin.remove("k", "a")
+            news = await store.watch("k", listing.revision, 1.0)
+            found = [(each.value.name, each.removed) for each in news.changes]
+            self.assertEqual(found, [("a", False), ("a", True)])
+            nothing = await store.watch("k", news.revision, 0.05)
+            self.assertEqual(nothing.changes, ())
+
+        play(step)
--- /dev/null
+++ b/tests/test_routing/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the routing package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_weights/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the weights package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_weights/test_waves.py
@@ -0,0 +1,97 @@
+"""Tests of who orders new weights and which endpoints take them next."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.weights.plan import WeightsView
+from agatehoist.weights.types import NamedWeights, Plan, SeenPlan
+from agatehoist.weights.waves import LEASE_S, Candidate, claim, next_wave
+
+TURN_S = 3.0
+NOW = 100.0
+
+
+def seen(
+    holder: str, at: float, released: bool = False, idle_s: float = 0.0
+) -> SeenPlan:
+    """Return a plan that was seen at a time."""
+    plan = Plan("m", holder, 3, 5, 9, released=released, idle_s=idle_s)
+    return SeenPlan(plan, 40, at)
+
+
+class ClaimTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("nobody_holds", None, True, 0.0),
+            ("own_plan", seen("me", NOW), True, 0.0),
+            ("fresh_plan_of_another", seen("you", NOW), False, None),
+            ("long_silent", seen("you", NOW - 60), True, 0.0),
+            ("just_released", seen("you", NOW, True, 0.0), True, TURN_S),
+            ("released_after_rest", seen("you", NOW, True, 10.0), True, 0.0),
+        ]
+    )
+    def test_claims(
+        self, _name: str, plan: SeenPlan | None, may_write: bool, wait_s: float | None
+    ) -> None:
+        times = claim("me", plan, NOW, TURN_S, NOW - 2.0)
+        self.assertEqual(times.write_at <= NOW, may_write)
+        if wait_s is not None:
+            self.assertGreaterEqual(times.order_at, NOW + wait_s)
+            self.assertLess(times.order_at, NOW + wait_s + 0.5)
+
+    def test_holders_in_turn_are_a_turn_apart(self) -> None:
+        rng = random.Random(7)
+        for _ in range(2000):
+            written_at = NOW - rng.uniform(0, 10)
+            seen_at = written_at + rng.uniform(0, 1)
+            times = claim("me", seen("you", seen_at), NOW, TURN_S, NOW)
+            last_order_at = written_at + LEASE_S
+            self.assertGreaterEqual(times.order_at - last_order_at, TURN_S)
+
+
+class WaveTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("a_third", 9, 0, 3),
+            ("rounded_up", 5, 0, 2),
+            ("one_at_least", 1, 0, 1),
+            ("less_what_is_under_way", 9, 2, 1),
+            ("no_room", 9, 3, 0),
+        ]
+    )
+    def test_size(self, _name: str, count: int, under_way: int, expected: int) -> None:
+        candidates = [Candidate(f"e{index}", 1) for index in range(count)]
+        busy = frozenset(f"e{index}" for index in range(under_way))
+        wave = next_wave(candidates, 2, busy)
+        self.assertEqual(len(wave), expected)
+        self.assertFalse(busy & set(wave))
+
+    def test_the_oldest_weights_go_first(self) -> None:
+        candidates = [Candidate(f"e{index}", index % 3) for index in range(9)]
+        wave = next_wave(candidates, 3, frozenset())
+        self.assertEqual(set(wave), {"e0", "e3", "e6"})
+
+    def test_nothing_is_left_for_those_that_have_the_weights(self) -> None:
+        self.assertEqual(next_wave([Candidate("e", 3)], 3, frozenset()), ())
+
+
+class WeightsViewTests(unittest.TestCase):
+    @parameterized.expand([(0.0, 0), (1.0, 1), (3.9, 1), (4.0, 2), (9.0, 4)])
+    def test_each_naming_counts_from_its_own_time(
+        self, until: float, version: int
+    ) -> None:
+        view = WeightsView()
+        for at, named in ((1.0, 1), (4.0, 2), (8.0, 4)):
+            self.assertTrue(view.name(NamedWeights("m", named), at))
+        self.assertEqual(view.required_version("m", until), version)
+
+    def test_older_names_and_plans_are_ignored(self) -> None:
+        view = WeightsView()
+        view.name(NamedWeights("m", 3), 1.0)
+        self.assertFalse(view.name(NamedWeights("m", 2), 2.0))
+        self.assertTrue(view.see(seen("you", 1.0)))
+        self.assertFalse(view.see(seen("me", 2.0)))
