Move runs away from endpoints that leave or take new weights

Orders for new weights cut the resumable runs of an engine, which spends the shared budget of repeats, and wait two seconds for the others. The engines can hand the memory of a run over: each node now moves its own runs from an endpoint in the plan, or one that leaves, to one with the same weights, and goes on there behind the last event. It counts as the same run, so the budget and the limit of attempts don't bind, and runs that can't be resumed move too.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -10,6 +10,7 @@
     AttemptRefused,
     CallerGone,
     CancelAttempt,
+    ContinueRun,
     DeadlinePassed,
     Decision,
     Deliver,
@@ -28,6 +29,7 @@
     ResumeAt,
     ResumeFailed,
     Rules,
+    RunMoved,
     StreamEnded,
     Submit,
     Target,
@@ -140,6 +142,17 @@
             return self._give_up_attempt(lost.refusal, now)
         return self._resume(now)
 
+    @EVENT_HANDLERS.register(RunMoved)
+    def _on_run_moved(self, event: RunMoved, _now: float) -> Decisions:
+        if not self._is_current(event.attempt_id):
+            return ()
+        # It stays one run, whatever endpoints it goes through.
+        self._may_have_run.discard(event.attempt_id)
+        self.target = self._next_target(event.offer)
+        self._may_have_run.add(self.target.attempt_id)
+        pieces = tuple(self.pieces)
+        return (ContinueRun(self.target, event.offer, pieces, event.run_name),)
+
     @EVENT_HANDLERS.register(DeadlinePassed)
     def _on_deadline(self, _event: DeadlinePassed, now: float) -> Decisions:
         kind = AnswerTimeout if self._may_have_run else DeadlineExceeded
@@ -200,10 +213,7 @@
         if self._dispatches and not self._budget.try_spend():
             return self._out_of_retries(now)
         offer = self._offers.pop(0)
-        target = Target(
-            self._next_id(), offer.candidate.host, offer.identity.sidecar_incarnation
-        )
-        self.target = target
+        target = self.target = self._next_target(offer)
         self._dispatches += 1
         self._resumes = 0
         self._resuming = False
@@ -211,6 +221,11 @@
         self._may_have_run.add(target.attempt_id)
         return (Submit(target, offer, tuple(self.pieces)),)
 
+    def _next_target(self, offer: Offer) -> Target:
+        return Target(
+            self._next_id(), offer.candidate.host, offer.identity.sidecar_incarnation
+        )
+
     def _place_again(self, now: float) -> Decisions:
         if self._placements >= self.rules.max_placements:
             return self._refuse(self._last_refusal(), now)
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -119,6 +119,15 @@
     restarted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RunMoved:
+    """Report that a run was stopped and can be gone on with at an offer."""
+
+    attempt_id: AttemptId
+    offer: Offer
+    run_name: str
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
     """Report that the request's deadline has passed."""
@@ -137,6 +146,7 @@
     | AnswerEvent
     | LinkLost
     | ResumeFailed
+    | RunMoved
     | DeadlinePassed
     | CallerGone
 )
@@ -158,6 +168,16 @@
     pieces: tuple[Any, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ContinueRun:
+    """Go on with a run that was moved, behind the pieces delivered so far."""
+
+    target: Target
+    offer: Offer
+    pieces: tuple[Any, ...]
+    run_name: str
+
+
 @dataclass(frozen=True, slots=True)
 class ResumeAt:
     """Read an attempt's answer again from a piece on, at an epoch time."""
@@ -203,4 +223,14 @@
     fault: Fault
 
 
-Decision = Place | Submit | ResumeAt | CancelAttempt | Deliver | Finish | Refuse | Drop
+Decision = (
+    Place
+    | Submit
+    | ContinueRun
+    | ResumeAt
+    | CancelAttempt
+    | Deliver
+    | Finish
+    | Refuse
+    | Drop
+)
--- a/src/agatehoist/fleet/types.py
+++ b/src/agatehoist/fleet/types.py
@@ -36,4 +36,5 @@
     versions_by_model: dict[str, int]
     busy: bool
     order_count: int
+    runs: int
     uncuttable_runs: int
--- a/src/agatehoist/gateway/attempting.py
+++ b/src/agatehoist/gateway/attempting.py
@@ -45,6 +45,8 @@
 # Answers of earlier requests that may stand before the one that is waited for.
 MAX_STRAY_ANSWERS = 2
 RETRY_DELAY_S = 0.25
+# A move is answered within this time, or it has failed.
+MOVE_TIMEOUT_S = 1.0
 MIN_PATIENCE_S = 0.4
 OBJECTIVES_OF_PATIENCE = 3.0
 
@@ -66,9 +68,11 @@
         self.failure: Reply | None = None
         self._state = state
         self._request = request
-        self._id = attempt_id
+        self.attempt_id = attempt_id
+        self.events = events
+        self.moves = False
         self._received = first
-        self._events = events
+        self._withheld: Event | None = None
         self._scope = anyio.CancelScope()
         self._patience = anyio.CancelScope()
 
@@ -82,12 +86,16 @@
         prompt = self._request.envelope.prompt
         unread = prompt.prompt_tokens if prompt else 0
         with (
-            self._events,
+            self.events,
             self._scope,
             self._state.load.track(endpoint.lifetime, unread) as ticket,
         ):
             event = await self._outcome(ticket)
-            await self._report(event)
+            if self.moves and isinstance(event, AttemptRefused):
+                # The endpoint breaks the answer off when it stops a run to be moved.
+                self._withheld = event
+                await anyio.sleep(MOVE_TIMEOUT_S)
+            await self.report(event)
 
     async def _outcome(self, ticket: Ticket) -> Event:
         endpoint = self.dispatch.endpoint
@@ -100,7 +108,7 @@
             )
         except ConnectionFailedError as error:
             suspects.note_silence(endpoint.name, now)
-            return NotWritten(self._id, str(error))
+            return NotWritten(self.attempt_id, str(error))
         try:
             event = await self._exchange(connection, ticket)
         except (ConnectionFailedError, AnswerGarbledError) as error:
@@ -150,7 +158,7 @@
         if self._is_stream(head):
             self.head = head
             await self._pass_events(connection, ticket)
-            event: Event = StreamEnded(self._id, Ending(self._received))
+            event: Event = StreamEnded(self.attempt_id, Ending(self._received))
         else:
             body = await connection.read_body(MAX_REPLY_BYTES)
             event = self._reply_event(Reply(head, body))
@@ -168,18 +176,20 @@
             self.failure = reply
             detail = f"{self.dispatch.endpoint.name} answered {reply.head.status}"
             return self._refused(EndpointFailed.refuse(detail))
-        return ReplyArrived(self._id, reply)
+        return ReplyArrived(self.attempt_id, reply)
 
     async def _pass_events(self, connection: ClientConnection, ticket: Ticket) -> None:
         splitter = EventSplitter()
         while (data := await connection.read_data()) is not None:
             if events := splitter.feed(data):
                 ticket.note_first_piece()
-                await self._report(PiecesArrived(self._id, self._received, events))
+                await self.report(
+                    PiecesArrived(self.attempt_id, self._received, events)
+                )
                 self._received += len(events)
                 self._patience.deadline = self._patience_until()
         if events := splitter.finish():
-            await self._report(PiecesArrived(self._id, self._received, events))
+            await self.report(PiecesArrived(self.attempt_id, self._received, events))
             self._received += len(events)
 
     def _is_stream(self, head: ReplyHead) -> bool:
@@ -202,15 +212,21 @@
             return now + left_s
         return now + min(left_s, patience_s(route.objective_s, route.gap_objective_s))
 
-    async def _report(self, event: Event) -> None:
+    async def end_move(self) -> None:
+        """Go on as before a move that didn't happen."""
+        self.moves = False
+        if self._withheld is not None:
+            await self.report(self._withheld)
+
+    async def report(self, event: Event) -> None:
         try:
-            await self._events.send(event)
+            await self.events.send(event)
         except anyio.BrokenResourceError:
             # Nobody waits any more; the work goes on so that its outcome is known.
             logger.debug("answer not waited for", request=self._request_id)
 
     def _refused(self, error: RequestRefusedError) -> AttemptRefused:
-        return AttemptRefused(self._id, error.refusal)
+        return AttemptRefused(self.attempt_id, error.refusal)
 
     @property
     def _request_id(self) -> str:
--- a/src/agatehoist/gateway/calling.py
+++ b/src/agatehoist/gateway/calling.py
@@ -52,6 +52,17 @@
         raise CallFailedError(f"{endpoint.name}: {error}") from error
 
 
+async def move_run(
+    state: GatewayState, source: Endpoint, request_id: str, destination: Endpoint
+) -> str:
+    """Stop a run, copy its memory and return its name there, or none.
+
+    Raises CallFailedError; the run may have been stopped then.
+    """
+    head, body = state.platform.move_request(source, request_id, destination)
+    return state.platform.read_move(source, await _call(state, source, head, body))
+
+
 async def _call(
     state: GatewayState, endpoint: Endpoint, head: RequestHead, body: bytes
 ) -> Reply:
--- a/src/agatehoist/gateway/driving.py
+++ b/src/agatehoist/gateway/driving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -12,6 +13,7 @@
     AttemptRefused,
     CallerGone,
     CancelAttempt,
+    ContinueRun,
     DeadlinePassed,
     Decision,
     Deliver,
@@ -27,6 +29,7 @@
 from agatehoist.core.registry import Registry
 from agatehoist.gateway.attempting import Attempt
 from agatehoist.gateway.choosing import find_offers, make_dispatch
+from agatehoist.gateway.moving import move_if_needed
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.types import Reply
 from agatehoist.observability.logs import get_logger
@@ -36,14 +39,15 @@
     RETRIES_TOTAL,
     TTFT_SECONDS,
 )
-from agatehoist.refusals.kinds import EndpointFailed
+from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from agatehoist.attempts.types import Event
+    from agatehoist.core.identity import AttemptId
     from agatehoist.gateway.state import GatewayState
-    from agatehoist.gateway.types import Caller
+    from agatehoist.gateway.types import Caller, Dispatch
     from agatehoist.routing.types import RoutedRequest
 
 logger = get_logger("gateway")
@@ -89,9 +93,15 @@
         self._gone = True
         self._waiting.cancel()
 
+    def consider_move(self) -> None:
+        """Move the run if its endpoint is about to stop serving it."""
+        attempt = self._attempt
+        if attempt is not None and self._started and not self._machine.ended:
+            move_if_needed(self._state, self._request, attempt)
+
     async def run(self) -> None:
         """Answer the caller."""
-        with self._sender, self._events:
+        with self._sender, self._events, self._state.drivers.track(self):
             pending = deque(self._machine.start(self._now()))
             while True:
                 while pending:
@@ -138,15 +148,33 @@
         self._steps.append(
             f"sent to {endpoint.name} weights {dispatch.weights_version}"
         )
+        self._begin(dispatch, attempt_id, len(decision.pieces))
+        return None
+
+    def _begin(self, dispatch: Dispatch, attempt_id: AttemptId, first: int) -> None:
         self._attempt = Attempt(
             self._state,
             self._request,
             dispatch,
             attempt_id,
-            len(decision.pieces),
+            first,
             self._sender.clone(),
         )
         self._state.task_group.start_soon(self._attempt.run)
+
+    @PERFORMERS.register(ContinueRun)
+    async def _continue(self, decision: ContinueRun) -> Event | None:
+        endpoint = self._state.fleet.by_name.get(decision.offer.candidate.host)
+        if endpoint is None:
+            gone = NoEndpoint.refuse("the endpoint of a moved run has gone").refusal
+            return AttemptRefused(decision.target.attempt_id, gone)
+        if self._attempt is not None:
+            self._attempt.cancel()
+        last_event_id = decision.pieces[-1].event_id
+        dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
+        dispatch = replace(dispatch, continued_run=decision.run_name)
+        self._steps.append(f"moved to {endpoint.name}")
+        self._begin(dispatch, decision.target.attempt_id, len(decision.pieces))
         return None
 
     @PERFORMERS.register(CancelAttempt)
@@ -162,6 +190,7 @@
     async def _deliver(self, decision: Deliver) -> None:
         await self._start()
         await self._caller.send(decision.pieces)
+        self.consider_move()
 
     @PERFORMERS.register(Finish)
     async def _finish(self, decision: Finish) -> None:
--- a/src/agatehoist/gateway/keeping.py
+++ b/src/agatehoist/gateway/keeping.py
@@ -33,6 +33,8 @@
 ORDER_RETRY_S = 0.2
 # Endpoints that end a change within this time are followed by others together.
 GATHER_S = 0.1
+# Runs that can move have done so within this time.
+MOVE_S = 0.5
 # How long runs that no other endpoint can go on with are waited for before an order.
 MAX_DRAIN_S = 2.0
 # Runs that have begun end within this time; another endpoint follows then in any case.
@@ -231,14 +233,18 @@
         return await self._wait_changed(endpoint, target)
 
     async def _wait_uncuttable(self, endpoint: Endpoint) -> bool:
-        """Wait for the runs that can't go on elsewhere; say whether they have ended."""
-        wait_until = self._now() + MAX_DRAIN_S
-        while self._now() < wait_until:
+        """Wait until runs have moved or ended; say whether those left may be cut."""
+        began_at = self._now()
+        while True:
             report = await read_report(self._state, endpoint)
-            if not report.uncuttable_runs:
+            waited_s = self._now() - began_at
+            if not report.runs:
+                return True
+            if not report.uncuttable_runs and waited_s > MOVE_S:
                 return True
+            if waited_s > MAX_DRAIN_S:
+                return False
             await anyio.sleep(POLL_S)
-        return False
 
     async def _may_order(self, target: int) -> bool:
         """Renew the lease if it has run out and say whether the target still holds."""
--- /dev/null
+++ b/src/agatehoist/gateway/moving.py
@@ -0,0 +1,100 @@
+"""Moves of runs away from endpoints that are about to stop serving them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.attempts.types import RunMoved
+from agatehoist.core.identity import EndpointIdentity
+from agatehoist.errors import AgatehoistError
+from agatehoist.gateway.calling import CallFailedError, move_run
+from agatehoist.observability.logs import get_logger
+from agatehoist.placement.types import Candidate, Offer
+
+if TYPE_CHECKING:
+    from agatehoist.fleet.types import Endpoint
+    from agatehoist.gateway.attempting import Attempt
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.routing.types import RoutedRequest
+
+logger = get_logger("gateway")
+
+
+def move_if_needed(
+    state: GatewayState, request: RoutedRequest, attempt: Attempt
+) -> None:
+    """Start the move of a run whose endpoint leaves or takes new weights."""
+    if attempt.moves or not _must_leave(state, attempt.dispatch.endpoint):
+        return
+    destination = find_destination(state, request, attempt)
+    if destination is None:
+        return
+    attempt.moves = True
+    state.task_group.start_soon(_move, state, request, attempt, destination)
+
+
+def find_destination(
+    state: GatewayState, request: RoutedRequest, attempt: Attempt
+) -> Endpoint | None:
+    """Return the endpoint that goes on with a run: one with the same weights.
+
+    Memory made under other weights must not be used.
+    """
+    prompt = request.envelope.prompt
+    service = state.table.services_by_name.get(request.service) if state.table else None
+    if prompt is None or service is None:
+        return None
+    if service.engines is None or not service.engines.move_runs:
+        return None
+    now = state.clock.now()
+    source = attempt.dispatch.endpoint
+    possible = [
+        each
+        for each in state.fleet.serving(request.service, now)
+        if each.lifetime != source.lifetime
+        and not state.weights.is_changing(each, now)
+        and not state.suspects.is_suspected(each.name, now)
+        and state.fleet.version_of(each, prompt.model)
+        == attempt.dispatch.weights_version
+    ]
+    return min(
+        possible,
+        key=lambda each: (
+            state.load.runs(each.lifetime) + (each.data_centre != source.data_centre)
+        ),
+        default=None,
+    )
+
+
+def _must_leave(state: GatewayState, endpoint: Endpoint) -> bool:
+    known = state.fleet.by_name.get(endpoint.name)
+    if known is not None and known.lifetime == endpoint.lifetime and known.leaving:
+        return True
+    return state.weights.is_changing(endpoint, state.clock.now())
+
+
+async def _move(
+    state: GatewayState,
+    request: RoutedRequest,
+    attempt: Attempt,
+    destination: Endpoint,
+) -> None:
+    source = attempt.dispatch.endpoint
+    request_id = request.envelope.request_id
+    try:
+        run_name = await move_run(state, source, request_id, destination)
+    except CallFailedError as error:
+        logger.info("run not moved", request=request_id, reason=str(error))
+        run_name = ""
+    except AgatehoistError as error:
+        logger.warning("move failed", request=request_id, reason=str(error))
+        run_name = ""
+    if not run_name:
+        await attempt.end_move()
+        return
+    identity = EndpointIdentity(
+        destination.name, destination.lifetime, str(attempt.dispatch.weights_version)
+    )
+    candidate = Candidate(destination.name, destination.data_centre)
+    moved = RunMoved(attempt.attempt_id, Offer(candidate, identity, 0, 0.0), run_name)
+    await attempt.report(moved)
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -14,6 +14,7 @@
 from agatehoist.core.inflight import InFlight
 from agatehoist.fleet.load import Load
 from agatehoist.fleet.view import FleetView
+from agatehoist.gateway.drivers import Drivers
 from agatehoist.http1.pool import Pool
 from agatehoist.http1.types import ConnectionLimits
 from agatehoist.observability.logs import get_logger
@@ -62,6 +63,7 @@
         self.suspects = Suspects()
         self.pool = Pool(clock)
         self.in_flight = InFlight()
+        self.drivers = Drivers()
         self.leaving = False
         self.idle_connections: set[ServerConnection] = set()
         self.rng = random.Random()
@@ -102,6 +104,7 @@
             changing=plan.changing,
             revision=seen.revision,
         )
+        self.drivers.consider_moves()
         self.wake_keeper()
 
     def next_attempt_id(self) -> AttemptId:
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -112,6 +112,7 @@
             else:
                 self._put(state, each.value)
         state.fleet.revision = changes.revision
+        state.drivers.consider_moves()
 
     def _put(self, state: GatewayState, value: StoredValue) -> None:
         try:
--- a/src/agatehoist/gateway/types.py
+++ b/src/agatehoist/gateway/types.py
@@ -37,6 +37,7 @@
     fetch_from: str = ""
     save_to: str = ""
     last_event_id: bytes | None = None
+    continued_run: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +122,14 @@
     def read_report(self, reply: Reply) -> EndpointReport:
         """Return what an engine reports."""
 
+    def move_request(
+        self, source: Endpoint, request_id: str, destination: Endpoint
+    ) -> tuple[RequestHead, bytes]:
+        """Return the request that stops a run and copies its memory."""
+
+    def read_move(self, source: Endpoint, reply: Reply) -> str:
+        """Return the name under which a stopped run can be gone on with, or none."""
+
     def order_request(
         self, endpoint: Endpoint, order: WeightsOrder
     ) -> tuple[RequestHead, bytes]:
--- a/src/agatehoist/platform/adapter.py
+++ b/src/agatehoist/platform/adapter.py
@@ -31,6 +31,8 @@
     read_weights = staticmethod(documents.read_weights)
     report_head = staticmethod(engines.report_head)
     read_report = staticmethod(engines.read_report)
+    move_request = staticmethod(engines.move_request)
+    read_move = staticmethod(engines.read_move)
     order_request = staticmethod(engines.order_request)
 
     def is_ready_check(self, head: RequestHead) -> bool:
--- a/src/agatehoist/platform/documents.py
+++ b/src/agatehoist/platform/documents.py
@@ -132,6 +132,7 @@
             engine.count("Slots"),
             engine.count("KvCapacity"),
             tuple(each.text("Name") for each in engine.parts("Models")),
+            engine.flag("Moves"),
         )
     return Service(reader.text("Name"), engines)
 
--- a/src/agatehoist/platform/engines.py
+++ b/src/agatehoist/platform/engines.py
@@ -49,6 +49,7 @@
         {each.text("Name"): each.count("Version") for each in reader.parts("Models")},
         reader.flag("Busy"),
         reader.count("SeqNo"),
+        reader.count("Running", 0),
         sum(is_uncuttable(each) for each in _run_priorities(value)),
     )
     check("report", findings)
@@ -68,12 +69,40 @@
             "ExpectedRev": order.expected_order_count,
         }
     ).encode()
-    headers = (
+    return RequestHead(b"POST", names.ORDER_TARGET, _json_headers(endpoint, body)), body
+
+
+def move_request(
+    source: Endpoint, request_id: str, destination: Endpoint
+) -> tuple[RequestHead, bytes]:
+    """Return the request that stops a run and copies its memory."""
+    body = json.dumps(
+        {
+            "Id": request_id,
+            "To": f"{destination.host}:{destination.port}",
+            "Last": True,
+        }
+    ).encode()
+    return RequestHead(b"POST", names.MOVE_TARGET, _json_headers(source, body)), body
+
+
+def read_move(source: Endpoint, reply: Reply) -> str:
+    """Return the name under which a stopped run can be gone on with, or none."""
+    try:
+        value = json.loads(reply.body)
+    except ValueError:
+        # Without a body nothing has been stopped.
+        return ""
+    handle = value.get("handle") if isinstance(value, dict) else None
+    return f"{source.host}:{source.port}/{handle}" if handle else ""
+
+
+def _json_headers(endpoint: Endpoint, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
+    return (
         *_headers(endpoint),
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
     )
-    return RequestHead(b"POST", names.ORDER_TARGET, headers), body
 
 
 def _run_priorities(report: dict[str, Any]) -> Iterator[int]:
--- a/src/agatehoist/platform/names.py
+++ b/src/agatehoist/platform/names.py
@@ -8,6 +8,7 @@
 OBJECTS_PATH = "/agatehoist/objects"
 REPORT_TARGET = b"/agatehoist/report"
 ORDER_TARGET = b"/agatehoist/order"
+MOVE_TARGET = b"/agatehoist/kv-move"
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -28,6 +29,7 @@
 CACHE_SALT = b"x-agatehoist-cache-salt"
 FETCH_CACHE_FROM = b"x-agatehoist-kv-fetch"
 SAVE_CACHE_TO = b"x-agatehoist-kv-save"
+CONTINUED_RUN = b"kv-from"
 
 # Proof of the endpoint's authorship; it goes back to the caller unchanged.
 ENDPOINT_STAMP = b"x-agatehoist-server-stamp"
@@ -47,7 +49,7 @@
         b"x-agatehoist-hold",
         b"x-agatehoist-pin-ms",
         b"x-agatehoist-kv-backup",
-        b"kv-from",
+        CONTINUED_RUN,
         b"x-agatehoist-not-executed",
         b"x-agatehoist-server-stamp",
     }
--- a/src/agatehoist/platform/requests.py
+++ b/src/agatehoist/platform/requests.py
@@ -83,6 +83,8 @@
         headers.append((names.EXPECTED_WEIGHTS, str(dispatch.weights_version)))
     if dispatch.fetch_from:
         headers.append((names.FETCH_CACHE_FROM, dispatch.fetch_from))
+    if dispatch.continued_run:
+        headers.append((names.CONTINUED_RUN, dispatch.continued_run))
     if dispatch.save_to:
         headers.append((names.SAVE_CACHE_TO, dispatch.save_to))
     return headers
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -52,11 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Engines:
-    """Describe the model engines of a service; memory is in tokens."""
+    """Describe the model engines of a service; memory is in tokens.
+
+    Engines that move runs hand the memory of a run over to another engine.
+    """
 
     slots: int
     memory_tokens: int
     models: tuple[str, ...]
+    move_runs: bool = False
 
 
 @dataclass(frozen=True, slots=True)
