Count moves as repeats, keep a moved run as begun, save prompts once

Moves now draw on the budget and leave 30% of it; the budget is exact over a sliding window, and its slack comes only after a window. The run before the move now counts whatever becomes of the next attempt.

Engines save the whole prompt, the caller's own part too, which drove the shared parts of others out of the store; only the first request for a part saves it now.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -51,7 +51,7 @@
     import random
     from collections.abc import Callable
 
-    from agatehoist.attempts.budget import RetryBudget
+    from agatehoist.attempts.budget import Budget
     from agatehoist.core.identity import AttemptId
     from agatehoist.placement.types import Offer
 
@@ -70,7 +70,7 @@
     def __init__(
         self,
         rules: Rules,
-        budget: RetryBudget,
+        budget: Budget,
         next_id: Callable[[], AttemptId],
         rng: random.Random,
     ) -> None:
@@ -146,10 +146,8 @@
     def _on_run_moved(self, event: RunMoved, _now: float) -> Decisions:
         if not self._is_current(event.attempt_id):
             return ()
-        # It stays one run, whatever endpoints it goes through.
-        self._may_have_run.discard(event.attempt_id)
+        # It stays one run, which has begun whatever becomes of the next attempt.
         self.target = self._next_target(event.offer)
-        self._may_have_run.add(self.target.attempt_id)
         pieces = tuple(self.pieces)
         return (ContinueRun(self.target, event.offer, pieces, event.run_name),)
 
--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -65,7 +65,10 @@
     front = open_listening_socket(settings.front.host, settings.front.port)
     ready = open_listening_socket(settings.ready.host, settings.ready.port)
     async with stop_signals() as stop, anyio.create_task_group() as task_group:
-        state = GatewayState(settings, clock, platform, make_store(clock), task_group)
+        store = make_store(clock)
+        # An earlier run of this process may have spent the slack of a whole window.
+        slack_from = clock.now() + settings.retries.window_s
+        state = GatewayState(settings, clock, platform, store, task_group, slack_from)
         task_group.start_soon(follow_store, state)
         task_group.start_soon(follow_nodes, state)
         task_group.start_soon(follow_settings, state, source.path, source.load)
--- a/src/agatehoist/gateway/choosing.py
+++ b/src/agatehoist/gateway/choosing.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.state import GatewayState
-    from agatehoist.routing.types import KeptCache, RoutedRequest
+    from agatehoist.routing.types import KeptCache, Prompt, RoutedRequest
 
 POLICY = "home_bounded"
 # An answer on old weights is worth less; a wait that is worth as much, in seconds.
@@ -52,14 +52,15 @@
         return Dispatch(endpoint, last_event_id=last_event_id)
     version = state.fleet.version_of(endpoint, prompt.model)
     kept = _kept_cache(state, endpoint)
+    salt = salt_for(request, version)
     return Dispatch(
         endpoint=endpoint,
         weights_version=version,
-        salt=salt_for(request, version),
+        salt=salt,
         priority=_priority(request),
         cuttable=request.route.resumable,
         fetch_from=kept.address if kept else "",
-        save_to=kept.address if kept and prompt.shared_parts else "",
+        save_to=kept.address if kept and _saves(state, prompt, salt) else "",
         last_event_id=last_event_id,
     )
 
@@ -120,6 +121,15 @@
     )
 
 
+def _saves(state: GatewayState, prompt: Prompt, salt: str) -> bool:
+    shared = prompt.shared_parts
+    if not shared:
+        return False
+    tokens = sum(each.tokens for each in shared)
+    now = state.clock.now()
+    return state.kept_parts.should_save(salt, shared[-1].part_id, tokens, now)
+
+
 def _kept_cache(state: GatewayState, endpoint: Endpoint) -> KeptCache | None:
     kept_caches = state.table.kept_caches if state.table else ()
     near = [each for each in kept_caches if each.data_centre == endpoint.data_centre]
--- a/src/agatehoist/gateway/driving.py
+++ b/src/agatehoist/gateway/driving.py
@@ -145,12 +145,18 @@
             last_event_id = decision.pieces[-1].event_id
         dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
         self._tried.append(endpoint.lifetime)
-        self._steps.append(
-            f"sent to {endpoint.name} weights {dispatch.weights_version}"
-        )
+        self._note_dispatch("sent", dispatch)
         self._begin(dispatch, attempt_id, len(decision.pieces))
         return None
 
+    def _note_dispatch(self, action: str, dispatch: Dispatch) -> None:
+        at_ms = round((self._now() - self._request.envelope.received_at) * MS_PER_S)
+        wait_ms = round(self._state.load.wait_s(dispatch.endpoint.lifetime) * MS_PER_S)
+        step = f"{at_ms} ms: {action} to {dispatch.endpoint.name}, wait {wait_ms} ms"
+        if dispatch.weights_version:
+            step += f", cache {dispatch.salt}"
+        self._steps.append(step)
+
     def _begin(self, dispatch: Dispatch, attempt_id: AttemptId, first: int) -> None:
         self._attempt = Attempt(
             self._state,
@@ -173,7 +179,7 @@
         last_event_id = decision.pieces[-1].event_id
         dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
         dispatch = replace(dispatch, continued_run=decision.run_name)
-        self._steps.append(f"moved to {endpoint.name}")
+        self._note_dispatch("moved", dispatch)
         self._begin(dispatch, decision.target.attempt_id, len(decision.pieces))
         return None
 
@@ -237,6 +243,12 @@
             return event
         return CallerGone() if self._gone else DeadlinePassed()
 
+    def _prompt_name(self) -> str:
+        prompt = self._request.envelope.prompt
+        if prompt is None or not prompt.shared_parts:
+            return ""
+        return prompt.shared_parts[-1].part_id
+
     def _log(self) -> None:
         request = self._request
         took_s = self._now() - request.envelope.received_at
@@ -247,6 +259,7 @@
             request=request.envelope.request_id,
             route=request.route.name,
             service=request.service,
+            prompt=self._prompt_name(),
             configuration=request.table_version,
             fleet=self._state.fleet.revision,
             steps=self._steps,
--- a/src/agatehoist/gateway/keeping.py
+++ b/src/agatehoist/gateway/keeping.py
@@ -14,7 +14,14 @@
 from agatehoist.storage.errors import ConflictError, PlatformError
 from agatehoist.weights.plan import without
 from agatehoist.weights.types import Plan, SeenPlan, WeightsOrder
-from agatehoist.weights.waves import LEASE_S, RENEWAL_S, Candidate, claim, next_wave
+from agatehoist.weights.waves import (
+    LEASE_S,
+    RENEWAL_S,
+    Candidate,
+    claim,
+    next_wave,
+    wave_share,
+)
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -98,10 +105,14 @@
         if not self._holds(seen) and not await self._take_over(seen):
             await anyio.sleep(WRITE_RETRY_S)
             return
-        if self._now() < self._order_at:
-            await anyio.sleep(min(WRITE_RETRY_S, self._order_at - self._now()))
+        # Runs leave the endpoints of the first wave while the turn isn't over yet.
+        wait_s = self._order_at - MOVE_S - self._now()
+        if wait_s > 0:
+            await anyio.sleep(min(WRITE_RETRY_S, wait_s))
             return
-        wave = next_wave(self._candidates(), self._target(), self._current())
+        wave = next_wave(
+            self._reachable(), self._target(), self._current(), self._share()
+        )
         if wave:
             await self._begin(wave)
         elif self._now() > self._written_at + RENEWAL_S:
@@ -195,7 +206,9 @@
                     self._note_changed(endpoint, target)
                     return
             except CallFailedError as error:
-                logger.info("order not answered", endpoint=lifetime, reason=str(error))
+                logger.info("no report", endpoint=lifetime, reason=str(error))
+                self._state.suspects.note_silence(endpoint.name, self._now())
+                return
             await anyio.sleep(ORDER_RETRY_S)
 
     async def _order(self, endpoint: Endpoint, target: int) -> bool:
@@ -218,19 +231,34 @@
             cuts_runs,
         )
         self._ordered_at = self._now()
-        status = await give_order(self._state, endpoint, order)
+        status = await self._give(endpoint, order)
+        if status != HTTPStatus.ACCEPTED:
+            return status == HTTPStatus.OK
+        return await self._wait_changed(endpoint, target)
+
+    async def _give(self, endpoint: Endpoint, order: WeightsOrder) -> HTTPStatus | None:
+        try:
+            status = await give_order(self._state, endpoint, order)
+        except CallFailedError as error:
+            # It may be carried out, now or late; the next report tells. Once another
+            # order was carried out, the expected count keeps it from being so.
+            logger.info(
+                "order not answered",
+                endpoint=endpoint.lifetime,
+                weights=order.version,
+                reason=str(error),
+            )
+            return None
         logger.info(
             "order given",
             endpoint=endpoint.lifetime,
-            weights=target,
+            weights=order.version,
             token=order.token,
-            order_count=report.order_count,
+            order_count=order.expected_order_count,
             status=int(status),
-            cuts_runs=cuts_runs,
+            cuts_runs=order.cuts_runs,
         )
-        if status != HTTPStatus.ACCEPTED:
-            return status == HTTPStatus.OK
-        return await self._wait_changed(endpoint, target)
+        return status
 
     async def _wait_uncuttable(self, endpoint: Endpoint) -> bool:
         """Wait until runs have moved or ended; say whether those left may be cut."""
@@ -250,6 +278,7 @@
         """Renew the lease if it has run out and say whether the target still holds."""
         if target != self._target() or self._held is None:
             return False
+        await anyio.sleep(max(0.0, self._order_at - self._now()))
         return self._now() < self._valid_until or await self._renew()
 
     async def _wait_changed(self, endpoint: Endpoint, target: int) -> bool:
@@ -311,6 +340,21 @@
             Candidate(each.lifetime, self._version(each)) for each in self._endpoints()
         )
 
+    def _share(self) -> float:
+        oldest = min((each.version for each in self._candidates()), default=0)
+        now = self._now()
+        since = self._state.weights.waiting_since(self._model, oldest, now)
+        return wave_share(now - since, self._state.settings.weights_in_force_s)
+
+    def _reachable(self) -> tuple[Candidate, ...]:
+        """Return the candidates that others can't wait for in vain."""
+        now = self._now()
+        return tuple(
+            Candidate(each.lifetime, self._version(each))
+            for each in self._endpoints()
+            if not self._state.suspects.is_suspected(each.name, now)
+        )
+
     def _endpoints(self) -> tuple[Endpoint, ...]:
         table = self._state.table
         if table is None:
--- a/src/agatehoist/gateway/moving.py
+++ b/src/agatehoist/gateway/moving.py
@@ -19,6 +19,9 @@
 
 logger = get_logger("gateway")
 
+# Of the budget for repeats, moves leave this share to requests that failed.
+BUDGET_LEFT_SHARE = 0.3
+
 
 def move_if_needed(
     state: GatewayState, request: RoutedRequest, attempt: Attempt
@@ -29,6 +32,9 @@
     destination = find_destination(state, request, attempt)
     if destination is None:
         return
+    # The endpoint that goes on counts it as a repeat.
+    if not state.budget(request.service).try_spend(BUDGET_LEFT_SHARE):
+        return
     attempt.moves = True
     state.task_group.start_soon(_move, state, request, attempt, destination)
 
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -8,8 +8,9 @@
 
 import anyio
 
-from agatehoist.attempts.budget import RetryBudget
+from agatehoist.attempts.budget import WindowBudget
 from agatehoist.attempts.suspicion import Suspects
+from agatehoist.cache.kept import KeptParts
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlight
 from agatehoist.fleet.load import Load
@@ -37,6 +38,8 @@
 NODES_ASSUMED = 8
 # What the nodes keep back together for those that aren't counted yet.
 SLACK_SHARE = 0.9
+# Arrivals are counted where they arrive, a little after they were sent.
+WINDOW_MARGIN_S = 0.5
 
 
 class GatewayState:
@@ -49,6 +52,7 @@
         platform: Platform,
         store: ObjectStore,
         task_group: TaskGroup,
+        slack_from: float,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -60,6 +64,7 @@
         self.fleet = FleetView()
         self.weights = WeightsView()
         self.load = Load()
+        self.kept_parts = KeptParts()
         self.suspects = Suspects()
         self.pool = Pool(clock)
         self.in_flight = InFlight()
@@ -70,7 +75,8 @@
         self.incarnation = new_incarnation()
         self._work = anyio.Event()
         self._sequence = itertools.count(1)
-        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._budgets_by_service: dict[str, WindowBudget] = {}
+        self._slack_from = slack_from
         self._node_count = NODES_ASSUMED
 
     @property
@@ -120,7 +126,7 @@
         self.settings = settings
         self.store.move(settings.store.host, settings.store.port)
         for budget in self._budgets_by_service.values():
-            budget.set_reserve(self._reserve())
+            budget.set_slack(self._slack())
 
     def set_node_count(self, count: int) -> None:
         """Take the number of nodes that share the slack for repeats."""
@@ -129,15 +135,22 @@
         logger.info("nodes counted", count=count, before=self._node_count)
         self._node_count = count
         for budget in self._budgets_by_service.values():
-            budget.set_reserve(self._reserve())
+            budget.set_slack(self._slack())
 
-    def budget(self, service: str) -> RetryBudget:
+    def budget(self, service: str) -> WindowBudget:
         """Return this node's share of the repeats to a service."""
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = RetryBudget(self.settings.retries.ratio, self._reserve())
+            bounds = self.settings.retries
+            budget = WindowBudget(
+                self.clock,
+                bounds.ratio,
+                self._slack(),
+                bounds.window_s + WINDOW_MARGIN_S,
+                self._slack_from,
+            )
             self._budgets_by_service[service] = budget
         return budget
 
-    def _reserve(self) -> float:
+    def _slack(self) -> float:
         return SLACK_SHARE * self.settings.retries.slack / self._node_count
--- a/src/agatehoist/weights/plan.py
+++ b/src/agatehoist/weights/plan.py
@@ -48,6 +48,11 @@
         named = self.named_by_model.get(model)
         return named.version if named else 0
 
+    def waiting_since(self, model: str, version: int, now: float) -> float:
+        """Return when the first weights newer than a version were named."""
+        named_at = self._named_at_by_model.get(model, {})
+        return min((at for v, at in named_at.items() if v > version), default=now)
+
     def required_version(self, model: str, named_until: float) -> int:
         """Return the newest weights version that was named until a time, or 0."""
         named_at = self._named_at_by_model.get(model, {})
--- a/src/agatehoist/weights/waves.py
+++ b/src/agatehoist/weights/waves.py
@@ -20,8 +20,9 @@
 RENEWAL_S = 2.5
 # Orders of the last holder may still be on their way when its lease ends.
 ORDER_TRANSIT_S = 0.3
-# Share of a model's endpoints that change at a time; the others serve.
-WAVE_SHARE = 1 / 3
+# Share of a model's endpoints that change at a time, the others serve; more do once a
+# share of the time has passed within which the weights must be in force everywhere.
+WAVE_SHARES_BY_TIME = ((0.0, 1 / 5), (0.45, 1 / 3), (0.65, 1 / 2))
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,12 +60,21 @@
     return Claim(max(now, write_at), max(now, order_at))
 
 
+def wave_share(elapsed_s: float, limit_s: float) -> float:
+    """Return the share of the endpoints that may change at a time."""
+    passed = elapsed_s / limit_s
+    return max(share for since, share in WAVE_SHARES_BY_TIME if passed >= since)
+
+
 def next_wave(
-    candidates: Iterable[Candidate], target: int, under_way: frozenset[str]
+    candidates: Iterable[Candidate],
+    target: int,
+    under_way: frozenset[str],
+    share: float,
 ) -> tuple[str, ...]:
     """Return the lifetimes of the endpoints that change next, the oldest first."""
     known = tuple(candidates)
-    room = max(1, math.ceil(len(known) * WAVE_SHARE)) - len(under_way)
+    room = max(1, math.ceil(len(known) * share)) - len(under_way)
     outdated = [
         each
         for each in known
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -51,6 +51,8 @@
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     order_faults: list[str] = field(default_factory=list)
+    handles: set[str] = field(default_factory=set)
+    stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
 
@@ -82,6 +84,8 @@
             await _send_json(connection, 200, self._report())
         elif headers.get("x-agatehoist-expect-instance") not in (None, self.name):
             await connection.send_whole(421, (), b"")
+        elif request.head.target == b"/agatehoist/kv-move":
+            await self._move(connection, json.loads(request.body))
         elif request.head.target == b"/agatehoist/order":
             await self._order(connection, json.loads(request.body))
         elif self._has_other_weights(headers):
@@ -100,7 +104,8 @@
             return
         request_id = headers.get(REQUEST_ID.decode(), "")
         run = Run(request_id, headers, request.head.target.decode(), request.body)
-        self.runs.append(run)
+        if not self._continues(headers):
+            self.runs.append(run)
         self.active += 1
         try:
             if fault:
@@ -125,6 +130,9 @@
         await connection.send_head(200, (*self.stamped(run), STREAM, CHUNKED))
         until = self.event_count if count is None else first + count
         for number in range(first + 1, until + 1):
+            if run.request_id in self.stopped:
+                connection.abort()
+                return
             await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
             await anyio.sleep(EVENT_PAUSE_S)
         if count is None:
@@ -155,6 +163,19 @@
             "Runs": [],
         }
 
+    def _continues(self, headers: dict[str, str]) -> bool:
+        handle = headers.get("kv-from", "").partition("/")[2]
+        if handle not in self.handles:
+            return False
+        self.handles.discard(handle)
+        return True
+
+    async def _move(self, connection: ServerConnection, move: dict[str, Any]) -> None:
+        self.stopped.add(move["Id"])
+        handle = f"copy-of-{move['Id']}"
+        self.handles.add(handle)
+        await _send_json(connection, 200, {"handle": handle, "Created": 1})
+
     async def _order(self, connection: ServerConnection, order: dict[str, Any]) -> None:
         fault = self.order_faults.pop(0) if self.order_faults else ""
         if order["ExpectedRev"] != len(self.orders) or self.busy:
--- a/standins/users_platform/world.py
+++ b/standins/users_platform/world.py
@@ -65,7 +65,12 @@
         "Services": [
             {
                 "Name": ENGINES,
-                "Engine": {"Slots": 8, "KvCapacity": 9, "Models": [{"Name": MODEL}]},
+                "Engine": {
+                    "Slots": 8,
+                    "KvCapacity": 9,
+                    "Moves": True,
+                    "Models": [{"Name": MODEL}],
+                },
             },
             {"Name": APPLICATION},
         ],
@@ -106,6 +111,8 @@
         self.engines = [
             EndpointStandIn(f"engine-{index}", ENGINES, MODEL) for index in range(3)
         ]
+        for engine in self.engines:
+            engine.handles = self.engines[0].handles
         self.applications = [
             EndpointStandIn(f"application-{index}", APPLICATION) for index in range(2)
         ]
@@ -177,7 +184,7 @@
         clock = SystemClock()
         own = settings(store_port)
         store = PlatformStore(own.store, clock)
-        world.state = GatewayState(own, clock, UsersPlatform(), store, task_group)
+        world.state = GatewayState(own, clock, UsersPlatform(), store, task_group, 0.0)
         task_group.start_soon(follow_store, world.state)
         if keeps_weights:
             task_group.start_soon(keep_weights, world.state)
--- /dev/null
+++ b/tests/test_attempts/test_moves.py
@@ -0,0 +1,99 @@
+"""Tests of requests whose run moves to another endpoint."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+from parameterized import parameterized
+
+from agatehoist.attempts.budget import RetryBudget
+from agatehoist.attempts.machine import RequestMachine
+from agatehoist.attempts.types import (
+    AttemptRefused,
+    ContinueRun,
+    Deliver,
+    Ending,
+    Finish,
+    Offered,
+    PiecesArrived,
+    Refuse,
+    Rules,
+    RunMoved,
+    StreamEnded,
+    Submit,
+)
+from agatehoist.core.identity import AttemptId, EndpointIdentity
+from agatehoist.core.work import Run
+from agatehoist.placement.types import Candidate, Offer
+from agatehoist.refusals.kinds import NotStarted, OutcomeUnknown
+
+if TYPE_CHECKING:
+    from agatehoist.refusals.types import RequestRefusedError
+
+FIRST, SECOND, THIRD = AttemptId("g", 1), AttemptId("g", 2), AttemptId("g", 3)
+
+
+def offer(host: str) -> Offer:
+    """Return an offer of a host."""
+    return Offer(Candidate(host, "dc1"), EndpointIdentity(host, "e", "1"), 0, 0.0)
+
+
+def moved_machine(rules: Rules) -> RequestMachine:
+    """Return a machine whose run was moved behind its second piece."""
+    numbers = itertools.count(1)
+    machine = RequestMachine(
+        rules,
+        RetryBudget(),
+        lambda: AttemptId("g", next(numbers)),
+        random.Random(1),
+    )
+    machine.start(0.0)
+    (submit,) = machine.handle(Offered((offer("a"), offer("b"))), 0.0)
+    assert isinstance(submit, Submit)
+    machine.handle(PiecesArrived(FIRST, 0, ("x", "y")), 0.1)
+    (moved,) = machine.handle(RunMoved(FIRST, offer("c"), "a/7"), 0.2)
+    assert moved == ContinueRun(moved.target, offer("c"), ("x", "y"), "a/7"), (
+        "the run goes on behind what was delivered"
+    )
+    return machine
+
+
+class MovedRunTests(unittest.TestCase):
+    @parameterized.expand([(False,), (True,)])
+    def test_the_answer_goes_on(self, resumable: bool) -> None:
+        machine = moved_machine(Rules(resumable, 9.0, max_runs=1))
+        (late,) = machine.handle(PiecesArrived(FIRST, 2, ("z",)), 0.3)
+        self.assertNotIsInstance(late, Deliver)
+        self.assertEqual(
+            machine.handle(PiecesArrived(SECOND, 2, ("z",)), 0.4),
+            (Deliver(2, ("z",)),),
+        )
+        self.assertEqual(
+            machine.handle(StreamEnded(SECOND, Ending(3)), 0.5), (Finish(Ending(3)),)
+        )
+
+    @parameterized.expand(
+        [
+            ("rejected", NotStarted.refuse("other weights"), False, 2, Refuse),
+            ("lost", OutcomeUnknown.refuse("reset"), False, 2, Refuse),
+            ("rejected_resumable", NotStarted.refuse("other weights"), True, 2, Submit),
+            ("lost_resumable", OutcomeUnknown.refuse("reset"), True, 2, Submit),
+            ("rejected_last_run", NotStarted.refuse("other weights"), True, 1, Refuse),
+        ]
+    )
+    def test_the_run_before_the_move_counts(
+        self,
+        _name: str,
+        error: RequestRefusedError,
+        resumable: bool,
+        max_runs: int,
+        expected: type,
+    ) -> None:
+        machine = moved_machine(Rules(resumable, 9.0, max_runs=max_runs))
+        decisions = machine.handle(AttemptRefused(SECOND, error.refusal), 0.3)
+        self.assertIsInstance(decisions[-1], expected)
+        if isinstance(decisions[-1], Refuse):
+            self.assertIsNot(decisions[-1].refusal.run, Run.NO)
--- /dev/null
+++ b/tests/test_gateway/test_weights.py
@@ -0,0 +1,103 @@
+"""Tests of new weights brought to engines while requests run."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.gateway.plans import PLAN_KIND, write_plan
+from agatehoist.weights.types import Plan
+from standins.users_platform.world import MODEL, World, running, until
+
+if TYPE_CHECKING:
+    from standins.users_platform.endpoint import EndpointStandIn
+
+# An order that got no answer is followed up after the time for a call.
+ROLL_OUT_S = 10.0
+
+
+def name_weights(world: World, version: int) -> None:
+    """Name weights as the operators do."""
+    world.store.put("versions", MODEL, {"Model": MODEL, "Version": version})
+
+
+async def wait_for_weights(engines: list[EndpointStandIn], version: int) -> None:
+    """Wait until all engines have a version."""
+    with anyio.fail_after(ROLL_OUT_S):
+        await until(lambda: all(each.version == version for each in engines))
+
+
+class RollOutTests(unittest.TestCase):
+    @parameterized.expand(
+        [("calm", []), ("answers_lost", ["lost"]), ("twice_lost", ["lost", "lost"])]
+    )
+    def test_all_engines_get_the_weights_once(
+        self, _name: str, order_faults: list[str]
+    ) -> None:
+        world = World()
+        for each in world.engines:
+            each.order_faults = list(order_faults)
+
+        async def run() -> None:
+            async with running(world, keeps_weights=True):
+                name_weights(world, 2)
+                await wait_for_weights(world.engines, 2)
+
+        anyio.run(run)
+        for each in world.engines:
+            self.assertEqual([order["Version"] for order in each.orders], [2])
+            self.assertEqual({order["Holder"] for order in each.orders}, {"n1"})
+
+    def test_a_replaced_version_is_not_loaded(self) -> None:
+        world = World()
+
+        async def run() -> None:
+            async with running(world, keeps_weights=True):
+                name_weights(world, 2)
+                await until(lambda: any(each.orders for each in world.engines))
+                name_weights(world, 3)
+                await wait_for_weights(world.engines, 3)
+
+        anyio.run(run)
+        late = [order for each in world.engines for order in each.orders[1:]]
+        self.assertNotIn(2, [order["Version"] for order in late])
+        loads = [len(each.orders) for each in world.engines]
+        self.assertLessEqual(sum(loads), 4)
+
+    def test_another_node_keeps_its_plan(self) -> None:
+        world = World()
+
+        async def run() -> None:
+            async with running(world, keeps_weights=True):
+                plan = Plan(MODEL, "n2", 1, 2, 1)
+                world.store.put(PLAN_KIND, MODEL, write_plan(plan))
+                name_weights(world, 2)
+                await anyio.sleep(1.0)
+                self.assertFalse(any(each.orders for each in world.engines))
+
+        anyio.run(run)
+
+    def test_requests_go_on_while_weights_change(self) -> None:
+        world = World()
+        statuses: list[int] = []
+
+        async def ask(number: int) -> None:
+            reply = await world.ask_prompt(
+                "/trace/1", x_agatehoist_request_id=f"r{number}"
+            )
+            statuses.append(reply.head.status)
+
+        async def run() -> None:
+            async with running(world, keeps_weights=True):
+                name_weights(world, 2)
+                async with anyio.create_task_group() as task_group:
+                    for number in range(40):
+                        task_group.start_soon(ask, number)
+                        await anyio.sleep(0.02)
+                await wait_for_weights(world.engines, 2)
+
+        anyio.run(run)
+        self.assertEqual(statuses, [200] * 40)
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -9,7 +9,13 @@
 
 from agatehoist.weights.plan import WeightsView
 from agatehoist.weights.types import NamedWeights, Plan, SeenPlan
-from agatehoist.weights.waves import LEASE_S, Candidate, claim, next_wave
+from agatehoist.weights.waves import (
+    LEASE_S,
+    Candidate,
+    claim,
+    next_wave,
+    wave_share,
+)
 
 TURN_S = 3.0
 NOW = 100.0
@@ -66,17 +72,23 @@
     def test_size(self, _name: str, count: int, under_way: int, expected: int) -> None:
         candidates = [Candidate(f"e{index}", 1) for index in range(count)]
         busy = frozenset(f"e{index}" for index in range(under_way))
-        wave = next_wave(candidates, 2, busy)
+        wave = next_wave(candidates, 2, busy, 1 / 3)
         self.assertEqual(len(wave), expected)
         self.assertFalse(busy & set(wave))
 
+    @parameterized.expand([(0.0, 1 / 5), (3.5, 1 / 5), (3.7, 1 / 3), (5.3, 1 / 2)])
+    def test_more_change_when_time_runs_short(
+        self, elapsed_s: float, share: float
+    ) -> None:
+        self.assertEqual(wave_share(elapsed_s, 8.0), share)
+
     def test_the_oldest_weights_go_first(self) -> None:
         candidates = [Candidate(f"e{index}", index % 3) for index in range(9)]
-        wave = next_wave(candidates, 3, frozenset())
+        wave = next_wave(candidates, 3, frozenset(), 1 / 3)
         self.assertEqual(set(wave), {"e0", "e3", "e6"})
 
     def test_nothing_is_left_for_those_that_have_the_weights(self) -> None:
-        self.assertEqual(next_wave([Candidate("e", 3)], 3, frozenset()), ())
+        self.assertEqual(next_wave([Candidate("e", 3)], 3, frozenset(), 1.0), ())
 
 
 class WeightsViewTests(unittest.TestCase):
