Let runs end by themselves before they move; leave endpoints that fail

Endpoints that fail part of their work are found from outcomes and come behind the others. A caller who leaves a silent endpoint counts as its silence. The clock counts the time a machine was suspended, since a lease may run out meanwhile.

--- a/src/agatehoist/core/clock.py
+++ b/src/agatehoist/core/clock.py
@@ -14,14 +14,17 @@
 
 
 class SystemClock:
-    """Tell the time without the steps of the wall clock."""
+    """Tell the time without the steps of the wall clock.
+
+    The time that the machine was suspended counts: a lease may run out meanwhile.
+    """
 
     def __init__(self) -> None:
-        self._epoch = time.time() - time.monotonic()
+        self._epoch = time.time() - _since_boot()
 
     def now(self) -> float:
         """Return the current time in seconds."""
-        return self._epoch + time.monotonic()
+        return self._epoch + _since_boot()
 
 
 class ManualClock:
@@ -37,3 +40,7 @@
     def advance_to(self, now: float) -> None:
         """Set the time in seconds; the time never goes back."""
         self._now = max(self._now, now)
+
+
+def _since_boot() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/agatehoist/gateway/attempting.py
+++ b/src/agatehoist/gateway/attempting.py
@@ -72,6 +72,7 @@
         self.events = events
         self.moves = False
         self._received = first
+        self._began_at = state.clock.now()
         self._withheld: Event | None = None
         self._scope = anyio.CancelScope()
         self._patience = anyio.CancelScope()
@@ -91,12 +92,32 @@
             self._state.load.track(endpoint.lifetime, unread) as ticket,
         ):
             event = await self._outcome(ticket)
+            self._note_health(event)
             if self.moves and isinstance(event, AttemptRefused):
                 # The endpoint breaks the answer off when it stops a run to be moved.
                 self._withheld = event
                 await anyio.sleep(MOVE_TIMEOUT_S)
             await self.report(event)
 
+        if self._scope.cancelled_caught and self._was_silent():
+            self._state.suspects.note_silence(endpoint.name, self._state.clock.now())
+
+    def _note_health(self, event: Event) -> None:
+        endpoint = self.dispatch.endpoint
+        now = self._state.clock.now()
+        failed = isinstance(event, AttemptRefused | NotWritten)
+        # What fails while weights change or a run is moved is no fault of the endpoint.
+        if failed and (self.moves or self._state.weights.is_changing(endpoint, now)):
+            return
+        self._state.health.note(endpoint.lifetime, failed, now)
+
+    def _was_silent(self) -> bool:
+        """Say whether a caller who left had waited in vain for a sign of life."""
+        waited_s = self._state.clock.now() - self._began_at
+        route = self._request.route
+        patience = patience_s(route.objective_s, route.gap_objective_s)
+        return self.head is None and waited_s > patience
+
     async def _outcome(self, ticket: Ticket) -> Event:
         endpoint = self.dispatch.endpoint
         suspects = self._state.suspects
--- a/src/agatehoist/gateway/choosing.py
+++ b/src/agatehoist/gateway/choosing.py
@@ -19,6 +19,8 @@
 POLICY = "home_bounded"
 # An answer on old weights is worth less; a wait that is worth as much, in seconds.
 OLD_WEIGHTS_S = 0.25
+# A request that fails costs its client a new try, as if it had waited so long.
+SICK_S = 1.0
 # Old weights are left alone this long before the time that they may be used for ends:
 # a request may wait in the engine's queue, and the news of the naming took a while.
 OVERDUE_MARGIN_S = 1.0
@@ -101,6 +103,8 @@
     wait_s = state.load.wait_s(endpoint.lifetime)
     if prompt and version < state.weights.target(prompt.model):
         wait_s += OLD_WEIGHTS_S
+    if state.health.is_sick(endpoint.lifetime, state.clock.now()):
+        wait_s += SICK_S
     return Offer(candidate, identity, 0, wait_s)
 
 
--- a/src/agatehoist/gateway/keeping.py
+++ b/src/agatehoist/gateway/keeping.py
@@ -42,6 +42,8 @@
 GATHER_S = 0.1
 # Runs that can move have done so within this time.
 MOVE_S = 0.5
+# Runs that haven't moved by then are cut, and gone on with as repeats.
+CUT_AFTER_S = 1.2
 # How long runs that no other endpoint can go on with are waited for before an order.
 MAX_DRAIN_S = 2.0
 # Runs that have begun end within this time; another endpoint follows then in any case.
@@ -268,7 +270,7 @@
             waited_s = self._now() - began_at
             if not report.runs:
                 return True
-            if not report.uncuttable_runs and waited_s > MOVE_S:
+            if not report.uncuttable_runs and waited_s > CUT_AFTER_S:
                 return True
             if waited_s > MAX_DRAIN_S:
                 return False
--- a/src/agatehoist/gateway/moving.py
+++ b/src/agatehoist/gateway/moving.py
@@ -20,7 +20,9 @@
 logger = get_logger("gateway")
 
 # Of the budget for repeats, moves leave this share to requests that failed.
-BUDGET_LEFT_SHARE = 0.3
+BUDGET_LEFT_SHARE = 0.15
+# Runs that end by themselves within this time needn't move.
+MOVE_DELAY_S = 0.25
 
 
 def move_if_needed(
@@ -76,7 +78,9 @@
     known = state.fleet.by_name.get(endpoint.name)
     if known is not None and known.lifetime == endpoint.lifetime and known.leaving:
         return True
-    return state.weights.is_changing(endpoint, state.clock.now())
+    now = state.clock.now()
+    since = state.weights.changing_since(endpoint, now)
+    return since is not None and now >= since + MOVE_DELAY_S
 
 
 async def _move(
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -13,6 +13,7 @@
 from agatehoist.cache.kept import KeptParts
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlight
+from agatehoist.fleet.health import Health
 from agatehoist.fleet.load import Load
 from agatehoist.fleet.view import FleetView
 from agatehoist.gateway.drivers import Drivers
@@ -64,6 +65,7 @@
         self.fleet = FleetView()
         self.weights = WeightsView()
         self.load = Load()
+        self.health = Health()
         self.kept_parts = KeptParts()
         self.suspects = Suspects()
         self.pool = Pool(clock)
--- a/src/agatehoist/weights/plan.py
+++ b/src/agatehoist/weights/plan.py
@@ -22,6 +22,7 @@
         self.named_by_model: dict[str, NamedWeights] = {}
         self._named_at_by_model: dict[str, dict[int, float]] = {}
         self.plans_by_model: dict[str, SeenPlan] = {}
+        self._changing_since_by_lifetime: dict[str, float] = {}
 
     def name(self, weights: NamedWeights, now: float) -> bool:
         """Take named weights and say whether they are new; older ones are ignored."""
@@ -41,8 +42,23 @@
         if before is not None and before.revision >= seen.revision:
             return False
         self.plans_by_model[seen.plan.model] = seen
+        since = self._changing_since_by_lifetime
+        changing = {
+            lifetime
+            for each in self.plans_by_model.values()
+            for lifetime in each.plan.changing
+        }
+        self._changing_since_by_lifetime = {
+            lifetime: since.get(lifetime, seen.seen_at) for lifetime in changing
+        }
         return True
 
+    def changing_since(self, endpoint: Endpoint, now: float) -> float | None:
+        """Return since when an endpoint gets no new work for its change of weights."""
+        if not self.is_changing(endpoint, now):
+            return None
+        return self._changing_since_by_lifetime.get(endpoint.lifetime)
+
     def target(self, model: str) -> int:
         """Return the weights version that a model should have, or 0."""
         named = self.named_by_model.get(model)
