--- /dev/null
+++ b/tests/test_http1/test_server.py
@@ -0,0 +1,125 @@
+"""Tests of requests as bytes on a connection."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+import anyio
+import anyio.lowlevel
+from parameterized import parameterized
+
+from agatehoist.core.clock import SystemClock
+from agatehoist.http1.channel import Channel
+from agatehoist.http1.errors import BadRequestError
+from agatehoist.http1.server import ServerConnection
+from agatehoist.http1.types import ConnectionLimits, Request
+
+LIMITS = ConnectionLimits(1024, 4096, 0.2, 0.2)
+HEAD = b"POST /a/ HTTP/1.1\r\nHost: a.example\r\n"
+LENGTH = b"Content-Length: 5\r\n"
+CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
+LONG_CHUNK = b"1400\r\n" + b"a" * 0x1400 + b"\r\n0\r\n\r\n"
+WHOLE = HEAD + b"Content-Length: 5\r\n\r\nhello"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+
+
+def read(
+    data: bytes, piece_bytes: int = 0, ends: bool = True
+) -> list[Request | BadRequestError | None]:
+    """Return what a connection makes of bytes, up to the first fault or the end."""
+
+    async def run() -> list[Request | BadRequestError | None]:
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        connection = ServerConnection(
+            Channel(near, "caller"), SystemClock(), lambda: LIMITS
+        )
+        found: list[Request | BadRequestError | None] = []
+        with far:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(_send, far, data, piece_bytes, ends)
+                await _read_all(connection, found)
+                task_group.cancel_scope.cancel()
+        connection.close()
+        return found
+
+    return anyio.run(run)
+
+
+async def _send(far: socket.socket, data: bytes, piece_bytes: int, ends: bool) -> None:
+    size = piece_bytes or max(1, len(data))
+    for start in range(0, len(data), size):
+        far.send(data[start : start + size])
+        await anyio.lowlevel.checkpoint()
+    if ends:
+        far.shutdown(socket.SHUT_WR)
+
+
+async def _read_all(
+    connection: ServerConnection, found: list[Request | BadRequestError | None]
+) -> None:
+    while True:
+        try:
+            request = await connection.next_request(lambda: None)
+        except BadRequestError as error:
+            found.append(error)
+            return
+        found.append(request)
+        if request is None:
+            return
+        await connection.send_whole(200, (), b"")
+        if not connection.can_continue():
+            return
+
+
+class RequestTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (f"{name}_{size}", data, size)
+            for name, data in (("whole", WHOLE), ("chunked", CHUNKED))
+            for size in (0, 1, 2, 7, 40)
+        ]
+    )
+    def test_a_request_is_the_same_however_it_arrives(
+        self, _name: str, data: bytes, piece_bytes: int
+    ) -> None:
+        found = read(data * 2, piece_bytes)
+        bodies = [each.body for each in found if isinstance(each, Request)]
+        self.assertEqual(bodies, [b"hello", b"hello"])
+
+    @parameterized.expand(
+        [
+            ("two_framings", HEAD + LENGTH + CHUNKS + b"0\r\n\r\n", 400),
+            ("two_lengths", HEAD + LENGTH + b"Content-Length: 6\r\n\r\nhello", 400),
+            ("length_of_words", HEAD + b"Content-Length: five\r\n\r\nhello", 400),
+            ("negative_length", HEAD + b"Content-Length: -5\r\n\r\nhello", 400),
+            ("unknown_encoding", HEAD + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+            ("bad_chunk", HEAD + CHUNKS + b"xx\r\nhello", 400),
+            ("blank_before_colon", HEAD + b"X-A : 1\r\n\r\n", 400),
+            ("folded_name", HEAD + b"X\x00A: 1\r\n\r\n", 400),
+            ("no_host", b"GET /a/ HTTP/1.1\r\n\r\n", 400),
+            ("two_hosts", HEAD + b"Host: b.example\r\n\r\n", 400),
+            ("old_version", b"GET /a/ HTTP/1.0\r\nHost: a\r\n\r\n", 505),
+            ("no_request", b"\x16\x03\x01 hello\r\n\r\n", 400),
+            ("long_headers", HEAD + b"X-A: " + b"a" * 2000 + b"\r\n\r\n", 431),
+            ("long_body", HEAD + b"Content-Length: 5000\r\n\r\n", 413),
+            ("long_chunks", HEAD + CHUNKS + LONG_CHUNK, 413),
+        ]
+    )
+    def test_faults_have_a_status(self, _name: str, data: bytes, status: int) -> None:
+        (error,) = read(data)
+        assert isinstance(error, BadRequestError)
+        self.assertEqual(error.status, status)
+
+    def test_slow_headers_time_out(self) -> None:
+        (error,) = read(HEAD, ends=False)
+        assert isinstance(error, BadRequestError)
+        self.assertEqual(error.status, 408)
+
+    def test_an_idle_connection_ends(self) -> None:
+        self.assertEqual(read(b"", ends=False), [None])
+
+    def test_a_body_that_ends_early_is_no_request(self) -> None:
+        (error,) = read(HEAD + b"Content-Length: 9\r\n\r\nhello")
+        self.assertIsInstance(error, BadRequestError)
