Explain a request from logs; ask a silent endpoint for a connection first

agatehoist explain reads the logs of any number of processes and prints the path of a request with the beliefs it rested on. Non-repeatable work on a kept connection to an endpoint that had vanished was lost; an endpoint that wasn't heard for 0.4 s now has to accept a new connection first.

--- /dev/null
+++ b/src/agatehoist/cli/explain.py
@@ -0,0 +1,35 @@
+"""Command that explains the outcome of one request."""
+
+from __future__ import annotations
+
+import sys
+from itertools import chain
+from pathlib import Path
+
+from agatehoist.cli.commands import COMMANDS
+from agatehoist.errors import AgatehoistError
+from agatehoist.explain.finding import explain
+from agatehoist.explain.reading import read_lines
+from agatehoist.explain.rendering import render
+
+
+class UnknownRequestError(AgatehoistError):
+    """Report a request that no log names."""
+
+
+@COMMANDS.register("explain")
+def explain_request(request: str, *logs: str) -> None:
+    """Print the path of a request and what each decision rested on.
+
+    Args:
+        request: the request's id.
+        logs: files with the logs of any number of processes; else standard input.
+    """
+    texts = [Path(each).read_text(errors="replace").splitlines() for each in logs]
+    lines = chain.from_iterable(texts) if texts else sys.stdin
+    account = explain(read_lines(lines), str(request))
+    if account is None:
+        where = ", ".join(logs) or "standard input"
+        raise UnknownRequestError(f"request {request!r} is not in {where}")
+    for line in render(account):
+        print(line)
--- /dev/null
+++ b/src/agatehoist/explain/__init__.py
@@ -0,0 +1,3 @@
+"""From the logs of processes to the cause of one request's outcome."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/agatehoist/explain/reading.py
@@ -0,0 +1,30 @@
+"""Reading of log lines, whatever stands before the record."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from agatehoist.explain.types import LogLine
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+NAMED = ("timestamp", "node", "event", "level")
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the records of a log; other lines are passed over."""
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            value = json.loads(text[start:])
+        except ValueError:
+            # Collectors cut long lines and mix in lines of other programs.
+            continue
+        if isinstance(value, dict) and isinstance(value.get("event"), str):
+            fields = {name: each for name, each in value.items() if name not in NAMED}
+            time, node = str(value.get("timestamp", "")), str(value.get("node", ""))
+            yield LogLine(time, node, value["event"], fields)
--- a/src/agatehoist/fleet/view.py
+++ b/src/agatehoist/fleet/view.py
@@ -22,6 +22,7 @@
         self._removed_at_by_name: dict[str, float] = {}
         self._versions_seen: dict[tuple[str, str], int] = {}
         self._grace_until = 0.0
+        self._gone: list[Endpoint] = []
 
     def note_store_returned(self, now: float) -> None:
         """Keep entries that are missing after an outage for a while."""
@@ -40,7 +41,7 @@
         """Take an entry that was written."""
         before = self.by_name.get(endpoint.name)
         if before is not None and before.lifetime != endpoint.lifetime:
-            self._forget_versions(before)
+            self._end(before)
         self._removed_at_by_name.pop(endpoint.name, None)
         self.by_name[endpoint.name] = endpoint
 
@@ -68,11 +69,20 @@
         key = (endpoint.lifetime, model)
         self._versions_seen[key] = max(version, self._versions_seen.get(key, 0))
 
+    def take_gone(self) -> tuple[Endpoint, ...]:
+        """Return the lifetimes that have ended since the last call."""
+        gone, self._gone = tuple(self._gone), []
+        return gone
+
     def _sweep(self, now: float) -> None:
-        gone = [name for name, at in self._removed_at_by_name.items() if at <= now]
-        for name in gone:
+        ended = [name for name, at in self._removed_at_by_name.items() if at <= now]
+        for name in ended:
             del self._removed_at_by_name[name]
-            self._forget_versions(self.by_name.pop(name))
+            self._end(self.by_name.pop(name))
+
+    def _end(self, endpoint: Endpoint) -> None:
+        self._gone.append(endpoint)
+        self._forget_versions(endpoint)
 
     def _forget_versions(self, endpoint: Endpoint) -> None:
         for key in [key for key in self._versions_seen if key[0] == endpoint.lifetime]:
--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -80,7 +80,12 @@
         accepting = await task_group.start(_accept, front, Ingress(state))
         readiness = ReadyEndpoint(state)
         task_group.start_soon(accept_forever, ready, readiness.serve, task_group)
-        logger.info("started", node=settings.node, front=str(settings.front))
+        logger.info(
+            "started",
+            data_centre=settings.data_centre,
+            front=str(settings.front),
+            store=str(settings.store),
+        )
         await stop.wait()
         await _drain(state, accepting)
         task_group.cancel_scope.cancel()
--- a/src/agatehoist/gateway/attempting.py
+++ b/src/agatehoist/gateway/attempting.py
@@ -45,6 +45,9 @@
 # Answers of earlier requests that may stand before the one that is waited for.
 MAX_STRAY_ANSWERS = 2
 RETRY_DELAY_S = 0.25
+# What was sent on a kept connection to a peer that has vanished may have run, so one
+# that wasn't heard for so long is asked for a new connection first.
+HEARD_S = 0.4
 # A move is answered within this time, or it has failed.
 MOVE_TIMEOUT_S = 1.0
 MIN_PATIENCE_S = 0.4
@@ -100,7 +103,7 @@
             await self.report(event)
 
         if self._scope.cancelled_caught and self._was_silent():
-            self._state.suspects.note_silence(endpoint.name, self._state.clock.now())
+            self._state.suspect(endpoint, "its caller left without an answer")
 
     def _note_health(self, event: Event) -> None:
         endpoint = self.dispatch.endpoint
@@ -125,10 +128,13 @@
         suspects.begin_probe(endpoint.name, now)
         try:
             connection = await self._state.pool.take(
-                endpoint.lifetime, endpoint.host, endpoint.port
+                endpoint.lifetime,
+                endpoint.host,
+                endpoint.port,
+                fresh=self._state.silent_for_s(endpoint) > HEARD_S,
             )
         except ConnectionFailedError as error:
-            suspects.note_silence(endpoint.name, now)
+            self._state.suspect(endpoint, str(error))
             return NotWritten(self.attempt_id, str(error))
         try:
             event = await self._exchange(connection, ticket)
@@ -136,7 +142,7 @@
             connection.close()
             now = self._state.clock.now()
             if not self._state.weights.is_changing(endpoint, now):
-                suspects.note_silence(endpoint.name, now)
+                self._state.suspect(endpoint, str(error))
             return self._refused(OutcomeUnknown.refuse(str(error)))
         except Exception as error:
             connection.close()
@@ -174,6 +180,7 @@
         platform = self._state.platform
         if platform.answered_id(head) not in (None, self._request_id):
             raise AnswerGarbledError("an answer to another request")
+        self._state.note_heard(self.dispatch.endpoint)
         platform.check_success(head)
         self._note_weights(head)
         if self._is_stream(head):
@@ -202,6 +209,7 @@
     async def _pass_events(self, connection: ClientConnection, ticket: Ticket) -> None:
         splitter = EventSplitter()
         while (data := await connection.read_data()) is not None:
+            self._state.note_heard(self.dispatch.endpoint)
             if events := splitter.feed(data):
                 ticket.note_first_piece()
                 await self.report(
--- a/src/agatehoist/gateway/keeping.py
+++ b/src/agatehoist/gateway/keeping.py
@@ -209,7 +209,7 @@
                     return
             except CallFailedError as error:
                 logger.info("no report", endpoint=lifetime, reason=str(error))
-                self._state.suspects.note_silence(endpoint.name, self._now())
+                self._state.suspect(endpoint, str(error))
                 return
             await anyio.sleep(ORDER_RETRY_S)
 
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -23,9 +24,12 @@
 from agatehoist.weights.plan import WeightsView
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from anyio.abc import TaskGroup
 
     from agatehoist.core.clock import Clock
+    from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.settings import GatewaySettings
     from agatehoist.gateway.types import Platform
     from agatehoist.http1.server import ServerConnection
@@ -69,6 +73,7 @@
         self.kept_parts = KeptParts()
         self.suspects = Suspects()
         self.pool = Pool(clock)
+        self._heard_at_by_lifetime: dict[str, float] = {}
         self.in_flight = InFlight()
         self.drivers = Drivers()
         self.leaving = False
@@ -123,6 +128,28 @@
         """Return what bounds callers now."""
         return self.table.limits if self.table is not None else ConnectionLimits()
 
+    def note_heard(self, endpoint: Endpoint) -> None:
+        """Note a sign of life."""
+        self._heard_at_by_lifetime[endpoint.lifetime] = self.clock.now()
+
+    def silent_for_s(self, endpoint: Endpoint) -> float:
+        """Return how long ago an endpoint was heard, without end if never."""
+        heard_at = self._heard_at_by_lifetime.get(endpoint.lifetime, -math.inf)
+        return self.clock.now() - heard_at
+
+    def forget(self, gone: Iterable[Endpoint]) -> None:
+        """Forget endpoints that have gone."""
+        for endpoint in gone:
+            self._heard_at_by_lifetime.pop(endpoint.lifetime, None)
+            self.pool.forget(endpoint.lifetime)
+
+    def suspect(self, endpoint: Endpoint, reason: str) -> None:
+        """Leave a silent endpoint out for a while."""
+        now = self.clock.now()
+        if not self.suspects.is_suspected(endpoint.name, now):
+            logger.info("endpoint suspected", endpoint=endpoint.lifetime, reason=reason)
+        self.suspects.note_silence(endpoint.name, now)
+
     def set_settings(self, settings: GatewaySettings) -> None:
         """Take changed settings; addresses to listen on hold until the next start."""
         self.settings = settings
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -102,6 +102,7 @@
             except AgatehoistError as error:
                 logger.warning("entry left out", endpoint=value.name, reason=str(error))
         state.fleet.replace(found, listing.revision, state.clock.now())
+        state.forget(state.fleet.take_gone())
         logger.info("endpoints listed", count=len(found), revision=listing.revision)
 
     def change(self, state: GatewayState, changes: Changes) -> None:
@@ -112,6 +113,7 @@
             else:
                 self._put(state, each.value)
         state.fleet.revision = changes.revision
+        state.forget(state.fleet.take_gone())
         state.drivers.consider_moves()
 
     def _put(self, state: GatewayState, value: StoredValue) -> None:
--- a/src/agatehoist/http1/pool.py
+++ b/src/agatehoist/http1/pool.py
@@ -15,7 +15,9 @@
     from agatehoist.core.clock import Clock
 
 MAX_IDLE_BY_PEER = 32
-CONNECT_TIMEOUT_S = 0.5
+# A round trip takes up to 3 ms and an accept 1 ms; a lost packet is sent again only
+# after a second, when another peer has long answered.
+CONNECT_TIMEOUT_S = 0.25
 # How long a connection is kept if the peer doesn't name its own limit.
 DEFAULT_IDLE_S = 2.0
 # A peer closes idle connections by its own clock, which may run a little earlier.
@@ -29,12 +31,14 @@
         self._clock = clock
         self._idle_by_peer: dict[str, deque[ClientConnection]] = {}
 
-    async def take(self, peer: str, host: str, port: int) -> ClientConnection:
-        """Return a kept connection or a new one.
+    async def take(
+        self, peer: str, host: str, port: int, fresh: bool = False
+    ) -> ClientConnection:
+        """Return a kept connection or a new one; a fresh one proves the peer alive.
 
         Raises ConnectionFailedError.
         """
-        kept = self._take_kept(peer)
+        kept = None if fresh else self._take_kept(peer)
         if kept is not None:
             return kept
         try:
--- a/src/agatehoist/observability/logs.py
+++ b/src/agatehoist/observability/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -57,6 +58,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             _prefix_part,
+            partial(_add_node, node),
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(default=str),
         ],
@@ -64,7 +66,14 @@
         logger_factory=structlog.PrintLoggerFactory(output),  # type: ignore[arg-type]
         cache_logger_on_first_use=True,
     )
-    structlog.get_logger(part="logs").info("begin", node=node)
+    structlog.get_logger(part="logs").info("begin")
+
+
+def _add_node(
+    node: str, _logger: WrappedLogger, _method: str, event_dict: EventDict
+) -> EventDict:
+    event_dict["node"] = node
+    return event_dict
 
 
 def _prefix_part(
--- /dev/null
+++ b/tests/test_explain/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the explain package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_explain/test_finding.py
@@ -0,0 +1,66 @@
+"""Tests of the choice of the lines that explain a request."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from agatehoist.explain.finding import explain
+from agatehoist.explain.reading import read_lines
+from agatehoist.explain.rendering import render
+
+
+def line(time: int, node: str, event: str, **fields: Any) -> str:
+    """Return a line of a log."""
+    stamp = f"2026-12-04T10:00:{time:02d}Z"
+    return json.dumps({"timestamp": stamp, "node": node, "event": event, **fields})
+
+
+LOG = [
+    line(1, "n1", "gateway: configuration in force", version=3),
+    line(2, "n1", "gateway: endpoint listed", endpoint="e1@5", leaving=False),
+    line(2, "n1", "gateway: endpoint listed", endpoint="e2@5", leaving=False),
+    line(3, "n2", "weights: order given", endpoint="e1@5", weights=2),
+    line(4, "n2", "gateway: store lost", topic="endpoints"),
+    line(
+        5, "n1", "gateway: request ended", request="r1", steps=["0 ms: sent to e1, w"]
+    ),
+    line(
+        6, "n1", "gateway: request ended", request="r2", steps=["0 ms: sent to e2, w"]
+    ),
+    line(7, "n1", "gateway: endpoint suspected", endpoint="e1@5"),
+]
+
+
+class ExplainTests(unittest.TestCase):
+    def test_beliefs_are_those_of_the_endpoints_and_the_node(self) -> None:
+        account = explain(read_lines(LOG), "r1")
+        assert account is not None
+        found = [(each.node, each.event.partition(": ")[2]) for each in account.beliefs]
+        expected = [
+            ("n1", "configuration in force"),
+            ("n1", "endpoint listed"),
+            ("n2", "order given"),
+        ]
+        self.assertEqual(found, expected)
+        self.assertTrue(any("sent to e1" in each for each in render(account)))
+
+    def test_an_unknown_request_has_no_account(self) -> None:
+        self.assertIsNone(explain(read_lines(LOG), "r9"))
+
+    @parameterized.expand(
+        [
+            ("no_record", "plain text", 0),
+            ("cut", LOG[0][:30], 0),
+            ("prefixed", f"  1.25 front-1 {LOG[0]}", 1),
+            ("no_event", '{"a": 1}', 0),
+            ("list", '[{"event": "x"}]', 0),
+        ]
+    )
+    def test_lines_of_other_programs_are_passed_over(
+        self, _name: str, text: str, count: int
+    ) -> None:
+        self.assertEqual(len(list(read_lines([text]))), count)
