Take weights found at the start as named long before; share load between gateways

Gateways tell each other in datagrams what they have handed out, so that the wait at an endpoint is estimated from all of it. One Address type for all settings.

--- a/bench/spread_events.py
+++ b/bench/spread_events.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from agatehoist.core.address import Address
 from agatehoist.gossip.decisions import Gossip
 from agatehoist.gossip.node import EXCHANGE_TIMEOUT_S
 from agatehoist.gossip.types import Item
@@ -15,7 +16,6 @@
 from agatehoist.protocol.codec import encode
 from agatehoist.protocol.gossip_messages import Exchange, ExchangeReply, Items
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
-from agatehoist.settings.types import Address
 from agatehoist.storage.types import HostEntry
 
 if TYPE_CHECKING:
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -6,13 +6,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from agatehoist.protocol.load_reports import EndpointLoad, LoadReport
+
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
 # Prompt tokens that an engine reads in a second, before any was measured.
 DEFAULT_PREFILL_TOKENS_PER_S = 40_000.0
 # What each answer under way adds to a step of its engine.
 STEP_S_PER_RUN = 0.0005
+# A peer reports at least once a second while it has work out; silence means it's gone.
+FRESH_S = 1.5
+FORGET_PEER_S = 60.0
 
 
 @dataclass(slots=True)
@@ -24,34 +29,70 @@
 class Ticket:
     """Hold one piece of work on an endpoint until it ends."""
 
-    def __init__(self, work: _Work, unread_tokens: int) -> None:
+    def __init__(
+        self, work: _Work, unread_tokens: int, on_change: Callable[[], None]
+    ) -> None:
         self._work = work
         self._unread_tokens = unread_tokens
+        self._on_change = on_change
         work.runs += 1
         work.unread_tokens += unread_tokens
+        on_change()
 
     def note_first_piece(self) -> None:
         """Note that the prompt has been read."""
-        self._work.unread_tokens -= self._unread_tokens
-        self._unread_tokens = 0
+        if self._unread_tokens:
+            self._work.unread_tokens -= self._unread_tokens
+            self._unread_tokens = 0
+            self._on_change()
 
     def end(self) -> None:
         """Note that the work has ended."""
         self.note_first_piece()
         self._work.runs -= 1
+        self._on_change()
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Hold the last report of another node and when it came."""
+
+    report: LoadReport
+    received_at: float
 
 
 class Load:
-    """Count unanswered work by the lifetime of an endpoint."""
+    """Count unanswered work by the lifetime of an endpoint, here and at the peers."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_change: Callable[[], None] = lambda: None) -> None:
         self._work_by_lifetime: dict[str, _Work] = {}
+        self._peers_by_node: dict[str, PeerLoad] = {}
+        self._on_change = on_change
+
+    def snapshot(self) -> dict[str, EndpointLoad]:
+        """Return what this process has handed out."""
+        return {
+            lifetime: EndpointLoad(work.runs, work.unread_tokens)
+            for lifetime, work in self._work_by_lifetime.items()
+        }
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take a peer's report unless a newer one has come before."""
+        known = self._peers_by_node.get(report.node)
+        if known is not None:
+            before = (known.report.started_ms, known.report.sequence)
+            if (report.started_ms, report.sequence) <= before:
+                return
+        self._peers_by_node[report.node] = PeerLoad(report, now)
+        for node, peer in tuple(self._peers_by_node.items()):
+            if now > peer.received_at + FORGET_PEER_S:
+                del self._peers_by_node[node]
 
     @contextmanager
     def track(self, lifetime: str, unread_tokens: int) -> Iterator[Ticket]:
         """Count work while the context lasts."""
         work = self._work_by_lifetime.setdefault(lifetime, _Work())
-        ticket = Ticket(work, unread_tokens)
+        ticket = Ticket(work, unread_tokens, self._on_change)
         try:
             yield ticket
         finally:
@@ -59,15 +100,22 @@
             if not work.runs:
                 self._work_by_lifetime.pop(lifetime, None)
 
-    def runs(self, lifetime: str) -> int:
-        """Return how much work an endpoint has from here."""
-        work = self._work_by_lifetime.get(lifetime)
-        return work.runs if work else 0
+    def runs(self, lifetime: str, now: float) -> int:
+        """Return how much work an endpoint has from all known nodes."""
+        return sum(each.runs for each in self._loads(lifetime, now))
 
-    def wait_s(self, lifetime: str) -> float:
+    def wait_s(self, lifetime: str, now: float) -> float:
         """Estimate how long a new prompt waits for those before it, in seconds."""
-        work = self._work_by_lifetime.get(lifetime)
-        if work is None:
-            return 0.0
-        reading_s = work.unread_tokens / DEFAULT_PREFILL_TOKENS_PER_S
-        return reading_s + work.runs * STEP_S_PER_RUN
+        loads = tuple(self._loads(lifetime, now))
+        unread_tokens = sum(each.unread_tokens for each in loads)
+        runs = sum(each.runs for each in loads)
+        return unread_tokens / DEFAULT_PREFILL_TOKENS_PER_S + runs * STEP_S_PER_RUN
+
+    def _loads(self, lifetime: str, now: float) -> Iterator[EndpointLoad]:
+        own = self._work_by_lifetime.get(lifetime)
+        if own is not None:
+            yield EndpointLoad(own.runs, own.unread_tokens)
+        for peer in self._peers_by_node.values():
+            load = peer.report.loads_by_lifetime.get(lifetime)
+            if load is not None and now <= peer.received_at + FRESH_S:
+                yield load
--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -18,6 +18,7 @@
 from agatehoist.gateway.nodes import follow_nodes
 from agatehoist.gateway.reloading import follow_settings
 from agatehoist.gateway.settings import GatewaySettings
+from agatehoist.gateway.sharing import share_load
 from agatehoist.gateway.state import GatewayState
 from agatehoist.gateway.watching import follow_store
 from agatehoist.http1.channel import accept_forever
@@ -76,6 +77,7 @@
             exposed = open_listening_socket(settings.front.host, metrics_port)
             metrics = MetricsEndpoint(state)
             task_group.start_soon(accept_forever, exposed, metrics.serve, task_group)
+        task_group.start_soon(share_load, state)
         task_group.start_soon(keep_weights, state)
         accepting = await task_group.start(_accept, front, Ingress(state))
         readiness = ReadyEndpoint(state)
--- a/src/agatehoist/gateway/choosing.py
+++ b/src/agatehoist/gateway/choosing.py
@@ -91,6 +91,9 @@
     allowed = tuple(
         each for each in serving if state.fleet.version_of(each, model) >= required
     )
+    if not allowed and now < state.started_at + limit_s:
+        # A process that has just started doesn't know when the weights were named.
+        allowed = serving
     free = [each for each in allowed if not state.weights.is_changing(each, now)]
     return tuple(free) or allowed
 
@@ -100,7 +103,7 @@
     prompt = request.envelope.prompt
     version = state.fleet.version_of(endpoint, prompt.model) if prompt else 0
     identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
-    wait_s = state.load.wait_s(endpoint.lifetime)
+    wait_s = state.load.wait_s(endpoint.lifetime, state.clock.now())
     if prompt and version < state.weights.target(prompt.model):
         wait_s += OLD_WEIGHTS_S
     if state.health.is_sick(endpoint.lifetime, state.clock.now()):
--- a/src/agatehoist/gateway/driving.py
+++ b/src/agatehoist/gateway/driving.py
@@ -151,8 +151,11 @@
 
     def _note_dispatch(self, action: str, dispatch: Dispatch) -> None:
         at_ms = round((self._now() - self._request.envelope.received_at) * MS_PER_S)
-        wait_ms = round(self._state.load.wait_s(dispatch.endpoint.lifetime) * MS_PER_S)
-        step = f"{at_ms} ms: {action} to {dispatch.endpoint.name}, wait {wait_ms} ms"
+        endpoint = dispatch.endpoint
+        wait_ms = round(
+            self._state.load.wait_s(endpoint.lifetime, self._now()) * MS_PER_S
+        )
+        step = f"{at_ms} ms: {action} to {endpoint.name}, wait {wait_ms} ms"
         if dispatch.weights_version:
             step += f", cache {dispatch.salt}"
         self._steps.append(step)
--- a/src/agatehoist/gateway/moving.py
+++ b/src/agatehoist/gateway/moving.py
@@ -68,7 +68,8 @@
     return min(
         possible,
         key=lambda each: (
-            state.load.runs(each.lifetime) + (each.data_centre != source.data_centre)
+            state.load.runs(each.lifetime, now)
+            + (each.data_centre != source.data_centre)
         ),
         default=None,
     )
--- a/src/agatehoist/gateway/nodes.py
+++ b/src/agatehoist/gateway/nodes.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
+from agatehoist.core.address import Address
 from agatehoist.observability.logs import get_logger
 from agatehoist.storage.errors import ConflictError, PlatformError
 
@@ -33,17 +34,26 @@
             logger.info("nodes not counted", reason=str(error))
             await anyio.sleep(RETRY_S)
             continue
-        state.set_node_count(max(1, len(listing.values)))
+        addresses = (_address(each.spec) for each in listing.values)
+        state.set_nodes(frozenset(each for each in addresses if each is not None))
         # The first look comes before the others have registered.
         await anyio.sleep(LOOK_S if len(listing.values) > 1 else RETRY_S)
 
 
 async def _register(state: GatewayState) -> None:
-    settings = state.settings
+    inner = state.settings.inner
+    spec = {"host": inner.host, "port": inner.port}
     try:
-        await state.store.create(
-            NODE_KIND, settings.node, {"data_centre": settings.data_centre}
-        )
+        await state.store.create(NODE_KIND, state.settings.node, spec)
     except ConflictError:
         # An earlier run of the process has registered the node.
         return
+
+
+def _address(spec: Any) -> Address | None:
+    if not isinstance(spec, dict):
+        return None
+    host, port = spec.get("host"), spec.get("port")
+    if not isinstance(host, str) or not isinstance(port, int):
+        return None
+    return Address(host, port)
--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -4,16 +4,7 @@
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Name a host by IP number and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+from agatehoist.core.address import Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +27,7 @@
     data_centre: str
     front: Address
     ready: Address
+    inner: Address
     store: Address
     stop_grace_s: float
     drain_s: float
--- /dev/null
+++ b/src/agatehoist/gateway/sharing.py
@@ -0,0 +1,88 @@
+"""Exchange of load reports between gateways."""
+
+from __future__ import annotations
+
+import hashlib
+import socket
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.observability.logs import get_logger
+from agatehoist.protocol.errors import BadFrameError
+from agatehoist.protocol.load_reports import (
+    MAX_DATAGRAM_BYTES,
+    LoadReport,
+    decode_report,
+    encode_report,
+)
+
+if TYPE_CHECKING:
+    from agatehoist.core.address import Address
+    from agatehoist.gateway.state import GatewayState
+
+logger = get_logger("gateway")
+
+# Changes within this time go into one report.
+GATHER_S = 0.04
+REPEAT_S = 1.0
+# More peers would cost more than 7 KB/s at 20 reports a second of 15 bytes an endpoint.
+MAX_PEERS = 31
+
+
+async def share_load(state: GatewayState) -> None:
+    """Tell the peers what is handed out and hear it from them until cancelled."""
+    inner = state.settings.inner
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.setblocking(False)
+        sock.bind((inner.host, inner.port))
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(_receive, state, sock)
+            await _send(state, sock)
+
+
+def choose_peers(own: Address, nodes: frozenset[Address]) -> tuple[Address, ...]:
+    """Return those that get this node's reports; a few of many, the same each time."""
+    others = sorted(
+        nodes - {own},
+        key=lambda each: hashlib.blake2b(f"{own}/{each}".encode()).digest(),
+    )
+    return tuple(others[:MAX_PEERS])
+
+
+async def _send(state: GatewayState, sock: socket.socket) -> None:
+    started_ms = int(time.time() * 1000)
+    sequence = 0
+    while True:
+        with anyio.move_on_after(REPEAT_S):
+            await state.load_changed.wait()
+        state.load_changed = anyio.Event()
+        loads = state.load.snapshot()
+        sequence += 1
+        report = LoadReport(state.settings.node, started_ms, sequence, loads)
+        data = encode_report(report)
+        for peer in choose_peers(state.settings.inner, state.nodes):
+            _send_quietly(sock, data, peer)
+        await anyio.sleep(GATHER_S)
+
+
+def _send_quietly(sock: socket.socket, data: bytes, peer: Address) -> None:
+    try:
+        sock.sendto(data, (peer.host, peer.port))
+    except OSError as error:
+        # The next report makes up for a lost one.
+        logger.debug("report not sent", peer=str(peer), reason=str(error))
+
+
+async def _receive(state: GatewayState, sock: socket.socket) -> None:
+    while True:
+        await anyio.wait_readable(sock)
+        try:
+            data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
+            report = decode_report(data)
+        except (OSError, BadFrameError) as error:
+            logger.debug("report not understood", reason=str(error))
+            continue
+        if any(sender[0] == each.host for each in state.nodes):
+            state.load.take_report(report, state.clock.now())
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -28,6 +28,7 @@
 
     from anyio.abc import TaskGroup
 
+    from agatehoist.core.address import Address
     from agatehoist.core.clock import Clock
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.settings import GatewaySettings
@@ -61,6 +62,7 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.started_at = clock.now()
         self.platform = platform
         self.store = store
         self.task_group = task_group
@@ -68,7 +70,9 @@
         self.table_at = 0.0
         self.fleet = FleetView()
         self.weights = WeightsView()
-        self.load = Load()
+        self.load_changed = anyio.Event()
+        self.load = Load(lambda: self.load_changed.set())
+        self.nodes: frozenset[Address] = frozenset()
         self.health = Health()
         self.kept_parts = KeptParts()
         self.suspects = Suspects()
@@ -157,8 +161,10 @@
         for budget in self._budgets_by_service.values():
             budget.set_slack(self._slack())
 
-    def set_node_count(self, count: int) -> None:
-        """Take the number of nodes that share the slack for repeats."""
+    def set_nodes(self, nodes: frozenset[Address]) -> None:
+        """Take the nodes, which share the slack for repeats and tell their load."""
+        self.nodes = nodes
+        count = max(1, len(nodes))
         if count == self._node_count:
             return
         logger.info("nodes counted", count=count, before=self._node_count)
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 from agatehoist.core.registry import Registry
@@ -15,6 +16,7 @@
     from agatehoist.gateway.state import GatewayState
     from agatehoist.gateway.types import ObjectKinds
     from agatehoist.storage.objects import Changes, Listing, StoredValue
+    from agatehoist.weights.types import NamedWeights
 
 logger = get_logger("gateway")
 
@@ -141,6 +143,10 @@
 class WeightsTopic(EachValue):
     """Follow the weights that operators name."""
 
+    def __init__(self) -> None:
+        # What a process finds at its start may have been named long before.
+        self._news_at = -math.inf
+
     def kind(self, kinds: ObjectKinds) -> str:
         """Return the kind of object."""
         return kinds.weights
@@ -152,7 +158,28 @@
         except AgatehoistError as error:
             logger.error("weights not understood", name=value.name, reason=str(error))
             return
-        if state.weights.name(named, state.clock.now()):
+        self._name(state, named, state.clock.now())
+
+    def replace(self, state: GatewayState, listing: Listing) -> None:
+        """Take a whole list; what is new in it was named since the last news."""
+        for value in listing.values:
+            try:
+                named = state.platform.read_weights(value.spec)
+            except AgatehoistError as error:
+                logger.error(
+                    "weights not understood", name=value.name, reason=str(error)
+                )
+                continue
+            self._name(state, named, self._news_at)
+        self._news_at = state.clock.now()
+
+    def change(self, state: GatewayState, changes: Changes) -> None:
+        """Take changes in order."""
+        super().change(state, changes)
+        self._news_at = state.clock.now()
+
+    def _name(self, state: GatewayState, named: NamedWeights, at: float) -> None:
+        if state.weights.name(named, at):
             logger.info("weights named", model=named.model, version=named.version)
             state.wake_keeper()
 
--- a/src/agatehoist/gossip/node.py
+++ b/src/agatehoist/gossip/node.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from agatehoist.core.address import Address
 from agatehoist.errors import AgatehoistError
 from agatehoist.gossip.decisions import EXCHANGE_INTERVAL_S, Gossip
 from agatehoist.gossip.topics import TOPICS
@@ -19,7 +20,6 @@
 from agatehoist.protocol.gossip_messages import Exchange, ExchangeReply, Items
 from agatehoist.protocol.limits import MAX_SESSIONS, Slots
 from agatehoist.protocol.messages import PROTOCOL_VERSION, Hello
-from agatehoist.settings.types import Address
 
 if TYPE_CHECKING:
     import random
--- a/src/agatehoist/gossip/runtime.py
+++ b/src/agatehoist/gossip/runtime.py
@@ -10,8 +10,8 @@
 from agatehoist.gossip.startup import learn_from_peers
 
 if TYPE_CHECKING:
+    from agatehoist.core.address import Address
     from agatehoist.gossip.node import GossipNode
-    from agatehoist.settings.types import Address
     from agatehoist.storage.client import PlatformClient
 
 
--- a/src/agatehoist/gossip/startup.py
+++ b/src/agatehoist/gossip/startup.py
@@ -11,8 +11,8 @@
 from agatehoist.protocol.errors import ProtocolError
 
 if TYPE_CHECKING:
+    from agatehoist.core.address import Address
     from agatehoist.gossip.node import GossipNode
-    from agatehoist.settings.types import Address
 
 logger = get_logger("gossip")
 
--- a/src/agatehoist/observability/http.py
+++ b/src/agatehoist/observability/http.py
@@ -21,7 +21,7 @@
     from starlette.applications import Starlette
     from starlette.requests import Request
 
-    from agatehoist.settings.types import Address
+    from agatehoist.core.address import Address
 
 GRACEFUL_TIMEOUT_S = 5.0
 # Also bounds the time from the start of a connection to the end of its headers.
--- a/src/agatehoist/platform/boot.py
+++ b/src/agatehoist/platform/boot.py
@@ -6,7 +6,8 @@
 
 import yaml
 
-from agatehoist.gateway.settings import Address, GatewaySettings, RetryBounds
+from agatehoist.core.address import Address
+from agatehoist.gateway.settings import GatewaySettings, RetryBounds
 from agatehoist.platform.reading import Finding, Reader, check
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
         data_centre=reader.text("Zone"),
         front=Address(*listen.address("Front")),
         ready=Address(*listen.address("Ready")),
+        inner=Address(reader.text("Ip"), reader.first_count("InternalPorts")),
         store=Address(*reader.part("Platform").address("Address")),
         stop_grace_s=bounds.number("GraceS", 8),
         drain_s=bounds.number("DrainMs", 2000) / MS_PER_S,
--- a/src/agatehoist/platform/reading.py
+++ b/src/agatehoist/platform/reading.py
@@ -65,6 +65,14 @@
             return 0
         return value
 
+    def first_count(self, name: str) -> int:
+        """Return the first of a list of whole numbers."""
+        values = self._list(name)
+        if not values or type(values[0]) is not int:
+            self._wrong(name, "a list of whole numbers", values or None)
+            return 0
+        return int(values[0])
+
     def flag(self, name: str, default: bool = False) -> bool:
         """Return true or false."""
         value = self._get(name, default)
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from agatehoist.gateway.settings import Address
+from agatehoist.core.address import Address
 from agatehoist.http1.errors import AnswerGarbledError, ConnectionFailedError
 from agatehoist.http1.pool import Pool
 from agatehoist.http1.types import RequestHead
--- a/src/agatehoist/protocol/gossip_messages.py
+++ b/src/agatehoist/protocol/gossip_messages.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
+from agatehoist.core.address import Address
 from agatehoist.gossip.types import Item
 from agatehoist.protocol.messages import message
-from agatehoist.settings.types import Address
 
 
 @message(50)
--- a/src/agatehoist/router/app.py
+++ b/src/agatehoist/router/app.py
@@ -21,7 +21,8 @@
 from agatehoist.storage.client import PlatformClient
 
 if TYPE_CHECKING:
-    from agatehoist.settings.types import Address, RouterSettings
+    from agatehoist.core.address import Address
+    from agatehoist.settings.types import RouterSettings
 
 logger = get_logger("router")
 
--- a/src/agatehoist/settings/types.py
+++ b/src/agatehoist/settings/types.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from agatehoist.core.address import Address
+
 MIN_SECRET_CHARACTERS = 32
 
 
@@ -16,17 +18,6 @@
         return "Secret(...)"
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Name a TCP address by IP number and port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
     """Name a process and its place."""
--- a/standins/users_platform/world.py
+++ b/standins/users_platform/world.py
@@ -7,10 +7,11 @@
 
 import anyio
 
+from agatehoist.core.address import Address
 from agatehoist.core.clock import SystemClock
 from agatehoist.gateway.ingress import Ingress
 from agatehoist.gateway.keeping import keep_weights
-from agatehoist.gateway.settings import Address, GatewaySettings, RetryBounds
+from agatehoist.gateway.settings import GatewaySettings, RetryBounds
 from agatehoist.gateway.state import GatewayState
 from agatehoist.gateway.watching import follow_store
 from agatehoist.http1.channel import connect
@@ -93,6 +94,7 @@
         data_centre="z1",
         front=nowhere,
         ready=nowhere,
+        inner=nowhere,
         store=Address(HOST, store_port),
         stop_grace_s=8.0,
         drain_s=2.0,
--- /dev/null
+++ b/tests/test_fleet/test_load.py
@@ -0,0 +1,48 @@
+"""Tests of the estimate of waiting at an endpoint."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S, FRESH_S, Load
+from agatehoist.protocol.load_reports import EndpointLoad, LoadReport
+
+NOW = 50.0
+
+
+def report(started_ms: int, sequence: int, unread_tokens: int) -> LoadReport:
+    """Return a peer's report."""
+    loads = {"e@1": EndpointLoad(0, unread_tokens)}
+    return LoadReport("peer", started_ms, sequence, loads)
+
+
+class LoadTests(unittest.TestCase):
+    def test_work_counts_until_its_first_piece(self) -> None:
+        load = Load()
+        with load.track("e@1", 8000) as ticket:
+            self.assertGreater(load.wait_s("e@1", NOW), 8000 / 41_000)
+            ticket.note_first_piece()
+            self.assertLess(load.wait_s("e@1", NOW), 0.01)
+            self.assertEqual(load.runs("e@1", NOW), 1)
+        self.assertEqual(load.wait_s("e@1", NOW), 0.0)
+        self.assertEqual(load.snapshot(), {})
+
+    @parameterized.expand(
+        [
+            ("newer", [(1, 1, 100), (1, 2, 200)], 200),
+            ("older_comes_late", [(1, 2, 200), (1, 1, 100)], 200),
+            ("repeated", [(1, 2, 200), (1, 2, 300)], 200),
+            ("restarted", [(1, 9, 200), (2, 1, 300)], 300),
+        ]
+    )
+    def test_the_newest_report_counts(
+        self, _name: str, reports: list[tuple[int, int, int]], tokens: int
+    ) -> None:
+        load = Load()
+        for started_ms, sequence, unread in reports:
+            load.take_report(report(started_ms, sequence, unread), NOW)
+        expected = tokens / DEFAULT_PREFILL_TOKENS_PER_S
+        self.assertAlmostEqual(load.wait_s("e@1", NOW), expected)
+        self.assertEqual(load.wait_s("e@1", NOW + FRESH_S + 0.1), 0.0)
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -101,3 +101,30 @@
 
         anyio.run(run)
         self.assertEqual(statuses, [200] * 40)
+
+
+class StartTests(unittest.TestCase):
+    @parameterized.expand([("one_engine_has_them", 1), ("no_engine_has_them", 0)])
+    def test_weights_found_at_the_start_count_as_named_long_before(
+        self, _name: str, updated: int
+    ) -> None:
+        world = World()
+        name_weights(world, 2)
+        for each in world.engines[:updated]:
+            each.version = 2
+
+        async def run() -> None:
+            async with running(world):
+                for number in range(12):
+                    name = f"r{number}"
+                    parts = f"{number:x}a:100,bb:30"
+                    await world.ask_prompt(
+                        "/trace/1",
+                        x_agatehoist_request_id=name,
+                        x_agatehoist_prompt_prefix=parts,
+                    )
+
+        anyio.run(run)
+        used = [each.version for each in world.engines for _ in each.runs]
+        self.assertEqual(set(used), {2} if updated else {1})
+        self.assertEqual(len(used), 12)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -8,8 +8,8 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.core.address import Address
 from agatehoist.core.clock import SystemClock
-from agatehoist.gateway.settings import Address
 from agatehoist.platform.store import PlatformStore
 from agatehoist.storage.errors import (
     ConflictError,
--- a/tests/test_protocol/test_codec.py
+++ b/tests/test_protocol/test_codec.py
@@ -7,6 +7,7 @@
 import msgpack
 from parameterized import parameterized
 
+from agatehoist.core.address import Address
 from agatehoist.core.identity import AttemptId, EndpointIdentity
 from agatehoist.core.work import CallWork, CompletionWork, PrefixLevel, Priority, Run
 from agatehoist.gossip.types import Item
@@ -21,7 +22,6 @@
 from agatehoist.protocol.codec import Decoder, encode
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.refusals.types import Refusal
-from agatehoist.settings.types import Address
 
 ATTEMPT = AttemptId("a1", 7)
 IDENTITY = EndpointIdentity("s1", "e1", "3")
--- a/tests/test_settings/test_load.py
+++ b/tests/test_settings/test_load.py
@@ -8,8 +8,9 @@
 
 from parameterized import parameterized
 
+from agatehoist.core.address import Address
 from agatehoist.settings import InvalidFileError, load_file
-from agatehoist.settings.types import Address, RouterSettings
+from agatehoist.settings.types import RouterSettings
 
 GOOD = """\
 node: {name: router-a, data_centre: dc1, region: coast}
