Give a restarted process part of the slack; be patient with a known queue

The patience now adds the estimated wait, and a restarted process gets 40% of the slack in its first window.

--- a/src/agatehoist/attempts/budget.py
+++ b/src/agatehoist/attempts/budget.py
@@ -12,6 +12,8 @@
 
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 20.0
+# Few processes have spent their slack when they end.
+SLACK_SHARE_AT_START = 0.4
 BACKOFF_BASE_S = 0.05
 BACKOFF_CAP_S = 2.0
 
@@ -52,7 +54,7 @@
     """Allow repeats within any window up to a ratio of the requests in it and a slack.
 
     A process that has just started doesn't know what it sent before, so it gets the
-    slack only from a later epoch time on.
+    whole slack only from a later epoch time on, and a share before.
     """
 
     def __init__(
@@ -84,7 +86,9 @@
         """Take one repeat from the budget if so large a share of it is left after."""
         self._forget()
         now = self._clock.now()
-        slack = self._slack if now >= self._slack_from else 0.0
+        slack = self._slack
+        if now < self._slack_from:
+            slack *= SLACK_SHARE_AT_START
         allowed = self._ratio * len(self._requests_at) + slack
         if len(self._repeats_at) + 1 > (1 - left_share) * allowed:
             return False
--- a/src/agatehoist/gateway/attempting.py
+++ b/src/agatehoist/gateway/attempting.py
@@ -76,6 +76,9 @@
         self.moves = False
         self._received = first
         self._began_at = state.clock.now()
+        # Prompts that were there before are read first.
+        lifetime = dispatch.endpoint.lifetime
+        self._expected_wait_s = state.load.wait_s(lifetime, self._began_at)
         self._withheld: Event | None = None
         self._scope = anyio.CancelScope()
         self._patience = anyio.CancelScope()
@@ -239,7 +242,10 @@
         left_s = self._request.deadline - self._state.clock.now()
         if not route.repeatable or route.max_runs <= 1:
             return now + left_s
-        return now + min(left_s, patience_s(route.objective_s, route.gap_objective_s))
+        allowed_s = patience_s(route.objective_s, route.gap_objective_s)
+        if self.head is None:
+            allowed_s += self._expected_wait_s
+        return now + min(left_s, allowed_s)
 
     async def end_move(self) -> None:
         """Go on as before a move that didn't happen."""
