Read the store through a peer when it doesn't answer

A read that fails is now tried through a peer, which passes it on to the store itself; writes are not.

--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -16,6 +16,7 @@
 from agatehoist.gateway.ingress import Ingress, ReadyEndpoint
 from agatehoist.gateway.keeping import keep_weights
 from agatehoist.gateway.nodes import follow_nodes
+from agatehoist.gateway.relaying import Relay
 from agatehoist.gateway.reloading import follow_settings
 from agatehoist.gateway.settings import GatewaySettings
 from agatehoist.gateway.sharing import share_load
@@ -78,6 +79,8 @@
             metrics = MetricsEndpoint(state)
             task_group.start_soon(accept_forever, exposed, metrics.serve, task_group)
         task_group.start_soon(share_load, state)
+        inner = open_listening_socket(settings.inner.host, settings.inner.port)
+        task_group.start_soon(accept_forever, inner, Relay(state).serve, task_group)
         task_group.start_soon(keep_weights, state)
         accepting = await task_group.start(_accept, front, Ingress(state))
         readiness = ReadyEndpoint(state)
--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
-    """Hold what a gateway is told at its start; times are in seconds."""
+    """Hold what a gateway is told at its start; times are in seconds.
+
+    Seeds are the inner addresses of a few nodes, some of which may be gone.
+    """
 
     node: str
     data_centre: str
@@ -29,6 +32,7 @@
     ready: Address
     inner: Address
     store: Address
+    seeds: tuple[Address, ...]
     stop_grace_s: float
     drain_s: float
     order_turn_s: float
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -65,6 +65,7 @@
         self.started_at = clock.now()
         self.platform = platform
         self.store = store
+        store.relays = self.peers
         self.task_group = task_group
         self.table: RoutingTable | None = None
         self.table_at = 0.0
@@ -161,6 +162,10 @@
         for budget in self._budgets_by_service.values():
             budget.set_slack(self._slack())
 
+    def peers(self) -> frozenset[Address]:
+        """Return the addresses of the other nodes."""
+        return (self.nodes | set(self.settings.seeds)) - {self.settings.inner}
+
     def set_nodes(self, nodes: frozenset[Address]) -> None:
         """Take the nodes, which share the slack for repeats and tell their load."""
         self.nodes = nodes
--- a/src/agatehoist/platform/boot.py
+++ b/src/agatehoist/platform/boot.py
@@ -33,6 +33,7 @@
 
 
 def _read(reader: Reader) -> GatewaySettings:
+    inner = Address(reader.text("Ip"), reader.first_count("InternalPorts"))
     listen = reader.part("Listen")
     bounds = reader.part("Bounds")
     return GatewaySettings(
@@ -40,8 +41,13 @@
         data_centre=reader.text("Zone"),
         front=Address(*listen.address("Front")),
         ready=Address(*listen.address("Ready")),
-        inner=Address(reader.text("Ip"), reader.first_count("InternalPorts")),
+        inner=inner,
         store=Address(*reader.part("Platform").address("Address")),
+        # Ports are the same on all machines, so a seed's host is enough.
+        seeds=tuple(
+            Address(seed.rpartition(":")[0], inner.port)
+            for seed in reader.texts("Seeds")
+        ),
         stop_grace_s=bounds.number("GraceS", 8),
         drain_s=bounds.number("DrainMs", 2000) / MS_PER_S,
         order_turn_s=bounds.number("LeaseMs", 3000) / MS_PER_S,
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -12,7 +13,7 @@
 from agatehoist.core.address import Address
 from agatehoist.http1.errors import AnswerGarbledError, ConnectionFailedError
 from agatehoist.http1.pool import Pool
-from agatehoist.http1.types import RequestHead
+from agatehoist.http1.types import Reply, ReplyHead, RequestHead
 from agatehoist.observability.metrics import PLATFORM_CALLS_TOTAL
 from agatehoist.platform.names import OBJECTS_PATH
 from agatehoist.storage.errors import (
@@ -24,6 +25,8 @@
 from agatehoist.storage.objects import Change, Changes, Listing, StoredValue
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from agatehoist.core.clock import Clock
 
 # An answer takes 4 ms; under an outage it may take a hundred times as long.
@@ -31,25 +34,29 @@
 # How much longer than asked a watch may take before it counts as lost.
 WATCH_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-PEER = "store"
+# The longest watch that a peer asks for, and what its answer takes.
+RELAYED_TIMEOUT_S = 31.0
 MS_PER_S = 1000
 
 
 class PlatformStore:
-    """Read, watch and write objects."""
+    """Read, watch and write objects; a read that fails is tried through a peer.
+
+    The store may turn a machine away, or be cut off from it, while it serves others.
+    """
 
     def __init__(self, address: Address, clock: Clock) -> None:
         self._address = address
         self._pool = Pool(clock)
-        self._host = str(address).encode()
+        self._rng = random.Random()
+        self.relays: Callable[[], Iterable[Address]] = tuple
 
     def move(self, host: str, port: int) -> None:
         """Take another address of the store for the calls to come."""
         if (host, port) == (self._address.host, self._address.port):
             return
+        self._pool.forget(str(self._address))
         self._address = Address(host, port)
-        self._host = str(self._address).encode()
-        self._pool.forget(PEER)
 
     async def list(self, kind: str, stale: bool = False) -> Listing:
         """Return all objects of a kind; a stale list is cheap and seconds old.
@@ -117,34 +124,84 @@
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> dict[str, Any]:
+        target = f"{OBJECTS_PATH}{path}"
+        if query:
+            target += f"?{urlencode(query)}"
+        call = f"{method} {path}"
+        try:
+            return await self._try(call, method, target, body, self._address, timeout_s)
+        except PlatformUnavailableError:
+            relay = self._choose_relay()
+            if method != "GET" or relay is None:
+                raise
+        return await self._try(call, method, target, body, relay, timeout_s)
+
+    async def read(self, target: bytes) -> Reply:
+        """Pass a read of a peer on to the store, whatever the answer is.
+
+        Raises PlatformUnavailableError.
+        """
+        target_text = target.decode("ascii", "replace")
+        if not target_text.startswith(f"{OBJECTS_PATH}/"):
+            raise PlatformUnavailableError(f"GET {target_text:.80}: no object")
+        call = f"relayed GET {target_text:.80}"
+        status, answer = await self._send(
+            call, "GET", target_text, None, self._address, RELAYED_TIMEOUT_S
+        )
+        return Reply(ReplyHead(status, ()), answer)
+
+    async def _try(
+        self,
+        call: str,
+        method: str,
+        target: str,
+        body: Any,
+        address: Address,
+        timeout_s: float,
+    ) -> dict[str, Any]:
+        status, answer = await self._send(
+            call, method, target, body, address, timeout_s
+        )
+        return _checked(call, status, answer)
+
+    async def _send(
+        self,
+        call: str,
+        method: str,
+        target: str,
+        body: Any,
+        address: Address,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
         outcome = "lost"
         try:
             with anyio.fail_after(timeout_s):
-                status, answer = await self._exchange(method, path, query, body)
+                status, answer = await self._exchange(method, target, body, address)
             outcome = str(status)
         except TimeoutError as error:
-            raise PlatformUnavailableError(f"{method} {path}: no answer") from error
+            raise PlatformUnavailableError(f"{call}: no answer") from error
         except (ConnectionFailedError, AnswerGarbledError) as error:
-            raise PlatformUnavailableError(f"{method} {path}: {error}") from error
+            raise PlatformUnavailableError(f"{call}: {error}") from error
         finally:
             PLATFORM_CALLS_TOTAL.inc({"purpose": method, "outcome": outcome})
-        return _checked(f"{method} {path}", status, answer)
+        return status, answer
+
+    def _choose_relay(self) -> Address | None:
+        relays = sorted(self.relays(), key=str)
+        return self._rng.choice(relays) if relays else None
 
     async def _exchange(
-        self, method: str, path: str, query: dict[str, Any] | None, body: Any
+        self, method: str, target: str, body: Any, address: Address
     ) -> tuple[int, bytes]:
-        target = f"{OBJECTS_PATH}{path}"
-        if query:
-            target += f"?{urlencode(query)}"
-        headers = [(b"host", self._host)]
+        headers = [(b"host", str(address).encode())]
         data = b""
         if body is not None:
             data = json.dumps(body).encode()
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(data)).encode()))
         head = RequestHead(method.encode(), target.encode(), tuple(headers))
-        address = self._address
-        connection = await self._pool.take(PEER, address.host, address.port)
+        peer = str(address)
+        connection = await self._pool.take(peer, address.host, address.port)
         try:
             await connection.send(head, data)
             reply = await connection.read_head()
@@ -152,7 +209,7 @@
         except BaseException:
             connection.close()
             raise
-        self._pool.give_back(PEER, connection, None)
+        self._pool.give_back(peer, connection, None)
         return reply.status, answer
 
 
--- a/src/agatehoist/storage/objects.py
+++ b/src/agatehoist/storage/objects.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from agatehoist.core.address import Address
+    from agatehoist.http1.types import Reply
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +48,12 @@
 class ObjectStore(Protocol):
     """Keep the objects that must last."""
 
+    # Peers through which a read is tried when the store doesn't answer.
+    relays: Callable[[], Iterable[Address]]
+
+    async def read(self, target: bytes) -> Reply:
+        """Pass a read of a peer on to the store, whatever the answer is."""
+
     def move(self, host: str, port: int) -> None:
         """Take another address of the store for the calls to come."""
 
--- a/standins/users_platform/world.py
+++ b/standins/users_platform/world.py
@@ -96,6 +96,7 @@
         ready=nowhere,
         inner=nowhere,
         store=Address(HOST, store_port),
+        seeds=(),
         stop_grace_s=8.0,
         drain_s=2.0,
         order_turn_s=3.0,
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -91,6 +91,22 @@
         with self.assertRaises(error):
             play(step)
 
+    def test_a_read_is_tried_through_a_peer(self) -> None:
+        async def step(standin: StoreStandIn, store: PlatformStore) -> None:
+            standin.put("k", "a", {"x": 1})
+            standin.down = True
+            other = StoreStandIn()
+            other.put("k", "b", {"x": 2})
+            async with listening(other.serve) as port:
+                store.relays = lambda: [Address(HOST, port)]
+                listing = await store.list("k")
+                self.assertEqual([each.name for each in listing.values], ["b"])
+                with self.assertRaises(PlatformUnavailableError):
+                    await store.create("k", "c", {})
+                self.assertNotIn("POST k", other.calls)
+
+        play(step)
+
     def test_a_watch_brings_changes_in_order(self) -> None:
         async def step(standin: StoreStandIn, store: PlatformStore) -> None:
             listing = await store.list("k")
