--- /dev/null
+++ b/tests/test_gateway/test_relaying.py
@@ -0,0 +1,51 @@
+"""Tests of reads that a peer passes on to the store."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.address import Address
+from agatehoist.core.clock import SystemClock
+from agatehoist.gateway.relaying import Relay
+from agatehoist.platform.store import PlatformStore
+from agatehoist.storage.errors import PlatformUnavailableError
+from standins.users_platform.serving import HOST, listening
+from standins.users_platform.world import World, running
+
+# Nothing listens there, as for a machine that the store turns away.
+NOWHERE = Address(HOST, 9)
+
+
+class RelayTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("registered", True, False, ["main"]),
+            ("stranger", False, False, None),
+            ("store_down_for_the_peer", True, True, None),
+        ]
+    )
+    def test_reads(
+        self, _name: str, registered: bool, down: bool, expected: list[str] | None
+    ) -> None:
+        world = World()
+        found: list[str] | None = None
+
+        async def run() -> None:
+            nonlocal found
+            async with running(world), listening(Relay(world.state).serve) as port:
+                if registered:
+                    world.state.set_nodes(frozenset({Address(HOST, 1)}))
+                world.store.down = down
+                store = PlatformStore(NOWHERE, SystemClock())
+                store.relays = lambda: [Address(HOST, port)]
+                try:
+                    listing = await store.list("config")
+                except PlatformUnavailableError:
+                    return
+                found = [each.name for each in listing.values]
+
+        anyio.run(run)
+        self.assertEqual(found, expected)
