Ask a peer only once the store has failed for a tenth of a second

When the store drops its history it cuts all watches; the new reads through peers asked again in the same instant, were answered from before and heard nothing until the next change.

--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -22,7 +22,13 @@
 
 
 class Topic(Protocol):
-    """Take what the store says of one kind of object."""
+    """Take what the store says of one kind of object.
+
+    A watch that waits counts as a call, but one that went silent is noticed only at its
+    end, in seconds.
+    """
+
+    watch_s: float
 
     def kind(self, kinds: ObjectKinds) -> str:
         """Return the kind of object."""
@@ -60,6 +66,8 @@
 class ConfigurationTopic(EachValue):
     """Take the newest accepted configuration, never an older one."""
 
+    watch_s = 4.0
+
     def kind(self, kinds: ObjectKinds) -> str:
         """Return the kind of object."""
         return kinds.configuration
@@ -91,6 +99,8 @@
 class EndpointsTopic:
     """Follow who serves; an entry that can't be read names no endpoint."""
 
+    watch_s = 6.0
+
     def kind(self, kinds: ObjectKinds) -> str:
         """Return the kind of object."""
         return kinds.endpoints
@@ -143,6 +153,8 @@
 class WeightsTopic(EachValue):
     """Follow the weights that operators name."""
 
+    watch_s = 4.0
+
     def __init__(self) -> None:
         # What a process finds at its start may have been named long before.
         self._news_at = -math.inf
@@ -188,6 +200,8 @@
 class PlansTopic(EachValue):
     """Follow the roll-outs of weights."""
 
+    watch_s = 10.0
+
     def kind(self, kinds: ObjectKinds) -> str:
         """Return the kind of object."""
         return PLAN_KIND
--- a/src/agatehoist/gateway/watching.py
+++ b/src/agatehoist/gateway/watching.py
@@ -17,8 +17,6 @@
 
 logger = get_logger("gateway")
 
-# A watch counts as a call, so a quiet one is renewed rarely.
-WATCH_S = 10.0
 # Changes come in bursts; one watch takes what arrives within this time.
 GATHER_S = 0.05
 FIRST_RETRY_S = 0.1
@@ -40,7 +38,7 @@
     reached = True
     while True:
         try:
-            news = await _read(state, kind, revision)
+            news = await _read(state, kind, revision, topic.watch_s)
         except HistoryLostError:
             logger.info("history lost, listing again", topic=name, revision=revision)
             revision = None
@@ -67,8 +65,8 @@
 
 
 async def _read(
-    state: GatewayState, kind: str, revision: int | None
+    state: GatewayState, kind: str, revision: int | None, watch_s: float
 ) -> Listing | Changes:
     if revision is None:
         return await state.store.list(kind)
-    return await state.store.watch(kind, revision, WATCH_S)
+    return await state.store.watch(kind, revision, watch_s)
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -20,6 +21,7 @@
     ConflictError,
     HistoryLostError,
     ObjectNotFoundError,
+    PlatformError,
     PlatformUnavailableError,
 )
 from agatehoist.storage.objects import Change, Changes, Listing, StoredValue
@@ -34,6 +36,9 @@
 # How much longer than asked a watch may take before it counts as lost.
 WATCH_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Watches are cut when the store drops its history; what is asked again at once may
+# still be answered from before.
+RELAY_AFTER_S = 0.1
 # The longest watch that a peer asks for, and what its answer takes.
 RELAYED_TIMEOUT_S = 31.0
 MS_PER_S = 1000
@@ -47,6 +52,8 @@
 
     def __init__(self, address: Address, clock: Clock) -> None:
         self._address = address
+        self._clock = clock
+        self._failing_since = math.inf
         self._pool = Pool(clock)
         self._rng = random.Random()
         self.relays: Callable[[], Iterable[Address]] = tuple
@@ -129,11 +136,19 @@
             target += f"?{urlencode(query)}"
         call = f"{method} {path}"
         try:
-            return await self._try(call, method, target, body, self._address, timeout_s)
+            found = await self._try(
+                call, method, target, body, self._address, timeout_s
+            )
         except PlatformUnavailableError:
             relay = self._choose_relay()
             if method != "GET" or relay is None:
                 raise
+        except PlatformError:
+            self._failing_since = math.inf
+            raise
+        else:
+            self._failing_since = math.inf
+            return found
         return await self._try(call, method, target, body, relay, timeout_s)
 
     async def read(self, target: bytes) -> Reply:
@@ -187,6 +202,11 @@
         return status, answer
 
     def _choose_relay(self) -> Address | None:
+        """Return a peer once the store has failed for a while; one cut is no sign."""
+        now = self._clock.now()
+        self._failing_since = min(self._failing_since, now)
+        if now < self._failing_since + RELAY_AFTER_S:
+            return None
         relays = sorted(self.relays(), key=str)
         return self._rng.choice(relays) if relays else None
 
--- a/tests/test_gateway/test_relaying.py
+++ b/tests/test_gateway/test_relaying.py
@@ -10,7 +10,7 @@
 from agatehoist.core.address import Address
 from agatehoist.core.clock import SystemClock
 from agatehoist.gateway.relaying import Relay
-from agatehoist.platform.store import PlatformStore
+from agatehoist.platform.store import RELAY_AFTER_S, PlatformStore
 from agatehoist.storage.errors import PlatformUnavailableError
 from standins.users_platform.serving import HOST, listening
 from standins.users_platform.world import World, running
@@ -41,6 +41,9 @@
                 world.store.down = down
                 store = PlatformStore(NOWHERE, SystemClock())
                 store.relays = lambda: [Address(HOST, port)]
+                with self.assertRaises(PlatformUnavailableError):
+                    await store.list("config")
+                await anyio.sleep(RELAY_AFTER_S)
                 try:
                     listing = await store.list("config")
                 except PlatformUnavailableError:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -10,7 +10,7 @@
 
 from agatehoist.core.address import Address
 from agatehoist.core.clock import SystemClock
-from agatehoist.platform.store import PlatformStore
+from agatehoist.platform.store import RELAY_AFTER_S, PlatformStore
 from agatehoist.storage.errors import (
     ConflictError,
     HistoryLostError,
@@ -91,6 +91,21 @@
         with self.assertRaises(error):
             play(step)
 
+    def test_a_cut_is_no_reason_to_ask_a_peer(self) -> None:
+        async def step(standin: StoreStandIn, store: PlatformStore) -> None:
+            other = StoreStandIn()
+            async with listening(other.serve) as port:
+                store.relays = lambda: [Address(HOST, port)]
+                for down in (True, False, True):
+                    standin.down = down
+                    try:
+                        await store.list("k")
+                    except PlatformUnavailableError:
+                        self.assertTrue(down)
+            self.assertEqual(other.calls, [])
+
+        play(step)
+
     def test_a_read_is_tried_through_a_peer(self) -> None:
         async def step(standin: StoreStandIn, store: PlatformStore) -> None:
             standin.put("k", "a", {"x": 1})
@@ -99,6 +114,9 @@
             other.put("k", "b", {"x": 2})
             async with listening(other.serve) as port:
                 store.relays = lambda: [Address(HOST, port)]
+                with self.assertRaises(PlatformUnavailableError):
+                    await store.list("k")
+                await anyio.sleep(RELAY_AFTER_S)
                 listing = await store.list("k")
                 self.assertEqual([each.name for each in listing.values], ["b"])
                 with self.assertRaises(PlatformUnavailableError):
