Let a fault in a task end neither the process nor other tasks

Tasks that may outlast a request are guarded, and the long-running parts begin anew after a fault, each with a log line.

--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -21,6 +21,7 @@
 from agatehoist.gateway.settings import GatewaySettings
 from agatehoist.gateway.sharing import share_load
 from agatehoist.gateway.state import GatewayState
+from agatehoist.gateway.tasks import restarted
 from agatehoist.gateway.watching import follow_store
 from agatehoist.http1.channel import accept_forever
 from agatehoist.observability.logs import get_logger
@@ -71,17 +72,19 @@
         # An earlier run of this process may have spent the slack of a whole window.
         slack_from = clock.now() + settings.retries.window_s
         state = GatewayState(settings, clock, platform, store, task_group, slack_from)
-        task_group.start_soon(follow_store, state)
-        task_group.start_soon(follow_nodes, state)
-        task_group.start_soon(follow_settings, state, source.path, source.load)
+        task_group.start_soon(restarted, follow_store, state)
+        task_group.start_soon(restarted, follow_nodes, state)
+        task_group.start_soon(
+            restarted, follow_settings, state, source.path, source.load
+        )
         if metrics_port:
             exposed = open_listening_socket(settings.front.host, metrics_port)
             metrics = MetricsEndpoint(state)
             task_group.start_soon(accept_forever, exposed, metrics.serve, task_group)
-        task_group.start_soon(share_load, state)
+        task_group.start_soon(restarted, share_load, state)
         inner = open_listening_socket(settings.inner.host, settings.inner.port)
         task_group.start_soon(accept_forever, inner, Relay(state).serve, task_group)
-        task_group.start_soon(keep_weights, state)
+        task_group.start_soon(restarted, keep_weights, state)
         accepting = await task_group.start(_accept, front, Ingress(state))
         readiness = ReadyEndpoint(state)
         task_group.start_soon(accept_forever, ready, readiness.serve, task_group)
--- a/src/agatehoist/gateway/attempting.py
+++ b/src/agatehoist/gateway/attempting.py
@@ -256,7 +256,7 @@
     async def report(self, event: Event) -> None:
         try:
             await self.events.send(event)
-        except anyio.BrokenResourceError:
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # Nobody waits any more; the work goes on so that its outcome is known.
             logger.debug("answer not waited for", request=self._request_id)
 
--- a/src/agatehoist/gateway/driving.py
+++ b/src/agatehoist/gateway/driving.py
@@ -169,7 +169,7 @@
             first,
             self._sender.clone(),
         )
-        self._state.task_group.start_soon(self._attempt.run)
+        self._state.spawn(self._attempt.run)
 
     @PERFORMERS.register(ContinueRun)
     async def _continue(self, decision: ContinueRun) -> Event | None:
--- a/src/agatehoist/gateway/moving.py
+++ b/src/agatehoist/gateway/moving.py
@@ -38,7 +38,7 @@
     if not state.budget(request.service).try_spend(BUDGET_LEFT_SHARE):
         return
     attempt.moves = True
-    state.task_group.start_soon(_move, state, request, attempt, destination)
+    state.spawn(_move, state, request, attempt, destination)
 
 
 def find_destination(
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -18,13 +18,14 @@
 from agatehoist.fleet.load import Load
 from agatehoist.fleet.view import FleetView
 from agatehoist.gateway.drivers import Drivers
+from agatehoist.gateway.tasks import guarded
 from agatehoist.http1.pool import Pool
 from agatehoist.http1.types import ConnectionLimits
 from agatehoist.observability.logs import get_logger
 from agatehoist.weights.plan import WeightsView
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from anyio.abc import TaskGroup
 
@@ -66,7 +67,7 @@
         self.platform = platform
         self.store = store
         store.relays = self.peers
-        self.task_group = task_group
+        self._task_group = task_group
         self.table: RoutingTable | None = None
         self.table_at = 0.0
         self.fleet = FleetView()
@@ -133,6 +134,10 @@
         """Return what bounds callers now."""
         return self.table.limits if self.table is not None else ConnectionLimits()
 
+    def spawn(self, run: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+        """Start a task that may outlast its request; a fault ends it alone."""
+        self._task_group.start_soon(guarded, run, *arguments)
+
     def note_heard(self, endpoint: Endpoint) -> None:
         """Note a sign of life."""
         self._heard_at_by_lifetime[endpoint.lifetime] = self.clock.now()
