--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -7,6 +7,7 @@
 from bench.capacity import (  # noqa: F401
     cache,
     configuration,
+    gateway,
     links,
     placement,
     reports,
--- /dev/null
+++ b/bench/capacity/gateway.py
@@ -0,0 +1,126 @@
+"""Slopes of a gateway: what it knows and what a choice costs."""
+
+from __future__ import annotations
+
+from agatehoist.core.identity import EndpointIdentity
+from agatehoist.core.work import PrefixLevel, Priority
+from agatehoist.fleet.load import Load
+from agatehoist.fleet.types import Endpoint
+from agatehoist.fleet.view import FleetView
+from agatehoist.placement.policies import POLICIES
+from agatehoist.placement.types import Candidate, Offer, Question
+from agatehoist.platform.documents import read_configuration
+from agatehoist.protocol.load_reports import (
+    EndpointLoad,
+    LoadReport,
+    decode_report,
+    encode_report,
+)
+from bench.capacity.slopes import allocated_bytes, processor_us, slope
+
+RUNNERS, RUNNERS_OF_REGION = 1200, 300
+ORGANISATIONS, ROUTES = 49_000, 500
+
+
+def endpoint(number: int) -> Endpoint:
+    """Return an endpoint as the platform lists it."""
+    return Endpoint(
+        f"i-{number:010x}",
+        "songs",
+        f"10.{number % 4}.{number // 250}.{number % 250}",
+        8080,
+        f"zone-{number % 14}",
+        64,
+        False,
+        1_784_186_469_033 + number,
+        {"deti65cef3": 3},
+    )
+
+
+@slope("gateway_endpoint", "endpoint", "B", (150, 300, 600, 1200), RUNNERS)
+def endpoint_bytes(count: int) -> float:
+    """Measure the memory of the list of endpoints."""
+
+    def build() -> FleetView:
+        view = FleetView()
+        for number in range(count):
+            view.put(endpoint(number))
+        return view
+
+    return allocated_bytes(build)
+
+
+@slope("gateway_key", "organisation", "B", (1000, 2000, 4000, 8000), ORGANISATIONS)
+def organisation_bytes(count: int) -> float:
+    """Measure the memory of organisations with a key each."""
+    spec = {
+        "Version": 1,
+        "Tenants": [
+            {"Name": f"tenant-{n:06d}", "ApiKeys": [f"{n:020d}"]} for n in range(count)
+        ],
+    }
+    return allocated_bytes(lambda: read_configuration(spec))
+
+
+@slope("gateway_route", "route", "B", (50, 100, 200, 400), ROUTES)
+def route_bytes(count: int) -> float:
+    """Measure the memory of routes."""
+    spec = {
+        "Version": 1,
+        "Routes": [
+            {
+                "Name": f"r-{n:06d}",
+                "Host": f"h{n:05d}.example",
+                "PathPrefix": f"/p{n:05d}/",
+                "Kind": "stream",
+                "TimeoutMs": 6000,
+                "Service": "songs",
+            }
+            for n in range(count)
+        ],
+    }
+    return allocated_bytes(lambda: read_configuration(spec))
+
+
+@slope("gateway_choice", "endpoint", "us", (40, 75, 150, 300), RUNNERS_OF_REGION)
+def choice_us(count: int) -> float:
+    """Measure the processor time of ordering the offers of one prompt."""
+    load = Load()
+    endpoints = [endpoint(number) for number in range(count)]
+    levels = (PrefixLevel(b"a" * 16, 2520), PrefixLevel(b"b" * 16, 6300))
+    question = Question(levels, 9190, Priority.SHORT, "zone-1")
+    policy = POLICIES["home_bounded"]()
+
+    def choose() -> None:
+        offers = [
+            Offer(
+                Candidate(each.name, each.data_centre),
+                EndpointIdentity(each.name, each.lifetime, "3"),
+                0,
+                load.wait_s(each.lifetime, 1.0),
+            )
+            for each in endpoints
+        ]
+        policy.choose(question, offers)
+
+    return processor_us(choose)
+
+
+@slope("gateway_report", "endpoint", "B", (4, 8, 16, 24), 24)
+def report_bytes(count: int) -> float:
+    """Measure the size of a load report that names busy endpoints."""
+    return float(len(encode_report(_report(count))))
+
+
+@slope("gateway_report_time", "endpoint", "us", (4, 8, 16, 24), 24)
+def report_us(count: int) -> float:
+    """Measure the processor time of reading a load report."""
+    data = encode_report(_report(count))
+    return processor_us(lambda: decode_report(data))
+
+
+def _report(count: int) -> LoadReport:
+    loads = {
+        endpoint(number).lifetime: EndpointLoad(5, 9000) for number in range(count)
+    }
+    return LoadReport("front-cariboo-1", 1_784_186_469_033, 1000, loads)
--- a/src/agatehoist/gateway/sharing.py
+++ b/src/agatehoist/gateway/sharing.py
@@ -27,7 +27,7 @@
 # Changes within this time go into one report.
 GATHER_S = 0.04
 REPEAT_S = 1.0
-# More peers would cost more than 7 KB/s at 20 reports a second of 15 bytes an endpoint.
+# Bounds what a report costs in a large fleet; the capacity page works it out.
 MAX_PEERS = 31
 
 
