Split the keeper of the weights; answer small requests in one place

No change of behaviour but one: two changes that renewed the plan at the same time no longer take each other's write for another node's. Fields that nothing read are gone.

--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -13,9 +13,10 @@
 from agatehoist.core.lifetime import stop_signals
 from agatehoist.core.listening import open_listening_socket
 from agatehoist.gateway.exposing import MetricsEndpoint
-from agatehoist.gateway.ingress import Ingress, ReadyEndpoint
+from agatehoist.gateway.ingress import Ingress
 from agatehoist.gateway.keeping import keep_weights
 from agatehoist.gateway.nodes import follow_nodes
+from agatehoist.gateway.readiness import ReadyEndpoint
 from agatehoist.gateway.relaying import Relay
 from agatehoist.gateway.reloading import follow_settings
 from agatehoist.gateway.settings import GatewaySettings
--- a/src/agatehoist/gateway/exposing.py
+++ b/src/agatehoist/gateway/exposing.py
@@ -6,15 +6,13 @@
 
 from aioprometheus import REGISTRY, render
 
-from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
-from agatehoist.http1.server import ServerConnection
-from agatehoist.observability.logs import get_logger
+from agatehoist.gateway.serving import serve_each
+from agatehoist.http1.types import Reply, ReplyHead
 
 if TYPE_CHECKING:
     from agatehoist.gateway.state import GatewayState
     from agatehoist.http1.channel import Channel
-
-logger = get_logger("metrics")
+    from agatehoist.http1.types import Request
 
 PATH = b"/metrics"
 CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
@@ -28,18 +26,10 @@
 
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
-        state = self._state
-        connection = ServerConnection(channel, state.clock, state.limits)
-        try:
-            while request := await connection.next_request(lambda: None):
-                if request.head.target.partition(b"?")[0] == PATH:
-                    body, _ = render(REGISTRY, ["text/plain"])
-                    await connection.send_whole(200, (CONTENT_TYPE,), body)
-                else:
-                    await connection.send_whole(404, (), b"")
-                if not connection.can_continue():
-                    break
-        except (BadRequestError, ConnectionFailedError) as error:
-            logger.debug("connection ended", reason=str(error))
-        finally:
-            connection.close()
+        await serve_each(self._state, channel, self._answer)
+
+    async def _answer(self, request: Request) -> Reply:
+        if request.head.target.partition(b"?")[0] != PATH:
+            return Reply(ReplyHead(404, ()), b"")
+        body, _ = render(REGISTRY, ["text/plain"])
+        return Reply(ReplyHead(200, (CONTENT_TYPE,)), body)
--- /dev/null
+++ b/src/agatehoist/gateway/holding.py
@@ -0,0 +1,129 @@
+"""Holding of a model's plan: who may order, and until when."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from agatehoist.gateway.plans import PLAN_KIND, write_plan
+from agatehoist.observability.logs import get_logger
+from agatehoist.storage.errors import ConflictError, PlatformError
+from agatehoist.weights.types import Plan, SeenPlan
+from agatehoist.weights.waves import LEASE_S, claim
+
+if TYPE_CHECKING:
+    from agatehoist.gateway.model_endpoints import ModelEndpoints
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.storage.objects import StoredValue
+
+logger = get_logger("weights")
+
+
+class PlanHolder:
+    """Take a plan over, write it and give it back; times are in epoch seconds."""
+
+    def __init__(self, state: GatewayState, endpoints: ModelEndpoints) -> None:
+        self.held: SeenPlan | None = None
+        self.order_at = 0.0
+        self.written_at = 0.0
+        self._valid_until = 0.0
+        self._ordered_at = 0.0
+        self._state = state
+        self._endpoints = endpoints
+        self._model = endpoints.model
+        self._writing = anyio.Lock()
+
+    def holds(self, seen: SeenPlan | None) -> bool:
+        """Say whether the newest plan seen is this node's."""
+        if self.held is None or seen is None:
+            return False
+        return seen.revision <= self.held.revision
+
+    async def take_over(self, seen: SeenPlan | None, pending_since: float) -> bool:
+        """Take the plan over if its holder is silent, and say whether it worked."""
+        now = self._state.clock.now()
+        settings = self._state.settings
+        times = claim(settings.node, seen, now, settings.order_turn_s, pending_since)
+        if now < times.write_at:
+            return False
+        async with self._writing:
+            if not await self._write(self._fresh_plan(seen), seen):
+                return False
+        self.order_at = times.order_at
+        logger.info(
+            "plan taken over",
+            model=self._model,
+            before=seen.plan.holder if seen else "",
+            revision=seen.revision if seen else 0,
+            order_in_s=round(max(0, times.order_at - now), 2),
+        )
+        return True
+
+    async def write_over(self, **changes: Any) -> bool:
+        """Write the plan with changes and what has been reached by now."""
+        async with self._writing:
+            return await self._write_changes(changes)
+
+    async def may_order(self, changing: tuple[str, ...]) -> Plan | None:
+        """Return the plan under which an order may be sent at once, if one may."""
+        await anyio.sleep(max(0.0, self.order_at - self._state.clock.now()))
+        async with self._writing:
+            if self.held is None:
+                return None
+            if self._state.clock.now() >= self._valid_until:
+                await self._write_changes({"changing": changing})
+        if self.held is None or self._state.clock.now() >= self._valid_until:
+            return None
+        self._ordered_at = self._state.clock.now()
+        return self.held.plan
+
+    async def release(self) -> None:
+        """Let another node go on at once when this one stops."""
+        idle_s = self._state.clock.now() - self._ordered_at
+        await self.write_over(changing=(), released=True, idle_s=idle_s)
+        self.held = None
+
+    def _fresh_plan(self, seen: SeenPlan | None) -> Plan:
+        node = self._state.settings.node
+        target = self._endpoints.target
+        if seen is None:
+            return Plan(self._model, node, 1, target, 1)
+        plan = seen.plan
+        token = plan.token if plan.holder == node else plan.token + 1
+        return Plan(self._model, node, token, target, plan.beat + 1)
+
+    async def _write_changes(self, changes: dict[str, Any]) -> bool:
+        if self.held is None:
+            return False
+        plan = self.held.plan
+        changed = self._endpoints.with_version(changes.get("target", plan.target))
+        changes = {"changed": changed, "beat": plan.beat + 1, **changes}
+        return await self._write(replace(plan, **changes), self.held)
+
+    async def _write(self, plan: Plan, seen: SeenPlan | None) -> bool:
+        """Write a plan over the one seen and say whether this node holds it."""
+        sent_at = self._state.clock.now()
+        try:
+            value = await self._put(plan, seen)
+        except ConflictError:
+            logger.info("plan held by another node", model=self._model)
+            self.held = None
+            return False
+        except PlatformError as error:
+            logger.warning("plan not written", model=self._model, reason=str(error))
+            self.held = None
+            return False
+        self.held = SeenPlan(plan, value.revision, self._state.clock.now())
+        self._valid_until = sent_at + LEASE_S
+        self.written_at = sent_at
+        self._state.see_plan(self.held)
+        return True
+
+    async def _put(self, plan: Plan, seen: SeenPlan | None) -> StoredValue:
+        store = self._state.store
+        spec = write_plan(plan)
+        if seen is None:
+            return await store.create(PLAN_KIND, self._model, spec)
+        return await store.replace(PLAN_KIND, self._model, spec, seen.revision)
--- a/src/agatehoist/gateway/ingress.py
+++ b/src/agatehoist/gateway/ingress.py
@@ -157,26 +157,3 @@
 async def _watch(connection: ServerConnection, driver: DirectDriver) -> None:
     await connection.wait_closed()
     driver.caller_gone()
-
-
-class ReadyEndpoint:
-    """Tell the platform whether callers may be sent here."""
-
-    def __init__(self, state: GatewayState) -> None:
-        self._state = state
-
-    async def serve(self, channel: Channel) -> None:
-        """Serve a connection until it ends."""
-        state = self._state
-        connection = ServerConnection(channel, state.clock, state.limits)
-        try:
-            while request := await connection.next_request(lambda: None):
-                known = state.platform.is_ready_check(request.head)
-                status = 404 if not known else 200 if state.ready else 503
-                await connection.send_whole(status, (), b"")
-                if not connection.can_continue():
-                    break
-        except (BadRequestError, ConnectionFailedError) as error:
-            logger.debug("readiness connection ended", reason=str(error))
-        finally:
-            connection.close()
--- /dev/null
+++ b/src/agatehoist/gateway/model_endpoints.py
@@ -0,0 +1,71 @@
+"""The endpoints of one model and the weights they are believed to have."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.weights.waves import Candidate, wave_share
+
+if TYPE_CHECKING:
+    from agatehoist.fleet.types import Endpoint
+    from agatehoist.gateway.state import GatewayState
+
+
+class ModelEndpoints:
+    """Look at the endpoints of a model that aren't leaving."""
+
+    def __init__(self, state: GatewayState, model: str) -> None:
+        self.model = model
+        self._state = state
+
+    @property
+    def target(self) -> int:
+        """Return the weights version that all should have."""
+        return self._state.weights.target(self.model)
+
+    def all(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints."""
+        table = self._state.table
+        if table is None:
+            return ()
+        now = self._state.clock.now()
+        return tuple(
+            endpoint
+            for service in table.services_by_name.values()
+            if service.engines and self.model in service.engines.models
+            for endpoint in self._state.fleet.serving(service.name, now)
+        )
+
+    def find(self, lifetime: str) -> Endpoint | None:
+        """Return the endpoint of a lifetime, if it is still there."""
+        return next((each for each in self.all() if each.lifetime == lifetime), None)
+
+    def version(self, endpoint: Endpoint) -> int:
+        """Return the weights version that an endpoint is believed to have."""
+        return self._state.fleet.version_of(endpoint, self.model)
+
+    def are_outdated(self) -> bool:
+        """Say whether some endpoint has weights that were replaced."""
+        return any(self.version(each) < self.target for each in self.all())
+
+    def with_version(self, version: int) -> tuple[str, ...]:
+        """Return the lifetimes that have a weights version, or a newer one."""
+        return tuple(
+            each.lifetime for each in self.all() if self.version(each) >= version
+        )
+
+    def reachable(self) -> tuple[Candidate, ...]:
+        """Return the candidates that others can't wait for in vain."""
+        now = self._state.clock.now()
+        return tuple(
+            Candidate(each.lifetime, self.version(each))
+            for each in self.all()
+            if not self._state.suspects.is_suspected(each.name, now)
+        )
+
+    def wave_share(self) -> float:
+        """Return the share that may change at a time, more as time runs short."""
+        oldest = min((self.version(each) for each in self.all()), default=0)
+        now = self._state.clock.now()
+        since = self._state.weights.waiting_since(self.model, oldest, now)
+        return wave_share(now - since, self._state.settings.weights_in_force_s)
--- /dev/null
+++ b/src/agatehoist/gateway/serving.py
@@ -0,0 +1,39 @@
+"""Small services of a gateway: each request is answered at once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
+from agatehoist.http1.server import ServerConnection
+from agatehoist.observability.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.http1.channel import Channel
+    from agatehoist.http1.types import Reply, Request
+
+logger = get_logger("gateway")
+
+
+async def serve_each(
+    state: GatewayState,
+    channel: Channel,
+    answer: Callable[[Request], Awaitable[Reply]],
+) -> None:
+    """Answer the requests of a connection until it ends."""
+    connection = ServerConnection(channel, state.clock, state.limits)
+    try:
+        while request := await connection.next_request(lambda: None):
+            reply = await answer(request)
+            await connection.send_whole(
+                reply.head.status, reply.head.headers, reply.body
+            )
+            if not connection.can_continue():
+                break
+    except (BadRequestError, ConnectionFailedError) as error:
+        logger.debug("connection ended", reason=str(error))
+    finally:
+        connection.close()
--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -34,7 +34,6 @@
     store: Address
     seeds: tuple[Address, ...]
     stop_grace_s: float
-    drain_s: float
     order_turn_s: float
     weights_in_force_s: float
     retries: RetryBounds
--- a/src/agatehoist/http1/client.py
+++ b/src/agatehoist/http1/client.py
@@ -24,7 +24,6 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self.used = False
         self.usable_until = 0.0
 
     async def send(self, head: RequestHead, body: bytes) -> None:
@@ -32,7 +31,6 @@
 
         Raises ConnectionFailedError.
         """
-        self.used = True
         await self._channel.send(self._encode_request(head, body))
 
     async def read_head(self) -> ReplyHead:
--- a/src/agatehoist/platform/boot.py
+++ b/src/agatehoist/platform/boot.py
@@ -49,7 +49,6 @@
             for seed in reader.texts("Seeds")
         ),
         stop_grace_s=bounds.number("GraceS", 8),
-        drain_s=bounds.number("DrainMs", 2000) / MS_PER_S,
         order_turn_s=bounds.number("LeaseMs", 3000) / MS_PER_S,
         weights_in_force_s=bounds.number("VersionMs", 8000) / MS_PER_S,
         retries=RetryBounds(
--- a/src/agatehoist/platform/documents.py
+++ b/src/agatehoist/platform/documents.py
@@ -129,8 +129,6 @@
     if reader.has("Engine"):
         engine = reader.part("Engine")
         engines = Engines(
-            engine.count("Slots"),
-            engine.count("KvCapacity"),
             tuple(each.text("Name") for each in engine.parts("Models")),
             engine.flag("Moves"),
         )
@@ -139,7 +137,7 @@
 
 def _read_kept_cache(reader: Reader) -> KeptCache:
     host, port = reader.address("KvStoreAddr")
-    return KeptCache(host, port, reader.text("Zone", ""), reader.count("KvCapacity", 0))
+    return KeptCache(host, port, reader.text("Zone", ""))
 
 
 def _read_organisations(reader: Reader) -> dict[bytes, Organisation]:
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -52,13 +52,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Engines:
-    """Describe the model engines of a service; memory is in tokens.
+    """Describe the model engines of a service.
 
     Engines that move runs hand the memory of a run over to another engine.
     """
 
-    slots: int
-    memory_tokens: int
     models: tuple[str, ...]
     move_runs: bool = False
 
@@ -73,12 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KeptCache:
-    """Name a store of kept KV cache; memory is in tokens."""
+    """Name a store of kept KV cache."""
 
     host: str
     port: int
     data_centre: str
-    memory_tokens: int
 
     @property
     def address(self) -> str:
--- a/standins/users_platform/world.py
+++ b/standins/users_platform/world.py
@@ -98,7 +98,6 @@
         store=Address(HOST, store_port),
         seeds=(),
         stop_grace_s=8.0,
-        drain_s=2.0,
         order_turn_s=3.0,
         weights_in_force_s=8.0,
         retries=RetryBounds(0.2, 100.0, 10.0),
