Don't move a run to weights that should have been replaced

An engine that drained since before new weights were named kept its last run for ten seconds; at its end the run was moved to an engine that had just come back with the old weights, twelve seconds after the naming. Requests are never begun on such weights, and a move is no exception now. Ruled out: the choice for new requests, which left that engine out.

The new test fails without the change.

--- a/src/agatehoist/gateway/choosing.py
+++ b/src/agatehoist/gateway/choosing.py
@@ -78,6 +78,15 @@
     return f"{prompt.model if prompt else ''}/{version}/{wall}"
 
 
+def required_version(state: GatewayState, model: str, now: float) -> int:
+    """Return the oldest weights version that a request may still begin on."""
+    return state.weights.required_version(model, now - _limit_s(state))
+
+
+def _limit_s(state: GatewayState) -> float:
+    return state.settings.weights_in_force_s - OVERDUE_MARGIN_S
+
+
 def _available(
     state: GatewayState, request: RoutedRequest, now: float
 ) -> tuple[Endpoint, ...]:
@@ -86,12 +95,11 @@
     if prompt is None:
         return serving
     model = prompt.model
-    limit_s = state.settings.weights_in_force_s - OVERDUE_MARGIN_S
-    required = state.weights.required_version(model, now - limit_s)
+    required = required_version(state, model, now)
     allowed = tuple(
         each for each in serving if state.fleet.version_of(each, model) >= required
     )
-    if not allowed and now < state.started_at + limit_s:
+    if not allowed and now < state.started_at + _limit_s(state):
         # A process that has just started doesn't know when the weights were named.
         allowed = serving
     free = [each for each in allowed if not state.weights.is_changing(each, now)]
--- a/src/agatehoist/gateway/moving.py
+++ b/src/agatehoist/gateway/moving.py
@@ -8,6 +8,7 @@
 from agatehoist.core.identity import EndpointIdentity
 from agatehoist.errors import AgatehoistError
 from agatehoist.gateway.calling import CallFailedError, move_run
+from agatehoist.gateway.choosing import required_version
 from agatehoist.observability.logs import get_logger
 from agatehoist.placement.types import Candidate, Offer
 
@@ -46,7 +47,8 @@
 ) -> Endpoint | None:
     """Return the endpoint that goes on with a run: one with the same weights.
 
-    Memory made under other weights must not be used.
+    Memory made under other weights must not be used, and weights that should have been
+    replaced by now must not be begun on, not by a move either.
     """
     prompt = request.envelope.prompt
     service = state.table.services_by_name.get(request.service) if state.table else None
@@ -55,6 +57,9 @@
     if service.engines is None or not service.engines.move_runs:
         return None
     now = state.clock.now()
+    version = attempt.dispatch.weights_version
+    if version < required_version(state, prompt.model, now):
+        return None
     source = attempt.dispatch.endpoint
     possible = [
         each
@@ -62,8 +67,7 @@
         if each.lifetime != source.lifetime
         and not state.weights.is_changing(each, now)
         and not state.suspects.is_suspected(each.name, now)
-        and state.fleet.version_of(each, prompt.model)
-        == attempt.dispatch.weights_version
+        and state.fleet.version_of(each, prompt.model) == version
     ]
     return min(
         possible,
--- a/tests/test_gateway/test_moving.py
+++ b/tests/test_gateway/test_moving.py
@@ -2,17 +2,60 @@
 
 from __future__ import annotations
 
+import math
 import unittest
+from typing import TYPE_CHECKING
 
 import anyio
 from parameterized import parameterized
 
-from standins.users_platform.world import World, running, until
+from agatehoist.weights.types import NamedWeights
+from standins.users_platform.world import MODEL, World, running, until
+
+if TYPE_CHECKING:
+    from standins.users_platform.endpoint import EndpointStandIn
 
 EVENT_COUNT = 60
 
 
+async def leave_while_running(world: World, path: str) -> tuple[EndpointStandIn, bytes]:
+    """Let the endpoint drain that runs a request; return it and the whole answer."""
+    done = anyio.Event()
+    bodies: list[bytes] = []
+
+    async def ask() -> None:
+        bodies.append((await world.ask_prompt(path)).body)
+        done.set()
+
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(ask)
+        await until(lambda: any(each.active for each in world.engines))
+        (source,) = (each for each in world.engines if each.active)
+        await anyio.sleep(0.1)
+        entry = world.store.spec("servers", source.name)
+        world.store.put("servers", source.name, {**entry, "State": "draining"})
+        await done.wait()
+    return source, bodies[0]
+
+
 class MovingTests(unittest.TestCase):
+    @parameterized.expand([("in_force", 1, {"r1"}), ("replaced_long_ago", 2, set())])
+    def test_a_run_moves_only_to_weights_that_may_be_used(
+        self, _name: str, named: int, stopped: set[str]
+    ) -> None:
+        world = World()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+
+        async def run() -> None:
+            async with running(world):
+                weights = NamedWeights(MODEL, named)
+                world.state.weights.name(weights, -math.inf)
+                source, _ = await leave_while_running(world, "/credit/1")
+                self.assertEqual(source.stopped, stopped)
+
+        anyio.run(run)
+
     @parameterized.expand([("/credit/1",), ("/trace/1",)])
     def test_a_run_leaves_an_endpoint_that_drains(self, path: str) -> None:
         world = World()
@@ -20,18 +63,10 @@
             each.event_count = EVENT_COUNT
         bodies: list[bytes] = []
 
-        async def ask() -> None:
-            bodies.append((await world.ask_prompt(path)).body)
-
         async def run() -> None:
-            async with running(world), anyio.create_task_group() as task_group:
-                task_group.start_soon(ask)
-                await until(lambda: any(each.active for each in world.engines))
-                (source,) = (each for each in world.engines if each.active)
-                await anyio.sleep(0.1)
-                entry = world.store.spec("servers", source.name)
-                world.store.put("servers", source.name, {**entry, "State": "draining"})
-                await until(lambda: bool(bodies))
+            async with running(world):
+                source, body = await leave_while_running(world, path)
+                bodies.append(body)
                 self.assertEqual(source.stopped, {"r1"})
 
         anyio.run(run)
