Let a node that leaves end the roll-out it holds

Each node gave the plan away at its SIGTERM, though it lives eight seconds more; the next one waited for its turn and was stopped itself, so no order was given from 2.6 to 12.1 s. A node now goes on with the plan that it holds until a second before it stops, and takes over none. The release had never been written: cancelling the changes cancelled the task that wrote it.

--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -52,6 +52,7 @@
 IDLE_CLOSE_S = 3.0
 # What is left of the grace when everything still open is given up.
 STOP_MARGIN_S = 0.7
+ORDERING_LOOK_S = 0.1
 
 
 async def run_gateway(
@@ -117,6 +118,7 @@
 async def _drain(state: GatewayState, accepting: anyio.CancelScope) -> None:
     logger.info("leaving", in_flight=state.in_flight.count)
     state.leaving = True
+    state.stops_at = state.clock.now() + state.settings.stop_grace_s - STOP_MARGIN_S
     state.wake_keeper()
     deadline = anyio.current_time() + state.settings.stop_grace_s - STOP_MARGIN_S
     await anyio.sleep(IDLE_CLOSE_S)
@@ -127,5 +129,7 @@
         connection.close()
     with anyio.CancelScope(deadline=deadline):
         await state.in_flight.wait_idle()
+        while state.ordering:  # noqa: ASYNC110
+            await anyio.sleep(ORDERING_LOOK_S)
         return
     logger.warning("grace ran out", in_flight=state.in_flight.count)
--- a/src/agatehoist/gateway/holding.py
+++ b/src/agatehoist/gateway/holding.py
@@ -81,6 +81,8 @@
 
     async def release(self) -> None:
         """Let another node go on at once when this one stops."""
+        if self.held is None:
+            return
         idle_s = self._state.clock.now() - self._ordered_at
         await self.write_over(changing=(), released=True, idle_s=idle_s)
         self.held = None
--- a/src/agatehoist/gateway/keeping.py
+++ b/src/agatehoist/gateway/keeping.py
@@ -33,6 +33,8 @@
 # Runs that have begun end within this time; another endpoint follows then in any case.
 CHANGE_TIMEOUT_S = 4.0
 WRITE_RETRY_S = 0.2
+# A plan is given back this long before its node stops.
+HAND_OVER_S = 1.0
 
 
 async def keep_weights(state: GatewayState) -> None:
@@ -72,7 +74,7 @@
         async with anyio.create_task_group() as self._changes:
             while True:
                 await self._wait(LOOK_S)
-                while not self._state.leaving and self._endpoints.are_outdated():
+                while self._may_go_on() and self._endpoints.are_outdated():
                     if not self._pending_since:
                         self._pending_since = self._state.clock.now()
                     await self._step()
@@ -81,12 +83,24 @@
                 if held is not None and held.plan.changing:
                     await self._write_end()
                 if self._state.leaving:
-                    self._changes.cancel_scope.cancel()
+                    # Changes under way get no leave to order from now on.
                     await self._holder.release()
+                self._state.ordering.discard(self._model)
+
+    def _may_go_on(self) -> bool:
+        """Say whether to order; a node that leaves ends what it holds while it can.
+
+        Where all nodes leave in turn, a plan that changes hands each time stands still.
+        """
+        if not self._state.leaving:
+            return True
+        left_s = self._state.stops_at - self._state.clock.now()
+        return self._holder.held is not None and left_s > HAND_OVER_S
 
     async def _step(self) -> None:
         seen = self._state.weights.plans_by_model.get(self._model)
         holder = self._holder
+        self._state.ordering.add(self._model)
         if not holder.holds(seen):
             if not await holder.take_over(seen, self._pending_since):
                 await anyio.sleep(WRITE_RETRY_S)
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -83,6 +83,8 @@
         self.in_flight = InFlight()
         self.drivers = Drivers()
         self.leaving = False
+        self.stops_at = math.inf
+        self.ordering: set[str] = set()
         self.idle_connections: set[ServerConnection] = set()
         self.rng = random.Random()
         self.incarnation = new_incarnation()
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -67,6 +67,21 @@
         loads = [len(each.orders) for each in world.engines]
         self.assertLessEqual(sum(loads), 4)
 
+    def test_a_node_that_leaves_ends_its_roll_out(self) -> None:
+        world = World()
+
+        async def run() -> None:
+            async with running(world, keeps_weights=True):
+                name_weights(world, 2)
+                await until(lambda: any(each.orders for each in world.engines))
+                world.state.leaving = True
+                world.state.stops_at = world.state.clock.now() + ROLL_OUT_S
+                await wait_for_weights(world.engines, 2)
+                await until(lambda: not world.state.ordering)
+
+        anyio.run(run)
+        self.assertTrue(world.store.spec(PLAN_KIND, MODEL)["released"])
+
     def test_another_node_keeps_its_plan(self) -> None:
         world = World()
 
