Keep the turn of the holder before when a plan is released or written anew

A node that took a plan over and released it before it had ordered said that no order had been given for ages, so the next one could order within the turn of the holder before; a node that wrote its own plan anew after a failed write forgot a turn that was still running. Orders only wait longer than before. Both new tests fail without the change.

--- a/src/agatehoist/gateway/holding.py
+++ b/src/agatehoist/gateway/holding.py
@@ -51,7 +51,8 @@
         async with self._writing:
             if not await self._write(self._fresh_plan(seen), seen):
                 return False
-        self.order_at = times.order_at
+        # A turn that runs goes on when the node writes its own plan anew.
+        self.order_at = max(self.order_at, times.order_at)
         logger.info(
             "plan taken over",
             model=self._model,
@@ -83,7 +84,9 @@
         """Let another node go on at once when this one stops."""
         if self.held is None:
             return
-        idle_s = self._state.clock.now() - self._ordered_at
+        # The holder before may have given orders until the turn began.
+        turn_began_at = self.order_at - self._state.settings.order_turn_s
+        idle_s = self._state.clock.now() - max(self._ordered_at, turn_began_at)
         await self.write_over(changing=(), released=True, idle_s=idle_s)
         self.held = None
 
--- /dev/null
+++ b/tests/test_gateway/test_holding.py
@@ -0,0 +1,57 @@
+"""Tests of the turns between those who hold a plan."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from agatehoist.gateway.holding import PlanHolder
+from agatehoist.gateway.model_endpoints import ModelEndpoints
+from agatehoist.gateway.plans import PLAN_KIND, write_plan
+from agatehoist.weights.types import Plan, SeenPlan
+from standins.users_platform.world import MODEL, World, running
+
+TURN_S = 3.0
+# The other node's plan was last seen so long ago that it may be taken over.
+SILENT_S = 3.6
+
+
+async def take_over(world: World) -> PlanHolder:
+    """Take a plan over whose holder gave orders until shortly before."""
+    state = world.state
+    kept = world.store.put(PLAN_KIND, MODEL, write_plan(Plan(MODEL, "n2", 1, 2, 1)))
+    seen_at = state.clock.now() - SILENT_S
+    revision = kept["Metadata"]["Revision"]
+    seen = SeenPlan(Plan(MODEL, "n2", 1, 2, 1), revision, seen_at)
+    holder = PlanHolder(state, ModelEndpoints(state, MODEL))
+    assert await holder.take_over(seen, seen_at), "the plan is free"
+    return holder
+
+
+class TurnTests(unittest.TestCase):
+    def test_a_release_tells_of_the_orders_of_the_holder_before(self) -> None:
+        world = World()
+
+        async def run() -> None:
+            async with running(world):
+                holder = await take_over(world)
+                await holder.release()
+
+        anyio.run(run)
+        self.assertLess(world.store.spec(PLAN_KIND, MODEL)["idle_s"], TURN_S)
+
+    def test_taking_the_own_plan_again_doesn_t_end_the_wait(self) -> None:
+        world = World()
+
+        async def run() -> None:
+            async with running(world):
+                holder = await take_over(world)
+                order_at = holder.order_at
+                self.assertGreater(order_at, world.state.clock.now())
+                held = holder.held
+                holder.held = None
+                self.assertTrue(await holder.take_over(held, 0.0))
+                self.assertGreaterEqual(holder.order_at, order_at)
+
+        anyio.run(run)
