Bound the log lines that wait by their bytes

Found by reading: the lines that waited were joined into one piece at each flush and counted as one, so a reader that stood still let them grow without end, and each line copied all of them again.

--- a/src/agatehoist/observability/logs.py
+++ b/src/agatehoist/observability/logs.py
@@ -63,7 +63,7 @@
             structlog.processors.JSONRenderer(default=str),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS_BY_NAME[level]),
-        logger_factory=structlog.PrintLoggerFactory(output),  # type: ignore[arg-type]
+        logger_factory=structlog.WriteLoggerFactory(output),  # type: ignore[arg-type]
         cache_logger_on_first_use=True,
     )
     structlog.get_logger(part="logs").info("begin")
--- /dev/null
+++ b/tests/test_observability/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of logs and metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_observability/test_output.py
@@ -0,0 +1,51 @@
+"""Tests of the bounded output of log lines."""
+
+from __future__ import annotations
+
+import os
+import unittest
+
+from agatehoist.observability.output import BoundedOutput
+
+LINE = "x" * 500 + "\n"
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+
+
+class BoundedOutputTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.read_end, self.write_end = os.pipe()
+        os.set_blocking(self.read_end, False)
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, self.write_end)
+        self.output = BoundedOutput(self.write_end)
+        self.output.max_lines_per_s = 1_000_000
+
+    def _read(self) -> bytes:
+        data = b""
+        while True:
+            try:
+                data += os.read(self.read_end, 1 << 20)
+            except BlockingIOError:
+                return data
+            finally:
+                self.output.flush()
+
+    def test_a_reader_that_stands_still_is_not_waited_for(self) -> None:
+        for _ in range(20_000):
+            self.output.write(LINE)
+            self.output.flush()
+        self.assertLess(self.output.waiting_bytes, MAX_KEPT_BYTES)
+
+    def test_what_is_dropped_is_counted_and_lines_stay_whole(self) -> None:
+        for _ in range(20_000):
+            self.output.write(LINE)
+            self.output.flush()
+        text = (self._read() + self._read()).decode()
+        self.output.write(LINE)
+        self.output.flush()
+        text += self._read().decode()
+        lines = text.splitlines()
+        self.assertEqual(
+            {each for each in lines if not each.startswith("{")}, {"x" * 500}
+        )
+        self.assertTrue(any("lines dropped" in each for each in lines))
