--- a/tests/test_observability/test_output.py
+++ b/tests/test_observability/test_output.py
@@ -17,8 +17,7 @@
         os.set_blocking(self.read_end, False)
         self.addCleanup(os.close, self.read_end)
         self.addCleanup(os.close, self.write_end)
-        self.output = BoundedOutput(self.write_end)
-        self.output.max_lines_per_s = 1_000_000
+        self.output = BoundedOutput(self.write_end, max_lines_per_s=1_000_000)
 
     def _read(self) -> bytes:
         data = b""
