Ignore hangups until a process listens to them

Cause: SIGHUP ends a Python process that has no handler yet. A settings file that changed between the start and the first look wasn't read either.

Ruled out: installing the receiver earlier in the event loop; the imports before it take most of the start.

--- a/src/agatehoist/__main__.py
+++ b/src/agatehoist/__main__.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from agatehoist.cli import main
+import signal
 
 if __name__ == "__main__":
+    # A hangup asks for a reload and would end a process that doesn't listen to it yet,
+    # so it is ignored before anything that takes time is imported.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    from agatehoist.cli import main
+
     main()
--- a/src/agatehoist/gateway/reloading.py
+++ b/src/agatehoist/gateway/reloading.py
@@ -29,7 +29,8 @@
     """Take changed settings, on a signal or when the file changes, until cancelled."""
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(_follow_signals, state, path, load)
-        written = _written_at(path)
+        # The file may have changed since the process read it to start.
+        written = 0
         while True:
             await anyio.sleep(LOOK_S)
             now_written = _written_at(path)
--- /dev/null
+++ b/standins/users_platform/processes.py
@@ -0,0 +1,53 @@
+"""Gateways as separate processes, with settings as the platform writes them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import yaml
+
+from standins.fleet import PRODUCT_MODULE, free_ports
+from standins.users_platform.serving import HOST
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from standins.fleet import Fleet
+
+# The shares of the platform's bounds that concern a process's life.
+BOUNDS = {"GraceS": 8, "LeaseMs": 3000, "VersionMs": 8000, "RetrySlack": 56}
+
+
+def start_gateway(fleet: Fleet, name: str, store_port: int) -> None:
+    """Start a gateway; it is found under its name in the fleet."""
+    front, ready, inner = free_ports(3)
+    fleet.ports_by_name[name] = front
+    fleet.ports_by_name[ready_name(name)] = ready
+    fleet.inner_ports_by_name[name] = inner
+    path = write_settings(fleet, name, store_port)
+    fleet.start(name, PRODUCT_MODULE, "gateway", "--settings", str(path))
+
+
+def ready_name(name: str) -> str:
+    """Return the name under which the fleet holds a gateway's readiness port."""
+    return f"{name}-ready"
+
+
+def write_settings(fleet: Fleet, name: str, store_port: int) -> Path:
+    """Write a gateway's settings file, or write it anew, and return its path."""
+    path = fleet.folder / f"{name}.yaml"
+    document = {
+        "NodeName": name,
+        "Ip": HOST,
+        "Zone": "z1",
+        "Listen": {
+            "Front": f"{HOST}:{fleet.ports_by_name[name]}",
+            "Ready": f"{HOST}:{fleet.ports_by_name[ready_name(name)]}",
+        },
+        "InternalPorts": [fleet.inner_ports_by_name[name]],
+        "Seeds": [],
+        "Bounds": BOUNDS,
+        "Platform": {"Address": f"{HOST}:{store_port}"},
+    }
+    path.write_text(yaml.safe_dump(document), encoding="utf-8")
+    return path
