Say that a peer closed before its answer's end

Ruled out: treating the two kinds apart changes no decision; both mean that the outcome is unknown.

Tests: tests/test_http1/test_client.py is new, 10 rows; the 4 of early ends fail without the change.

--- a/src/agatehoist/http1/client.py
+++ b/src/agatehoist/http1/client.py
@@ -116,16 +116,26 @@
         return b"".join(parts)
 
     async def _next_event(self) -> h11.Event:
+        closed = False
         while True:
             try:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     break
-                self._http.receive_data(await self._channel.receive())
+                data = await self._channel.receive()
+                closed = not data
+                self._http.receive_data(data)
             except h11.RemoteProtocolError as error:
+                if closed:
+                    raise self._closed_early() from error
                 raise AnswerGarbledError(f"{self._channel.peer}: {error}") from error
         if isinstance(event, h11.ConnectionClosed):
-            raise ConnectionFailedError(f"{self._channel.peer}: closed by the peer")
+            raise self._closed_early()
         if not isinstance(event, h11.Event):
             raise AnswerGarbledError(f"{self._channel.peer}: bytes beyond the answer")
         return event
+
+    def _closed_early(self) -> ConnectionFailedError:
+        return ConnectionFailedError(
+            f"{self._channel.peer}: closed before the answer's end"
+        )
--- /dev/null
+++ b/tests/test_http1/test_client.py
@@ -0,0 +1,81 @@
+"""Tests of the client side of a connection."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.errors import AgatehoistError
+from agatehoist.http1.channel import connect
+from agatehoist.http1.client import ClientConnection
+from agatehoist.http1.errors import AnswerGarbledError, ConnectionFailedError
+from agatehoist.http1.types import RequestHead
+from standins.users_platform.serving import HOST, listening
+
+if TYPE_CHECKING:
+    from agatehoist.http1.channel import Channel
+
+HEAD = RequestHead(b"GET", b"/", ((b"host", b"a.example"),))
+MAX_BODY_BYTES = 1000
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
+
+
+async def read(answer: bytes) -> bytes | AgatehoistError:
+    """Return the body or the error that the client makes of an answer."""
+
+    async def serve(channel: Channel) -> None:
+        await channel.receive()
+        await channel.send(answer)
+        channel.close()
+
+    async with listening(serve) as port:
+        connection = ClientConnection(await connect(HOST, port))
+        try:
+            await connection.send(HEAD, b"")
+            await connection.read_head()
+            return await connection.read_body(MAX_BODY_BYTES)
+        except AgatehoistError as error:
+            # Raised here, it would come out in the group of the server's tasks.
+            return error
+        finally:
+            connection.close()
+
+
+class AnswerTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("length", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab"),
+            ("chunks", CHUNKED + b"0\r\n\r\n"),
+            ("until_closed", b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nab"),
+        ]
+    )
+    def test_whole(self, _name: str, answer: bytes) -> None:
+        self.assertEqual(anyio.run(read, answer), b"ab")
+
+    @parameterized.expand(
+        [
+            ("nothing", b""),
+            ("part_of_a_head", b"HTTP/1.1 200 OK\r\ncontent-le"),
+            ("short_body", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab"),
+            ("chunks_without_end", CHUNKED),
+        ]
+    )
+    def test_closed_too_early(self, _name: str, answer: bytes) -> None:
+        error = anyio.run(read, answer)
+        self.assertIsInstance(error, ConnectionFailedError)
+        self.assertRegex(str(error), r"^127.0.0.1:\d+: closed before the answer's end$")
+
+    @parameterized.expand(
+        [
+            ("no_http", b"\x00\x01 no answer\r\n\r\n"),
+            ("bad_length", b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nab"),
+            ("too_long", b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n" + b"x" * 2000),
+        ]
+    )
+    def test_no_answer(self, _name: str, answer: bytes) -> None:
+        self.assertIsInstance(anyio.run(read, answer), AnswerGarbledError)
