Let gateways tell each other when weights were named

Cause: a process that starts doesn't know when the weights were named that it finds, and counts them as named long before. Running nodes know the time only as exactly as their last look, up to 4 s before.

Each node now sends with its load what was named lately and how long ago at most. Such a bound holds for everybody, so the latest one counts. A report that a suspended process reads late counts as sent when nothing was there to be read.

Ruled out: the time in the plan or the object, as clocks may differ by 5 s; a shorter watch at each node, which costs calls in proportion.

--- a/bench/capacity/gateway.py
+++ b/bench/capacity/gateway.py
@@ -10,9 +10,9 @@
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Candidate, Offer, Question
 from agatehoist.platform.documents import read_configuration
-from agatehoist.protocol.load_reports import (
+from agatehoist.protocol.node_reports import (
     EndpointLoad,
-    LoadReport,
+    NodeReport,
     decode_report,
     encode_report,
 )
@@ -119,8 +119,8 @@
     return processor_us(lambda: decode_report(data))
 
 
-def _report(count: int) -> LoadReport:
+def _report(count: int) -> NodeReport:
     loads = {
         endpoint(number).lifetime: EndpointLoad(5, 9000) for number in range(count)
     }
-    return LoadReport("front-cariboo-1", 1_784_186_469_033, 1000, loads)
+    return NodeReport("front-cariboo-1", 1_784_186_469_033, 1000, loads)
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from agatehoist.protocol.load_reports import EndpointLoad, LoadReport
+from agatehoist.protocol.node_reports import EndpointLoad, NodeReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -57,7 +57,7 @@
 class PeerLoad:
     """Hold the last report of another node and when it came."""
 
-    report: LoadReport
+    report: NodeReport
     received_at: float
 
 
@@ -76,7 +76,7 @@
             for lifetime, work in self._work_by_lifetime.items()
         }
 
-    def take_report(self, report: LoadReport, now: float) -> None:
+    def take_report(self, report: NodeReport, now: float) -> None:
         """Take a peer's report unless a newer one has come before."""
         known = self._peers_by_node.get(report.node)
         if known is not None:
--- a/src/agatehoist/gateway/sharing.py
+++ b/src/agatehoist/gateway/sharing.py
@@ -1,4 +1,4 @@
-"""Exchange of load reports between gateways."""
+"""Exchange of reports between gateways: their load and what was named lately."""
 
 from __future__ import annotations
 
@@ -11,9 +11,10 @@
 
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.errors import BadFrameError
-from agatehoist.protocol.load_reports import (
+from agatehoist.protocol.node_reports import (
     MAX_DATAGRAM_BYTES,
-    LoadReport,
+    Naming,
+    NodeReport,
     decode_report,
     encode_report,
 )
@@ -27,6 +28,7 @@
 # Changes within this time go into one report.
 GATHER_S = 0.04
 REPEAT_S = 1.0
+MS_PER_S = 1000.0
 # Bounds what a report costs in a large fleet; the capacity page works it out.
 MAX_PEERS = 31
 
@@ -58,9 +60,14 @@
         with anyio.move_on_after(REPEAT_S):
             await state.load_changed.wait()
         state.load_changed = anyio.Event()
-        loads = state.load.snapshot()
         sequence += 1
-        report = LoadReport(state.settings.node, started_ms, sequence, loads)
+        report = NodeReport(
+            state.settings.node,
+            started_ms,
+            sequence,
+            state.load.snapshot(),
+            _namings(state),
+        )
         data = encode_report(report)
         for peer in choose_peers(state.settings.inner, state.nodes):
             _send_quietly(sock, data, peer)
@@ -75,8 +82,20 @@
         logger.debug("report not sent", peer=str(peer), reason=str(error))
 
 
+def _namings(state: GatewayState) -> tuple[Naming, ...]:
+    now = state.clock.now()
+    lately = state.weights.named_since(now - state.settings.weights_in_force_s)
+    return tuple(
+        Naming(weights.model, weights.version, round((now - at) * MS_PER_S))
+        for weights, at in lately
+    )
+
+
 async def _receive(state: GatewayState, sock: socket.socket) -> None:
     while True:
+        # A process that was suspended reads what came in the meantime, so a report
+        # counts as sent when nothing was there to be read.
+        sent_from = state.clock.now()
         await anyio.wait_readable(sock)
         try:
             data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
@@ -86,3 +105,18 @@
             continue
         if any(sender[0] == each.host for each in state.nodes):
             state.load.take_report(report, state.clock.now())
+            take_namings(state, report, sent_from)
+
+
+def take_namings(state: GatewayState, report: NodeReport, sent_from: float) -> None:
+    """Learn more exactly when weights were named."""
+    for each in report.namings:
+        named_from = sent_from - each.age_ms / MS_PER_S
+        if state.weights.hear_named(each.model, each.version, named_from):
+            logger.debug(
+                "naming heard",
+                model=each.model,
+                version=each.version,
+                age_ms=each.age_ms,
+                peer=report.node,
+            )
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Protocol
 
 from agatehoist.core.registry import Registry
@@ -10,6 +9,7 @@
 from agatehoist.gateway.plans import PLAN_KIND, read_plan
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import CONFIGURATION_REVISION
+from agatehoist.weights.plan import UNKNOWN_TIME
 from agatehoist.weights.types import SeenPlan
 
 if TYPE_CHECKING:
@@ -155,8 +155,7 @@
     watch_s = 4.0
 
     def __init__(self) -> None:
-        # What a process finds at its start may have been named long before.
-        self._news_at = -math.inf
+        self._news_at = UNKNOWN_TIME
 
     def kind(self, kinds: ObjectKinds) -> str:
         """Return the kind of object."""
--- a/src/agatehoist/protocol/load_reports.py
+++ b/src/agatehoist/protocol/node_reports.py
@@ -1,4 +1,4 @@
-"""Datagrams in which gateways tell each other what they have handed out."""
+"""Datagrams in which gateways tell each other their load and what was named."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from agatehoist.protocol.errors import BadFrameError
 
-VERSION = 1
+VERSION = 2
 MAX_DATAGRAM_BYTES = 1400
 MAX_NAME_CHARACTERS = 200
 
@@ -22,8 +22,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Hold what a node has handed out; a higher sequence number is newer.
+class Naming:
+    """Say that weights were named and how long ago at most, in milliseconds."""
+
+    model: str
+    version: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReport:
+    """Hold what a node tells the others; a higher sequence number is newer.
 
     The start is the epoch time of the process in milliseconds, as numbers begin anew
     with each.
@@ -33,43 +42,51 @@
     started_ms: int
     sequence: int
     loads_by_lifetime: dict[str, EndpointLoad]
+    namings: tuple[Naming, ...] = ()
 
 
-def encode_report(report: LoadReport) -> bytes:
+def encode_report(report: NodeReport) -> bytes:
     """Return a datagram with the busiest endpoints that find room in it."""
     loads = sorted(
         report.loads_by_lifetime.items(),
         key=lambda item: item[1].unread_tokens,
         reverse=True,
     )
+    namings = [[each.model, each.version, each.age_ms] for each in report.namings]
+    head = [VERSION, report.node, report.started_ms, report.sequence, namings]
     while True:
         listed = [[name, load.runs, load.unread_tokens] for name, load in loads]
-        head = [VERSION, report.node, report.started_ms, report.sequence]
         data: bytes = msgpack.packb([*head, listed])
         if len(data) <= MAX_DATAGRAM_BYTES or not loads:
             return data
         loads = loads[: len(loads) * 3 // 4]
 
 
-def decode_report(data: bytes) -> LoadReport:
+def decode_report(data: bytes) -> NodeReport:
     """Return the report in a datagram.
 
     Raises BadFrameError.
     """
     try:
-        version, node, started_ms, sequence, listed = msgpack.unpackb(data)
+        version, node, started_ms, sequence, named, listed = msgpack.unpackb(data)
         if version != VERSION:
             raise ValueError(f"version {version!r}")
         numbers = [started_ms, sequence]
+        namings = []
+        for model, weights_version, age_ms in named:
+            numbers += [weights_version, age_ms]
+            namings.append(Naming(_text(model), weights_version, age_ms))
         loads_by_lifetime = {}
         for name, runs, unread_tokens in listed:
             numbers += [runs, unread_tokens]
             loads_by_lifetime[_text(name)] = EndpointLoad(runs, unread_tokens)
         if not all(type(each) is int and each >= 0 for each in numbers):
             raise ValueError("a count is no whole number")
-        return LoadReport(_text(node), started_ms, sequence, loads_by_lifetime)
+        return NodeReport(
+            _text(node), started_ms, sequence, loads_by_lifetime, tuple(namings)
+        )
     except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
-        raise BadFrameError(f"no load report: {error}") from error
+        raise BadFrameError(f"no report of a node: {error}") from error
 
 
 def _text(value: object) -> str:
--- a/src/agatehoist/weights/plan.py
+++ b/src/agatehoist/weights/plan.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from agatehoist.weights.types import NamedWeights
+
 if TYPE_CHECKING:
     from agatehoist.fleet.types import Endpoint
-    from agatehoist.weights.types import NamedWeights, SeenPlan
+    from agatehoist.weights.types import SeenPlan
 
 # A change of weights that takes longer has failed, so its endpoint may be tried.
 MAX_CHANGE_S = 5.0
+# When weights were named that a process finds at its start: maybe long before.
+UNKNOWN_TIME = -math.inf
 # Namings of a model that are remembered with their times.
 MAX_NAMINGS = 16
 
@@ -24,18 +29,41 @@
         self.plans_by_model: dict[str, SeenPlan] = {}
         self._changing_since_by_lifetime: dict[str, float] = {}
 
-    def name(self, weights: NamedWeights, now: float) -> bool:
-        """Take named weights and say whether they are new; older ones are ignored."""
+    def name(self, weights: NamedWeights, named_from: float) -> bool:
+        """Take named weights and say whether they are new; older ones are ignored.
+
+        The time lies before the naming: the last look at which it wasn't there.
+        """
         before = self.named_by_model.get(weights.model)
         if before is not None and before.version >= weights.version:
             return False
         self.named_by_model[weights.model] = weights
         named_at = self._named_at_by_model.setdefault(weights.model, {})
-        named_at[weights.version] = now
+        named_at[weights.version] = named_from
         for version in sorted(named_at)[:-MAX_NAMINGS]:
             del named_at[version]
         return True
 
+    def hear_named(self, model: str, version: int, named_from: float) -> bool:
+        """Take from a peer a time that lies before the naming of known weights.
+
+        The latest of such times is the nearest; returns whether it is this one.
+        """
+        named_at = self._named_at_by_model.get(model, {})
+        if version not in named_at or named_at[version] >= named_from:
+            return False
+        named_at[version] = named_from
+        return True
+
+    def named_since(self, since: float) -> tuple[tuple[NamedWeights, float], ...]:
+        """Return the weights named after a time, each with a time before its naming."""
+        return tuple(
+            (NamedWeights(model, version), at)
+            for model, named_at in self._named_at_by_model.items()
+            for version, at in named_at.items()
+            if at > since
+        )
+
     def see(self, seen: SeenPlan) -> bool:
         """Take a plan and say whether it is newer than the one known."""
         before = self.plans_by_model.get(seen.plan.model)
--- a/tests/test_fleet/test_load.py
+++ b/tests/test_fleet/test_load.py
@@ -7,15 +7,15 @@
 from parameterized import parameterized
 
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S, FRESH_S, Load
-from agatehoist.protocol.load_reports import EndpointLoad, LoadReport
+from agatehoist.protocol.node_reports import EndpointLoad, NodeReport
 
 NOW = 50.0
 
 
-def report(started_ms: int, sequence: int, unread_tokens: int) -> LoadReport:
+def report(started_ms: int, sequence: int, unread_tokens: int) -> NodeReport:
     """Return a peer's report."""
     loads = {"e@1": EndpointLoad(0, unread_tokens)}
-    return LoadReport("peer", started_ms, sequence, loads)
+    return NodeReport("peer", started_ms, sequence, loads)
 
 
 class LoadTests(unittest.TestCase):
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -8,7 +8,10 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.gateway.choosing import required_version
 from agatehoist.gateway.plans import PLAN_KIND, write_plan
+from agatehoist.gateway.sharing import take_namings
+from agatehoist.protocol.node_reports import Naming, NodeReport
 from agatehoist.weights.types import Plan
 from standins.users_platform.world import MODEL, World, running, until
 
@@ -143,3 +146,21 @@
         used = [each.version for each in world.engines for _ in each.runs]
         self.assertEqual(set(used), {2} if updated else {1})
         self.assertEqual(len(used), 12)
+
+    @parameterized.expand([("lately", 500, 0), ("long_before", 7500, 2)])
+    def test_peers_tell_when_the_weights_were_named(
+        self, _name: str, age_ms: int, required: int
+    ) -> None:
+        world = World()
+        name_weights(world, 2)
+        report = NodeReport("n2", 5, 7, {}, (Naming(MODEL, 2, age_ms),))
+
+        async def run() -> None:
+            async with running(world):
+                state = world.state
+                now = state.clock.now()
+                self.assertEqual(required_version(state, MODEL, now), 2)
+                take_namings(state, report, now)
+                self.assertEqual(required_version(state, MODEL, now), required)
+
+        anyio.run(run)
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -7,7 +7,7 @@
 
 from parameterized import parameterized
 
-from agatehoist.weights.plan import WeightsView
+from agatehoist.weights.plan import UNKNOWN_TIME, WeightsView
 from agatehoist.weights.types import NamedWeights, Plan, SeenPlan
 from agatehoist.weights.waves import (
     LEASE_S,
@@ -101,6 +101,37 @@
             self.assertTrue(view.name(NamedWeights("m", named), at))
         self.assertEqual(view.required_version("m", until), version)
 
+    @parameterized.expand(
+        [
+            ("found_at_the_start", UNKNOWN_TIME, 5.0, 5.0),
+            ("nearer", 4.0, 5.0, 5.0),
+            ("farther", 6.0, 5.0, 6.0),
+        ]
+    )
+    def test_the_nearest_time_before_a_naming_counts(
+        self, _name: str, known: float, heard: float, expected: float
+    ) -> None:
+        view = WeightsView()
+        view.name(NamedWeights("m", 3), known)
+        view.hear_named("m", 3, heard)
+        self.assertEqual(view.required_version("m", expected), 3)
+        self.assertEqual(view.required_version("m", expected - 0.1), 0)
+
+    def test_namings_that_arent_known_yet_are_not_taken_from_peers(self) -> None:
+        view = WeightsView()
+        view.name(NamedWeights("m", 3), 1.0)
+        self.assertFalse(view.hear_named("m", 4, 2.0))
+        self.assertFalse(view.hear_named("other", 3, 2.0))
+        self.assertEqual(view.target("m"), 3)
+
+    @parameterized.expand([(0.5, [3, 4]), (1.0, [4]), (9.0, [])])
+    def test_namings_of_late(self, since: float, versions: list[int]) -> None:
+        view = WeightsView()
+        for at, named in ((UNKNOWN_TIME, 2), (1.0, 3), (2.0, 4)):
+            view.name(NamedWeights("m", named), at)
+        found = [weights.version for weights, _ in view.named_since(since)]
+        self.assertEqual(found, versions)
+
     def test_older_names_and_plans_are_ignored(self) -> None:
         view = WeightsView()
         view.name(NamedWeights("m", 3), 1.0)
