Ask shortly after a cut watch, and page on while the store is busy

Ruled out: the relay (the call went to the store itself); a lost answer (410 came at the watch's end, 12.262 s).

The first watch after a failure lasts 0.3 s.

A list of 3,001 endpoints takes 7 pages and all nodes list at once, over the 2,000 reads a second; a page that was refused began the list anew and was tried through a peer as well. Refused pages are now asked for again, peers help a busy store only after a second, and the time for which changes are gathered grows with the nodes.

--- a/src/agatehoist/gateway/watching.py
+++ b/src/agatehoist/gateway/watching.py
@@ -17,8 +17,14 @@
 
 logger = get_logger("gateway")
 
-# Changes come in bursts; one watch takes what arrives within this time.
+# Changes come in bursts; one watch takes what arrives within this time. All nodes ask
+# again after each burst, so that many wait longer: 1,000 nodes with four watches ask
+# 2,000 times a second at most, which is the store's rate.
 GATHER_S = 0.05
+GATHER_S_PER_NODE = 0.002
+# Watches are cut when the store drops its history, and one that is asked for in that
+# instant waits to its end for changes that are gone.
+FIRST_WATCH_S = 0.3
 FIRST_RETRY_S = 0.1
 # A configuration must be in force within two seconds of the store's return.
 MAX_RETRY_S = 0.8
@@ -38,7 +44,8 @@
     reached = True
     while True:
         try:
-            news = await _read(state, kind, revision, topic.watch_s)
+            watch_s = topic.watch_s if reached else FIRST_WATCH_S
+            news = await _read(state, kind, revision, watch_s)
         except HistoryLostError:
             logger.info("history lost, listing again", topic=name, revision=revision)
             revision = None
@@ -61,7 +68,7 @@
             continue
         topic.change(state, news)
         if news.changes:
-            await anyio.sleep(GATHER_S)
+            await anyio.sleep(max(GATHER_S, GATHER_S_PER_NODE * len(state.nodes)))
 
 
 async def _read(
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -17,12 +17,14 @@
 from agatehoist.http1.types import Reply, ReplyHead, RequestHead
 from agatehoist.observability.metrics import PLATFORM_CALLS_TOTAL
 from agatehoist.platform.names import OBJECTS_PATH
+from agatehoist.storage.backoff import Backoff
 from agatehoist.storage.errors import (
     ConflictError,
     HistoryLostError,
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
+    StoreBusyError,
 )
 from agatehoist.storage.objects import Change, Changes, Listing, StoredValue
 
@@ -39,6 +41,14 @@
 # Watches are cut when the store drops its history; what is asked again at once may
 # still be answered from before.
 RELAY_AFTER_S = 0.1
+# A store that refuses calls beyond its rate gets no more of them through peers, unless
+# it goes on for so long that it may be this machine that it refuses.
+BUSY_RELAY_AFTER_S = 1.0
+# Pages of a list are asked for again while the store is busy, since a list that began
+# anew would cost more calls than it takes. All processes list when all have started.
+LIST_TIMEOUT_S = 10.0
+FIRST_PAGE_RETRY_S = 0.2
+MAX_PAGE_RETRY_S = 1.6
 # The longest watch that a peer asks for, and what its answer takes.
 RELAYED_TIMEOUT_S = 31.0
 MS_PER_S = 1000
@@ -72,11 +82,12 @@
         """
         found: list[StoredValue] = []
         after = ""
+        deadline = self._clock.now() + LIST_TIMEOUT_S
         while True:
             query = {"AllowStale": "1"} if stale else {}
             if after:
                 query["after"] = after
-            page = await self._call("GET", f"/{kind}", query)
+            page = await self._read_page(kind, query, deadline)
             found += [_value(each) for each in _items(page, "items")]
             revision = _revision(page)
             if not page.get("HasMore") or not found:
@@ -123,6 +134,20 @@
         body = {"Metadata": {"Name": name, "Revision": revision}, "Spec": spec}
         return _value(await self._call("PUT", f"/{kind}/{name}", body=body))
 
+    async def _read_page(
+        self, kind: str, query: dict[str, Any], deadline: float
+    ) -> dict[str, Any]:
+        backoff = Backoff(self._rng, FIRST_PAGE_RETRY_S, MAX_PAGE_RETRY_S)
+        while True:
+            try:
+                return await self._call("GET", f"/{kind}", query)
+            except StoreBusyError:
+                now = self._clock.now()
+                retry_at = backoff.retry_at(now)
+                if retry_at > deadline:
+                    raise
+                await anyio.sleep(retry_at - now)
+
     async def _call(
         self,
         method: str,
@@ -139,8 +164,9 @@
             found = await self._try(
                 call, method, target, body, self._address, timeout_s
             )
-        except PlatformUnavailableError:
-            relay = self._choose_relay()
+        except PlatformUnavailableError as error:
+            busy = isinstance(error, StoreBusyError)
+            relay = self._choose_relay(BUSY_RELAY_AFTER_S if busy else RELAY_AFTER_S)
             if method != "GET" or relay is None:
                 raise
         except PlatformError:
@@ -201,11 +227,11 @@
             PLATFORM_CALLS_TOTAL.inc({"purpose": method, "outcome": outcome})
         return status, answer
 
-    def _choose_relay(self) -> Address | None:
+    def _choose_relay(self, after_s: float) -> Address | None:
         """Return a peer once the store has failed for a while; one cut is no sign."""
         now = self._clock.now()
         self._failing_since = min(self._failing_since, now)
-        if now < self._failing_since + RELAY_AFTER_S:
+        if now < self._failing_since + after_s:
             return None
         relays = sorted(self.relays(), key=str)
         return self._rng.choice(relays) if relays else None
@@ -240,6 +266,8 @@
         raise ConflictError(call)
     if status == HTTPStatus.GONE:
         raise HistoryLostError(call)
+    if status == HTTPStatus.TOO_MANY_REQUESTS:
+        raise StoreBusyError(f"{call}: status {status}")
     if status >= HTTPStatus.BAD_REQUEST:
         raise PlatformUnavailableError(f"{call}: status {status}")
     try:
--- a/src/agatehoist/storage/errors.py
+++ b/src/agatehoist/storage/errors.py
@@ -13,6 +13,10 @@
     """Report that no answer came; a write may have taken effect."""
 
 
+class StoreBusyError(PlatformUnavailableError):
+    """Report that the call was refused, since all processes made too many."""
+
+
 class BudgetExhaustedError(PlatformUnavailableError):
     """Report that the call was not sent, since too many were."""
 
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -16,6 +16,7 @@
     from agatehoist.http1.types import Request
 
 PATH = "/agatehoist/objects/"
+PAGE_OBJECTS = 500
 JSON = ((b"content-type", b"application/json"),)
 
 
@@ -28,6 +29,9 @@
         self.calls: list[str] = []
         self.down = False
         self.loses_writes = 0
+        self.busy_every = 0
+        self.misses_watches = 0
+        self._cuts = 0
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._oldest = 1
         self._changed = anyio.Event()
@@ -56,6 +60,11 @@
         self._oldest = self.revision + 1
         self._wake()
 
+    def cut_watches(self) -> None:
+        """Break off all watches that wait."""
+        self._cuts += 1
+        self._wake()
+
     async def serve(self, channel: Channel) -> None:
         """Serve a connection."""
         await serve_requests(channel, self._answer)
@@ -68,9 +77,16 @@
         if self.down:
             await connection.send_whole(503, (), b"")
             return
+        if self.busy_every and len(self.calls) % self.busy_every == 0:
+            await connection.send_whole(429, (), b"")
+            return
         query = dict(parse_qsl(url.query))
         body = json.loads(request.body) if request.body else {}
+        cuts = self._cuts
         status, value = await self._call(method, kind, name, query, body)
+        if "Watch" in query and cuts != self._cuts:
+            connection.abort()
+            return
         if method != "GET" and self.loses_writes:
             self.loses_writes -= 1
             connection.abort()
@@ -92,8 +108,13 @@
             return await self._watch(kind, int(query["Watch"]), int(query["WaitMs"]))
         if name:
             return (200, objects[name]) if name in objects else (404, {})
-        items = [objects[each] for each in sorted(objects)]
-        return 200, {"items": items, "HasMore": False, "CurrentRev": self.revision}
+        return 200, self._page(objects, query.get("after", ""))
+
+    def _page(self, objects: dict[str, dict[str, Any]], after: str) -> dict[str, Any]:
+        names = [each for each in sorted(objects) if each > after]
+        items = [objects[each] for each in names[:PAGE_OBJECTS]]
+        more = len(names) > PAGE_OBJECTS
+        return {"items": items, "HasMore": more, "CurrentRev": self.revision}
 
     def _replace(self, kind: str, name: str, body: Any) -> tuple[int, Any]:
         kept = self.objects_by_kind[kind].get(name)
@@ -105,13 +126,23 @@
         return 200, self.put(kind, name, body["Spec"])
 
     async def _watch(self, kind: str, after: int, wait_ms: int) -> tuple[int, Any]:
+        cuts = self._cuts
+        hears = not self.misses_watches
+        self.misses_watches = max(0, self.misses_watches - 1)
         with anyio.move_on_after(wait_ms / 1000):
-            while not (events := self._events(kind, after)) and after >= self._oldest:
+            while cuts == self._cuts and not (hears and self._has_news(kind, after)):
                 await self._changed.wait()
-        if after + 1 < self._oldest:
+        if self._has_forgotten(after):
             return 410, {}
+        events = self._events(kind, after)
         return 200, {"Events": events, "CurrentRev": self.revision}
 
+    def _has_news(self, kind: str, after: int) -> bool:
+        return self._has_forgotten(after) or bool(self._events(kind, after))
+
+    def _has_forgotten(self, after: int) -> bool:
+        return after + 1 < self._oldest
+
     def _events(self, kind: str, after: int) -> list[dict[str, Any]]:
         return [
             {"Object": kept, "Deleted": removed}
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -16,9 +16,10 @@
     HistoryLostError,
     ObjectNotFoundError,
     PlatformUnavailableError,
+    StoreBusyError,
 )
 from standins.users_platform.serving import HOST, listening
-from standins.users_platform.store import StoreStandIn
+from standins.users_platform.store import PAGE_OBJECTS, StoreStandIn
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -53,6 +54,11 @@
     await store.list("k")
 
 
+async def _ask_while_busy(standin: StoreStandIn, store: PlatformStore) -> None:
+    standin.busy_every = 1
+    await store.watch("k", 1, 1.0)
+
+
 async def _lose_an_answer(standin: StoreStandIn, store: PlatformStore) -> None:
     standin.loses_writes = 1
     await store.create("k", "a", {})
@@ -84,6 +90,7 @@
             (_watch_forgotten, HistoryLostError),
             (_get_nothing, ObjectNotFoundError),
             (_ask_while_down, PlatformUnavailableError),
+            (_ask_while_busy, StoreBusyError),
             (_lose_an_answer, PlatformUnavailableError),
         ]
     )
@@ -125,6 +132,31 @@
 
         play(step)
 
+    def test_pages_are_asked_again_while_the_store_is_busy(self) -> None:
+        async def step(standin: StoreStandIn, store: PlatformStore) -> None:
+            for number in range(3 * PAGE_OBJECTS):
+                standin.put("k", f"{number:05}", {})
+            standin.busy_every = 2
+            listing = await store.list("k")
+            self.assertEqual(len(listing.values), 3 * PAGE_OBJECTS)
+            self.assertEqual(len(standin.calls), 5)
+
+        play(step)
+
+    def test_a_busy_store_is_not_asked_through_a_peer(self) -> None:
+        async def step(standin: StoreStandIn, store: PlatformStore) -> None:
+            standin.busy_every = 1
+            other = StoreStandIn()
+            async with listening(other.serve) as port:
+                store.relays = lambda: [Address(HOST, port)]
+                for _ in range(3):
+                    with self.assertRaises(StoreBusyError):
+                        await store.watch("k", 1, 1.0)
+                    await anyio.sleep(RELAY_AFTER_S)
+            self.assertEqual(other.calls, [])
+
+        play(step)
+
     def test_a_watch_brings_changes_in_order(self) -> None:
         async def step(standin: StoreStandIn, store: PlatformStore) -> None:
             listing = await store.list("k")
