Add `platform check`, `platform status` and an installable command

The docs named an `agatehoist` command that nothing installed; `make install` puts it into `.venv/bin`.

Tests: tests/test_cli/test_platform.py.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts bench-spread bench-admission
+.PHONY: env install demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts bench-spread bench-admission
 
 env: $(VENV)/.made
 
@@ -13,6 +13,9 @@
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements/dev.txt
 	touch $@
 
+install: env
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps -e .
+
 demo: env
 	$(PYTHON) -m demo
 
--- /dev/null
+++ b/src/agatehoist/cli/platform.py
@@ -0,0 +1,52 @@
+"""Commands that check the platform's files and show what its store holds."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import anyio
+
+from agatehoist.cli.commands import COMMANDS
+from agatehoist.cli.operators import print_lines
+from agatehoist.core.clock import SystemClock
+from agatehoist.errors import InvalidInputError
+from agatehoist.gateway.overview import Overview, overview_lines, read_overview
+from agatehoist.platform.adapter import UsersPlatform
+from agatehoist.platform.boot import load_settings
+from agatehoist.platform.documents import read_configuration
+from agatehoist.platform.store import PlatformStore
+
+
+@COMMANDS.register("platform check")
+def check(settings: str = "", configuration: str = "") -> None:
+    """Print every finding of the platform's files; exit 2 if there is one.
+
+    Args:
+        settings: settings file of a process.
+        configuration: JSON file with the operators' configuration.
+    """
+    if settings:
+        load_settings(Path(settings))
+        print(f"{settings}: no findings")
+    if configuration:
+        read_configuration(_load_json(configuration))
+        print(f"{configuration}: no findings")
+
+
+@COMMANDS.register("platform status")
+def status(settings: str) -> None:
+    """Show the configuration, nodes, weights and endpoints that the store holds."""
+    print_lines(overview_lines(anyio.run(_read_overview, settings)))
+
+
+async def _read_overview(path: str) -> Overview:
+    store = PlatformStore(load_settings(Path(path)).store, SystemClock())
+    return await read_overview(store, UsersPlatform())
+
+
+def _load_json(path: str) -> object:
+    try:
+        return json.loads(Path(path).read_text(encoding="utf-8"))
+    except ValueError as error:
+        raise InvalidInputError(f"{path}: no JSON: {error}") from error
--- /dev/null
+++ b/src/agatehoist/gateway/overview.py
@@ -0,0 +1,98 @@
+"""What the store holds at the moment, as lines for an operator."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
+
+from agatehoist.errors import AgatehoistError
+from agatehoist.fleet.types import Endpoint
+from agatehoist.gateway.nodes import NODE_KIND
+from agatehoist.gateway.plans import PLAN_KIND, read_plan
+from agatehoist.routing.types import RoutingTable
+from agatehoist.weights.types import NamedWeights, Plan
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from agatehoist.gateway.types import Platform
+    from agatehoist.storage.objects import Listing, ObjectStore
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Overview:
+    """Hold what the store says, and why objects of it can't be read."""
+
+    table: RoutingTable | None
+    endpoints: tuple[Endpoint, ...]
+    named: tuple[NamedWeights, ...]
+    plans: tuple[Plan, ...]
+    nodes: tuple[str, ...]
+    unread: tuple[str, ...]
+
+
+async def read_overview(store: ObjectStore, platform: Platform) -> Overview:
+    """Return what the store holds.
+
+    Raises PlatformUnavailableError.
+    """
+    kinds = platform.kinds
+    unread: list[str] = []
+    tables = _read(
+        await store.list(kinds.configuration), platform.read_configuration, unread
+    )
+    endpoints = _read(await store.list(kinds.endpoints), platform.read_endpoint, unread)
+    named = _read(
+        await store.list(kinds.weights),
+        lambda _name, spec: platform.read_weights(spec),
+        unread,
+    )
+    plans = _read(
+        await store.list(PLAN_KIND), lambda _name, spec: read_plan(spec), unread
+    )
+    nodes = tuple(each.name for each in (await store.list(NODE_KIND)).values)
+    table = next((each for each in tables if each is not None), None)
+    return Overview(table, endpoints, named, plans, nodes, tuple(unread))
+
+
+def overview_lines(overview: Overview) -> Iterator[str]:
+    """Return the lines that show an overview."""
+    table = overview.table
+    version = table.version if table else "none"
+    yield f"configuration  {version}"
+    yield f"nodes          {' '.join(overview.nodes) or 'none'}"
+    for plan in overview.plans:
+        state = "released" if plan.released else f"held by {plan.holder}"
+        yield f"plan           {plan.model} to {plan.target}, {state}"
+    for each in overview.named:
+        yield f"weights        {each.model} {each.version}"
+    for endpoint in overview.endpoints:
+        weights = " ".join(
+            f"{model} {version}"
+            for model, version in endpoint.versions_by_model.items()
+        )
+        leaving = "leaving" if endpoint.leaving else ""
+        fields = (
+            "endpoint      ",
+            endpoint.lifetime,
+            endpoint.service,
+            weights,
+            leaving,
+        )
+        yield " ".join(each for each in fields if each)
+    for reason in overview.unread:
+        yield f"not understood {reason}"
+
+
+def _read(
+    listing: Listing, convert: Callable[[str, object], T], unread: list[str]
+) -> tuple[T, ...]:
+    found = []
+    for value in listing.values:
+        try:
+            found.append(convert(value.name, value.spec))
+        except AgatehoistError as error:
+            unread.append(f"{value.name}: {error}")
+    return tuple(found)
--- a/standins/users_platform/processes.py
+++ b/standins/users_platform/processes.py
@@ -20,10 +20,6 @@
 
 def start_gateway(fleet: Fleet, name: str, store_port: int) -> None:
     """Start a gateway; it is found under its name in the fleet."""
-    front, ready, inner = free_ports(3)
-    fleet.ports_by_name[name] = front
-    fleet.ports_by_name[ready_name(name)] = ready
-    fleet.inner_ports_by_name[name] = inner
     path = write_settings(fleet, name, store_port)
     fleet.start(name, PRODUCT_MODULE, "gateway", "--settings", str(path))
 
@@ -35,6 +31,11 @@
 
 def write_settings(fleet: Fleet, name: str, store_port: int) -> Path:
     """Write a gateway's settings file, or write it anew, and return its path."""
+    if name not in fleet.ports_by_name:
+        front, ready, inner = free_ports(3)
+        fleet.ports_by_name[name] = front
+        fleet.ports_by_name[ready_name(name)] = ready
+        fleet.inner_ports_by_name[name] = inner
     path = fleet.folder / f"{name}.yaml"
     document = {
         "NodeName": name,
--- /dev/null
+++ b/tests/test_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- /dev/null
+++ b/tests/test_cli/test_platform.py
@@ -0,0 +1,95 @@
+"""Tests of the commands for the platform's files and store."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+from parameterized import parameterized
+
+from agatehoist.cli import main
+from standins.fleet import Fleet
+from standins.users_platform.processes import write_settings
+from standins.users_platform.world import MODEL, World, configuration, surroundings
+
+EXIT_INVALID = 2
+NAME = "gateway-0"
+
+
+def run_command(*arguments: str) -> tuple[int, str]:
+    """Return the exit status of a command and what it printed."""
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        try:
+            main(("platform", *arguments))
+        except SystemExit as ended:
+            return int(ended.code or 0), output.getvalue()
+    return 0, output.getvalue()
+
+
+class CheckTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("whole", json.dumps(configuration()), 0, "no findings"),
+            ("no_json", "{", EXIT_INVALID, "no JSON"),
+            (
+                "wrong_kind",
+                json.dumps(configuration()).replace('"stream"', '"river"'),
+                EXIT_INVALID,
+                "Routes[2].Kind",
+            ),
+        ]
+    )
+    def test_configuration(
+        self, _name: str, text: str, expected: int, shown: str
+    ) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "configuration.json"
+            path.write_text(text, encoding="utf-8")
+            status, output = run_command("check", "--configuration", str(path))
+        self.assertEqual(status, expected, output)
+        self.assertIn(shown, output)
+
+    @parameterized.expand(
+        [("whole", "Zone", 0, "no findings"), ("no_zone", "Area", EXIT_INVALID, "Zone")]
+    )
+    def test_settings(self, _name: str, field: str, expected: int, shown: str) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(Path(folder))
+            path = write_settings(fleet, NAME, 1)
+            path.write_text(path.read_text().replace("Zone", field))
+            status, output = run_command("check", "--settings", str(path))
+        self.assertEqual(status, expected, output)
+        self.assertIn(shown, output)
+
+
+class StatusTests(unittest.TestCase):
+    def test_what_the_store_holds(self) -> None:
+        async def run() -> str:
+            world = World()
+            world.store.put("versions", MODEL, {"Model": MODEL, "Version": 2})
+            world.store.put("servers", "broken", {"Service": 7})
+            async with surroundings(world) as port:
+                with tempfile.TemporaryDirectory() as folder:
+                    path = write_settings(Fleet(Path(folder)), NAME, port)
+                    status, output = await anyio.to_thread.run_sync(
+                        run_command, "status", str(path)
+                    )
+            self.assertEqual(status, 0, output)
+            return output
+
+        output = anyio.run(run)
+        for line in (
+            r"^configuration  3$",
+            r"^nodes          none$",
+            rf"^weights        {MODEL} 2$",
+            rf"^endpoint       engine-0@\d+ engines {MODEL} 1$",
+            r"^not understood broken: ",
+        ):
+            self.assertRegex(output, f"(?m){line}")
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -12,7 +12,7 @@
 BUILD_FOLDER = Path("build/binary")
 TARGET = Path("dist/agatehoist")
 INTERPRETER = "/usr/bin/env python3.11"
-ENTRY_POINT = "agatehoist.cli:main"
+ENTRY_POINT = "agatehoist.__main__:run"
 
 # Compiled modules can't be loaded from an archive; each has a fallback.
 _LEFT_OUT = ("*.so", "bin", "orjson", "__pycache__")
