Bound the bytes of reports between gateways

At the target size load reports were worked out at 21 KB a second a node, over the 7 KB of all control, since each change went whole to 31 peers with 26-byte names.

A report now names endpoints by six bytes, leaves out what hasn't changed (all once a second, as datagrams are lost), and the next one waits until 5 KB a second pay for it.

Ruled out: the bound alone with whole reports.

--- a/bench/capacity/gateway.py
+++ b/bench/capacity/gateway.py
@@ -15,6 +15,7 @@
     NodeReport,
     decode_report,
     encode_report,
+    endpoint_key,
 )
 from bench.capacity.slopes import allocated_bytes, processor_us, slope
 
@@ -121,6 +122,7 @@
 
 def _report(count: int) -> NodeReport:
     loads = {
-        endpoint(number).lifetime: EndpointLoad(5, 9000) for number in range(count)
+        endpoint_key(endpoint(number).lifetime): EndpointLoad(5, 9000)
+        for number in range(count)
     }
-    return NodeReport("front-cariboo-1", 1_784_186_469_033, 1000, loads)
+    return NodeReport("front-cariboo-1", 1_784_186_469_033, 1000, True, loads)
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from agatehoist.protocol.node_reports import EndpointLoad, NodeReport
+from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -18,6 +18,7 @@
 # A peer reports at least once a second while it has work out; silence means it's gone.
 FRESH_S = 1.5
 FORGET_PEER_S = 60.0
+NOTHING = EndpointLoad(0, 0)
 
 
 @dataclass(slots=True)
@@ -55,9 +56,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLoad:
-    """Hold the last report of another node and when it came."""
+    """Hold what another node has handed out, as of its last report."""
 
-    report: NodeReport
+    started_ms: int
+    sequence: int
+    loads_by_key: dict[bytes, EndpointLoad]
     received_at: float
 
 
@@ -69,21 +72,26 @@
         self._peers_by_node: dict[str, PeerLoad] = {}
         self._on_change = on_change
 
-    def snapshot(self) -> dict[str, EndpointLoad]:
+    def snapshot(self) -> dict[bytes, EndpointLoad]:
         """Return what this process has handed out."""
         return {
-            lifetime: EndpointLoad(work.runs, work.unread_tokens)
+            endpoint_key(lifetime): EndpointLoad(work.runs, work.unread_tokens)
             for lifetime, work in self._work_by_lifetime.items()
         }
 
     def take_report(self, report: NodeReport, now: float) -> None:
         """Take a peer's report unless a newer one has come before."""
         known = self._peers_by_node.get(report.node)
+        loads_by_key = report.loads_by_key
         if known is not None:
-            before = (known.report.started_ms, known.report.sequence)
+            before = (known.started_ms, known.sequence)
             if (report.started_ms, report.sequence) <= before:
                 return
-        self._peers_by_node[report.node] = PeerLoad(report, now)
+            if not report.whole and known.started_ms == report.started_ms:
+                loads_by_key = {**known.loads_by_key, **loads_by_key}
+        self._peers_by_node[report.node] = PeerLoad(
+            report.started_ms, report.sequence, loads_by_key, now
+        )
         for node, peer in tuple(self._peers_by_node.items()):
             if now > peer.received_at + FORGET_PEER_S:
                 del self._peers_by_node[node]
@@ -115,7 +123,16 @@
         own = self._work_by_lifetime.get(lifetime)
         if own is not None:
             yield EndpointLoad(own.runs, own.unread_tokens)
+        key = endpoint_key(lifetime)
         for peer in self._peers_by_node.values():
-            load = peer.report.loads_by_lifetime.get(lifetime)
+            load = peer.loads_by_key.get(key)
             if load is not None and now <= peer.received_at + FRESH_S:
                 yield load
+
+
+def changed_loads(
+    before: dict[bytes, EndpointLoad], after: dict[bytes, EndpointLoad]
+) -> dict[bytes, EndpointLoad]:
+    """Return what has changed between two snapshots; nothing handed out is a zero."""
+    changed = {key: load for key, load in after.items() if before.get(key) != load}
+    return changed | dict.fromkeys(before.keys() - after.keys(), NOTHING)
--- a/src/agatehoist/gateway/sharing.py
+++ b/src/agatehoist/gateway/sharing.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from agatehoist.fleet.load import changed_loads
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.protocol.node_reports import (
@@ -22,15 +23,21 @@
 if TYPE_CHECKING:
     from agatehoist.core.address import Address
     from agatehoist.gateway.state import GatewayState
+    from agatehoist.protocol.node_reports import EndpointLoad
 
 logger = get_logger("gateway")
 
 # Changes within this time go into one report.
 GATHER_S = 0.04
+# A report tells all endpoints in use so often, as datagrams are lost.
 REPEAT_S = 1.0
-MS_PER_S = 1000.0
-# Bounds what a report costs in a large fleet; the capacity page works it out.
+# All of a node's control may send and receive 7 KB a second.
+MAX_BYTES_PER_S = 5000.0
+# IP and UDP.
+HEADER_BYTES = 28
+# More would not get a whole report a second within the bound.
 MAX_PEERS = 31
+MS_PER_S = 1000.0
 
 
 async def share_load(state: GatewayState) -> None:
@@ -54,24 +61,34 @@
 
 
 async def _send(state: GatewayState, sock: socket.socket) -> None:
-    started_ms = int(time.time() * 1000)
+    started_ms = int(time.time() * MS_PER_S)
     sequence = 0
+    whole_at = 0.0
+    told: dict[bytes, EndpointLoad] = {}
     while True:
         with anyio.move_on_after(REPEAT_S):
             await state.load_changed.wait()
         state.load_changed = anyio.Event()
+        loads = state.load.snapshot()
+        now = state.clock.now()
+        whole = now >= whole_at + REPEAT_S
+        whole_at = now if whole else whole_at
         sequence += 1
         report = NodeReport(
             state.settings.node,
             started_ms,
             sequence,
-            state.load.snapshot(),
-            _namings(state),
+            whole,
+            loads if whole else changed_loads(told, loads),
+            _namings(state) if whole else (),
         )
+        told = loads
         data = encode_report(report)
-        for peer in choose_peers(state.settings.inner, state.nodes):
+        peers = choose_peers(state.settings.inner, state.nodes)
+        for peer in peers:
             _send_quietly(sock, data, peer)
-        await anyio.sleep(GATHER_S)
+        sent = len(peers) * (len(data) + HEADER_BYTES)
+        await anyio.sleep(max(GATHER_S, sent / MAX_BYTES_PER_S))
 
 
 def _send_quietly(sock: socket.socket, data: bytes, peer: Address) -> None:
--- a/tests/test_fleet/test_load.py
+++ b/tests/test_fleet/test_load.py
@@ -6,16 +6,23 @@
 
 from parameterized import parameterized
 
-from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S, FRESH_S, Load
-from agatehoist.protocol.node_reports import EndpointLoad, NodeReport
+from agatehoist.fleet.load import (
+    DEFAULT_PREFILL_TOKENS_PER_S,
+    FRESH_S,
+    Load,
+    changed_loads,
+)
+from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
 
 NOW = 50.0
 
 
-def report(started_ms: int, sequence: int, unread_tokens: int) -> NodeReport:
+def report(
+    started_ms: int, sequence: int, unread_tokens: int, whole: bool = True
+) -> NodeReport:
     """Return a peer's report."""
-    loads = {"e@1": EndpointLoad(0, unread_tokens)}
-    return NodeReport("peer", started_ms, sequence, loads)
+    loads = {endpoint_key("e@1"): EndpointLoad(0, unread_tokens)}
+    return NodeReport("peer", started_ms, sequence, whole, loads)
 
 
 class LoadTests(unittest.TestCase):
@@ -46,3 +53,41 @@
         expected = tokens / DEFAULT_PREFILL_TOKENS_PER_S
         self.assertAlmostEqual(load.wait_s("e@1", NOW), expected)
         self.assertEqual(load.wait_s("e@1", NOW + FRESH_S + 0.1), 0.0)
+
+    @parameterized.expand(
+        [
+            ("kept", (1, 2, False), 200),
+            ("whole_report", (1, 2, True), 0),
+            ("restarted", (2, 1, False), 0),
+        ]
+    )
+    def test_what_a_partial_report_leaves_out(
+        self, _name: str, second: tuple[int, int, bool], tokens: int
+    ) -> None:
+        load = Load()
+        load.take_report(report(1, 1, 200), NOW)
+        started_ms, sequence, whole = second
+        load.take_report(NodeReport("peer", started_ms, sequence, whole, {}), NOW)
+        expected = tokens / DEFAULT_PREFILL_TOKENS_PER_S
+        self.assertAlmostEqual(load.wait_s("e@1", NOW), expected)
+
+    @parameterized.expand(
+        [
+            ("nothing", {"a": 1}, {"a": 1}, {}),
+            ("more", {"a": 1}, {"a": 2}, {"a": 2}),
+            ("new", {}, {"a": 1}, {"a": 1}),
+            ("ended", {"a": 1, "b": 1}, {"b": 1}, {"a": 0}),
+        ]
+    )
+    def test_changes(
+        self,
+        _name: str,
+        before: dict[str, int],
+        after: dict[str, int],
+        expected: dict[str, int],
+    ) -> None:
+        found, known, told = (
+            {endpoint_key(name): EndpointLoad(runs, 0) for name, runs in each.items()}
+            for each in (after, before, expected)
+        )
+        self.assertEqual(changed_loads(known, found), told)
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -153,7 +153,7 @@
     ) -> None:
         world = World()
         name_weights(world, 2)
-        report = NodeReport("n2", 5, 7, {}, (Naming(MODEL, 2, age_ms),))
+        report = NodeReport("n2", 5, 7, True, {}, (Naming(MODEL, 2, age_ms),))
 
         async def run() -> None:
             async with running(world):
--- a/tests/test_protocol/test_node_reports.py
+++ b/tests/test_protocol/test_node_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 
 import msgpack
 from hypothesis import given
@@ -12,41 +13,55 @@
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.protocol.node_reports import (
     MAX_DATAGRAM_BYTES,
+    VERSION,
     EndpointLoad,
     Naming,
     NodeReport,
     decode_report,
     encode_report,
+    endpoint_key,
 )
 
+KEY = endpoint_key("e1@4")
 REPORT = NodeReport(
-    "n1", 5, 7, {"e1@4": EndpointLoad(3, 900)}, (Naming("songs", 3, 250),)
+    "n1", 5, 7, True, {KEY: EndpointLoad(3, 900)}, (Naming("songs", 3, 250),)
 )
 
 
+def packed(
+    version: int = VERSION, node: Any = "n", namings: Any = (), loads: Any = ()
+) -> bytes:
+    """Return a datagram with these fields."""
+    data: bytes = msgpack.packb([version, node, 1, 1, True, namings, loads])
+    return data
+
+
 class NodeReportTests(unittest.TestCase):
     def test_round_trip(self) -> None:
         self.assertEqual(decode_report(encode_report(REPORT)), REPORT)
 
     def test_the_busiest_endpoints_find_room(self) -> None:
-        loads = {f"endpoint-{n:04d}@1": EndpointLoad(1, n) for n in range(500)}
-        data = encode_report(NodeReport("n1", 5, 7, loads))
+        loads = {endpoint_key(f"endpoint-{n}"): EndpointLoad(1, n) for n in range(500)}
+        data = encode_report(NodeReport("n1", 5, 7, True, loads))
         self.assertLessEqual(len(data), MAX_DATAGRAM_BYTES)
-        self.assertIn("endpoint-0499@1", decode_report(data).loads_by_lifetime)
+        found = decode_report(data).loads_by_key
+        self.assertIn(endpoint_key("endpoint-499"), found)
 
     @parameterized.expand(
         [
             ("empty", b""),
             ("no_list", msgpack.packb(7)),
-            ("other_version", msgpack.packb([1, "n", 1, 1, [], []])),
-            ("number_for_node", msgpack.packb([2, 5, 1, 1, [], []])),
-            ("negative_count", msgpack.packb([2, "n", 1, 1, [], [["e", -1, 2]]])),
-            ("text_for_count", msgpack.packb([2, "n", 1, 1, [], [["e", "x", 2]]])),
-            ("truth_for_count", msgpack.packb([2, "n", 1, 1, [], [["e", True, 2]]])),
-            ("short_entry", msgpack.packb([2, "n", 1, 1, [], [["e"]]])),
-            ("short_naming", msgpack.packb([2, "n", 1, 1, [["m", 3]], []])),
-            ("negative_age", msgpack.packb([2, "n", 1, 1, [["m", 3, -1]], []])),
-            ("number_for_model", msgpack.packb([2, "n", 1, 1, [[7, 3, 1]], []])),
+            ("other_version", packed(version=2)),
+            ("number_for_node", packed(node=5)),
+            ("negative_count", packed(loads=[[KEY, -1, 2]])),
+            ("text_for_count", packed(loads=[[KEY, "x", 2]])),
+            ("truth_for_count", packed(loads=[[KEY, True, 2]])),
+            ("short_entry", packed(loads=[[KEY]])),
+            ("short_key", packed(loads=[[b"e", 1, 2]])),
+            ("text_for_key", packed(loads=[["e1@4.6", 1, 2]])),
+            ("short_naming", packed(namings=[["m", 3]])),
+            ("negative_age", packed(namings=[["m", 3, -1]])),
+            ("number_for_model", packed(namings=[[7, 3, 1]])),
         ]
     )
     def test_other_datagrams_are_refused(self, _name: str, data: bytes) -> None:
