Ask for offers anew on a retry, and take peers' namings at their earliest

Offers older than 0.2 s are now asked for again.

A report now counts as sent when the socket was last empty, the earliest time of each peer counts, and only a node's own look is told.

Ruled out: the lists (the leaving entry was known 5 ms after it was written), the waves.

Tests: OfferTests (2 rows; the old one fails without the change), test_sharing (fails without), test_waves (rows for reports long under way, nothing passed on). Two rows of test_the_run_before_the_move_counts now expect a placement before the next run and check that run too. test_hangup_while_the_process_starts failed once beside load: signals that arrive before the interpreter runs the program can't be ignored by it; the test waits until the program has begun, and fails as before if it doesn't ignore them.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -60,6 +60,8 @@
 MAX_RESUMES = 2
 MAX_RESUMES_OF_CALL = 10
 RETRY_DELAY_S = 1.0
+# Endpoints leave and take other weights; the news of it is everywhere after this time.
+OFFER_VALID_S = 0.2
 
 EVENT_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt event")
 
@@ -82,6 +84,7 @@
         self._next_id = next_id
         self._rng = rng
         self._offers: list[Offer] = []
+        self._offered_at = 0.0
         self._may_have_run: set[AttemptId] = set()
         self._dispatches = 0
         self._placements = 0
@@ -118,6 +121,7 @@
     @EVENT_HANDLERS.register(Offered)
     def _on_offers(self, event: Offered, now: float) -> Decisions:
         self._offers = list(event.offers)
+        self._offered_at = now
         return self._dispatch(now)
 
     @EVENT_HANDLERS.register(NotWritten)
@@ -208,6 +212,9 @@
             return self._on_deadline(DeadlinePassed(), now)
         if not self._offers:
             return self._place_again(now)
+        if now > self._offered_at + OFFER_VALID_S:
+            self._offers = []
+            return (Place(now),)
         if self._dispatches and not self._budget.try_spend():
             return self._out_of_retries(now)
         offer = self._offers.pop(0)
--- a/src/agatehoist/gateway/sharing.py
+++ b/src/agatehoist/gateway/sharing.py
@@ -109,15 +109,23 @@
 
 
 async def _receive(state: GatewayState, sock: socket.socket) -> None:
+    # A process that was suspended reads what came in the meantime, so a report counts
+    # as sent when nothing was there to be read.
+    sent_from = state.clock.now()
     while True:
-        # A process that was suspended reads what came in the meantime, so a report
-        # counts as sent when nothing was there to be read.
-        sent_from = state.clock.now()
-        await anyio.wait_readable(sock)
         try:
             data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
+        except BlockingIOError:
+            sent_from = state.clock.now()
+            await anyio.wait_readable(sock)
+            continue
+        except OSError as error:
+            logger.debug("report not received", reason=str(error))
+            await anyio.sleep(GATHER_S)
+            continue
+        try:
             report = decode_report(data)
-        except (OSError, BadFrameError) as error:
+        except BadFrameError as error:
             logger.debug("report not understood", reason=str(error))
             continue
         if any(sender[0] == each.host for each in state.nodes):
@@ -129,11 +137,4 @@
     """Learn more exactly when weights were named."""
     for each in report.namings:
         named_from = sent_from - each.age_ms / MS_PER_S
-        if state.weights.hear_named(each.model, each.version, named_from):
-            logger.debug(
-                "naming heard",
-                model=each.model,
-                version=each.version,
-                age_ms=each.age_ms,
-                peer=report.node,
-            )
+        state.weights.hear_named(each.model, each.version, report.node, named_from)
--- a/src/agatehoist/weights/plan.py
+++ b/src/agatehoist/weights/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from agatehoist.weights.types import NamedWeights
@@ -20,12 +20,31 @@
 MAX_NAMINGS = 16
 
 
+@dataclass(slots=True)
+class _Naming:
+    """Hold times that lie before a naming: this process's and what peers told."""
+
+    looked_at: float
+    heard_by_node: dict[str, float] = field(default_factory=dict)
+
+    def hear(self, node: str, named_from: float) -> None:
+        """Take a time from a peer."""
+        # A report that was long under way makes the time too late.
+        known = self.heard_by_node.get(node, math.inf)
+        self.heard_by_node[node] = min(known, named_from)
+
+    @property
+    def at(self) -> float:
+        """Return the latest of the times, which is the nearest to the naming."""
+        return max(self.looked_at, *self.heard_by_node.values(), UNKNOWN_TIME)
+
+
 class WeightsView:
     """Follow the named weights and the plans; times are in epoch seconds."""
 
     def __init__(self) -> None:
         self.named_by_model: dict[str, NamedWeights] = {}
-        self._named_at_by_model: dict[str, dict[int, float]] = {}
+        self._namings_by_model: dict[str, dict[int, _Naming]] = {}
         self.plans_by_model: dict[str, SeenPlan] = {}
         self._changing_since_by_lifetime: dict[str, float] = {}
 
@@ -38,30 +57,30 @@
         if before is not None and before.version >= weights.version:
             return False
         self.named_by_model[weights.model] = weights
-        named_at = self._named_at_by_model.setdefault(weights.model, {})
-        named_at[weights.version] = named_from
-        for version in sorted(named_at)[:-MAX_NAMINGS]:
-            del named_at[version]
+        namings = self._namings_by_model.setdefault(weights.model, {})
+        namings[weights.version] = _Naming(named_from)
+        for version in sorted(namings)[:-MAX_NAMINGS]:
+            del namings[version]
         return True
 
-    def hear_named(self, model: str, version: int, named_from: float) -> bool:
-        """Take from a peer a time that lies before the naming of known weights.
-
-        The latest of such times is the nearest; returns whether it is this one.
-        """
-        named_at = self._named_at_by_model.get(model, {})
-        if version not in named_at or named_at[version] >= named_from:
-            return False
-        named_at[version] = named_from
-        return True
+    def hear_named(
+        self, model: str, version: int, node: str, named_from: float
+    ) -> None:
+        """Take from a peer a time that lies before the naming of known weights."""
+        namings = self._namings_by_model.get(model, {})
+        if version in namings:
+            namings[version].hear(node, named_from)
 
     def named_since(self, since: float) -> tuple[tuple[NamedWeights, float], ...]:
-        """Return the weights named after a time, each with a time before its naming."""
+        """Return the weights named after a time, with this process's own look before.
+
+        What peers told isn't passed on; it would grow later with each report.
+        """
         return tuple(
-            (NamedWeights(model, version), at)
-            for model, named_at in self._named_at_by_model.items()
-            for version, at in named_at.items()
-            if at > since
+            (NamedWeights(model, version), naming.looked_at)
+            for model, namings in self._namings_by_model.items()
+            for version, naming in namings.items()
+            if naming.looked_at > since
         )
 
     def see(self, seen: SeenPlan) -> bool:
@@ -105,13 +124,14 @@
 
     def waiting_since(self, model: str, version: int, now: float) -> float:
         """Return when the first weights newer than a version were named."""
-        named_at = self._named_at_by_model.get(model, {})
-        return min((at for v, at in named_at.items() if v > version), default=now)
+        namings = self._namings_by_model.get(model, {})
+        return min((each.at for v, each in namings.items() if v > version), default=now)
 
     def required_version(self, model: str, named_until: float) -> int:
         """Return the newest weights version that was named until a time, or 0."""
-        named_at = self._named_at_by_model.get(model, {})
-        return max((v for v, at in named_at.items() if at <= named_until), default=0)
+        namings = self._namings_by_model.get(model, {})
+        named = (v for v, each in namings.items() if each.at <= named_until)
+        return max(named, default=0)
 
     def is_changing(self, endpoint: Endpoint, now: float) -> bool:
         """Say whether an endpoint is about to take new weights, or takes them."""
--- a/tests/test_attempts/test_moves.py
+++ b/tests/test_attempts/test_moves.py
@@ -19,6 +19,7 @@
     Finish,
     Offered,
     PiecesArrived,
+    Place,
     Refuse,
     Rules,
     RunMoved,
@@ -79,8 +80,8 @@
         [
             ("rejected", NotStarted.refuse("other weights"), False, 2, Refuse),
             ("lost", OutcomeUnknown.refuse("reset"), False, 2, Refuse),
-            ("rejected_resumable", NotStarted.refuse("other weights"), True, 2, Submit),
-            ("lost_resumable", OutcomeUnknown.refuse("reset"), True, 2, Submit),
+            ("rejected_resumable", NotStarted.refuse("other weights"), True, 2, Place),
+            ("lost_resumable", OutcomeUnknown.refuse("reset"), True, 2, Place),
             ("rejected_last_run", NotStarted.refuse("other weights"), True, 1, Refuse),
         ]
     )
@@ -97,3 +98,30 @@
         self.assertIsInstance(decisions[-1], expected)
         if isinstance(decisions[-1], Refuse):
             self.assertIsNot(decisions[-1].refusal.run, Run.NO)
+            return
+        # The offers date from before the move.
+        (submit,) = machine.handle(Offered((offer("d"),)), 0.3)
+        assert isinstance(submit, Submit)
+        self.assertEqual((submit.offer, submit.pieces), (offer("d"), ("x", "y")))
+
+
+class OfferTests(unittest.TestCase):
+    @parameterized.expand([("fresh", 0.1, False), ("old", 0.3, True)])
+    def test_old_offers_are_asked_for_again(
+        self, _name: str, failed_at: float, placed: bool
+    ) -> None:
+        machine = RequestMachine(
+            Rules(True, 9.0), RetryBudget(), lambda: FIRST, random.Random(1)
+        )
+        machine.start(0.0)
+        machine.handle(Offered((offer("a"), offer("b"))), 0.0)
+        lost = OutcomeUnknown.refuse("reset").refusal
+        (decision,) = machine.handle(AttemptRefused(FIRST, lost), failed_at)
+        if not placed:
+            assert isinstance(decision, Submit)
+            self.assertEqual(decision.offer, offer("b"))
+            return
+        self.assertEqual(decision, Place(failed_at))
+        (decision,) = machine.handle(Offered((offer("c"),)), failed_at)
+        assert isinstance(decision, Submit)
+        self.assertEqual(decision.offer, offer("c"))
--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -100,6 +100,13 @@
                 fleet.kill_all()
 
 
+def ignores_hangup(pid: int) -> bool:
+    """Say whether a process ignores SIGHUP, by its mask in the kernel's view."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    (mask,) = (line for line in status.splitlines() if line.startswith("SigIgn:"))
+    return bool(int(mask.split()[1], 16) & 1 << signal.SIGHUP - 1)
+
+
 def moved_configuration() -> dict[str, Any]:
     """Return a newer configuration, in which one path has moved."""
     newer = configuration(version=4)
@@ -278,9 +285,11 @@
         async def run() -> None:
             async with gateway_process() as setting:
                 process = setting.fleet.processes_by_name[NAME]
+                # The interpreter itself, before it runs the program, can't be spared.
+                await until(lambda: ignores_hangup(process.pid))
                 for _ in range(20):
-                    await anyio.sleep(LOOK_S)
                     process.send_signal(signal.SIGHUP)
+                    await anyio.sleep(LOOK_S)
                 await setting.until_ready()
                 self.assertIsNone(process.poll())
 
--- /dev/null
+++ b/tests/test_gateway/test_sharing.py
@@ -0,0 +1,53 @@
+"""Tests of reports that reach a process which was suspended."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from dataclasses import replace
+
+import anyio
+
+from agatehoist.core.address import Address
+from agatehoist.core.clock import ManualClock
+from agatehoist.gateway.choosing import required_version
+from agatehoist.gateway.sharing import share_load
+from agatehoist.protocol.node_reports import Naming, NodeReport, encode_report
+from agatehoist.weights.types import NamedWeights
+from standins.fleet import free_ports
+from standins.users_platform.serving import HOST
+from standins.users_platform.world import MODEL, World, running
+
+# Longer than a request may begin on replaced weights.
+SUSPENDED_S = 7.5
+SETTLE_S = 0.1
+
+
+class SuspensionTests(unittest.TestCase):
+    def test_reports_that_waited_tell_no_later_time(self) -> None:
+        world = World()
+        reports = [
+            NodeReport("n2", 1, number, True, {}, (Naming(MODEL, 2, 100),))
+            for number in range(1, 4)
+        ]
+
+        async def run() -> int:
+            async with running(world), anyio.create_task_group() as task_group:
+                state = world.state
+                (port,) = free_ports(1)
+                state.settings = replace(state.settings, inner=Address(HOST, port))
+                state.set_nodes(frozenset({Address(HOST, 1)}))
+                task_group.start_soon(share_load, state)
+                await anyio.sleep(SETTLE_S)
+                now = state.clock.now()
+                state.weights.name(NamedWeights(MODEL, 2), now)
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                    for each in reports:
+                        sock.sendto(encode_report(each), (HOST, port))
+                # Nothing has run since, as in a process that is suspended.
+                state.clock = ManualClock(now + SUSPENDED_S)
+                await anyio.sleep(SETTLE_S)
+                task_group.cancel_scope.cancel()
+                return required_version(state, MODEL, now + SUSPENDED_S)
+
+        self.assertEqual(anyio.run(run), 2)
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -103,26 +103,38 @@
 
     @parameterized.expand(
         [
-            ("found_at_the_start", UNKNOWN_TIME, 5.0, 5.0),
-            ("nearer", 4.0, 5.0, 5.0),
-            ("farther", 6.0, 5.0, 6.0),
+            ("found_at_the_start", UNKNOWN_TIME, [("p", 5.0)], 5.0),
+            ("nothing_heard", 4.0, [], 4.0),
+            ("nearer", 4.0, [("p", 5.0)], 5.0),
+            ("farther", 6.0, [("p", 5.0)], 6.0),
+            ("two_peers", 4.0, [("p", 5.0), ("q", 5.5)], 5.5),
+            ("a_report_long_under_way", 4.0, [("p", 9.0), ("p", 5.0)], 5.0),
+            ("another_one", 4.0, [("p", 5.0), ("p", 9.0)], 5.0),
         ]
     )
     def test_the_nearest_time_before_a_naming_counts(
-        self, _name: str, known: float, heard: float, expected: float
+        self, _name: str, known: float, heard: list[tuple[str, float]], expected: float
     ) -> None:
         view = WeightsView()
         view.name(NamedWeights("m", 3), known)
-        view.hear_named("m", 3, heard)
+        for node, named_from in heard:
+            view.hear_named("m", 3, node, named_from)
         self.assertEqual(view.required_version("m", expected), 3)
         self.assertEqual(view.required_version("m", expected - 0.1), 0)
 
+    def test_what_peers_told_is_not_passed_on(self) -> None:
+        view = WeightsView()
+        view.name(NamedWeights("m", 3), 4.0)
+        view.hear_named("m", 3, "p", 5.0)
+        self.assertEqual(view.named_since(0.0), ((NamedWeights("m", 3), 4.0),))
+
     def test_namings_that_arent_known_yet_are_not_taken_from_peers(self) -> None:
         view = WeightsView()
         view.name(NamedWeights("m", 3), 1.0)
-        self.assertFalse(view.hear_named("m", 4, 2.0))
-        self.assertFalse(view.hear_named("other", 3, 2.0))
-        self.assertEqual(view.target("m"), 3)
+        view.hear_named("m", 4, "p", 2.0)
+        view.hear_named("other", 3, "p", 2.0)
+        self.assertEqual(view.required_version("m", 9.0), 3)
+        self.assertEqual(view.required_version("other", 9.0), 0)
 
     @parameterized.expand([(0.5, [3, 4]), (1.0, [4]), (9.0, [])])
     def test_namings_of_late(self, since: float, versions: list[int]) -> None:
