--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env install demo test lint format binary demo-binary capacity soak fuzz bench bench-attempts bench-spread bench-admission
+.PHONY: env install demo test lint format binary demo-binary capacity soak soak-processes fuzz bench bench-attempts bench-spread bench-admission
 
 env: $(VENV)/.made
 
@@ -52,6 +52,11 @@
 # Long run of the seeded schedules of faults, outside CI.
 soak: env
 	AGATEHOIST_SCHEDULES=20000 AGATEHOIST_FIRST_SEED=1000000 $(PYTHON) -m tools.run_tests tests.test_attempts.test_schedules
+
+# Gateways as processes under faults from outside, with fresh seeds.
+soak-processes: env
+	$(PYTHON) -m soak --count 50
+
 fuzz: env
 	FUZZ_PROFILE=long $(PYTHON) -m unittest discover -s tests/test_fuzz -t .
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak of real gateway processes under faults from outside."""
--- /dev/null
+++ b/tests/test_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak and a short play of it."""
