Watch a paged list from its first page's revision

Found by reading: a list of more than 500 objects was followed from the revision of its last page, so a change to an object on an earlier page in between was never seen.

Ruled out: reverts; changes that later pages already show come again in their order, and the configuration is one object.

Test: test_a_change_between_pages_is_not_missed fails without the change.

--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -81,6 +81,7 @@
         Raises PlatformUnavailableError.
         """
         found: list[StoredValue] = []
+        revision: int | None = None
         after = ""
         deadline = self._clock.now() + LIST_TIMEOUT_S
         while True:
@@ -89,7 +90,8 @@
                 query["after"] = after
             page = await self._read_page(kind, query, deadline)
             found += [_value(each) for each in _items(page, "items")]
-            revision = _revision(page)
+            # What changes while the pages are read comes again with the watch.
+            revision = _revision(page) if revision is None else revision
             if not page.get("HasMore") or not found:
                 return Listing(tuple(found), revision)
             after = found[-1].name
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -143,6 +143,27 @@
 
         play(step)
 
+    def test_a_change_between_pages_is_not_missed(self) -> None:
+        async def step(standin: StoreStandIn, store: PlatformStore) -> None:
+            for number in range(2 * PAGE_OBJECTS):
+                standin.put("k", f"{number:05}", {"x": 1})
+            # The second page is refused once, which leaves time for the change.
+            standin.busy_every = 2
+
+            async def change() -> None:
+                while len(standin.calls) < 2:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+                standin.put("k", "00000", {"x": 2})
+
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(change)
+                listing = await store.list("k")
+            standin.busy_every = 0
+            news = await store.watch("k", listing.revision, 0.1)
+            self.assertEqual([each.value.spec for each in news.changes], [{"x": 2}])
+
+        play(step)
+
     def test_a_busy_store_is_not_asked_through_a_peer(self) -> None:
         async def step(standin: StoreStandIn, store: PlatformStore) -> None:
             standin.busy_every = 1
