--- a/src/agatehoist/gateway/drivers.py
+++ b/src/agatehoist/gateway/drivers.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from agatehoist.gateway.driving import DirectDriver
+
+class Driver(Protocol):
+    """Carry one request to its end."""
+
+    def consider_move(self) -> None:
+        """Move the run if its endpoint is about to stop serving it."""
 
 
 class Drivers:
     """Reach the requests under way when beliefs change."""
 
     def __init__(self) -> None:
-        self._all: set[DirectDriver] = set()
+        self._all: set[Driver] = set()
 
     @contextmanager
-    def track(self, driver: DirectDriver) -> Iterator[None]:
+    def track(self, driver: Driver) -> Iterator[None]:
         """Reach a request while the context lasts."""
         self._all.add(driver)
         try:
