--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -21,10 +21,10 @@
 NOTHING = EndpointLoad(0, 0)
 
 
-@dataclass(slots=True)
 class _Work:
-    runs: int = 0
-    unread_tokens: int = 0
+    def __init__(self) -> None:
+        self.runs = 0
+        self.unread_tokens = 0
 
 
 class Ticket:
--- a/src/agatehoist/weights/plan.py
+++ b/src/agatehoist/weights/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from agatehoist.weights.types import NamedWeights
@@ -20,23 +20,23 @@
 MAX_NAMINGS = 16
 
 
-@dataclass(slots=True)
 class _Naming:
     """Hold times that lie before a naming: this process's and what peers told."""
 
-    looked_at: float
-    heard_by_node: dict[str, float] = field(default_factory=dict)
+    def __init__(self, looked_at: float) -> None:
+        self.looked_at = looked_at
+        self._heard_by_node: dict[str, float] = {}
 
     def hear(self, node: str, named_from: float) -> None:
         """Take a time from a peer."""
         # A report that was long under way makes the time too late.
-        known = self.heard_by_node.get(node, math.inf)
-        self.heard_by_node[node] = min(known, named_from)
+        known = self._heard_by_node.get(node, math.inf)
+        self._heard_by_node[node] = min(known, named_from)
 
     @property
     def at(self) -> float:
         """Return the latest of the times, which is the nearest to the naming."""
-        return max(self.looked_at, *self.heard_by_node.values(), UNKNOWN_TIME)
+        return max(self.looked_at, *self._heard_by_node.values(), UNKNOWN_TIME)
 
 
 class WeightsView:
