--- a/soak/scene.py
+++ b/soak/scene.py
@@ -6,7 +6,6 @@
 import math
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field
 from signal import SIGTERM, Signals
 from typing import TYPE_CHECKING
 
@@ -29,22 +28,22 @@
 LONGEST_STOP_S = 20.0
 
 
-@dataclass
 class Scene:
     """Hold what the troubles act on and what the checks need."""
 
-    world: World
-    fleet: Fleet
-    store_proxies_by_gateway: dict[str, Proxy] = field(default_factory=dict)
-    endpoint_proxies_by_name: dict[str, Proxy] = field(default_factory=dict)
-    ports_by_endpoint: dict[str, int] = field(default_factory=dict)
-    changes: list[Change] = field(default_factory=list)
-    exits: list[str] = field(default_factory=list)
-    weights_version: int = 1
-    _restarts_by_gateway: dict[str, anyio.Lock] = field(default_factory=dict)
-    _log_lengths_by_gateway: dict[str, int] = field(default_factory=dict)
-    _undisturbed_since_by_gateway: dict[str, float] = field(default_factory=dict)
-    _disturbances_by_gateway: dict[str, int] = field(default_factory=dict)
+    def __init__(self, world: World, fleet: Fleet) -> None:
+        self.world = world
+        self.fleet = fleet
+        self.store_proxies_by_gateway: dict[str, Proxy] = {}
+        self.endpoint_proxies_by_name: dict[str, Proxy] = {}
+        self.ports_by_endpoint: dict[str, int] = {}
+        self.changes: list[Change] = []
+        self.exits: list[str] = []
+        self.weights_version = 1
+        self._restarts_by_gateway: dict[str, anyio.Lock] = {}
+        self._log_lengths_by_gateway: dict[str, int] = {}
+        self._undisturbed_since_by_gateway: dict[str, float] = {}
+        self._disturbances_by_gateway: dict[str, int] = {}
 
     @property
     def gateways(self) -> tuple[str, ...]:
--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -43,7 +43,7 @@
 LOOK_S = 0.05
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class Setting:
     """Hold a gateway process and its surroundings."""
 
