Cut watches in a test only when all are waiting

Its log has no line "store lost", so no watch was cut: the gateway is ready after its lists, and beside load its watches weren't there yet when the test cut them. The watch that then heard nothing was the first one, of four seconds, which no failure had come before. The test now waits until the stand-in holds a watch of each topic.

Ruled out: the gateway's short watch, which comes only after a failure; a process that has just listed misses at most what changes between its list and its watch.

--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -31,6 +31,7 @@
         self.loses_writes = 0
         self.busy_every = 0
         self.misses_watches = 0
+        self.watches_waiting = 0
         self._cuts = 0
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._oldest = 1
@@ -129,9 +130,11 @@
         cuts = self._cuts
         hears = not self.misses_watches
         self.misses_watches = max(0, self.misses_watches - 1)
+        self.watches_waiting += 1
         with anyio.move_on_after(wait_ms / 1000):
             while cuts == self._cuts and not (hears and self._has_news(kind, after)):
                 await self._changed.wait()
+        self.watches_waiting -= 1
         if self._has_forgotten(after):
             return 410, {}
         events = self._events(kind, after)
--- a/tests/test_gateway/test_watching.py
+++ b/tests/test_gateway/test_watching.py
@@ -20,7 +20,10 @@
 
         async def run() -> int:
             async with running(world):
-                world.store.misses_watches = len(list(TOPICS))
+                topics = len(list(TOPICS))
+                # A watch that isn't there yet can't be cut.
+                await until(lambda: world.store.watches_waiting == topics)
+                world.store.misses_watches = topics
                 world.store.cut_watches()
                 await until(lambda: not world.store.misses_watches)
                 world.store.put("config", "main", configuration(version=4))
