Count a naming from when the first node saw it

What a node tells its peers is when its watch brought the naming, which lies after it, not before as the code said: a node that was suspended sees it seconds late. With the old code a view that saw a naming at 4.0 and heard 7.0 didn't require it until 7.0.

The earliest time counts now, whoever saw it. What a node found in a list, with only the look before it known, is neither told nor preferred to what somebody saw. No times a peer need be kept.

Tests: the rows of test_a_naming_counts_from_when_it_was_seen_first take the place of those that held the wrong assumption (a later time of a peer counted) and add suspended peers; test_sharing has a report before the one that counts and fails if the reading time is taken.

--- a/src/agatehoist/gateway/sharing.py
+++ b/src/agatehoist/gateway/sharing.py
@@ -101,7 +101,7 @@
 
 def _namings(state: GatewayState) -> tuple[Naming, ...]:
     now = state.clock.now()
-    lately = state.weights.named_since(now - state.settings.weights_in_force_s)
+    lately = state.weights.seen_since(now - state.settings.weights_in_force_s)
     return tuple(
         Naming(weights.model, weights.version, round((now - at) * MS_PER_S))
         for weights, at in lately
@@ -136,5 +136,5 @@
 def take_namings(state: GatewayState, report: NodeReport, sent_from: float) -> None:
     """Learn more exactly when weights were named."""
     for each in report.namings:
-        named_from = sent_from - each.age_ms / MS_PER_S
-        state.weights.hear_named(each.model, each.version, report.node, named_from)
+        seen_at = sent_from - each.age_ms / MS_PER_S
+        state.weights.hear_named(each.model, each.version, seen_at)
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -163,12 +163,12 @@
 
     def put(self, state: GatewayState, value: StoredValue) -> None:
         """Take one object."""
-        self._take(state, value, state.clock.now())
+        self._take(state, value, state.clock.now(), seen=True)
 
     def replace(self, state: GatewayState, listing: Listing) -> None:
         """Take a whole list; what is new in it was named since the last news."""
         for value in listing.values:
-            self._take(state, value, self._news_at)
+            self._take(state, value, self._news_at, seen=False)
         self._news_at = state.clock.now()
 
     def change(self, state: GatewayState, changes: Changes) -> None:
@@ -176,13 +176,15 @@
         super().change(state, changes)
         self._news_at = state.clock.now()
 
-    def _take(self, state: GatewayState, value: StoredValue, named_at: float) -> None:
+    def _take(
+        self, state: GatewayState, value: StoredValue, at: float, seen: bool
+    ) -> None:
         try:
             named = state.platform.read_weights(value.spec)
         except AgatehoistError as error:
             logger.error("weights not understood", name=value.name, reason=str(error))
             return
-        if state.weights.name(named, named_at):
+        if state.weights.name(named, at, seen):
             logger.info("weights named", model=named.model, version=named.version)
             state.wake_keeper()
 
--- a/src/agatehoist/protocol/node_reports.py
+++ b/src/agatehoist/protocol/node_reports.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Naming:
-    """Say that weights were named and how long ago at most, in milliseconds."""
+    """Say how long ago the node saw that weights were named, in milliseconds."""
 
     model: str
     version: int
--- a/src/agatehoist/weights/plan.py
+++ b/src/agatehoist/weights/plan.py
@@ -21,22 +21,21 @@
 
 
 class _Naming:
-    """Hold times that lie before a naming: this process's and what peers told."""
+    """Hold when weights were seen to be named, here or by the first peer that told.
 
-    def __init__(self, looked_at: float) -> None:
-        self.looked_at = looked_at
-        self._heard_by_node: dict[str, float] = {}
+    Nobody sees a naming before it happens, so the earliest such time is the nearest.
+    What was found in a list counts from the look before until anybody has seen it.
+    """
 
-    def hear(self, node: str, named_from: float) -> None:
-        """Take a time from a peer."""
-        # A report that was long under way makes the time too late.
-        known = self._heard_by_node.get(node, math.inf)
-        self._heard_by_node[node] = min(known, named_from)
+    def __init__(self, at: float, seen: bool) -> None:
+        self.at = at
+        self.seen_here_at = at if seen else None
+        self._is_seen = seen
 
-    @property
-    def at(self) -> float:
-        """Return the latest of the times, which is the nearest to the naming."""
-        return max(self.looked_at, *self._heard_by_node.values(), UNKNOWN_TIME)
+    def hear(self, seen_at: float) -> None:
+        """Take from a peer when it saw the naming."""
+        self.at = min(self.at, seen_at) if self._is_seen else seen_at
+        self._is_seen = True
 
 
 class WeightsView:
@@ -48,39 +47,37 @@
         self.plans_by_model: dict[str, SeenPlan] = {}
         self._changing_since_by_lifetime: dict[str, float] = {}
 
-    def name(self, weights: NamedWeights, named_from: float) -> bool:
+    def name(self, weights: NamedWeights, at: float, seen: bool = True) -> bool:
         """Take named weights and say whether they are new; older ones are ignored.
 
-        The time lies before the naming: the last look at which it wasn't there.
+        The time is when the naming was seen, or else the last look before.
         """
         before = self.named_by_model.get(weights.model)
         if before is not None and before.version >= weights.version:
             return False
         self.named_by_model[weights.model] = weights
         namings = self._namings_by_model.setdefault(weights.model, {})
-        namings[weights.version] = _Naming(named_from)
+        namings[weights.version] = _Naming(at, seen)
         for version in sorted(namings)[:-MAX_NAMINGS]:
             del namings[version]
         return True
 
-    def hear_named(
-        self, model: str, version: int, node: str, named_from: float
-    ) -> None:
-        """Take from a peer a time that lies before the naming of known weights."""
+    def hear_named(self, model: str, version: int, seen_at: float) -> None:
+        """Take from a peer when it saw the naming of known weights."""
         namings = self._namings_by_model.get(model, {})
         if version in namings:
-            namings[version].hear(node, named_from)
+            namings[version].hear(seen_at)
 
-    def named_since(self, since: float) -> tuple[tuple[NamedWeights, float], ...]:
-        """Return the weights named after a time, with this process's own look before.
+    def seen_since(self, since: float) -> tuple[tuple[NamedWeights, float], ...]:
+        """Return the weights whose naming this process has seen after a time.
 
-        What peers told isn't passed on; it would grow later with each report.
+        What peers told isn't passed on, as it would change a little each time.
         """
         return tuple(
-            (NamedWeights(model, version), naming.looked_at)
+            (NamedWeights(model, version), naming.seen_here_at)
             for model, namings in self._namings_by_model.items()
             for version, naming in namings.items()
-            if naming.looked_at > since
+            if naming.seen_here_at is not None and naming.seen_here_at > since
         )
 
     def see(self, seen: SeenPlan) -> bool:
--- a/tests/test_gateway/test_sharing.py
+++ b/tests/test_gateway/test_sharing.py
@@ -13,6 +13,7 @@
 from agatehoist.gateway.choosing import required_version
 from agatehoist.gateway.sharing import share_load
 from agatehoist.protocol.node_reports import Naming, NodeReport, encode_report
+from agatehoist.weights.plan import UNKNOWN_TIME
 from agatehoist.weights.types import NamedWeights
 from standins.fleet import free_ports
 from standins.users_platform.serving import HOST
@@ -26,10 +27,10 @@
 class SuspensionTests(unittest.TestCase):
     def test_reports_that_waited_tell_no_later_time(self) -> None:
         world = World()
-        reports = [
-            NodeReport("n2", 1, number, True, {}, (Naming(MODEL, 2, 100),))
-            for number in range(1, 4)
-        ]
+        reports = (
+            NodeReport("n2", 1, 1, False, {}),
+            NodeReport("n2", 1, 2, True, {}, (Naming(MODEL, 2, 100),)),
+        )
 
         async def run() -> int:
             async with running(world), anyio.create_task_group() as task_group:
@@ -40,7 +41,7 @@
                 task_group.start_soon(share_load, state)
                 await anyio.sleep(SETTLE_S)
                 now = state.clock.now()
-                state.weights.name(NamedWeights(MODEL, 2), now)
+                state.weights.name(NamedWeights(MODEL, 2), UNKNOWN_TIME, seen=False)
                 with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
                     for each in reports:
                         sock.sendto(encode_report(each), (HOST, port))
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -103,45 +103,50 @@
 
     @parameterized.expand(
         [
-            ("found_at_the_start", UNKNOWN_TIME, [("p", 5.0)], 5.0),
-            ("nothing_heard", 4.0, [], 4.0),
-            ("nearer", 4.0, [("p", 5.0)], 5.0),
-            ("farther", 6.0, [("p", 5.0)], 6.0),
-            ("two_peers", 4.0, [("p", 5.0), ("q", 5.5)], 5.5),
-            ("a_report_long_under_way", 4.0, [("p", 9.0), ("p", 5.0)], 5.0),
-            ("another_one", 4.0, [("p", 5.0), ("p", 9.0)], 5.0),
+            ("found_at_the_start", UNKNOWN_TIME, False, [5.0], 5.0),
+            ("found_after_an_outage", 1.0, False, [5.0], 5.0),
+            ("nobody_saw_it", 4.0, False, [], 4.0),
+            ("nothing_heard", 4.0, True, [], 4.0),
+            ("a_peer_was_suspended", 4.0, True, [7.0], 4.0),
+            ("suspended_here", 7.0, True, [4.0], 4.0),
+            ("two_peers", UNKNOWN_TIME, False, [7.0, 5.0], 5.0),
+            ("a_report_long_under_way", UNKNOWN_TIME, False, [5.0, 9.0], 5.0),
         ]
     )
-    def test_the_nearest_time_before_a_naming_counts(
-        self, _name: str, known: float, heard: list[tuple[str, float]], expected: float
+    def test_a_naming_counts_from_when_it_was_seen_first(
+        self, _name: str, at: float, seen: bool, heard: list[float], expected: float
     ) -> None:
         view = WeightsView()
-        view.name(NamedWeights("m", 3), known)
-        for node, named_from in heard:
-            view.hear_named("m", 3, node, named_from)
+        view.name(NamedWeights("m", 3), at, seen)
+        for seen_at in heard:
+            view.hear_named("m", 3, seen_at)
         self.assertEqual(view.required_version("m", expected), 3)
         self.assertEqual(view.required_version("m", expected - 0.1), 0)
 
-    def test_what_peers_told_is_not_passed_on(self) -> None:
+    @parameterized.expand([("seen", True, [4.0]), ("found", False, [])])
+    def test_only_what_was_seen_here_is_told(
+        self, _name: str, seen: bool, expected: list[float]
+    ) -> None:
         view = WeightsView()
-        view.name(NamedWeights("m", 3), 4.0)
-        view.hear_named("m", 3, "p", 5.0)
-        self.assertEqual(view.named_since(0.0), ((NamedWeights("m", 3), 4.0),))
+        view.name(NamedWeights("m", 3), 4.0, seen)
+        view.hear_named("m", 3, 3.0)
+        self.assertEqual([at for _, at in view.seen_since(0.0)], expected)
 
     def test_namings_that_arent_known_yet_are_not_taken_from_peers(self) -> None:
         view = WeightsView()
         view.name(NamedWeights("m", 3), 1.0)
-        view.hear_named("m", 4, "p", 2.0)
-        view.hear_named("other", 3, "p", 2.0)
+        view.hear_named("m", 4, 0.5)
+        view.hear_named("other", 3, 0.5)
         self.assertEqual(view.required_version("m", 9.0), 3)
         self.assertEqual(view.required_version("other", 9.0), 0)
 
     @parameterized.expand([(0.5, [3, 4]), (1.0, [4]), (9.0, [])])
     def test_namings_of_late(self, since: float, versions: list[int]) -> None:
         view = WeightsView()
-        for at, named in ((UNKNOWN_TIME, 2), (1.0, 3), (2.0, 4)):
+        view.name(NamedWeights("m", 2), UNKNOWN_TIME, seen=False)
+        for at, named in ((1.0, 3), (2.0, 4)):
             view.name(NamedWeights("m", named), at)
-        found = [weights.version for weights, _ in view.named_since(since)]
+        found = [weights.version for weights, _ in view.seen_since(since)]
         self.assertEqual(found, versions)
 
     def test_older_names_and_plans_are_ignored(self) -> None:
