Let tests and the soak use one exchange and one wait

World.ask and the processes' tests sent requests by the same steps; the soak waited for its gateways by a loop of its own. Assertions are unchanged; the tests concerned passed.

--- a/soak/play.py
+++ b/soak/play.py
@@ -20,12 +20,12 @@
 from soak.troubles import TROUBLES
 from soak.types import Broken, Played
 from standins.users_platform.serving import HOST
+from standins.users_platform.world import until
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 CALLERS = 12
-START_S = 20.0
 TROUBLES_AT_ONCE = 3
 PAUSE_S = 1.0
 # What the platform allows for recovery after the last fault, and for new weights.
@@ -40,7 +40,7 @@
     rng = random.Random(seed)
     with TemporaryDirectory() as folder:
         async with scene(Path(folder), gateways) as found:
-            await _wait_ready(found)
+            await until(lambda: all(map(found.has_begun, found.gateways)))
             callers = Callers(found, rng)
             async with anyio.create_task_group() as task_group:
                 for _ in range(CALLERS):
@@ -76,13 +76,6 @@
     return tuple(made)
 
 
-async def _wait_ready(found: Scene) -> None:
-    with anyio.fail_after(START_S):
-        for gateway in found.gateways:
-            while "endpoints listed" not in found.fleet.log(gateway):  # noqa: ASYNC110
-                await anyio.sleep(0.05)
-
-
 async def _recover(found: Scene, callers: Callers) -> list[Broken]:
     deadline = time.monotonic() + RECOVER_S
     while missing := await _missing(found, callers):
--- a/standins/users_platform/serving.py
+++ b/standins/users_platform/serving.py
@@ -9,20 +9,22 @@
 import anyio
 
 from agatehoist.core.clock import SystemClock
-from agatehoist.http1.channel import accept_forever
+from agatehoist.http1.channel import accept_forever, connect
+from agatehoist.http1.client import ClientConnection
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
 from agatehoist.http1.server import ServerConnection
-from agatehoist.http1.types import ConnectionLimits
+from agatehoist.http1.types import ConnectionLimits, Reply
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from agatehoist.http1.channel import Channel
-    from agatehoist.http1.types import Request
+    from agatehoist.http1.types import Request, RequestHead
 
     Answer = Callable[[ServerConnection, Request], Awaitable[None]]
 
 HOST = "127.0.0.1"
+MAX_BODY_BYTES = 1 << 20
 
 
 @asynccontextmanager
@@ -48,3 +50,17 @@
         return
     finally:
         connection.close()
+
+
+async def exchange(port: int, head: RequestHead, body: bytes = b"") -> Reply:
+    """Send a request to a port of loopback and return the whole answer.
+
+    Raises ConnectionFailedError and AnswerGarbledError.
+    """
+    connection = ClientConnection(await connect(HOST, port))
+    try:
+        await connection.send(head, body)
+        reply_head = await connection.read_head()
+        return Reply(reply_head, await connection.read_body(MAX_BODY_BYTES))
+    finally:
+        connection.close()
--- a/standins/users_platform/world.py
+++ b/standins/users_platform/world.py
@@ -14,22 +14,21 @@
 from agatehoist.gateway.settings import GatewaySettings, RetryBounds
 from agatehoist.gateway.state import GatewayState
 from agatehoist.gateway.watching import follow_store
-from agatehoist.http1.channel import connect
-from agatehoist.http1.client import ClientConnection
-from agatehoist.http1.types import Reply, RequestHead
+from agatehoist.http1.types import RequestHead
 from agatehoist.platform.adapter import UsersPlatform
 from agatehoist.platform.store import PlatformStore
 from standins.users_platform.endpoint import EndpointStandIn
-from standins.users_platform.serving import HOST, listening
+from standins.users_platform.serving import HOST, exchange, listening
 from standins.users_platform.store import StoreStandIn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from agatehoist.http1.types import Reply
+
 MODEL = "songs-large"
 ENGINES, APPLICATION = "engines", "application"
 KEY = "key-of-the-crew"
-MAX_BODY_BYTES = 1 << 20
 WAIT_S = 20.0
 
 
@@ -145,14 +144,8 @@
             path.encode(),
             tuple((name.encode(), value.encode()) for name, value in given.items()),
         )
-        connection = ClientConnection(await connect(HOST, self.port))
-        try:
-            with anyio.fail_after(WAIT_S):
-                await connection.send(head, body)
-                reply_head = await connection.read_head()
-                return Reply(reply_head, await connection.read_body(MAX_BODY_BYTES))
-        finally:
-            connection.close()
+        with anyio.fail_after(WAIT_S):
+            return await exchange(self.port, head, body)
 
     async def ask_prompt(self, path: str, **headers: str) -> Reply:
         """Send a request with a prompt."""
--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -15,8 +15,6 @@
 import anyio.to_thread
 from parameterized import parameterized
 
-from agatehoist.http1.channel import connect
-from agatehoist.http1.client import ClientConnection
 from agatehoist.http1.errors import AnswerGarbledError, ConnectionFailedError
 from agatehoist.http1.types import RequestHead
 from agatehoist.platform.names import READY_PATH
@@ -26,14 +24,14 @@
     start_gateway,
     write_settings,
 )
-from standins.users_platform.serving import HOST, listening
+from standins.users_platform.serving import exchange, listening
 from standins.users_platform.store import StoreStandIn
 from standins.users_platform.world import World, configuration, surroundings, until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from agatehoist.http1.types import ReplyHead
+    from agatehoist.http1.types import Reply
 
 NAME = "gateway-0"
 START_S = 20.0
@@ -55,7 +53,7 @@
         """Return the status of the readiness address, 0 if nothing answers."""
         with contextlib.suppress(ConnectionFailedError):
             port = self.fleet.ports_by_name[ready_name(name)]
-            return (await fetch(port, READY_PATH)).status
+            return (await fetch(port, READY_PATH)).head.status
         return 0
 
     async def until_ready(self, status: int = 200, within_s: float = START_S) -> None:
@@ -74,15 +72,10 @@
         return (await self.world.ask(path)).head.status == 200
 
 
-async def fetch(port: int, target: str) -> ReplyHead:
-    """Return the head of an answer."""
-    connection = ClientConnection(await connect(HOST, port))
+async def fetch(port: int, target: str) -> Reply:
+    """Return what a path of a process answers."""
     head = RequestHead(b"GET", target.encode(), ((b"host", b"gateway"),))
-    try:
-        await connection.send(head, b"")
-        return await connection.read_head()
-    finally:
-        connection.close()
+    return await exchange(port, head)
 
 
 @asynccontextmanager
@@ -148,7 +141,7 @@
             async with gateway_process() as setting:
                 await setting.until_ready()
                 port = setting.fleet.ports_by_name[ready_name(NAME)]
-                self.assertEqual((await fetch(port, "/")).status, 404)
+                self.assertEqual((await fetch(port, "/")).head.status, 404)
 
         anyio.run(run)
 
