Log replies that were made on weights other than the expected

The version that a reply states was used to update the view of the endpoint, but never compared with the one that the request expected, so the third hypothesis on STALE (an endpoint that runs a request on other weights) left no trace. It now leaves a warning with both versions and counts in agatehoist_unexpected_weights_total.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -21,6 +21,7 @@
 from agatehoist.http1.event_stream import EventSplitter
 from agatehoist.http1.types import Reply
 from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import UNEXPECTED_WEIGHTS_TOTAL
 from agatehoist.refusals.kinds import (
     EndpointFailed,
     InternalFault,
@@ -265,9 +266,20 @@
     def _note_weights(self, head: ReplyHead) -> None:
         prompt = self._request.envelope.prompt
         version = self._state.platform.weights_version(head)
-        if prompt is not None and version:
-            endpoint = self.dispatch.endpoint
-            self._state.fleet.note_version(endpoint, prompt.model, version)
+        if prompt is None or not version:
+            return
+        endpoint, expected = self.dispatch.endpoint, self.dispatch.weights_version
+        self._state.fleet.note_version(endpoint, prompt.model, version)
+        if expected and version != expected:
+            UNEXPECTED_WEIGHTS_TOTAL.inc({})
+            logger.warning(
+                "reply made on unexpected weights",
+                request=self._request_id,
+                endpoint=endpoint.lifetime,
+                weights=version,
+                expected=expected,
+                continued_run=self.dispatch.continued_run,
+            )
 
     def _silence_deadline(self) -> float:
         """Return the event loop time by which the endpoint must have sent more data."""
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -36,6 +36,10 @@
 RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
 # Calls with an idempotency key, by the state of the key's claim.
 CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
+# Replies that state other weights than the request expected.
+UNEXPECTED_WEIGHTS_TOTAL = Counter(
+    "agatehoist_unexpected_weights_total", "Replies made on other weights."
+)
 CONFIGURATION_REVISION = Gauge(
     "agatehoist_configuration_revision", "Revision in force."
 )
@@ -64,4 +68,5 @@
     "RETRIES_TOTAL",
     "REGISTRY",
     "TTFT_SECONDS",
+    "UNEXPECTED_WEIGHTS_TOTAL",
 ]
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -70,6 +70,7 @@
     stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
+    checks_version: bool = True
 
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
@@ -181,7 +182,9 @@
 
     def _has_unexpected_weights(self, headers: dict[str, str]) -> bool:
         expected = headers.get("x-agatehoist-expect-version")
-        return expected is not None and int(expected) != self.version
+        if expected is None or not self.checks_version:
+            return False
+        return int(expected) != self.version
 
     def _report(self) -> dict[str, Any]:
         return {
