Move runs by the last plan after an outage, not by each that it missed

The watch then delivered 15 plans at once. The first, nine seconds old, named i-82dc0f58a2 as changing, and its runs were moved to i-3c8f764ccd, which the last of the same plans lists as changing too and which had loaded version 4 meanwhile. The other gateways knew that.

Cause: each plan of a batch was acted on before the next was applied.

Change: a batch is applied whole before runs are moved.

The test failed before: the run moved to the changing engine first, and moved twice.

--- a/src/agatehoist/gateway/plan_lease.py
+++ b/src/agatehoist/gateway/plan_lease.py
@@ -137,6 +137,7 @@
         self._lease_valid_until = sent_at + LEASE_S
         self.written_at = sent_at
         self._state.record_plan(self.held)
+        self._state.active_requests.consider_moves()
         return True
 
     async def _put(self, plan: Plan, seen: SeenPlan | None) -> StoredValue:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -132,7 +132,6 @@
             changing=plan.changing,
             revision=seen.revision,
         )
-        self.active_requests.consider_moves()
         self.rollout_wakeup.set()
 
     def next_attempt_id(self) -> AttemptId:
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -4,12 +4,16 @@
 
 import math
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 from parameterized import parameterized
 
-from agatehoist.weights.types import TargetWeights
+from agatehoist.gateway.plans import write_plan
+from agatehoist.gateway.topics import PlansTopic
+from agatehoist.storage.objects import Changes, ObjectChange, StoredValue
+from agatehoist.weights.types import Plan, SeenPlan, TargetWeights
 from standins.users_platform.harness import (
     MODEL,
     GatewayHarness,
@@ -21,6 +25,7 @@
     from standins.users_platform.endpoint import EndpointStandIn
 
 EVENT_COUNT = 60
+OUTAGE_S = 9.0
 
 
 async def drain_while_running(
@@ -45,6 +50,15 @@
     return source, bodies[0]
 
 
+def changes_of_plans(plans: list[Plan]) -> Changes:
+    """Return the changes in which a watch delivers plans after an outage."""
+    changes = tuple(
+        ObjectChange(StoredValue(MODEL, revision, write_plan(plan)), removed=False)
+        for revision, plan in enumerate(plans, start=2)
+    )
+    return Changes(changes, changes[-1].value.revision)
+
+
 class MovingTests(unittest.TestCase):
     # Engines have version 1; the run that moves is stopped at the endpoint it leaves.
     @parameterized.expand([("in_force", 1, {"r1"}), ("replaced_long_ago", 2, set())])
@@ -87,6 +101,45 @@
         continued = [run for each in world.engines for run in each.continued_runs]
         self.assertEqual(continued, [])
 
+    # Which of the two other engines the last plan lists as changing too.
+    @parameterized.expand([("first_other", 0), ("second_other", 1)])
+    def test_run_does_not_move_by_a_plan_that_was_replaced_in_an_outage(
+        self, _name: str, index: int
+    ) -> None:
+        world = GatewayHarness()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+        changing: list[str] = []
+
+        async def run() -> None:
+            async with running_gateway(world):
+                state = world.state
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(world.ask_prompt, "/trace/1")
+                    await until(lambda: any(each.active for each in world.engines))
+                    await anyio.sleep(0.1)
+                    (source,) = (each for each in world.engines if each.active)
+                    others = [each for each in world.engines if each is not source]
+                    changing.append(others[index].name)
+                    lifetimes = [
+                        state.fleet.by_name[each.name].lifetime
+                        for each in (source, others[index])
+                    ]
+                    # The wave of the source began before the outage.
+                    began_at = state.clock.now() - OUTAGE_S
+                    before = Plan(MODEL, "n2", 1, 2, 1, (lifetimes[0],))
+                    state.record_plan(SeenPlan(before, 1, began_at))
+                    plans = [
+                        replace(before, beat=2),
+                        replace(before, beat=3, changing=tuple(lifetimes)),
+                    ]
+                    PlansTopic().change(state, changes_of_plans(plans))
+
+        anyio.run(run)
+        continued = {each.name for each in world.engines if each.continued_runs}
+        self.assertEqual(len(continued), 1)
+        self.assertNotIn(changing[0], continued)
+
     @parameterized.expand([("/credit/1",), ("/trace/1",)])
     def test_run_moves_from_draining_endpoint(self, path: str) -> None:
         world = GatewayHarness()
