Don't share KV cache of unknown weights

Cause: an endpoint whose entry doesn't list the model has version 0. The request then expects no version, and its cache name says 0 whatever the weights are. Its parts went to the KV store, which keeps them when the weights change, and its run could move to any other endpoint of unknown version.

Change: such requests neither fetch nor save parts, and their runs don't move. An endpoint drops its own cache when it loads weights, so it may still reuse that.

--- a/src/agatehoist/fleet/view.py
+++ b/src/agatehoist/fleet/view.py
@@ -11,6 +11,8 @@
 
 # Entries that expired during a store outage are back within about two seconds.
 STORE_RETURN_GRACE_S = 2.5
+# Weights version of an endpoint that lists none; versions start at 1.
+UNKNOWN_VERSION = 0
 
 
 class EndpointsView:
@@ -60,11 +62,11 @@
         )
 
     def version_of(self, endpoint: Endpoint, model: str) -> int:
-        """Return the newest known weights version of an endpoint, or 0."""
-        listed = endpoint.versions_by_model.get(model, 0)
+        """Return the newest known weights version of an endpoint."""
+        listed = endpoint.versions_by_model.get(model, UNKNOWN_VERSION)
         return max(
             listed,
-            self._observed_versions.get((endpoint.lifetime, model), 0),
+            self._observed_versions.get((endpoint.lifetime, model), UNKNOWN_VERSION),
         )
 
     def note_version(self, endpoint: Endpoint, model: str, version: int) -> None:
--- a/src/agatehoist/gateway/prompt_cache.py
+++ b/src/agatehoist/gateway/prompt_cache.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from agatehoist.fleet.view import UNKNOWN_VERSION
 from agatehoist.protocol.node_reports import part_key
 
 if TYPE_CHECKING:
@@ -45,7 +46,8 @@
         return 0
     cached = _cached_tokens(state, request, endpoint, version)
     shared = sum(each.tokens for each in prompt.shared_parts)
-    fetched = max(0, shared - cached) if _kv_store_for(state, endpoint) else 0
+    has_store = version != UNKNOWN_VERSION and _kv_store_for(state, endpoint)
+    fetched = max(0, shared - cached) if has_store else 0
     return cached + round((1 - FETCH_COST_RATIO) * fetched)
 
 
@@ -56,6 +58,8 @@
 
     That is another endpoint, or else the KV store; "" if there is neither.
     """
+    if version == UNKNOWN_VERSION:
+        return ""
     kv_store = _kv_store_for(state, endpoint)
     engine_mbps = _engine_link_mbps(state, request)
     if kv_store and kv_store.link_mbps >= MIN_STORE_LINK_RATIO * engine_mbps > 0:
@@ -74,6 +78,9 @@
     prompt = request.envelope.prompt
     if kv_store is None or prompt is None or not prompt.shared_parts:
         return ""
+    # The KV store keeps parts when weights change, so their name must tell the version.
+    if version == UNKNOWN_VERSION:
+        return ""
     tokens = sum(each.tokens for each in prompt.shared_parts)
     key = part_key(cache_salt_for(request, version), prompt.shared_parts[-1].part_id)
     saves = state.saved_parts.should_save(key, tokens, state.clock.now())
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -6,6 +6,7 @@
 
 from agatehoist.attempts.types import RunMoved
 from agatehoist.core.identity import EndpointIdentity
+from agatehoist.fleet.view import UNKNOWN_VERSION
 from agatehoist.gateway.endpoint_calls import CallFailedError, move_run
 from agatehoist.gateway.endpoint_choice import required_version
 from agatehoist.observability.logs import get_logger
@@ -60,6 +61,8 @@
         return None
     now = state.clock.now()
     version = attempt.dispatch.weights_version
+    if version == UNKNOWN_VERSION:
+        return None
     if version < required_version(state, prompt.model, now):
         return None
     source = attempt.dispatch.endpoint
