Log the crash of an endpoint with all shared parts of the lost prompt

The line of a request names the last shared part only, and no line told the end of an endpoint from a cut connection, so the hypotheses on the crashing prompt part couldn't be told apart. A request that loses its connection before its answer has begun now has the gateway look whether the endpoint still listens. If it doesn't, and neither a roll-out nor its leaving explains that, a line names the request, the endpoint and the parts, and agatehoist_endpoint_crashes_total counts it. No decision depends on it yet.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
     StreamEnded,
 )
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
+from agatehoist.gateway.crashes import check_crash
 from agatehoist.gateway.prompt_cache import note_prompt_read
 from agatehoist.http1.errors import ConnectionFailedError, InvalidReplyError
 from agatehoist.http1.event_stream import EventSplitter
@@ -54,6 +56,9 @@
 # A move that isn't confirmed within this time has failed.
 MOVE_TIMEOUT_S = 1.0
 MIN_SILENCE_TIMEOUT_S = 0.4
+# An endpoint that crashes over a prompt does so as it begins to answer; the first event
+# may still arrive.
+ANSWER_PROOF_S = 0.1
 # Silence timeout as a multiple of the route's objective for latency or for the gap
 # between events, whichever is longer.
 SILENCE_TIMEOUT_FACTOR = 3.0
@@ -92,6 +97,7 @@
         )
         # Counted before the task starts, so that the next choice takes it into account.
         self._tracked = load.track(lifetime, dispatch.missing_tokens)
+        self._first_event_at = math.inf
         self._withheld_event: Event | None = None
         self._scope = anyio.CancelScope()
         self._silence_scope = anyio.CancelScope()
@@ -161,6 +167,9 @@
             now = self._state.clock.now()
             if not self._state.weights.is_changing(endpoint, now):
                 self._state.suspect(endpoint, str(error))
+            if not self.is_moving and not self._has_answered(now):
+                envelope = self._request.envelope
+                self._state.spawn(check_crash, self._state, envelope, endpoint)
             return self._refused_event(OutcomeUnknown.refuse(str(error)))
         except Exception as error:
             connection.close()
@@ -172,6 +181,10 @@
         suspects.note_answer(endpoint.name)
         return event
 
+    def _has_answered(self, now: float) -> bool:
+        """Return whether the endpoint has survived the start of its answer."""
+        return now >= self._first_event_at + ANSWER_PROOF_S
+
     async def _exchange(self, connection: ClientConnection) -> Event:
         platform = self._state.platform
         body = self._request.envelope.body
@@ -253,6 +266,7 @@
             self._next_event_index += len(stream_events)
 
     def _note_prefill_done(self) -> None:
+        self._first_event_at = self._state.clock.now()
         self._tracked.note_prefill_done()
         lifetime = self.dispatch.endpoint.lifetime
         measured_s = self._state.clock.now() - self._began_at
--- /dev/null
+++ b/src/agatehoist/gateway/crashes.py
@@ -0,0 +1,59 @@
+"""Detection of endpoints that crash before they answer a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from agatehoist.http1.channel import connect
+from agatehoist.http1.errors import ConnectionFailedError, NotListeningError
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import ENDPOINT_CRASHES_TOTAL
+
+if TYPE_CHECKING:
+    from agatehoist.fleet.types import Endpoint
+    from agatehoist.gateway.state import GatewayState
+    from agatehoist.routing.types import Envelope
+
+logger = get_logger("gateway")
+
+CONNECT_TIMEOUT_S = 0.5
+
+
+async def check_crash(
+    state: GatewayState, envelope: Envelope, endpoint: Endpoint
+) -> None:
+    """Record a crash if an endpoint whose connection was lost accepts no other one."""
+    if not is_serving(state, endpoint) or not await _refuses_connections(endpoint):
+        return
+    prompt = envelope.prompt
+    ENDPOINT_CRASHES_TOTAL.inc({})
+    logger.info(
+        "endpoint crashed before it answered",
+        request=envelope.request_id,
+        endpoint=endpoint.lifetime,
+        parts=[each.part_id for each in prompt.shared_parts] if prompt else [],
+    )
+
+
+def is_serving(state: GatewayState, endpoint: Endpoint) -> bool:
+    """Return whether no planned work explains that an endpoint ends."""
+    listed = state.fleet.by_name.get(endpoint.name)
+    if listed is None or listed.lifetime != endpoint.lifetime or listed.leaving:
+        return False
+    return not state.weights.is_changing(endpoint, state.clock.now())
+
+
+async def _refuses_connections(endpoint: Endpoint) -> bool:
+    """Return whether nothing listens at the address of an endpoint."""
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            channel = await connect(endpoint.host, endpoint.port)
+    except NotListeningError:
+        return True
+    except (ConnectionFailedError, TimeoutError):
+        # A cut path is no sign of a crash.
+        return False
+    channel.close()
+    return False
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from agatehoist.http1.errors import ConnectionFailedError
+from agatehoist.http1.errors import ConnectionFailedError, NotListeningError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -115,7 +115,7 @@
 async def connect(host: str, port: int) -> Channel:
     """Open a connection.
 
-    Raises ConnectionFailedError.
+    Raises ConnectionFailedError, which is a NotListeningError if the peer refuses it.
     """
     peer = f"{host}:{port}"
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -126,7 +126,9 @@
             await anyio.wait_writable(sock)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            raise ConnectionFailedError(f"connect {peer}: {os.strerror(code)}")
+            is_refused = code == errno.ECONNREFUSED
+            kind = NotListeningError if is_refused else ConnectionFailedError
+            raise kind(f"connect {peer}: {os.strerror(code)}")
         configure_socket(sock)
     except BaseException:
         sock.close()
--- a/src/agatehoist/http1/errors.py
+++ b/src/agatehoist/http1/errors.py
@@ -9,6 +9,10 @@
     """Report a connection that could not be opened, was reset or closed."""
 
 
+class NotListeningError(ConnectionFailedError):
+    """Report a connection that was refused because no process listens there."""
+
+
 class InvalidReplyError(AgatehoistError):
     """Report data from a peer that is not a valid reply to the request."""
 
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -36,6 +36,10 @@
 RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
 # Calls with an idempotency key, by the state of the key's claim.
 CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
+# Requests that had no answer yet when their endpoint crashed.
+ENDPOINT_CRASHES_TOTAL = Counter(
+    "agatehoist_endpoint_crashes_total", "Requests lost in a crash before an answer."
+)
 # Replies that state other weights than the request expected.
 UNEXPECTED_WEIGHTS_TOTAL = Counter(
     "agatehoist_unexpected_weights_total", "Replies made on other weights."
@@ -56,6 +60,7 @@
     "CLAIMS_TOTAL",
     "CONFIGURATION_REVISION",
     "DROPPED_FRAMES_TOTAL",
+    "ENDPOINT_CRASHES_TOTAL",
     "EXCHANGES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
--- /dev/null
+++ b/tests/test_gateway/test_crashes.py
@@ -0,0 +1,57 @@
+"""Tests that tell the crash of an endpoint from other losses of a connection."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from typing import Any
+
+import anyio
+import structlog
+from parameterized import parameterized
+
+from agatehoist.gateway.crashes import check_crash
+from agatehoist.routing.types import Prompt, PromptPart
+from standins.fleet import free_ports
+from standins.users_platform.harness import (
+    ENGINES,
+    MODEL,
+    GatewayHarness,
+    running_gateway,
+)
+from tests.test_routing.test_resolution import ENVELOPE
+
+CRASHED = "endpoint crashed before it answered"
+PARTS = (PromptPart("pre", 20), PromptPart("aa", 100), PromptPart("own", 30))
+
+
+class CrashTests(unittest.TestCase):
+    # Case, whether the endpoint still listens after a connection to it was lost, what
+    # its entry says by then, and whether it crashed.
+    @parameterized.expand(
+        [
+            ("crash", False, {}, True),
+            ("cut_channel", True, {}, False),
+            ("leaving", False, {"leaving": True}, False),
+            ("restarted", False, {"started_ms": 1}, False),
+        ]
+    )
+    def test_lost_connection_counts_as_crash_only_if_nothing_listens(
+        self, _name: str, listens: bool, entry: dict[str, Any], crashed: bool
+    ) -> None:
+        world = GatewayHarness()
+        prompt = Prompt(MODEL, PARTS, 150, 5)
+        envelope = replace(ENVELOPE, request_id="r7", prompt=prompt)
+
+        async def run() -> None:
+            async with running_gateway(world):
+                endpoint = world.state.fleet.serving(ENGINES, 0.0)[0]
+                if not listens:
+                    endpoint = replace(endpoint, port=free_ports(1)[0])
+                world.state.fleet.by_name[endpoint.name] = replace(endpoint, **entry)
+                await check_crash(world.state, envelope, endpoint)
+
+        with structlog.testing.capture_logs() as logs:
+            anyio.run(run)
+        parts = [each["parts"] for each in logs if each["event"] == CRASHED]
+        self.assertEqual(parts, [["pre", "aa"]] * crashed)
