Don't report refusals as replies made on unexpected weights

An endpoint that refuses a request because its weights differ (421) may state its version in the refusal, which then raised the alarm although nothing had run.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -284,7 +284,8 @@
             return
         endpoint, expected = self.dispatch.endpoint, self.dispatch.weights_version
         self._state.fleet.note_version(endpoint, prompt.model, version)
-        if expected and version != expected:
+        ran = not self._state.platform.is_not_executed(head)
+        if ran and expected and version != expected:
             UNEXPECTED_WEIGHTS_TOTAL.inc({})
             logger.warning(
                 "reply made on unexpected weights",
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -106,7 +106,7 @@
         elif request.head.target == b"/agatehoist/order":
             await self._handle_order(connection, json.loads(request.body))
         elif self._has_unexpected_weights(headers):
-            await connection.send_reply(421, (), b"")
+            await connection.send_reply(421, self._weights_headers(), b"")
         else:
             await self._run(connection, request, headers)
 
@@ -175,10 +175,12 @@
             (REQUEST_ID, run.request_id.encode()),
             (STAMP, self.name.encode()),
         )
+        return (*identity_headers, *self._weights_headers())
+
+    def _weights_headers(self) -> tuple[tuple[bytes, bytes], ...]:
         if not self.model:
-            return identity_headers
-        weights = (b"x-agatehoist-weight-versions", str(self.version).encode())
-        return (*identity_headers, weights)
+            return ()
+        return ((b"x-agatehoist-weight-versions", str(self.version).encode()),)
 
     def _has_unexpected_weights(self, headers: dict[str, str]) -> bool:
         expected = headers.get("x-agatehoist-expect-version")
--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -88,18 +88,20 @@
 
 
 class UnexpectedWeightsTests(unittest.TestCase):
-    # Case, the version that the reply states, and whether it is reported.
-    @parameterized.expand([("expected", 1, 0), ("newer", 2, 1)])
+    # Case, the version that the reply states, whether the endpoint runs the request
+    # nevertheless, and whether that is reported.
+    @parameterized.expand(
+        [("expected", 1, True, 0), ("newer", 2, True, 1), ("refused", 2, False, 0)]
+    )
     def test_reply_on_unexpected_weights_leaves_a_line(
-        self, _name: str, stated: int, lines: int
+        self, _name: str, stated: int, runs: bool, lines: int
     ) -> None:
         world = GatewayHarness()
 
         async def run() -> None:
             async with running_gateway(world):
                 for each in world.engines:
-                    # The endpoint doesn't check the version that the request expects.
-                    each.version, each.checks_version = stated, False
+                    each.version, each.checks_version = stated, not runs
                 await world.ask_prompt("/trace/1")
 
         with structlog.testing.capture_logs() as logs:
