Compute the dispatch of a moved run for the weights that it expects

The fetch, the save and the tokens to compute stayed those of the other weights, and the right to save a part under them was claimed for two seconds by a request that never saves it.

Change: the version is a parameter of the dispatch.

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -62,12 +62,17 @@
     request: RoutedRequest,
     endpoint: Endpoint,
     last_event_id: bytes | None,
+    version: int | None = None,
 ) -> Dispatch:
-    """Return the parameters with which to send a request to an endpoint."""
+    """Return the parameters with which to send a request to an endpoint.
+
+    The request expects the given weights version, by default that of the endpoint.
+    """
     prompt = request.envelope.prompt
     if prompt is None:
         return Dispatch(endpoint, last_event_id=last_event_id)
-    version = state.fleet.version_of(endpoint, prompt.model)
+    if version is None:
+        version = state.fleet.version_of(endpoint, prompt.model)
     matched = matched_tokens(state, request, endpoint, version)
     return Dispatch(
         endpoint=endpoint,
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -31,7 +31,6 @@
 from agatehoist.core.units import MS_PER_S
 from agatehoist.gateway.attempt import Attempt
 from agatehoist.gateway.endpoint_choice import find_offers, make_dispatch
-from agatehoist.gateway.prompt_cache import cache_salt_for
 from agatehoist.gateway.run_moves import move_if_needed
 from agatehoist.gateway.tickets import make_ticket
 from agatehoist.http1.errors import ConnectionFailedError
@@ -232,16 +231,13 @@
         if self._attempt is not None:
             self._attempt.cancel()
         last_event_id = decision.pieces[-1].event_id
-        dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
         # The copied KV cache is valid only for the weights that computed it. If the
         # endpoint has changed them, it rejects the expected version.
         version = int(decision.offer.identity.weights_version)
-        dispatch = replace(
-            dispatch,
-            weights_version=version,
-            salt=cache_salt_for(self._request, version),
-            continued_run=decision.run_name,
+        dispatch = make_dispatch(
+            self._state, self._request, endpoint, last_event_id, version
         )
+        dispatch = replace(dispatch, continued_run=decision.run_name)
         self._record_step("moved", dispatch)
         self._start_attempt(dispatch, decision.target.attempt_id, len(decision.pieces))
         return None
--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -9,6 +9,7 @@
 import structlog
 from parameterized import parameterized
 
+from agatehoist.protocol.node_reports import part_key
 from standins.users_platform.harness import (
     MODEL,
     GatewayHarness,
@@ -87,6 +88,30 @@
         self.assertEqual(len(continued), int(known))
 
 
+class MovedRunTests(unittest.TestCase):
+    def test_moved_run_claims_no_save_for_newer_weights(self) -> None:
+        world = harness_with_kv_store()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+
+        def expect_newer_weights() -> None:
+            for endpoint in world.state.fleet.by_name.values():
+                world.state.fleet.note_version(endpoint, MODEL, 2)
+
+        async def run() -> bool:
+            async with running_gateway(world):
+                for each in world.engines:
+                    each.on_move = expect_newer_weights
+                await drain_while_running(world, "/trace/1", **LONG_PROMPT)
+                key = part_key(f"{MODEL}/2/crew", "aa")
+                return world.state.saved_parts.is_saved(key, world.state.clock.now())
+
+        self.assertFalse(anyio.run(run))
+        continued = [run for each in world.engines for run in each.continued_runs]
+        (headers,) = [each.headers_by_name for each in continued]
+        self.assertEqual(headers["x-agatehoist-cache-salt"], f"{MODEL}/1/crew")
+
+
 class UnexpectedWeightsTests(unittest.TestCase):
     # Case, the version that the reply states, whether the endpoint runs the request
     # nevertheless, and whether that is reported.
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -29,14 +29,14 @@
 
 
 async def drain_while_running(
-    world: GatewayHarness, path: str
+    world: GatewayHarness, path: str, **headers: str
 ) -> tuple[EndpointStandIn, bytes]:
     """Drain the endpoint that runs a request; return it and the whole reply."""
     done = anyio.Event()
     bodies: list[bytes] = []
 
     async def ask() -> None:
-        bodies.append((await world.ask_prompt(path)).body)
+        bodies.append((await world.ask_prompt(path, **headers)).body)
         done.set()
 
     async with anyio.create_task_group() as task_group:
