Move runs after all topics of one update are applied

Change: the feed considers moves once after all updates that it is given. The topics no longer do.

One of the two new rows failed before (the run moved twice).

--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -116,6 +116,7 @@
     def record_plan(self, seen: SeenPlan) -> None:
         """Record a roll-out plan read or written, unless a newer one is known.
 
+        The caller moves runs once all that it has read is recorded.
         The endpoints that it lists as changed have at least its target version.
         """
         if not self.weights.accept_plan(seen):
--- a/src/agatehoist/gateway/store_feed.py
+++ b/src/agatehoist/gateway/store_feed.py
@@ -14,7 +14,7 @@
 from agatehoist.storage.replica import Replica
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from agatehoist.gateway.state import GatewayState
     from agatehoist.gateway.topics import Topic
@@ -87,7 +87,20 @@
         valid_until = self._valid_until_by_topic.get(topic, -math.inf)
         self._valid_until_by_topic[topic] = min(valid_until, now + LOST_GRACE_S)
 
-    def apply(self, state: GatewayState, name: str, update: Update) -> None:
+    def apply(
+        self, state: GatewayState, updates_by_topic: Mapping[str, Update]
+    ) -> None:
+        """Apply updates, and move runs once all are applied.
+
+        After an outage they replay plans that no longer hold, and tell of an endpoint
+        in one topic what explains another.
+        """
+        for name, update in updates_by_topic.items():
+            if name in self.topics_by_name:
+                self._apply(state, name, update)
+        state.active_requests.consider_moves()
+
+    def _apply(self, state: GatewayState, name: str, update: Update) -> None:
         """Apply an update to a topic unless a newer one was applied before."""
         before = self.revisions_by_topic[name]
         if update.revision < before:
--- a/src/agatehoist/gateway/store_follow.py
+++ b/src/agatehoist/gateway/store_follow.py
@@ -69,9 +69,7 @@
                 self._avoided_until_by_watcher[watcher] = now + AVOID_WATCHER_S
                 continue
             self._note_source(str(watcher))
-            for name, update in reply.updates_by_topic.items():
-                if name in self._state.feed.topics_by_name:
-                    self._state.feed.apply(self._state, name, update)
+            self._state.feed.apply(self._state, reply.updates_by_topic)
             if reply.updates_by_topic:
                 await anyio.sleep(BATCH_DELAY_S)
 
@@ -129,7 +127,7 @@
             except PlatformError as error:
                 logger.info("store not read", topic=name, reason=str(error))
                 return
-            state.feed.apply(state, name, update)
+            state.feed.apply(state, {name: update})
         self._note_source("store")
 
     def _note_source(self, source: str) -> None:
--- a/src/agatehoist/gateway/store_watch.py
+++ b/src/agatehoist/gateway/store_watch.py
@@ -115,7 +115,7 @@
         # A list is followed by a short watch as well.
         is_watch_short = is_watch_short and isinstance(update, Listing)
         state.feed.note_contact(name, _watch_s(state, topic), state.clock.now())
-        state.feed.apply(state, name, update)
+        state.feed.apply(state, {name: update})
         if isinstance(update, Changes) and update.changes:
             await anyio.sleep(_batch_delay_s(state, topic))
 
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -128,7 +128,6 @@
                 self._put(state, each.value)
         state.fleet.revision = changes.revision
         state.forget(state.fleet.pop_ended())
-        state.active_requests.consider_moves()
 
     def _put(self, state: GatewayState, value: StoredValue) -> None:
         endpoint = _read_endpoint(state, value)
@@ -208,22 +207,8 @@
         """Return the kind of stored object."""
         return PLAN_KIND
 
-    def replace(self, state: GatewayState, listing: Listing) -> None:
-        """Apply a whole list."""
-        super().replace(state, listing)
-        state.active_requests.consider_moves()
-
-    def change(self, state: GatewayState, changes: Changes) -> None:
-        """Apply changes in order.
-
-        After an outage they replay plans that no longer hold, so runs move only by the
-        last one.
-        """
-        super().change(state, changes)
-        state.active_requests.consider_moves()
-
     def put(self, state: GatewayState, value: StoredValue) -> None:
-        """Apply one object; the caller considers moves once all are applied."""
+        """Apply one object."""
         try:
             plan = read_plan(value.spec)
         except AgatehoistError as error:
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -5,13 +5,12 @@
 import math
 import unittest
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from parameterized import parameterized
 
 from agatehoist.gateway.plans import write_plan
-from agatehoist.gateway.topics import PlansTopic
 from agatehoist.storage.objects import Changes, ObjectChange, StoredValue
 from agatehoist.weights.types import Plan, SeenPlan, TargetWeights
 from standins.users_platform.harness import (
@@ -50,11 +49,11 @@
     return source, bodies[0]
 
 
-def changes_of_plans(plans: list[Plan]) -> Changes:
-    """Return the changes in which a watch delivers plans after an outage."""
+def changes_of(name: str, specs: list[Any]) -> Changes:
+    """Return the changes in which a watch delivers versions of one object."""
     changes = tuple(
-        ObjectChange(StoredValue(MODEL, revision, write_plan(plan)), removed=False)
-        for revision, plan in enumerate(plans, start=2)
+        ObjectChange(StoredValue(name, revision, spec), removed=False)
+        for revision, spec in enumerate(specs, start=100)
     )
     return Changes(changes, changes[-1].value.revision)
 
@@ -101,10 +100,18 @@
         continued = [run for each in world.engines for run in each.continued_runs]
         self.assertEqual(continued, [])
 
-    # Which of the two other engines the last plan lists as changing too.
-    @parameterized.expand([("first_other", 0), ("second_other", 1)])
-    def test_run_does_not_move_by_a_plan_that_was_replaced_in_an_outage(
-        self, _name: str, index: int
+    # Case, which of the two other engines the last plan lists as changing, and whether
+    # the source leaves instead of changing.
+    @parameterized.expand(
+        [
+            ("first_other_by_plans", 0, False),
+            ("second_other_by_plans", 1, False),
+            ("first_other_by_two_topics", 0, True),
+            ("second_other_by_two_topics", 1, True),
+        ]
+    )
+    def test_run_does_not_move_before_all_that_was_read_is_known(
+        self, _name: str, index: int, source_leaves: bool
     ) -> None:
         world = GatewayHarness()
         for each in world.engines:
@@ -129,11 +136,15 @@
                     began_at = state.clock.now() - OUTAGE_S
                     before = Plan(MODEL, "n2", 1, 2, 1, (lifetimes[0],))
                     state.record_plan(SeenPlan(before, 1, began_at))
-                    plans = [
-                        replace(before, beat=2),
-                        replace(before, beat=3, changing=tuple(lifetimes)),
-                    ]
-                    PlansTopic().change(state, changes_of_plans(plans))
+                    after = replace(before, beat=3, changing=tuple(lifetimes))
+                    updates = {}
+                    if source_leaves:
+                        entry = world.store.spec("servers", source.name)
+                        leaving = {**entry, "State": "draining"}
+                        updates["endpoints"] = changes_of(source.name, [leaving])
+                    plans = [write_plan(each) for each in (before, after)]
+                    updates["plans"] = changes_of(MODEL, plans)
+                    state.feed.apply(state, updates)
 
         anyio.run(run)
         continued = {each.name for each in world.engines if each.continued_runs}
