Quarantine prompt parts that crash the endpoints that answer them

Cause: nothing in a gateway's decisions connected one crash with another.

Change: the new package quarantine decides from crashes and answers which parts crash endpoints; gateways tell each other by datagrams. A request with such a part is refused at once as not run, one that an endpoint still holds is withdrawn, and one that lost an endpoint isn't sent to a second if one of its parts was on another crash too. The parts before the deadly one in a prompt aren't blamed, nor are endpoints' own crashes, cut connections, roll-outs or endpoints that leave.

--- a/src/agatehoist/gateway/active_requests.py
+++ b/src/agatehoist/gateway/active_requests.py
@@ -10,11 +10,14 @@
 
 
 class ActiveRequest(Protocol):
-    """Describe a request in progress whose run may move."""
+    """Describe a request in progress whose run may move or be withdrawn."""
 
     def consider_move(self) -> None:
         """Move the run if its endpoint is about to stop serving it."""
 
+    def withdraw_if_quarantined(self) -> None:
+        """Take the request back from its endpoint if it has a quarantined part."""
+
 
 class ActiveRequests:
     """Hold the requests to notify when the fleet changes, so that their runs move.
@@ -38,3 +41,8 @@
         """Move each run whose endpoint is about to stop serving it."""
         for request in tuple(self._requests):
             request.consider_move()
+
+    def withdraw_quarantined(self) -> None:
+        """Take back unanswered requests with a part that has just been quarantined."""
+        for request in tuple(self._requests):
+            request.withdraw_if_quarantined()
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -18,6 +18,7 @@
 )
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.gateway.crashes import check_crash
+from agatehoist.gateway.part_evidence import note_answered
 from agatehoist.gateway.prompt_cache import note_prompt_read
 from agatehoist.http1.errors import ConnectionFailedError, InvalidReplyError
 from agatehoist.http1.event_stream import EventSplitter
@@ -85,6 +86,8 @@
         self.attempt_id = attempt_id
         self.events = events
         self.is_moving = False
+        # Set if the connection was lost before the endpoint answered.
+        self.was_lost = False
         self._may_retry = may_retry
         self._next_event_index = first_event_index
         self._began_at = state.clock.now()
@@ -98,6 +101,7 @@
         # Counted before the task starts, so that the next choice takes it into account.
         self._tracked = load.track(lifetime, dispatch.missing_tokens)
         self._first_event_at = math.inf
+        self._is_answer_noted = False
         self._withheld_event: Event | None = None
         self._scope = anyio.CancelScope()
         self._silence_scope = anyio.CancelScope()
@@ -167,9 +171,10 @@
             now = self._state.clock.now()
             if not self._state.weights.is_changing(endpoint, now):
                 self._state.suspect(endpoint, str(error))
-            if not self.is_moving and not self._has_answered(now):
+            if not self.is_moving and not self.has_answered:
+                self.was_lost = True
                 envelope = self._request.envelope
-                self._state.spawn(check_crash, self._state, envelope, endpoint)
+                self._state.spawn(check_crash, self._state, envelope, endpoint, now)
             return self._refused_event(OutcomeUnknown.refuse(str(error)))
         except Exception as error:
             connection.close()
@@ -181,9 +186,10 @@
         suspects.note_answer(endpoint.name)
         return event
 
-    def _has_answered(self, now: float) -> bool:
+    @property
+    def has_answered(self) -> bool:
         """Return whether the endpoint has survived the start of its answer."""
-        return now >= self._first_event_at + ANSWER_PROOF_S
+        return self._state.clock.now() >= self._first_event_at + ANSWER_PROOF_S
 
     async def _exchange(self, connection: ClientConnection) -> Event:
         platform = self._state.platform
@@ -248,6 +254,8 @@
         is_first = True
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
+            if self.has_answered:
+                self._note_answered()
             if stream_events := splitter.feed(data):
                 if is_first:
                     self._note_prefill_done()
@@ -264,6 +272,12 @@
                 PiecesArrived(self.attempt_id, self._next_event_index, stream_events)
             )
             self._next_event_index += len(stream_events)
+        self._note_answered()
+
+    def _note_answered(self) -> None:
+        if not self._is_answer_noted and not math.isinf(self._first_event_at):
+            self._is_answer_noted = True
+            note_answered(self._state, self._request.envelope, self._first_event_at)
 
     def _note_prefill_done(self) -> None:
         self._first_event_at = self._state.clock.now()
--- a/src/agatehoist/gateway/crashes.py
+++ b/src/agatehoist/gateway/crashes.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from agatehoist.gateway.part_evidence import note_crash
 from agatehoist.http1.channel import connect
 from agatehoist.http1.errors import ConnectionFailedError, NotListeningError
 from agatehoist.observability.logs import get_logger
@@ -22,7 +23,7 @@
 
 
 async def check_crash(
-    state: GatewayState, envelope: Envelope, endpoint: Endpoint
+    state: GatewayState, envelope: Envelope, endpoint: Endpoint, lost_at: float
 ) -> None:
     """Record a crash if an endpoint whose connection was lost accepts no other one."""
     if not is_serving(state, endpoint) or not await _refuses_connections(endpoint):
@@ -35,6 +36,7 @@
         endpoint=endpoint.lifetime,
         parts=[each.part_id for each in prompt.shared_parts] if prompt else [],
     )
+    note_crash(state, envelope, endpoint, lost_at)
 
 
 def is_serving(state: GatewayState, endpoint: Endpoint) -> bool:
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -15,10 +15,14 @@
 
 from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.load import changed_loads
-from agatehoist.observability.logs import get_logger
-from agatehoist.protocol.errors import BadFrameError
+from agatehoist.gateway.part_evidence import send_evidence
+from agatehoist.gateway.peer_datagrams import (
+    DATAGRAM_HANDLERS,
+    receive_datagrams,
+    send_datagram,
+)
+from agatehoist.protocol.datagrams import NODE_REPORT
 from agatehoist.protocol.node_reports import (
-    MAX_DATAGRAM_BYTES,
     NodeReport,
     TargetWeightsAge,
     decode_report,
@@ -30,8 +34,6 @@
     from agatehoist.gateway.state import GatewayState
     from agatehoist.protocol.node_reports import EndpointLoad
 
-logger = get_logger("gateway")
-
 # Changes within this time are sent in one report.
 BATCH_DELAY_S = 0.04
 # A full report has all endpoints in use, since datagrams with changes may be lost.
@@ -56,7 +58,8 @@
         sock.setblocking(False)
         sock.bind((inner.host, inner.port))
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(_receive, state, sock)
+            task_group.start_soon(receive_datagrams, state, sock)
+            task_group.start_soon(send_evidence, state, sock)
             await _send(state, sock)
 
 
@@ -99,7 +102,8 @@
         data = encode_report(report)
         peers = select_peers(state.settings.inner, state.nodes)
         for peer in peers:
-            _send_datagram(sock, data, peer)
+            # The next full report replaces a lost one.
+            send_datagram(sock, data, peer)
         sent_bytes = len(peers) * (len(data) + DATAGRAM_HEADER_BYTES)
         requests = state.load.started_requests
         await anyio.sleep(pause_after(sent_bytes, requests - requests_before))
@@ -112,14 +116,6 @@
     return max(BATCH_DELAY_S, excess_bytes / MAX_BYTES_PER_S)
 
 
-def _send_datagram(sock: socket.socket, data: bytes, peer: Address) -> None:
-    try:
-        sock.sendto(data, (peer.host, peer.port))
-    except OSError as error:
-        # The next full report replaces a lost one.
-        logger.debug("report not sent", peer=str(peer), reason=str(error))
-
-
 def _recent_namings(state: GatewayState) -> tuple[TargetWeightsAge, ...]:
     now = state.clock.now()
     recent = state.weights.targets_seen_since(now - state.settings.weights_in_force_s)
@@ -129,30 +125,16 @@
     )
 
 
-async def _receive(state: GatewayState, sock: socket.socket) -> None:
-    # Reports may queue in the socket while the process is suspended. The last time the
-    # socket was empty is the earliest time at which a report can have been sent.
-    sent_after = state.clock.now()
-    while True:
-        try:
-            data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
-        except BlockingIOError:
-            sent_after = state.clock.now()
-            await anyio.wait_readable(sock)
-            continue
-        except OSError as error:
-            logger.debug("report not received", reason=str(error))
-            await anyio.sleep(BATCH_DELAY_S)
-            continue
-        try:
-            report = decode_report(data)
-        except BadFrameError as error:
-            logger.debug("invalid report ignored", reason=str(error))
-            continue
-        if any(sender[0] == each.host for each in state.nodes):
-            state.load.accept_report(report, state.clock.now())
-            record_target_times(state, report, sent_after)
-            _record_reads(state, report)
+@DATAGRAM_HANDLERS.register(NODE_REPORT)
+def receive_report(state: GatewayState, data: bytes, sent_after: float) -> None:
+    """Take over the report of a peer.
+
+    Raises BadFrameError.
+    """
+    report = decode_report(data)
+    state.load.accept_report(report, state.clock.now())
+    record_target_times(state, report, sent_after)
+    _record_reads(state, report)
 
 
 def _record_reads(state: GatewayState, report: NodeReport) -> None:
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +32,11 @@
 from agatehoist.core.units import MS_PER_S
 from agatehoist.gateway.attempt import Attempt
 from agatehoist.gateway.endpoint_choice import find_offers, make_dispatch
+from agatehoist.gateway.part_evidence import (
+    note_sent,
+    quarantine_refusal,
+    repeat_refusal,
+)
 from agatehoist.gateway.run_moves import move_if_needed
 from agatehoist.gateway.tickets import make_ticket
 from agatehoist.http1.errors import ConnectionFailedError
@@ -42,7 +48,7 @@
     RETRIES_TOTAL,
     TTFT_SECONDS,
 )
-from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint
+from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint, OutcomeUnknown
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,6 +115,20 @@
         if attempt is not None and self._stream_started and not self._machine.ended:
             move_if_needed(self._state, self._request, attempt)
 
+    def withdraw_if_quarantined(self) -> None:
+        """Take the request back from its endpoint if it has a quarantined part."""
+        attempt = self._attempt
+        if attempt is None or attempt.has_answered or self._machine.ended:
+            return
+        if quarantine_refusal(self._state, self._request.envelope) is None:
+            return
+        unknown = OutcomeUnknown.refuse("a part of the prompt has been quarantined")
+        with suppress(anyio.WouldBlock):
+            self._sender.send_nowait(
+                AttemptRefused(attempt.attempt_id, unknown.refusal)
+            )
+            attempt.cancel()
+
     async def run(self) -> None:
         """Process the request to its end."""
         with self._sender, self._events, self._state.active_requests.track(self):
@@ -141,6 +161,8 @@
             return CallerDisconnected()
         if self._now() >= self._request.deadline:
             return DeadlinePassed()
+        if (quarantined := self._quarantine_refusal()) is not None:
+            return NotAdmitted(quarantined)
         offers = self._find_offers()
         ticket = self._ticket(offers)
         if ticket is not None and not self._state.lines.may_start_now(
@@ -157,6 +179,14 @@
     def _find_offers(self) -> tuple[Offer, ...]:
         return find_offers(self._state, self._request, frozenset(self._tried_lifetimes))
 
+    def _quarantine_refusal(self) -> Refusal | None:
+        envelope = self._request.envelope
+        refusal = quarantine_refusal(self._state, envelope)
+        if refusal is None and self._attempt is not None and self._attempt.was_lost:
+            endpoint = self._attempt.dispatch.endpoint
+            refusal = repeat_refusal(self._state, envelope, endpoint)
+        return refusal
+
     def _ticket(self, offers: tuple[Offer, ...]) -> Ticket | None:
         """Return a ticket for the line, or None if the request needn't wait in it.
 
@@ -183,6 +213,9 @@
         attempt_id = decision.target.attempt_id
         if endpoint is None:
             return NotWritten(attempt_id, "the endpoint has gone")
+        if (quarantined := self._quarantine_refusal()) is not None:
+            return AttemptRefused(attempt_id, quarantined)
+        note_sent(self._state, self._request.envelope)
         if self._tried_lifetimes:
             RETRIES_TOTAL.inc({})
         last_event_id = self._request.envelope.last_event_id
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -18,6 +18,7 @@
 from agatehoist.fleet.load import Load
 from agatehoist.fleet.view import EndpointsView
 from agatehoist.gateway.active_requests import ActiveRequests
+from agatehoist.gateway.evidence_outbox import EvidenceOutbox
 from agatehoist.gateway.start_lines import StartLines
 from agatehoist.gateway.store_feed import StoreFeed
 from agatehoist.gateway.store_roles import StoreRole
@@ -26,6 +27,7 @@
 from agatehoist.http1.pool import ConnectionPool
 from agatehoist.http1.types import ConnectionLimits
 from agatehoist.observability.logs import get_logger
+from agatehoist.quarantine.part_quarantine import PartQuarantine
 from agatehoist.weights.view import WeightsView
 
 if TYPE_CHECKING:
@@ -90,6 +92,8 @@
         self.health = Health()
         self.saved_parts = SavedParts()
         self.suspects = SuspicionTable()
+        self.quarantine = PartQuarantine()
+        self.evidence_outbox = EvidenceOutbox()
         self.pool = ConnectionPool(clock)
         self._last_contact_at_by_lifetime: dict[str, float] = {}
         self.in_flight = InFlightCounter()
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -40,6 +40,9 @@
 ENDPOINT_CRASHES_TOTAL = Counter(
     "agatehoist_endpoint_crashes_total", "Requests lost in a crash before an answer."
 )
+QUARANTINES_TOTAL = Counter(
+    "agatehoist_quarantines_total", "Changes to the quarantined prompt parts."
+)
 # Replies that state other weights than the request expected.
 UNEXPECTED_WEIGHTS_TOTAL = Counter(
     "agatehoist_unexpected_weights_total", "Replies made on other weights."
@@ -65,6 +68,7 @@
     "HIT_TOKENS",
     "IN_FLIGHT",
     "OUTCOMES_TOTAL",
+    "QUARANTINES_TOTAL",
     "RECOMPUTED_TOKENS",
     "REFUSALS_TOTAL",
     "PLATFORM_CALLS_TOTAL",
--- /dev/null
+++ b/src/agatehoist/protocol/datagrams.py
@@ -0,0 +1,19 @@
+"""Kinds of datagrams between gateways.
+
+Each datagram is a msgpack array of at most 15 fields, the first of which is a small
+integer that names its kind.
+"""
+
+from __future__ import annotations
+
+MAX_DATAGRAM_BYTES = 1400
+# Other releases use other kinds for messages with other fields and ignore these.
+NODE_REPORT = 4
+PART_EVIDENCE = 64
+# The first field follows the header of the array, which takes one byte.
+_KIND_INDEX = 1
+
+
+def datagram_kind(data: bytes) -> int | None:
+    """Return the kind of a datagram, or None if it is too short to have one."""
+    return data[_KIND_INDEX] if len(data) > _KIND_INDEX else None
--- a/src/agatehoist/protocol/node_reports.py
+++ b/src/agatehoist/protocol/node_reports.py
@@ -11,10 +11,9 @@
 
 import msgpack
 
+from agatehoist.protocol.datagrams import MAX_DATAGRAM_BYTES, NODE_REPORT
 from agatehoist.protocol.errors import BadFrameError
 
-VERSION = 4
-MAX_DATAGRAM_BYTES = 1400
 MAX_NAME_CHARACTERS = 200
 # In a fleet of 1,200 endpoints, a key collision has a probability of 1 in 400 million.
 KEY_BYTES = 6
@@ -89,7 +88,13 @@
     target_ages = [
         [each.model, each.version, each.age_ms] for each in report.target_ages
     ]
-    header = [VERSION, report.node, report.started_ms, report.sequence, report.whole]
+    header = [
+        NODE_REPORT,
+        report.node,
+        report.started_ms,
+        report.sequence,
+        report.whole,
+    ]
     reads = [
         [each.endpoint, each.part, each.tokens, each.saved] for each in report.reads
     ]
@@ -109,9 +114,9 @@
     Raises BadFrameError.
     """
     try:
-        (version, *fields) = msgpack.unpackb(data)
-        if version != VERSION:
-            raise ValueError(f"unsupported version {version!r}")
+        (kind, *fields) = msgpack.unpackb(data)
+        if kind != NODE_REPORT:
+            raise ValueError(f"unexpected kind {kind!r}")
         node, started_ms, sequence, whole, encoded_ages, encoded_reads, loads = fields
         integers = [started_ms, sequence]
         target_ages = []
@@ -123,13 +128,13 @@
         loads_by_key = {}
         for key, runs, unprocessed_tokens in loads:
             integers += [runs, unprocessed_tokens]
-            loads_by_key[_checked_key(key)] = EndpointLoad(runs, unprocessed_tokens)
+            loads_by_key[checked_key(key)] = EndpointLoad(runs, unprocessed_tokens)
         reads = []
         for endpoint, part, tokens, saved in encoded_reads:
             integers.append(tokens)
             reads.append(
                 PartRead(
-                    _checked_key(endpoint), _checked_key(part), tokens, saved is True
+                    checked_key(endpoint), checked_key(part), tokens, saved is True
                 )
             )
         if not all(type(each) is int and each >= 0 for each in integers):
@@ -153,7 +158,8 @@
     return value
 
 
-def _checked_key(value: object) -> bytes:
+def checked_key(value: object) -> bytes:
+    """Return a key from a datagram; raises ValueError if it isn't one."""
     if not isinstance(value, bytes) or len(value) != KEY_BYTES:
         raise ValueError("a key is not six bytes long")
     return value
--- /dev/null
+++ b/src/agatehoist/protocol/part_evidence.py
@@ -0,0 +1,101 @@
+"""Datagrams in which gateways tell each other which prompt parts crash endpoints.
+
+They carry ages instead of times, since the clocks of the nodes differ.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+
+from agatehoist.core.units import MS_PER_S
+from agatehoist.protocol.datagrams import PART_EVIDENCE
+from agatehoist.protocol.errors import BadFrameError
+from agatehoist.protocol.node_reports import checked_key
+from agatehoist.quarantine.part_quarantine import MAX_COUNT
+from agatehoist.quarantine.types import Answer, Crash, Evidence, Quarantine
+
+# Entries of each kind in one datagram; with all of them it takes some 1,300 bytes.
+MAX_CRASHES = 8
+MAX_ANSWERS = 16
+MAX_QUARANTINES = 16
+MAX_PARTS_PER_CRASH = 8
+
+
+def encode_evidence(evidence: Evidence, now: float) -> bytes:
+    """Encode evidence with times in epoch seconds; only the first entries fit."""
+    crashes = [
+        [each.parts, each.endpoint, each.request, _to_ms(now - each.at)]
+        for each in evidence.crashes[:MAX_CRASHES]
+    ]
+    answers = [
+        [each.part, _to_ms(now - each.at)] for each in evidence.answers[:MAX_ANSWERS]
+    ]
+    quarantines = [
+        [each.part, _to_ms(now - each.since), _to_ms(each.until - now), each.count]
+        for each in evidence.quarantines[:MAX_QUARANTINES]
+    ]
+    data: bytes = msgpack.packb([PART_EVIDENCE, crashes, answers, quarantines])
+    return data
+
+
+def decode_evidence(data: bytes, sent_at: float) -> Evidence:
+    """Decode the evidence in a datagram, with times that count from `sent_at`.
+
+    Raises BadFrameError.
+    """
+    try:
+        kind, crashes, answers, quarantines = msgpack.unpackb(data)
+        if kind != PART_EVIDENCE:
+            raise ValueError(f"unexpected kind {kind!r}")
+        return Evidence(
+            tuple(_read_crash(each, sent_at) for each in crashes),
+            tuple(_read_answer(each, sent_at) for each in answers),
+            tuple(_read_quarantine(each, sent_at) for each in quarantines),
+        )
+    except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
+        raise BadFrameError(f"invalid evidence on prompt parts: {error}") from error
+
+
+def _read_crash(fields: Any, sent_at: float) -> Crash:
+    parts, endpoint, request, age_ms = fields
+    if len(parts) > MAX_PARTS_PER_CRASH:
+        raise ValueError(f"a crash has {len(parts)} parts")
+    return Crash(
+        tuple(checked_key(each) for each in parts),
+        checked_key(endpoint),
+        checked_key(request),
+        sent_at - _to_s(age_ms),
+    )
+
+
+def _read_answer(fields: Any, sent_at: float) -> Answer:
+    part, age_ms = fields
+    return Answer(checked_key(part), sent_at - _to_s(age_ms))
+
+
+def _read_quarantine(fields: Any, sent_at: float) -> Quarantine:
+    part, age_ms, left_ms, count = fields
+    return Quarantine(
+        checked_key(part),
+        sent_at - _to_s(age_ms),
+        sent_at + _to_s(left_ms),
+        _checked_count(count),
+    )
+
+
+def _to_ms(duration_s: float) -> int:
+    return round(duration_s * MS_PER_S)
+
+
+def _to_s(duration_ms: Any) -> float:
+    if type(duration_ms) is not int:
+        raise ValueError(f"duration {duration_ms!r:.40} is not an integer")
+    return duration_ms / MS_PER_S
+
+
+def _checked_count(value: Any) -> int:
+    if type(value) is not int or not 1 <= value <= MAX_COUNT:
+        raise ValueError(f"count {value!r:.40} is not between 1 and {MAX_COUNT}")
+    return value
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -301,6 +301,14 @@
     error_type = "overloaded_error"
 
 
+@register_refusal
+class PromptQuarantined(RefusalKind):
+    """A part of the prompt crashes endpoints and isn't sent to them for a time."""
+
+    code = "prompt_quarantined"
+    status = Status.SERVICE_UNAVAILABLE
+
+
 @register_refusal
 class KeyReused(RefusalKind):
     """The idempotency key was used for another request."""
@@ -328,7 +336,13 @@
 
 
 # Refusals that end a request without a retry: another request reads the answer, the
-# deadline has passed, or another endpoint would refuse the request as invalid too.
+# deadline has passed, another endpoint would refuse the request as invalid too, or its
+# prompt must not reach another endpoint.
 FINAL_CODES = frozenset(
-    {AnswerTaken.code, DeadlineExceeded.code, EndpointRejected.code}
+    {
+        AnswerTaken.code,
+        DeadlineExceeded.code,
+        EndpointRejected.code,
+        PromptQuarantined.code,
+    }
 )
--- a/tests/test_gateway/test_crashes.py
+++ b/tests/test_gateway/test_crashes.py
@@ -49,7 +49,7 @@
                 if not listens:
                     endpoint = replace(endpoint, port=free_ports(1)[0])
                 world.state.fleet.by_name[endpoint.name] = replace(endpoint, **entry)
-                await check_crash(world.state, envelope, endpoint)
+                await check_crash(world.state, envelope, endpoint, 0.0)
 
         with structlog.testing.capture_logs() as logs:
             anyio.run(run)
--- a/tests/test_protocol/test_node_reports.py
+++ b/tests/test_protocol/test_node_reports.py
@@ -10,10 +10,9 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from agatehoist.protocol.datagrams import MAX_DATAGRAM_BYTES, NODE_REPORT
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.protocol.node_reports import (
-    MAX_DATAGRAM_BYTES,
-    VERSION,
     EndpointLoad,
     NodeReport,
     PartRead,
@@ -37,14 +36,14 @@
 
 
 def packed(
-    version: int = VERSION,
+    kind: int = NODE_REPORT,
     node: Any = "n",
     target_ages: Any = (),
     reads: Any = (),
     loads: Any = (),
 ) -> bytes:
     """Return an encoded report with these fields."""
-    data: bytes = msgpack.packb([version, node, 1, 1, True, target_ages, reads, loads])
+    data: bytes = msgpack.packb([kind, node, 1, 1, True, target_ages, reads, loads])
     return data
 
 
@@ -63,7 +62,7 @@
         [
             ("empty", b""),
             ("no_list", msgpack.packb(7)),
-            ("other_version", packed(version=2)),
+            ("other_version", packed(kind=2)),
             ("number_for_node", packed(node=5)),
             ("negative_count", packed(loads=[[KEY, -1, 2]])),
             ("text_for_count", packed(loads=[[KEY, "x", 2]])),
--- /dev/null
+++ b/tests/test_quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the quarantine package."""
+
+from __future__ import annotations
