Read the list of nodes when a node sends that isn't on it

A gateway that starts at a new address was unknown to the others for up to 15 s, and got neither their load reports nor what they know of crashing prompt parts, by which it is bound as soon as it is in touch.

Change: a datagram of an unlisted sender brings the next poll forward, to at most one in two seconds. Datagrams of unlisted senders are still ignored.

--- a/src/agatehoist/gateway/nodes.py
+++ b/src/agatehoist/gateway/nodes.py
@@ -25,7 +25,10 @@
 
 
 async def track_nodes(state: GatewayState) -> None:
-    """Register this node and update the list of nodes until cancelled."""
+    """Register this node and update the list of nodes until cancelled.
+
+    The list is read again early when a node that isn't listed sends a datagram.
+    """
     registered = False
     count = 0
     while True:
@@ -47,7 +50,9 @@
         # While nodes start together, the list is still growing and is read again soon.
         is_complete = len(listing.values) == count > 1
         count = len(listing.values)
-        await anyio.sleep(POLL_INTERVAL_S if is_complete else RETRY_DELAY_S)
+        await anyio.sleep(RETRY_DELAY_S)
+        if is_complete:
+            await state.unlisted_node_seen.wait(POLL_INTERVAL_S - RETRY_DELAY_S)
 
 
 async def _register(state: GatewayState) -> None:
--- a/src/agatehoist/gateway/peer_datagrams.py
+++ b/src/agatehoist/gateway/peer_datagrams.py
@@ -58,6 +58,7 @@
             logger.debug("datagram of an unknown kind ignored", kind=kind)
             continue
         if not any(sender[0] == each.host for each in state.nodes):
+            state.unlisted_node_seen.set()
             continue
         try:
             DATAGRAM_HANDLERS[kind](state, data, sent_after)
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -86,6 +86,8 @@
         self.parts = EndpointParts()
         self.nodes: frozenset[Address] = frozenset()
         self.nodes_changed = Wakeup()
+        # Set when a node sends that isn't listed yet.
+        self.unlisted_node_seen = Wakeup()
         # The nodes that watch the store for all, with their data centres.
         self.watchers: dict[Address, str] = {}
         self.feed = StoreFeed()
