Refuse a queued completion whose engine has changed weights

Cause: the ledger compares the identity of a submit with the engine's when it arrives. The attempt may then wait for a slot while the weights change, and was sent to the engine all the same, with the cache salt of the older weights. An engine that states its version in the reply had by then begun to fill cache under that salt; the answer of one that doesn't was passed on.

Change: the identity is compared again when the slot is granted; the refusal says that nothing was run. An unknown status is no change: refusing then would empty the whole queue at one late answer to a status request.

--- a/src/agatehoist/sidecar/attempt_runner.py
+++ b/src/agatehoist/sidecar/attempt_runner.py
@@ -24,6 +24,7 @@
     NoEndpoint,
     NotStarted,
     OutcomeUnknown,
+    StalePlacement,
 )
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
     try:
         with execution.scope:
             async with state.scheduler.completion_slot(submit) as handle:
+                _check_unchanged(state, submit)
                 await _collect_completion(state, submit, execution, handle)
     except RequestRefusedError as error:
         execution.finish(Refused(attempt_id, error.refusal))
@@ -92,6 +94,17 @@
     return OutcomeUnknown.refuse(str(error)).refusal
 
 
+def _check_unchanged(state: SidecarState, submit: SubmitCompletion) -> None:
+    """Check that the engine has not changed while the attempt was queued.
+
+    The cache salt names the weights of the identity, so no others may run under it.
+    Raises RequestRefusedError.
+    """
+    if state.is_known_to_differ_from(submit.assignment.identity):
+        detail = "the endpoint has changed while the attempt was queued"
+        raise StalePlacement.refuse(detail)
+
+
 async def _collect_completion(
     state: SidecarState,
     submit: SubmitCompletion,
--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -86,6 +86,10 @@
             self.incarnation, self.status.incarnation, self.status.weights_version
         )
 
+    def is_known_to_differ_from(self, identity: EndpointIdentity) -> bool:
+        """Return whether the endpoint's status is known and is that of another one."""
+        return self.status is not UNKNOWN_STATUS and identity != self.identity
+
     @property
     def ready(self) -> bool:
         """Return whether the sidecar accepts work for its endpoint."""
