Fail running completions when the engine changes its weights

Cause: the version in the head of a reply is checked once, when the answer begins. The sidecar drains before its own orders, but weights may change without it: an engine that doesn't check fencing numbers accepts a late order of a superseded sidecar (`test_order_sent_after_the_sidecar_was_superseded_has_no_lasting_effect`: 2, 1, 2). The answer then went on with the cache of the older weights and ended as a success.

Change: when the status names another version or run of the engine than the last known one, the attempts that run fail (`endpoint_failed`, run unknown), so that the router continues the text elsewhere, where it is read again. Silence alone fails nothing here; ENDPOINT_FAILURE_TIMEOUT_S decides on it as before. An engine that would have ended its running answers on the older weights loses them too: its status doesn't tell.

Not covered: an answer that ends, or weights that change and return, between two status replies (STATUS_INTERVAL_S).

The test failed before in the five cases of another status. Now all eight pass.

--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -18,6 +18,8 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
 from agatehoist.protocol.limits import MAX_SESSIONS, Slots
+from agatehoist.protocol.messages import Refused
+from agatehoist.refusals.kinds import EndpointFailed
 from agatehoist.sidecar.scheduler_driver import SchedulerDriver
 
 if TYPE_CHECKING:
@@ -54,6 +56,7 @@
         self.inner_keys = KeyRing(settings.inner_keys)
         self.incarnation = new_incarnation()
         self.status = UNKNOWN_STATUS
+        self._last_known_status = UNKNOWN_STATUS
         self.session_slots = Slots("sessions", MAX_SESSIONS)
         # Whether the sidecar is shutting down.
         self.leaving = False
@@ -99,10 +102,17 @@
         return bool(self.status.weights_version) or not is_engine
 
     def set_status(self, status: EndpointStatus) -> None:
-        """Set the status of the endpoint; a change clears the cache index."""
+        """Set the status of the endpoint.
+
+        A change clears the cache index. Attempts that run under an earlier known status
+        fail, so that routers can continue them elsewhere.
+        """
         if status != self.status:
             self.cache_index.reset(_cache_epoch_of(status))
         self.status = status
+        if status not in (UNKNOWN_STATUS, self._last_known_status):
+            self._fail_running_attempts()
+            self._last_known_status = status
         self.scheduler.report_running_jobs(status.running)
 
     async def refresh_status(self) -> None:
@@ -122,6 +132,23 @@
         """Set the status to unknown, as the endpoint doesn't answer."""
         self.set_status(UNKNOWN_STATUS)
 
+    def _fail_running_attempts(self) -> None:
+        # Their KV cache was computed by the earlier weights.
+        refusal = EndpointFailed.refuse(
+            "the endpoint restarted or changed weights during the answer"
+        ).refusal
+        for attempt_id, execution in self.executions_by_id.items():
+            if execution.started and execution.final_message is None:
+                logger.warning(
+                    "running attempt failed",
+                    attempt=str(attempt_id),
+                    reason=refusal.detail,
+                    earlier_weights=self._last_known_status.weights_version,
+                    weights=self.status.weights_version,
+                )
+                execution.finish(Refused(attempt_id, refusal))
+                execution.scope.cancel()
+
 
 def _cache_epoch_of(status: EndpointStatus) -> CacheEpoch | None:
     if status == UNKNOWN_STATUS:
--- a/tests/test_sidecar/test_weights_changes.py
+++ b/tests/test_sidecar/test_weights_changes.py
@@ -52,6 +52,18 @@
     ("same_after_silence", [UNKNOWN_STATUS, FIRST], True),
 ]
 
+# Case, the statuses that arrive while an answer is generated, and whether it may end.
+STATUSES_IN_THE_ANSWER = [
+    ("same", [FIRST], True),
+    ("new_weights", [NEW_WEIGHTS], False),
+    ("no_weights", [NO_WEIGHTS], False),
+    ("new_run", [NEW_RUN], False),
+    ("new_weights_after_silence", [UNKNOWN_STATUS, NEW_WEIGHTS], False),
+    ("there_and_back", [NEW_WEIGHTS, FIRST], False),
+    ("silence", [UNKNOWN_STATUS], True),
+    ("same_after_silence", [UNKNOWN_STATUS, FIRST], True),
+]
+
 
 class HeldEngine(EngineClient):
     """Send one token of each completion, and its end when released."""
@@ -147,3 +159,27 @@
                 )
 
         anyio.run(run)
+
+
+class RunningAttemptTests(unittest.TestCase):
+    @parameterized.expand(STATUSES_IN_THE_ANSWER)
+    def test_answer_does_not_go_on_with_cache_of_other_weights(
+        self, _name: str, statuses: list[EndpointStatus], ends: bool
+    ) -> None:
+        async def run() -> None:
+            async with attempts_on_one_slot() as attempts:
+                running = await attempts.start()
+                for status in statuses:
+                    attempts.state.set_status(status)
+                final_message = await attempts.end(running)
+                if ends:
+                    self.assertIsInstance(final_message, CompletionEnd)
+                    return
+                assert isinstance(final_message, Refused)
+                refusal = final_message.refusal
+                self.assertEqual(
+                    (refusal.code, refusal.run), ("endpoint_failed", Run.UNKNOWN)
+                )
+                self.assertTrue(running.scope.cancelled_caught)
+
+        anyio.run(run)
