Drop status replies that a later one has overtaken

Cause: the status is requested every half second, after each order and after events of another cache epoch, on connections of their own, and each reply was applied when it came. A reply from before a load that came after the one that follows the order brought the older weights version back. Until the next one, offers and submits named it, and cache of the newer weights was filled under the salt of the older ones.

Change: requests are numbered; a reply or failure has no effect if a later request's has been applied.

The test failed before in the three cases in which the older request ends last. Now all four pass.

--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from typing import TYPE_CHECKING
 
@@ -57,6 +58,9 @@
         self.incarnation = new_incarnation()
         self.status = UNKNOWN_STATUS
         self._last_known_status = UNKNOWN_STATUS
+        # Status requests are numbered in the order in which they are sent.
+        self._status_numbers = itertools.count(1)
+        self._applied_status_number = 0
         self.session_slots = Slots("sessions", MAX_SESSIONS)
         # Whether the sidecar is shutting down.
         self.leaving = False
@@ -116,22 +120,25 @@
         self.scheduler.report_running_jobs(status.running)
 
     async def refresh_status(self) -> None:
-        """Request the status of the endpoint; without an answer it becomes unknown."""
+        """Request the status of the endpoint; without an answer it becomes unknown.
+
+        An answer has no effect if that of a later request has arrived before.
+        """
+        number = next(self._status_numbers)
         try:
-            self.set_status(await self.client.status())
+            status = await self.client.status()
         except EndpointError as error:
             logger.warning("endpoint status unavailable", reason=str(error))
-            self.clear_status()
+            status = UNKNOWN_STATUS
+        if number > self._applied_status_number:
+            self._applied_status_number = number
+            self.set_status(status)
 
     def wake_cache_resync_if_needed(self) -> None:
         """Wake the listing task if the cache index needs a block listing."""
         if self.cache_follower is not None:
             self.cache_follower.wake_resync_if_needed()
 
-    def clear_status(self) -> None:
-        """Set the status to unknown, as the endpoint doesn't answer."""
-        self.set_status(UNKNOWN_STATUS)
-
     def _fail_running_attempts(self) -> None:
         # Their KV cache was computed by the earlier weights.
         refusal = EndpointFailed.refuse(
