Send no order that the configuration has taken back meanwhile

Cause: the goal is read, a lease is taken and the work in flight is drained, which may last for LEASE_S less ORDER_TIMEOUT_S. Only the lease and the fencing number were checked after that. A version that an operator rolled back in this time was loaded all the same, and the engine was then drained and loaded once more.

Change: the order must still belong to the goal when it is sent; otherwise the lease is released and the next step decides anew.

The test failed before in three of four cases: weights 2 were loaded after the configuration had gone back to 1, on to 3, or pinned the host to 1. Now all pass.

--- a/src/agatehoist/orders/errors.py
+++ b/src/agatehoist/orders/errors.py
@@ -20,6 +20,10 @@
     """Report that the validity or the lease of an order ended before it was sent."""
 
 
+class OrderNotWantedError(OrderError):
+    """Report that the configuration changed before an order was sent."""
+
+
 class OrderRefusedError(OrderError):
     """Report that the endpoint did not receive or did not accept an order."""
 
--- a/src/agatehoist/sidecar/orders.py
+++ b/src/agatehoist/sidecar/orders.py
@@ -18,6 +18,7 @@
 from agatehoist.orders.errors import (
     OrderError,
     OrderExpiredError,
+    OrderNotWantedError,
     SupersededError,
 )
 from agatehoist.orders.fencing import check_not_expired
@@ -214,6 +215,7 @@
             # The order must be done before the lease expires.
             if order.interrupts:
                 await self._wait_for_work_in_flight(lease.expires_at - ORDER_TIMEOUT_S)
+            await self._check_still_wanted(order)
             check_not_expired(lease.expires_at - ORDER_TIMEOUT_S, self._now())
             await self._sender.send(order, self._fencing_record())
             error = await self._sender.wait_until_done(order)
@@ -230,6 +232,14 @@
             await self._accept_work_again()
         await self._write_ledger_update()
 
+    async def _check_still_wanted(self, order: Order) -> None:
+        # The configuration may have changed while work was drained.
+        goal = await self._goal()
+        if goal is None or not order.is_met(goal.holding):
+            raise OrderNotWantedError(
+                f"host {self._host} is no longer to have what {order!r} requests"
+            )
+
     def _fencing_record(self) -> FencingRecord:
         assert self._fencing is not None
         return self._fencing
--- a/tests/test_orders/test_reconciler.py
+++ b/tests/test_orders/test_reconciler.py
@@ -109,6 +109,38 @@
 
         run(scenario)
 
+    # The configuration changes while the order waits for the work in flight to end.
+    @parameterized.expand(
+        [
+            ("same_weights", "2", "", ["2"]),
+            ("rolled_back", "1", "", []),
+            ("newer_weights", "3", "", ["3"]),
+            ("pinned", "2", "1", []),
+        ]
+    )
+    def test_weights_that_are_no_longer_wanted_are_not_loaded(
+        self, _name: str, version: str, pinned_version: str, expected: list[str]
+    ) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            with sidecar.state.in_flight.track():
+                fleet.task_group.start_soon(run_steps, sidecar)
+                await anyio.wait_all_tasks_blocked()
+                self.assertFalse(sidecar.state.ready)
+                rules = EndpointRules(weights_version=pinned_version)
+                fleet.configure(version, {"h1": rules})
+            await anyio.wait_all_tasks_blocked()
+            loaded = [
+                each["fields"]["weights_version"] for each in engine.order_handler.taken
+            ]
+            self.assertEqual(loaded, expected)
+            self.assertTrue(sidecar.state.ready)
+            self.assertEqual(fleet.platform.ledger().leases, ())
+
+        run(scenario)
+
     def test_no_order_while_the_platform_is_down(self) -> None:
         async def scenario(fleet: FakeFleet) -> None:
             engine = FakeEngine()
