Let the engine refuse a completion placed for other weights

Found while listing the ways in which KV cache of one version can meet a run of another in the sidecar; shown on the engine stand-in only.

Cause: the version was compared when the engine's reply began. By then it had computed the prompt on its newer weights and kept the blocks under the salt that names the older version.

Change: the request names the expected version in x-expected-weights-version, and an engine with other weights answers 421 before it runs. The refusal is then stale_placement, not run. The header of the reply is checked as before, for engines that don't know the request's.

The row of an engine that only states its version passed before too; it keeps that check covered, as the stand-in now refuses first.

Not covered: an engine that ignores the header and keeps blocks, and one that compares on arrival and changes its weights before it starts.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -11,6 +11,7 @@
 from agatehoist.core.tls import tls_context
 from agatehoist.endpoints.engine_cache import EngineCacheClient
 from agatehoist.endpoints.errors import (
+    EndpointChangedError,
     EndpointError,
     EndpointFailedError,
     EndpointNotReachedError,
@@ -29,6 +30,11 @@
 STATUS_TIMEOUT_S = 1.0
 EVENT_PREFIX = "data: "
 END_MARKER = "[DONE]"
+INCARNATION_HEADER = "x-engine-incarnation"
+VERSION_HEADER = "x-weights-version"
+# An engine that has other weights refuses the request with status 421. One that doesn't
+# know the header begins to fill its cache before the version in its reply is checked.
+EXPECTED_VERSION_HEADER = b"x-expected-weights-version"
 
 # Client errors that depend on the state of the engine rather than on the request, so
 # that another engine may be able to run it.
@@ -89,8 +95,11 @@
         Raises EndpointError.
         """
         body = _engine_body(work, cache_salt, priority)
+        headers = {EXPECTED_VERSION_HEADER: expected_status.weights_version.encode()}
         try:
-            async with self._http.stream("POST", work.path, json=body) as response:
+            async with self._http.stream(
+                "POST", work.path, json=body, headers=headers
+            ) as response:
                 if response.is_error:
                     await response.aread()
                     raise _error_for_response(response)
@@ -130,8 +139,8 @@
 
 def _check_identity(response: httpx.Response, expected_status: EndpointStatus) -> None:
     expected_by_header = {
-        "x-engine-incarnation": expected_status.incarnation,
-        "x-weights-version": expected_status.weights_version,
+        INCARNATION_HEADER: expected_status.incarnation,
+        VERSION_HEADER: expected_status.weights_version,
     }
     # An engine that doesn't send a header isn't checked.
     for header, expected in expected_by_header.items():
@@ -143,6 +152,8 @@
 
 def _error_for_response(response: httpx.Response) -> EndpointError:
     detail = f"engine answered {response.status_code}: {response.text}"
+    if response.status_code == HTTPStatus.MISDIRECTED_REQUEST:
+        return EndpointChangedError(detail)
     if response.status_code in _RETRIABLE_STATUSES or response.is_server_error:
         return EndpointFailedError(detail)
     return EndpointRejectedError(detail)
--- a/src/agatehoist/endpoints/errors.py
+++ b/src/agatehoist/endpoints/errors.py
@@ -23,6 +23,10 @@
     """Report that the endpoint rejected the request as invalid."""
 
 
+class EndpointChangedError(EndpointError):
+    """Report that the endpoint didn't run a request, as it has other weights."""
+
+
 class EndpointFailedError(EndpointError):
     """Report the failure of a request that the endpoint may have started.
 
--- a/src/agatehoist/sidecar/attempt_runner.py
+++ b/src/agatehoist/sidecar/attempt_runner.py
@@ -7,6 +7,7 @@
 from agatehoist.cache.types import PromptReport
 from agatehoist.endpoints.engine import EngineClient
 from agatehoist.endpoints.errors import (
+    EndpointChangedError,
     EndpointError,
     EndpointFailedError,
     EndpointNotReachedError,
@@ -86,6 +87,8 @@
     """Return the refusal that reports an endpoint error to a router."""
     if isinstance(error, EndpointNotReachedError):
         return NoEndpoint.refuse(str(error)).refusal
+    if isinstance(error, EndpointChangedError):
+        return StalePlacement.refuse(str(error)).refusal
     if isinstance(error, EndpointRejectedError):
         return EndpointRejected.refuse(str(error)).refusal
     if isinstance(error, EndpointFailedError):
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -48,6 +48,8 @@
             return JSONResponse({"error": {"message": "no such model"}}, 404)
         if not self.engine.weights_version:
             return JSONResponse({"error": {"message": "no weights"}}, 503)
+        if self._expects_other_weights(request):
+            return JSONResponse({"error": {"message": "other weights"}}, 421)
         is_chat = request.url.path.endswith("/chat/completions")
         prompt = _render_chat(fields) if is_chat else fields["prompt"]
         events = self._generate(fields, prompt, is_chat)
@@ -58,6 +60,12 @@
             )
         return JSONResponse(await _join(events, is_chat))
 
+    def _expects_other_weights(self, request: Request) -> bool:
+        if self.engine.feed.faults.ignore_expected_version:
+            return False
+        expected = request.headers.get("x-expected-weights-version")
+        return expected not in (None, self.engine.weights_version)
+
     async def _generate(
         self, fields: dict[str, Any], prompt: str, is_chat: bool
     ) -> AsyncIterator[dict[str, Any]]:
--- a/standins/engine/events.py
+++ b/standins/engine/events.py
@@ -24,13 +24,15 @@
     """Configure the faults of an engine's cache and load reports.
 
     event_delay and load_lag, the age of load reports, are in seconds; event_loss is a
-    probability. keep_blocks keeps the cached blocks when the weights change.
+    probability. keep_blocks keeps the cached blocks when the weights change;
+    ignore_expected_version runs requests that expect other weights.
     """
 
     event_delay: float = 0.0
     event_loss: float = 0.0
     load_lag: float = 0.0
     keep_blocks: bool = False
+    ignore_expected_version: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/test_sidecar/test_cache_events.py
+++ b/tests/test_sidecar/test_cache_events.py
@@ -13,7 +13,7 @@
 
 from agatehoist.core.clock import SystemClock
 from agatehoist.core.identity import AttemptId
-from agatehoist.core.work import CompletionWork, Priority
+from agatehoist.core.work import CompletionWork, Priority, Run
 from agatehoist.endpoints.engine import EngineClient
 from agatehoist.endpoints.errors import EndpointRejectedError
 from agatehoist.observability.http import http_server
@@ -60,6 +60,17 @@
     ("late_and_half_lost", CacheFaults(event_delay=0.3, event_loss=0.5)),
 ]
 
+# Case, the faults of an engine that has changed its weights unnoticed, and the refusal.
+ENGINES_WITH_OTHER_WEIGHTS = [
+    ("it_refuses", CacheFaults(), "stale_placement", Run.NO),
+    (
+        "it_only_states_its_version",
+        CacheFaults(ignore_expected_version=True),
+        "endpoint_failed",
+        Run.UNKNOWN,
+    ),
+]
+
 
 class EngineWithSidecar:
     """Run prompts on an engine through the state and the runner of its sidecar."""
@@ -228,6 +239,41 @@
             end = await sidecar_engine.run(prompt_of(1), organisation)
             self.assertEqual(end.cached_tokens, 0)
 
+    # Case, the weights that the engine has changed to unnoticed, and whether it runs a
+    # prompt that was placed before.
+    @parameterized.expand([("same_weights", "1", True), ("other_weights", "2", False)])
+    @run_in_event_loop
+    async def test_other_weights_fill_no_cache_under_the_salt_of_the_expected_ones(
+        self, _name: str, weights_version: str, runs: bool
+    ):
+        async with engine_with_sidecar(CacheFaults(keep_blocks=True)) as sidecar_engine:
+            old_identity = sidecar_engine.state.identity
+            sidecar_engine.engine.weights_version = weights_version
+            final_message = await sidecar_engine.run(
+                prompt_of(1), identity=old_identity
+            )
+            # The weights are rolled back, and the engine has kept its blocks.
+            sidecar_engine.engine.weights_version = "1"
+            await sidecar_engine.state.refresh_status()
+            end = await sidecar_engine.run(prompt_of(1), identity=old_identity)
+            self.assertEqual(end.cached_tokens, PROMPT_TOKENS if runs else 0)
+            self.assertEqual(isinstance(final_message, CompletionEnd), runs)
+
+    @parameterized.expand(ENGINES_WITH_OTHER_WEIGHTS)
+    @run_in_event_loop
+    async def test_answer_on_other_weights_is_no_success(
+        self, _name: str, faults: CacheFaults, code: str, run: Run
+    ):
+        async with engine_with_sidecar(faults) as sidecar_engine:
+            old_identity = sidecar_engine.state.identity
+            sidecar_engine.engine.weights_version = "2"
+            final_message = await sidecar_engine.run(
+                prompt_of(1), identity=old_identity
+            )
+            self.assertIsInstance(final_message, Refused)
+            refusal = final_message.refusal
+            self.assertEqual((refusal.code, refusal.run), (code, run))
+
     @parameterized.expand(
         [
             ("same_weights", "1", "archive", True),
