Show that an engine which states no version can answer on other weights

The check of the version in the reply's head passes over an engine that doesn't send it ("An engine that doesn't send a header isn't checked"). If such an engine doesn't compare the expected version either, and changes its weights after the sidecar's last status request, an attempt that was placed for the older ones runs and ends as a success. An engine that keeps blocks fills cache under the older salt with it.

Not mended: a status request between the head of the reply and its first token would show the version, but costs a request for each completion and, where the status is slow, up to STATUS_TIMEOUT_S of time to first token. That is the lead's to decide.

--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -54,7 +54,8 @@
         prompt = _render_chat(fields) if is_chat else fields["prompt"]
         events = self._generate(fields, prompt, is_chat)
         if fields.get("stream"):
-            headers = _epoch_headers(self.engine.epoch)
+            hidden = self.engine.feed.faults.state_no_epoch
+            headers = {} if hidden else _epoch_headers(self.engine.epoch)
             return StreamingResponse(
                 _encode(events), headers=headers, media_type="text/event-stream"
             )
--- a/standins/engine/events.py
+++ b/standins/engine/events.py
@@ -25,7 +25,8 @@
 
     event_delay and load_lag, the age of load reports, are in seconds; event_loss is a
     probability. keep_blocks keeps the cached blocks when the weights change;
-    ignore_expected_version runs requests that expect other weights.
+    ignore_expected_version runs requests that expect other weights; state_no_epoch
+    leaves the version and incarnation out of the replies.
     """
 
     event_delay: float = 0.0
@@ -33,6 +34,7 @@
     load_lag: float = 0.0
     keep_blocks: bool = False
     ignore_expected_version: bool = False
+    state_no_epoch: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/test_sidecar/test_cache_events.py
+++ b/tests/test_sidecar/test_cache_events.py
@@ -69,6 +69,12 @@
         "endpoint_failed",
         Run.UNKNOWN,
     ),
+    (
+        "it_tells_nothing",
+        CacheFaults(ignore_expected_version=True, state_no_epoch=True),
+        "endpoint_failed",
+        Run.UNKNOWN,
+    ),
 ]
 
 
