Test that stale placements, exports and expectations meet no other weights

Checks that had no test of their own, found while listing the ways to stale cache: - a submit placed for other weights or another sidecar is refused (only another engine process was tested); - an expectation of older weights is dropped with its answer (only a restart was); - the engine's cache is named by its own weights when the router knows others; - a continued answer is read again on other weights; - blocks exported after a change of weights aren't imported.

--- a/tests/test_attempts/test_ledger.py
+++ b/tests/test_attempts/test_ledger.py
@@ -20,7 +20,9 @@
 from agatehoist.protocol.messages import Assignment, Resume
 
 IDENTITY = EndpointIdentity("s1", "e1", "1")
-OTHER_IDENTITY = EndpointIdentity("s1", "e2", "1")
+OTHER_ENGINE = EndpointIdentity("s1", "e2", "1")
+OTHER_WEIGHTS = EndpointIdentity("s1", "e1", "2")
+OTHER_SIDECAR = EndpointIdentity("s2", "e1", "1")
 ATTEMPT = AttemptId("r", 1)
 SUBMIT = Assignment(ATTEMPT, "archive", IDENTITY, Priority.SHORT, 10.0)
 RESUME = Resume(ATTEMPT, 0, "archive", 10.0)
@@ -28,7 +30,9 @@
 
 REFUSED = [
     ("leaving", IDENTITY, False, 1.0, "leaving"),
-    ("other_endpoint", OTHER_IDENTITY, True, 1.0, "stale_placement"),
+    ("other_engine", OTHER_ENGINE, True, 1.0, "stale_placement"),
+    ("other_weights", OTHER_WEIGHTS, True, 1.0, "stale_placement"),
+    ("other_sidecar", OTHER_SIDECAR, True, 1.0, "stale_placement"),
     ("too_late", IDENTITY, True, 10.0, "deadline_exceeded"),
 ]
 
--- a/tests/test_cache/test_cache_index.py
+++ b/tests/test_cache/test_cache_index.py
@@ -108,10 +108,14 @@
         cache_index.resync(BlockListing(epoch, 0, BLOCKS))
         self.assertEqual(cache_index.matched_tokens(LEVELS), 0)
 
-    def test_answer_after_an_engine_restart_is_dropped(self) -> None:
+    @parameterized.expand(OTHER_EPOCHS)
+    def test_answer_to_a_prompt_of_an_older_epoch_is_dropped(
+        self, _name: str, epoch: CacheEpoch
+    ) -> None:
         cache_index = index_with_all_blocks()
         cache_index.expect(attempt(2), LEVELS)
-        cache_index.reset(OTHER_PROCESS)
+        cache_index.reset(epoch)
+        self.assertEqual(cache_index.matched_tokens(LEVELS), 0)
         cache_index.record(attempt(2), PromptReport(128, 128, BLOCKS))
         self.assertEqual(cache_index.matched_tokens(LEVELS), 0)
 
--- a/tests/test_sidecar/test_cache_events.py
+++ b/tests/test_sidecar/test_cache_events.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 import unittest
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -13,7 +13,7 @@
 
 from agatehoist.core.clock import SystemClock
 from agatehoist.core.identity import AttemptId
-from agatehoist.core.work import CompletionWork, Priority, Run
+from agatehoist.core.work import CompletionWork, Continuation, Priority, Run
 from agatehoist.endpoints.engine import EngineClient
 from agatehoist.endpoints.errors import EndpointRejectedError
 from agatehoist.observability.http import http_server
@@ -91,8 +91,14 @@
         text: str,
         organisation: str = "archive",
         identity: EndpointIdentity | None = None,
+        router_version: str = "",
+        continuation: Continuation | None = None,
     ) -> CompletionEnd | Refused:
-        """Run one completion and return its final message."""
+        """Run one completion and return its final message.
+
+        `router_version` is the weights version that the router knows, if it isn't that
+        of the engine.
+        """
         identity = identity or self.state.identity
         assignment = Assignment(
             AttemptId("router", next(self._numbers)),
@@ -102,8 +108,11 @@
             self.state.clock.now() + 60,
         )
         body = json.dumps({"model": MODEL, "prompt": text, "max_tokens": 1})
-        work = CompletionWork("/v1/completions", body.encode(), len(text) // 4, 1)
-        levels = levels_of(text, organisation, identity.weights_version)
+        work = CompletionWork(
+            "/v1/completions", body.encode(), len(text) // 4, 2, continuation
+        )
+        version = router_version or identity.weights_version
+        levels = levels_of(text, organisation, version)
         execution = Execution(assignment.deadline)
         submit = SubmitCompletion(assignment, levels, work)
         await run_completion(self.state, submit, execution)
@@ -280,6 +289,63 @@
             refusal = final_message.refusal
             self.assertEqual((refusal.code, refusal.run), (code, run))
 
+    @parameterized.expand([("router_is_behind", "1", "2"), ("ahead", "2", "1")])
+    @run_in_event_loop
+    async def test_cache_is_named_by_the_weights_of_the_engine_not_of_the_router(
+        self, _name: str, router_version: str, weights_version: str
+    ):
+        async with engine_with_sidecar(CacheFaults(keep_blocks=True)) as sidecar_engine:
+            state = sidecar_engine.state
+            sidecar_engine.engine.weights_version = weights_version
+            await state.refresh_status()
+            await sidecar_engine.run(prompt_of(1), router_version=router_version)
+            salt = salt_for("archive", MODEL, weights_version).hex()
+            expected = block_hashes(tokenize(prompt_of(1)), salt)
+            self.assertEqual(set(sidecar_engine.engine.cache.blocks()), set(expected))
+            # The engine comes to the weights that the router knew; its own index then
+            # has no entry for them.
+            sidecar_engine.engine.weights_version = router_version
+            await state.refresh_status()
+            levels = levels_of(prompt_of(1), "archive", router_version)
+            self.assertEqual(state.cache_index.matched_tokens(levels), 0)
+            end = await sidecar_engine.run(prompt_of(1))
+            self.assertEqual(end.cached_tokens, 0)
+
+    # Case, the weights that the answer is continued on, and whether the prompt's cache
+    # may be used there.
+    @parameterized.expand([("same_weights", "1", True), ("other_weights", "2", False)])
+    @run_in_event_loop
+    async def test_continued_answer_is_read_again_on_other_weights(
+        self, _name: str, weights_version: str, hit: bool
+    ):
+        async with engine_with_sidecar(CacheFaults(keep_blocks=True)) as sidecar_engine:
+            await sidecar_engine.run(prompt_of(1))
+            sidecar_engine.engine.weights_version = weights_version
+            await sidecar_engine.state.refresh_status()
+            end = await sidecar_engine.run(
+                prompt_of(1), continuation=Continuation("salmon", 1)
+            )
+            self.assertEqual(end.cached_tokens, PROMPT_TOKENS if hit else 0)
+
+    @parameterized.expand([("same_weights", "1", True), ("other_weights", "2", False)])
+    @run_in_event_loop
+    async def test_blocks_exported_after_a_change_of_weights_are_not_imported(
+        self, _name: str, weights_version: str, imported: bool
+    ):
+        async with (
+            engine_with_sidecar(CacheFaults(keep_blocks=True)) as source,
+            engine_with_sidecar(CacheFaults()) as target,
+        ):
+            await source.run(prompt_of(1))
+            # The import was decided on while both had the same weights.
+            source.engine.weights_version = weights_version
+            cache = source.state.client.cache
+            export = await cache.export(source.block_hashes(prompt_of(1)))
+            self.assertEqual(export.epoch.weights_version, weights_version)
+            with suppress(EndpointRejectedError):
+                await target.state.client.cache.import_blocks(export)
+            self.assertEqual(bool(target.engine.cache.blocks()), imported)
+
     @parameterized.expand(
         [
             ("same_weights", "1", "archive", True),
