Test the orders around a load and after replayed configurations

Checks that had no test of their own, found while listing the ways to stale cache: - after a load no work is accepted until the engine's new status is known; - configurations that arrive at once, in any order, are not loaded one by one.

--- a/tests/test_orders/test_reconciler.py
+++ b/tests/test_orders/test_reconciler.py
@@ -3,21 +3,27 @@
 from __future__ import annotations
 
 import unittest
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 from parameterized import parameterized
 
 from agatehoist.configuration import EndpointRules
-from agatehoist.endpoints.errors import EndpointError
+from agatehoist.configuration.encoding import pack_record, parse_record
+from agatehoist.endpoints.errors import EndpointError, EndpointNotReachedError
+from agatehoist.gossip.types import Item, Topic
 from agatehoist.orders.errors import OrderError, OrderExpiredError, SupersededError
+from agatehoist.sidecar.orders import Reconciler
 from agatehoist.storage.errors import PlatformError
-from tests.test_orders.support import MODEL, FakeEngine, FakeFleet
+from standins.fleet import accepted_record, default_configuration
+from tests.test_orders.support import MODEL, FakeEngine, FakeFleet, FakeSidecar
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from tests.test_orders.support import FakeSidecar
+    from agatehoist.endpoints.types import EndpointStatus
+    from agatehoist.orders.clients import OrderClient
+    from agatehoist.storage.client import PlatformClient
 
 
 def run(
@@ -45,6 +51,15 @@
             continue
 
 
+def configuration_item(revision: int, weights_version: str) -> Item:
+    """Return a configuration as a peer sends it."""
+    defaults = default_configuration()
+    defaults["models"][MODEL]["weights_version"] = weights_version
+    defaults["orders"] = {"capacity_floor": 0.0}
+    record = parse_record(accepted_record(defaults), revision)
+    return Item(Topic.CONFIGURATION, revision, pack_record(record))
+
+
 class OrderTests(unittest.TestCase):
     @parameterized.expand(
         [
@@ -109,6 +124,73 @@
 
         run(scenario)
 
+    # The engine is asked for its status after the load, and answers or doesn't.
+    @parameterized.expand([("answers", False), ("silent", True)])
+    def test_no_work_is_accepted_before_the_weights_are_known(
+        self, _name: str, silent: bool
+    ) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            fleet.configure("2")
+            released = anyio.Event()
+            reply = engine.status
+
+            async def reply_late() -> EndpointStatus:
+                await released.wait()
+                if silent:
+                    raise EndpointNotReachedError("down")
+                return await reply()
+
+            engine.status = reply_late  # type: ignore[method-assign]
+            fleet.task_group.start_soon(run_steps, sidecar)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(engine.engine.weights_version, "2")
+            self.assertFalse(sidecar.state.ready)
+            released.set()
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(sidecar.state.ready, not silent)
+            version = sidecar.state.identity.weights_version
+            self.assertEqual(version, "" if silent else "2")
+
+        run(scenario)
+
+    # Revisions with their weights, which are delivered at once and in this order after
+    # revision 1 with weights 1.
+    @parameterized.expand(
+        [
+            ("oldest_first", [(2, "2"), (3, "3"), (4, "4")], ["4"]),
+            ("newest_first", [(4, "4"), (3, "3"), (2, "2")], ["4"]),
+            ("rolled_back", [(2, "2"), (3, "1")], []),
+        ]
+    )
+    def test_replayed_configurations_are_not_loaded_one_by_one(
+        self, _name: str, revisions: list[tuple[int, str]], expected: list[str]
+    ) -> None:
+        async def scenario(fleet: FakeFleet) -> None:
+            engine = FakeEngine()
+            sidecar = await fleet.start_sidecar("h1", engine)
+            state = sidecar.state
+            reconciler = Reconciler(
+                state,
+                cast("PlatformClient", fleet.platform),
+                cast("OrderClient", engine),
+                lambda: state.fleet.configuration,
+                fleet.sleep,
+            )
+            state.gossip.accept_items([configuration_item(1, "1")])
+            await reconciler.step()
+            state.gossip.accept_items(
+                configuration_item(*revision) for revision in revisions
+            )
+            await run_steps(FakeSidecar(state, reconciler))
+            loaded = [
+                each["fields"]["weights_version"] for each in engine.order_handler.taken
+            ]
+            self.assertEqual(loaded, expected)
+
+        run(scenario)
+
     # The configuration changes while the order waits for the work in flight to end.
     @parameterized.expand(
         [
