Show that an engine which keeps its blocks can reuse those of other weights

The cache salt names the version that the attempt was placed for. An engine that ignores x-expected-weights-version computes the prompt before the sidecar compares the version in its reply; the answer is refused, the blocks stay. After a roll-back the same salt names them again.

Not mended: only the engine knows which weights compute a block. A salt of its own for each load would need no help of the engine, but gives up the cache that a roll-back may reuse, and the shared names that imports between engines need.

--- a/tests/test_sidecar/test_cache_events.py
+++ b/tests/test_sidecar/test_cache_events.py
@@ -254,14 +254,21 @@
             end = await sidecar_engine.run(prompt_of(1), organisation)
             self.assertEqual(end.cached_tokens, 0)
 
-    # Case, the weights that the engine has changed to unnoticed, and whether it runs a
-    # prompt that was placed before.
-    @parameterized.expand([("same_weights", "1", True), ("other_weights", "2", False)])
+    # Case, whether the engine ignores the expected version, the weights that it has
+    # changed to unnoticed, and whether it may run a prompt that was placed before.
+    @parameterized.expand(
+        [
+            ("same_weights", False, "1", True),
+            ("other_weights", False, "2", False),
+            ("other_weights_ignored", True, "2", False),
+        ]
+    )
     @run_in_event_loop
     async def test_other_weights_fill_no_cache_under_the_salt_of_the_expected_ones(
-        self, _name: str, weights_version: str, runs: bool
+        self, _name: str, ignored: bool, weights_version: str, runs: bool
     ):
-        async with engine_with_sidecar(CacheFaults(keep_blocks=True)) as sidecar_engine:
+        faults = CacheFaults(keep_blocks=True, ignore_expected_version=ignored)
+        async with engine_with_sidecar(faults) as sidecar_engine:
             old_identity = sidecar_engine.state.identity
             sidecar_engine.engine.weights_version = weights_version
             final_message = await sidecar_engine.run(
