--- a/src/agatehoist/sidecar/state.py
+++ b/src/agatehoist/sidecar/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.authentication import KeyRing
 from agatehoist.protocol.limits import MAX_SESSIONS, Slots
+from agatehoist.protocol.messages import Refused
+from agatehoist.refusals.kinds import EndpointFailed
 from agatehoist.sidecar.scheduler_driver import SchedulerDriver
 
 if TYPE_CHECKING:
@@ -54,6 +57,10 @@
         self.inner_keys = KeyRing(settings.inner_keys)
         self.incarnation = new_incarnation()
         self.status = UNKNOWN_STATUS
+        self._last_known_status = UNKNOWN_STATUS
+        # Status requests are numbered in the order in which they are sent.
+        self._status_numbers = itertools.count(1)
+        self._applied_status_number = 0
         self.session_slots = Slots("sessions", MAX_SESSIONS)
         # Whether the sidecar is shutting down.
         self.leaving = False
@@ -86,6 +93,10 @@
             self.incarnation, self.status.incarnation, self.status.weights_version
         )
 
+    def is_known_to_differ_from(self, identity: EndpointIdentity) -> bool:
+        """Return whether the endpoint's status is known and is that of another one."""
+        return self.status is not UNKNOWN_STATUS and identity != self.identity
+
     @property
     def ready(self) -> bool:
         """Return whether the sidecar accepts work for its endpoint."""
@@ -95,28 +106,55 @@
         return bool(self.status.weights_version) or not is_engine
 
     def set_status(self, status: EndpointStatus) -> None:
-        """Set the status of the endpoint; a change clears the cache index."""
+        """Set the status of the endpoint.
+
+        A change clears the cache index. Attempts that run under an earlier known status
+        fail, so that routers can continue them elsewhere.
+        """
         if status != self.status:
             self.cache_index.reset(_cache_epoch_of(status))
         self.status = status
+        if status not in (UNKNOWN_STATUS, self._last_known_status):
+            self._fail_running_attempts()
+            self._last_known_status = status
         self.scheduler.report_running_jobs(status.running)
 
     async def refresh_status(self) -> None:
-        """Request the status of the endpoint; without an answer it becomes unknown."""
+        """Request the status of the endpoint; without an answer it becomes unknown.
+
+        An answer has no effect if that of a later request has arrived before.
+        """
+        number = next(self._status_numbers)
         try:
-            self.set_status(await self.client.status())
+            status = await self.client.status()
         except EndpointError as error:
             logger.warning("endpoint status unavailable", reason=str(error))
-            self.clear_status()
+            status = UNKNOWN_STATUS
+        if number > self._applied_status_number:
+            self._applied_status_number = number
+            self.set_status(status)
 
     def wake_cache_resync_if_needed(self) -> None:
         """Wake the listing task if the cache index needs a block listing."""
         if self.cache_follower is not None:
             self.cache_follower.wake_resync_if_needed()
 
-    def clear_status(self) -> None:
-        """Set the status to unknown, as the endpoint doesn't answer."""
-        self.set_status(UNKNOWN_STATUS)
+    def _fail_running_attempts(self) -> None:
+        # Their KV cache was computed by the earlier weights.
+        refusal = EndpointFailed.refuse(
+            "the endpoint restarted or changed weights during the answer"
+        ).refusal
+        for attempt_id, execution in self.executions_by_id.items():
+            if execution.started and execution.final_message is None:
+                logger.warning(
+                    "running attempt failed",
+                    attempt=str(attempt_id),
+                    reason=refusal.detail,
+                    earlier_weights=self._last_known_status.weights_version,
+                    weights=self.status.weights_version,
+                )
+                execution.finish(Refused(attempt_id, refusal))
+                execution.scope.cancel()
 
 
 def _cache_epoch_of(status: EndpointStatus) -> CacheEpoch | None:
