Treat a stream that ends inside an event as broken off

The users' new rule: an answer, a stream too, may come with neither a length nor chunks and end with its channel; a stream that ends inside an event has been broken off.

Cause: the data after the last blank line was passed on as a last event, and the stream ended as complete. So callers saw half an event and a complete success, with the connection's end and with a proper last chunk alike.

Change: the end of the body inside an event is an invalid reply. A resumable stream goes on behind its last whole event, another one is reset at the caller. Further blank lines after an event are no event.

Four of the new cases failed before (`cut` and `chunks_cut`, resumable or not): the caller got the five events without the last blank line, as complete. The other 22 cases held before: whole, reset, short and half-closed answers without a length, and heads that were cut.

test_an_incomplete_event_is_held_until_the_body_ends demanded the wrong behaviour. The fuzz test of the splitter counted the half event among the events; it now finds its bytes in the remainder.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -246,11 +246,7 @@
                 )
                 self._next_event_index += len(stream_events)
                 self._silence_scope.deadline = self._silence_deadline()
-        if stream_events := splitter.finish():
-            await self.send_event(
-                PiecesArrived(self.attempt_id, self._next_event_index, stream_events)
-            )
-            self._next_event_index += len(stream_events)
+        splitter.finish()
 
     def _note_prefill_done(self) -> None:
         self._tracked.note_prefill_done()
--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -54,10 +54,16 @@
             )
         return tuple(events)
 
-    def finish(self) -> tuple[StreamEvent, ...]:
-        """Return the data after the last blank line of a complete body as an event."""
-        remainder, self._remainder = self._remainder, b""
-        return (_event(remainder),) if remainder else ()
+    def finish(self) -> None:
+        """Check that the body ends after a whole event.
+
+        Raises InvalidReplyError.
+        """
+        # More blank lines than one may follow an event.
+        if self._remainder.strip(b"\r\n"):
+            raise InvalidReplyError(
+                f"the stream ended {len(self._remainder)} bytes into an event"
+            )
 
 
 def _event(data: bytes) -> StreamEvent:
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -345,3 +346,109 @@
 ) -> None:
     await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
     await _send_without_end(connection, b"1000\r\n" + b"y" * 4096 + b"\r\n")
+
+
+def _raw_body(endpoint: EndpointStandIn, run: ReceivedRequest) -> bytes:
+    """Return the body of a complete answer."""
+    if not endpoint.model:
+        return f"{run.request_id} by {endpoint.name}".encode()
+    first = int(run.headers_by_name.get("last-event-id", "0"))
+    numbers = range(first + 1, endpoint.event_count + 1)
+    return b"".join(f"id: {each}\ndata: t{each}\n\n".encode() for each in numbers)
+
+
+async def _send_raw(
+    endpoint: EndpointStandIn,
+    connection: ServerConnection,
+    run: ReceivedRequest,
+    rest: bytes,
+    *framing: bytes,
+) -> None:
+    """Send a head with no other framing headers than the given ones, and the rest."""
+    headers = [*endpoint.answer_headers(run)]
+    headers += [STREAM] if endpoint.model else []
+    lines = [b"HTTP/1.1 200 OK", *(b": ".join(each) for each in headers), *framing]
+    await connection._channel.send(b"\r\n".join([*lines, rest]))
+
+
+@FAULTS.register("unframed")
+async def _end_with_the_connection(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"\r\n" + _raw_body(endpoint, run))
+    connection.close()
+
+
+@FAULTS.register("unframed_half_closed")
+async def _end_with_one_direction(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = b"\r\n" + _raw_body(endpoint, run)
+    await _send_raw(endpoint, connection, run, body, b"connection: keep-alive")
+    connection._channel._sock.shutdown(socket.SHUT_WR)
+    with anyio.move_on_after(STALL_S):
+        # A request sent on this connection gets no reply.
+        await connection.wait_closed()
+
+
+@FAULTS.register("unframed_cut")
+async def _end_without_the_last_byte(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = b"\r\n" + _raw_body(endpoint, run)
+    await _send_raw(endpoint, connection, run, body[:-1])
+    connection.close()
+
+
+@FAULTS.register("unframed_reset")
+async def _reset_in_place_of_the_end(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"\r\n" + _raw_body(endpoint, run))
+    await anyio.sleep(EVENT_INTERVAL_S)
+    connection.abort()
+
+
+@FAULTS.register("half_head")
+async def _end_inside_the_head(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"")
+    connection.close()
+
+
+@FAULTS.register("head_only")
+async def _end_after_the_head(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"\r\n")
+    connection.close()
+
+
+@FAULTS.register("short")
+async def _end_before_the_length(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = _raw_body(endpoint, run)
+    length = f"content-length: {len(body) + 1}".encode()
+    await _send_raw(endpoint, connection, run, b"\r\n" + body, length)
+    connection.close()
+
+
+@FAULTS.register("chunks_unended")
+async def _end_before_the_last_chunk(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = _raw_body(endpoint, run)
+    chunk = b"\r\n" + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n"
+    await _send_raw(endpoint, connection, run, chunk, b": ".join(CHUNKED))
+    connection.close()
+
+
+@FAULTS.register("chunks_cut")
+async def _end_the_chunks_inside_an_event(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    await connection.send_data(_raw_body(endpoint, run)[:-1])
+    await connection.end()
--- a/tests/test_fuzz/test_platform.py
+++ b/tests/test_fuzz/test_platform.py
@@ -79,6 +79,5 @@
     def test_event_stream_split_loses_no_bytes(self, pieces: list[bytes]) -> None:
         splitter = EventSplitter()
         events = [event for piece in pieces for event in splitter.feed(piece)]
-        events += splitter.finish()
-        whole = b"".join(each.data for each in events)
+        whole = b"".join(each.data for each in events) + splitter.remainder
         self.assertEqual(whole, b"".join(pieces))
--- a/tests/test_gateway/test_requests.py
+++ b/tests/test_gateway/test_requests.py
@@ -151,6 +151,85 @@
         self.assertIn("crew", headers["x-agatehoist-cache-salt"])
 
 
+class EndOfReplyTests(unittest.TestCase):
+    # A reply without a length or chunks (`unframed`) ends with its connection. Only a
+    # stream shows that it was cut there: it ends inside an event.
+    @parameterized.expand(
+        [
+            ("whole", "/look/1", "unframed", 200, 1),
+            ("whole_but_empty", "/look/1", "head_only", 200, 1),
+            ("reset", "/look/1", "unframed_reset", 200, 2),
+            ("cut_in_head", "/look/1", "half_head", 200, 2),
+            ("short", "/look/1", "short", 200, 2),
+            ("no_last_chunk", "/look/1", "chunks_unended", 200, 2),
+            ("once_whole", "/post/1", "unframed", 200, 1),
+            ("once_reset", "/post/1", "unframed_reset", 502, 1),
+            ("once_cut_in_head", "/post/1", "half_head", 502, 1),
+            ("once_short", "/post/1", "short", 502, 1),
+            ("once_no_last_chunk", "/post/1", "chunks_unended", 502, 1),
+        ]
+    )
+    def test_broken_reply_is_not_passed_on_as_complete(
+        self, _name: str, path: str, fault: str, status: int, runs: int
+    ) -> None:
+        world = GatewayHarness()
+        shared = [fault]
+        for each in world.applications:
+            each.faults = shared
+        method = "POST" if path.startswith("/post/") else "GET"
+        reply = send_request(world, path, method)
+        assert reply is not None
+        self.assertEqual(reply.head.status, status)
+        self.assertEqual(len(world.runs()), runs)
+        if status == 200:
+            empty = fault == "head_only"
+            self.assertRegex(reply.body, rb"^$" if empty else rb"^r1 by application-.$")
+
+    # The last event of a `cut` stream lacks its blank line; `chunks_cut` ends properly
+    # as to HTTP. The body None means that the caller's connection was reset.
+    @parameterized.expand(
+        [
+            ("whole", "/trace/1", "unframed", COMPLETE_STREAM, 1),
+            ("whole_but_empty", "/trace/1", "head_only", b"", 1),
+            ("half_closed", "/trace/1", "unframed_half_closed", COMPLETE_STREAM, 1),
+            ("cut", "/trace/1", "unframed_cut", COMPLETE_STREAM, 2),
+            ("chunks_cut", "/trace/1", "chunks_cut", COMPLETE_STREAM, 2),
+            ("reset", "/trace/1", "unframed_reset", COMPLETE_STREAM, 2),
+            ("short", "/trace/1", "short", COMPLETE_STREAM, 2),
+            ("no_last_chunk", "/trace/1", "chunks_unended", COMPLETE_STREAM, 2),
+            ("once_whole", "/credit/1", "unframed", COMPLETE_STREAM, 1),
+            ("once_cut", "/credit/1", "unframed_cut", None, 1),
+            ("once_chunks_cut", "/credit/1", "chunks_cut", None, 1),
+            ("once_reset", "/credit/1", "unframed_reset", None, 1),
+            ("once_short", "/credit/1", "short", None, 1),
+            ("once_no_last_chunk", "/credit/1", "chunks_unended", None, 1),
+        ]
+    )
+    def test_broken_stream_is_not_passed_on_as_complete(
+        self, _name: str, path: str, fault: str, body: bytes | None, runs: int
+    ) -> None:
+        world = GatewayHarness()
+        shared = [fault]
+        for each in world.engines:
+            each.faults = shared
+        reply = send_request(world, path)
+        self.assertEqual(reply.body if reply else None, body)
+        self.assertEqual(len(world.runs()), runs)
+
+    def test_connection_that_ended_a_reply_is_not_used_again(self) -> None:
+        world = GatewayHarness()
+        del world.applications[1]
+        world.applications[0].faults = ["unframed_half_closed"]
+
+        async def run() -> list[int]:
+            async with running_gateway(world):
+                replies = [await world.ask("/post/1", "POST") for _ in range(2)]
+                return [each.head.status for each in replies]
+
+        self.assertEqual(anyio.run(run), [200, 200])
+        self.assertEqual(len(world.runs()), 2)
+
+
 class EndlessBytesTests(unittest.TestCase):
     # The routes allow 20 s, so only a bound on the bytes ends an attempt earlier. Calls
     # on /look/ and streams on /trace/ are tried again at another endpoint.
--- a/tests/test_http1/test_event_stream.py
+++ b/tests/test_http1/test_event_stream.py
@@ -46,8 +46,29 @@
             for size in sizes:
                 splitter.feed(b"y" * size)
 
-    def test_an_incomplete_event_is_held_until_the_body_ends(self) -> None:
+    def test_an_incomplete_event_is_held(self) -> None:
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b"id: 1\nda"), ())
         self.assertEqual(splitter.remainder, b"id: 1\nda")
-        self.assertEqual([each.data for each in splitter.finish()], [b"id: 1\nda"])
+
+    @parameterized.expand(
+        [
+            ("inside_a_line", b"id: 2\nda", 8),
+            ("before_the_blank_line", b"id: 2\ndata: b\n", 14),
+            ("inside_the_blank_line", b"id: 2\r\ndata: b\r\n\r", 17),
+            ("comment", b": wait", 6),
+        ]
+    )
+    def test_end_inside_an_event_is_not_taken_for_the_end_of_the_stream(
+        self, _name: str, data: bytes, size: int
+    ) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: a\n\n" + data)
+        with self.assertRaisesRegex(InvalidReplyError, f"ended {size} bytes into"):
+            splitter.finish()
+
+    @parameterized.expand([("empty", b""), ("whole", BODY), ("blanks", BODY + b"\r\n")])
+    def test_whole_stream_is_accepted(self, _name: str, body: bytes) -> None:
+        splitter = EventSplitter()
+        splitter.feed(body)
+        splitter.finish()
