Cut a stream of events without end at a bound

Cause: one event was bounded, their number and sum weren't. All events of a stream are kept until it ends, to resume it. A faulty engine that sent valid events as fast as it could, comments say, filled the memory of the gateway until the route's timeout, and the caller got bytes till then.

Change: a stream over 32 MiB or 100,000 events is an invalid reply, handled as one that was broken off.

The new case `events` failed before: the bytes went on until the caller gave up at 1 MiB. The other new cases held before, by the bound on replies: endless bodies without a length and endless bodies of status 500, 503 and 421, cut at 8 MiB.

--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -12,6 +12,9 @@
 # Length of the longest match of END_OF_EVENT.
 MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 256 * 1024
+# Of all events of a stream, which are kept until it ends.
+MAX_STREAM_BYTES = 32 * 1024 * 1024
+MAX_STREAM_EVENTS = 100_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,9 +28,18 @@
 class EventSplitter:
     """Split a body into its events, whatever pieces it arrives in."""
 
-    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+    def __init__(
+        self,
+        max_event_bytes: int = MAX_EVENT_BYTES,
+        max_stream_bytes: int = MAX_STREAM_BYTES,
+        max_stream_events: int = MAX_STREAM_EVENTS,
+    ) -> None:
         self._max_event_bytes = max_event_bytes
+        self._max_stream_bytes = max_stream_bytes
+        self._max_stream_events = max_stream_events
         self._remainder = bytearray()
+        self._stream_bytes = 0
+        self._stream_events = 0
 
     @property
     def remainder(self) -> bytes:
@@ -37,7 +49,7 @@
     def feed(self, data: bytes) -> tuple[StreamEvent, ...]:
         """Add bytes and return the events that they complete.
 
-        Raises InvalidReplyError if an event is over the limit.
+        Raises InvalidReplyError if an event or the stream is over the limit.
         """
         # An end that is split between two pieces starts in the last bytes of the first.
         search_from = max(0, len(self._remainder) - MAX_END_BYTES + 1)
@@ -51,10 +63,9 @@
             for start, end in zip(starts, ends, strict=False)
         ]
         del self._remainder[: starts[-1]]
-        if len(self._remainder) > self._max_event_bytes:
-            raise InvalidReplyError(
-                f"event of the stream exceeds {self._max_event_bytes} bytes"
-            )
+        self._stream_bytes += len(data)
+        self._stream_events += len(events)
+        self._check_limits()
         return tuple(events)
 
     def finish(self) -> None:
@@ -68,6 +79,16 @@
                 f"the stream ended {len(self._remainder)} bytes into an event"
             )
 
+    def _check_limits(self) -> None:
+        if len(self._remainder) > self._max_event_bytes:
+            raise InvalidReplyError(
+                f"event of the stream exceeds {self._max_event_bytes} bytes"
+            )
+        if self._stream_bytes > self._max_stream_bytes:
+            raise InvalidReplyError(f"stream exceeds {self._max_stream_bytes} bytes")
+        if self._stream_events > self._max_stream_events:
+            raise InvalidReplyError(f"stream exceeds {self._max_stream_events} events")
+
 
 def _event(data: bytes) -> StreamEvent:
     id_match = EVENT_ID.search(data)
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -452,3 +452,56 @@
     await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
     await connection.send_data(_raw_body(endpoint, run)[:-1])
     await connection.end()
+
+
+async def _endless_reply(
+    endpoint: EndpointStandIn,
+    connection: ServerConnection,
+    run: ReceivedRequest,
+    status: bytes,
+    *headers: bytes,
+) -> None:
+    """Send a reply whose body has neither a length nor an end."""
+    lines = [b": ".join(each) for each in endpoint.answer_headers(run)]
+    head = b"\r\n".join([b"HTTP/1.1 " + status, *lines, *headers, b"", b""])
+    await connection._channel.send(head)
+    await _send_without_end(connection, b"y" * 4096)
+
+
+@FAULTS.register("endless_unframed")
+async def _endless_unframed(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _endless_reply(endpoint, connection, run, b"200 OK")
+
+
+@FAULTS.register("endless_failure")
+async def _endless_failure(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _endless_reply(endpoint, connection, run, b"500 Internal Server Error")
+
+
+@FAULTS.register("endless_rejection")
+async def _endless_rejection(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    status, header = b"503 Service Unavailable", b"x-agatehoist-not-executed: 1"
+    await _endless_reply(endpoint, connection, run, status, header)
+
+
+@FAULTS.register("endless_misdirection")
+async def _endless_misdirection(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _endless_reply(endpoint, connection, run, b"421 Misdirected Request")
+
+
+@FAULTS.register("endless_comments")
+async def _endless_comments(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    comments = b":\n\n" * 400
+    chunk = f"{len(comments):x}".encode() + b"\r\n" + comments + b"\r\n"
+    await _send_without_end(connection, chunk)
--- a/tests/test_gateway/test_requests.py
+++ b/tests/test_gateway/test_requests.py
@@ -240,6 +240,12 @@
             ("body", "/look/1", "endless_body"),
             ("head_of_a_stream", "/trace/1", "endless_head"),
             ("event", "/trace/1", "endless_event"),
+            ("events", "/trace/1", "endless_comments"),
+            ("body_without_length", "/look/1", "endless_unframed"),
+            ("failure", "/look/1", "endless_failure"),
+            ("failure_of_a_stream", "/trace/1", "endless_failure"),
+            ("rejection", "/look/1", "endless_rejection"),
+            ("misdirection", "/trace/1", "endless_misdirection"),
         ]
     )
     def test_bytes_without_end_are_cut_at_a_bound(
--- a/tests/test_http1/test_event_stream.py
+++ b/tests/test_http1/test_event_stream.py
@@ -49,6 +49,21 @@
             for size in sizes:
                 splitter.feed(b"y" * size)
 
+    @parameterized.expand(
+        [
+            ("bytes", {"max_stream_bytes": 50}, "stream exceeds 50 bytes"),
+            ("events", {"max_stream_events": 5}, "stream exceeds 5 events"),
+        ]
+    )
+    def test_stream_without_end_is_rejected(
+        self, _name: str, limits: dict[str, int], message: str
+    ) -> None:
+        splitter = EventSplitter(**limits)
+        for _ in range(5):
+            self.assertEqual(len(splitter.feed(b"data: x\n\n")), 1)
+        with self.assertRaisesRegex(InvalidReplyError, message):
+            splitter.feed(b"data: x\n\n")
+
     def test_event_in_small_pieces_is_not_copied_for_each_of_them(self) -> None:
         splitter = EventSplitter(max_event_bytes=2 << 20)
         began_at = time.process_time()
