Treat an engine's stream that ends inside an event as broken off

Cause: the client read lines, not events, and dropped what followed the last line end. An event counted before its blank line, so a stream that was cut in its usage event or in its end marker, by the end of the connection or before a proper last chunk, reached the caller as a complete success.

Change: the client splits the body into events as the gateway does. Of an incomplete event nothing counts; the router goes on behind the last whole one. An event of an engine may have up to 4 MiB, since the last one lists the blocks of the prompt.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -18,6 +18,8 @@
 )
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
+from agatehoist.http1.errors import InvalidReplyError
+from agatehoist.http1.event_stream import EventSplitter
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -27,6 +29,8 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 60.0
 STATUS_TIMEOUT_S = 1.0
+# The last event lists the blocks of the prompt.
+MAX_EVENT_BYTES = 4 * 1024 * 1024
 EVENT_PREFIX = "data: "
 END_MARKER = "[DONE]"
 
@@ -101,7 +105,7 @@
             raise EndpointNotReachedError(
                 f"could not connect to the engine: {error!r}"
             ) from error
-        except (httpx.HTTPError, ValueError, KeyError) as error:
+        except (httpx.HTTPError, InvalidReplyError, ValueError, KeyError) as error:
             raise EndpointFailedError(
                 f"completion request to the engine failed: {error!r}"
             ) from error
@@ -153,10 +157,11 @@
 ) -> AsyncIterator[EngineTokens | EngineEnd]:
     finish_reason = ""
     usage: dict[str, Any] | None = None
-    pending = ""
-    async for chunk in response.aiter_text():
-        *lines, pending = (pending + chunk).split("\n")
-        events = [json.loads(line) for line in _payloads(lines)]
+    splitter = EventSplitter(MAX_EVENT_BYTES)
+    async for data in response.aiter_bytes():
+        stream_events = splitter.feed(data)
+        payloads = (each for event in stream_events for each in _payloads(event.data))
+        events = [json.loads(each) for each in payloads]
         # Each event with a text counts as one token.
         texts = tuple(filter(None, map(_text_of, events)))
         if texts:
@@ -164,6 +169,7 @@
         for event in events:
             finish_reason = _finish_reason_of(event) or finish_reason
             usage = event.get("usage") or usage
+    splitter.finish()
     if usage is None or not finish_reason:
         raise EndpointFailedError(
             "the engine's stream ended without a finish reason or usage"
@@ -174,8 +180,8 @@
     yield EngineEnd(finish_reason, usage["prompt_tokens"], cached_tokens, block_hashes)
 
 
-def _payloads(lines: list[str]) -> Iterator[str]:
-    for line in lines:
+def _payloads(event: bytes) -> Iterator[str]:
+    for line in event.decode().split("\n"):
         payload = line.removeprefix(EVENT_PREFIX).strip()
         if line.startswith(EVENT_PREFIX) and payload != END_MARKER:
             yield payload
--- /dev/null
+++ b/tests/test_endpoints/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the endpoints package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_endpoints/test_engine.py
@@ -0,0 +1,101 @@
+"""Tests that broken or endless replies of an engine are not taken for complete ones."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.work import CompletionWork
+from agatehoist.endpoints import EngineClient
+from agatehoist.endpoints.errors import (
+    EndpointError,
+    EndpointFailedError,
+)
+from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
+from standins.raw_replies import RawReply, serve_raw
+
+TEST_TIMEOUT_S = 20.0
+STATUS = EndpointStatus("run-1", "1")
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+UNFRAMED = HEAD + b"\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+TOKEN = b'data: {"choices": [{"text": "a", "finish_reason": null}]}\n\n'
+FINISH = b'data: {"choices": [{"text": "", "finish_reason": "stop"}]}\n\n'
+USAGE = b'data: {"choices": [], "usage": {"prompt_tokens": 7}}\n\n'
+DONE = b"data: [DONE]\n\n"
+# A separator of lines in Unicode, but not in a stream of events.
+SEPARATOR = 'data: {"choices": [], "more": "\u2028"}\n\n'.encode()
+ANSWER = TOKEN + TOKEN + FINISH + USAGE + DONE
+END = EngineEnd("stop", 7, 0)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk of chunked encoding."""
+    return f"{len(data):x}".encode() + b"\r\n" + data + b"\r\n"
+
+
+async def complete(
+    reply: RawReply,
+) -> tuple[int, EngineEnd | type[EndpointError] | None]:
+    """Return the number of tokens and the end or the class of the error."""
+    tokens = 0
+    end = None
+    async with serve_raw(reply) as url:
+        client = EngineClient(url)
+        try:
+            with anyio.fail_after(TEST_TIMEOUT_S):
+                work = CompletionWork("/v1/completions", b"{}", 7, 5)
+                async for event in client.complete(work, "", 0, STATUS):
+                    if isinstance(event, EngineTokens):
+                        tokens += len(event.texts)
+                    else:
+                        end = event
+        except EndpointError as error:
+            return tokens, type(error)
+        finally:
+            await client.aclose()
+    return tokens, end
+
+
+class EndOfStreamTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("unframed", UNFRAMED + ANSWER, "close"),
+            (
+                "unframed_kept",
+                HEAD + b"connection: keep-alive\r\n\r\n" + ANSWER,
+                "close",
+            ),
+            ("chunks", CHUNKED + chunk(ANSWER) + b"0\r\n\r\n", "close"),
+            ("line_separator", UNFRAMED + SEPARATOR + ANSWER, "close"),
+            ("no_done_marker", UNFRAMED + ANSWER.removesuffix(DONE), "close"),
+        ]
+    )
+    def test_whole_stream_is_accepted(
+        self, _name: str, data: bytes, ending: str
+    ) -> None:
+        self.assertEqual(anyio.run(complete, RawReply(data, ending)), (2, END))
+
+    # Of an incomplete event nothing counts, not even a whole line.
+    @parameterized.expand(
+        [
+            ("reset", UNFRAMED + ANSWER, "reset", 2),
+            ("cut_in_done_marker", UNFRAMED + ANSWER[:-5], "close", 2),
+            ("cut_before_the_last_blank_line", UNFRAMED + ANSWER[:-1], "close", 2),
+            ("cut_in_usage", UNFRAMED + TOKEN + FINISH + USAGE[:-1], "close", 1),
+            ("cut_in_token", UNFRAMED + TOKEN + TOKEN[:-1], "close", 1),
+            ("cut_after_token", UNFRAMED + TOKEN, "close", 1),
+            ("cut_after_head", UNFRAMED, "close", 0),
+            ("cut_in_head", HEAD, "close", 0),
+            ("chunks_cut", CHUNKED + chunk(ANSWER[:-1]) + b"0\r\n\r\n", "close", 2),
+            ("no_last_chunk", CHUNKED + chunk(ANSWER), "close", 2),
+            ("short", HEAD + b"content-length: 999\r\n\r\n" + ANSWER, "close", 2),
+        ]
+    )
+    def test_broken_stream_has_no_end(
+        self, _name: str, data: bytes, ending: str, tokens: int
+    ) -> None:
+        result = anyio.run(complete, RawReply(data, ending))
+        self.assertEqual(result, (tokens, EndpointFailedError))
