Treat JSON of another form from an engine as a failed reply

Cause: the client of the engine expected mappings wherever JSON could be parsed. A status `[]` or `1` raised a TypeError out of the task that watches the endpoint, and so out of the task group of the process. In a completion the error was caught further up as an internal error of the sidecar.

Change: such a status makes the endpoint's status unknown, and such an event fails the completion as any other broken reply does.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -34,6 +34,9 @@
 EVENT_PREFIX = "data: "
 END_MARKER = "[DONE]"
 
+# Errors that JSON of another form than that of an event leads to.
+INVALID_EVENT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+
 # Client errors that depend on the state of the engine rather than on the request, so
 # that another engine may be able to run it.
 _RETRIABLE_STATUSES = frozenset(
@@ -76,7 +79,7 @@
                 fields["weights_version"],
                 int(fields.get("running", 0)),
             )
-        except (httpx.HTTPError, ValueError, KeyError) as error:
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
             raise EndpointNotReachedError(
                 f"status request failed: {error!r}"
             ) from error
@@ -105,7 +108,7 @@
             raise EndpointNotReachedError(
                 f"could not connect to the engine: {error!r}"
             ) from error
-        except (httpx.HTTPError, InvalidReplyError, ValueError, KeyError) as error:
+        except (httpx.HTTPError, InvalidReplyError, *INVALID_EVENT_ERRORS) as error:
             raise EndpointFailedError(
                 f"completion request to the engine failed: {error!r}"
             ) from error
--- a/tests/test_endpoints/test_engine.py
+++ b/tests/test_endpoints/test_engine.py
@@ -12,6 +12,7 @@
 from agatehoist.endpoints.errors import (
     EndpointError,
     EndpointFailedError,
+    EndpointNotReachedError,
 )
 from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
 from standins.raw_replies import RawReply, serve_raw
@@ -99,3 +100,42 @@
     ) -> None:
         result = anyio.run(complete, RawReply(data, ending))
         self.assertEqual(result, (tokens, EndpointFailedError))
+
+    @parameterized.expand(
+        [
+            ("list", b"data: []\n\n"),
+            ("number", b"data: 1\n\n"),
+            ("choices", b'data: {"choices": 1}\n\n'),
+            ("choice", b'data: {"choices": [1]}\n\n'),
+            ("usage", b'data: {"choices": [], "usage": 1}\n\n'),
+            ("not_text", b"data: \xff\n\n"),
+        ]
+    )
+    def test_event_of_another_form_fails_the_completion(
+        self, _name: str, event: bytes
+    ) -> None:
+        result = anyio.run(complete, RawReply(UNFRAMED + FINISH + event))
+        self.assertEqual(result, (0, EndpointFailedError))
+
+    @parameterized.expand(
+        [
+            ("list", b"[]"),
+            ("number", b"1"),
+            ("running", b'{"incarnation": "a", "weights_version": "1", "running": []}'),
+        ]
+    )
+    def test_status_of_another_form_does_not_end_the_sidecar(
+        self, _name: str, body: bytes
+    ) -> None:
+        async def run() -> None:
+            async with serve_raw(RawReply(UNFRAMED + body)) as url:
+                client = EngineClient(url)
+                try:
+                    await client.status()
+                except EndpointNotReachedError:
+                    return
+                finally:
+                    await client.aclose()
+            self.fail("no error")
+
+        anyio.run(run)
