Bound the replies that a sidecar reads from its endpoint

Cause: the clients of engines and services read whole bodies whatever their length, error replies included, and limited only the pause between two reads. A reply without end filled the memory of the sidecar; a byte now and then, or interim replies, kept the call and its slot for good, the status of the engine as well, so that its loss wasn't noticed. A service's reply of over 8 MiB was more than a frame holds and broke the router's link.

Change: each exchange has a bound on its bytes and on its time. Of an error reply of an engine 4 KiB are read for a second at most, since its status says enough. Handled as any broken reply: the outcome is unknown or failed, never "not run".

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import aclosing
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +17,11 @@
     EndpointNotReachedError,
     EndpointRejectedError,
 )
+from agatehoist.endpoints.exchange import (
+    exchange,
+    read_start,
+    start_exchange,
+)
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
 from agatehoist.http1.errors import InvalidReplyError
@@ -29,6 +35,10 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 60.0
 STATUS_TIMEOUT_S = 1.0
+MAX_STATUS_BYTES = 64 * 1024
+# Of an error reply no more is read or waited for, as its status says enough.
+MAX_ERROR_BYTES = 4 * 1024
+ERROR_TIMEOUT_S = 1.0
 # The last event lists the blocks of the prompt.
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 EVENT_PREFIX = "data: "
@@ -57,7 +67,10 @@
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         limits = httpx.Limits(max_connections=None)
         self._http = httpx.AsyncClient(
-            base_url=url, timeout=timeout, limits=limits, verify=tls_context(url)
+            base_url=url,
+            timeout=timeout,
+            limits=limits,
+            verify=tls_context(url),
         )
         self.cache = EngineCacheClient(self._http)
 
@@ -71,9 +84,12 @@
         Raises EndpointNotReachedError.
         """
         try:
-            response = await self._http.get("/status", timeout=STATUS_TIMEOUT_S)
-            response.raise_for_status()
-            fields = response.json()
+            reply = await exchange(
+                self._http, "GET", "/status", MAX_STATUS_BYTES, STATUS_TIMEOUT_S
+            )
+            if reply.head.status != HTTPStatus.OK:
+                raise ValueError(f"status {reply.head.status}")
+            fields = json.loads(reply.body)
             return EndpointStatus(
                 fields["incarnation"],
                 fields["weights_version"],
@@ -96,11 +112,12 @@
         Raises EndpointError.
         """
         body = _engine_body(work, cache_salt, priority)
+        request = self._http.build_request("POST", work.path, json=body)
         try:
-            async with self._http.stream("POST", work.path, json=body) as response:
+            response = await start_exchange(self._http, request, READ_TIMEOUT_S)
+            async with aclosing(response):
                 if response.is_error:
-                    await response.aread()
-                    raise _error_for_response(response)
+                    raise await _error_for_response(response)
                 _check_identity(response, expected_status)
                 async for event in _read_events(response):
                     yield event
@@ -148,8 +165,10 @@
             )
 
 
-def _error_for_response(response: httpx.Response) -> EndpointError:
-    detail = f"engine answered {response.status_code}: {response.text}"
+async def _error_for_response(response: httpx.Response) -> EndpointError:
+    start = await read_start(response, MAX_ERROR_BYTES, ERROR_TIMEOUT_S)
+    text = start.decode(errors="replace")
+    detail = f"engine answered {response.status_code}: {text}"
     if response.status_code in _RETRIABLE_STATUSES or response.is_server_error:
         return EndpointFailedError(detail)
     return EndpointRejectedError(detail)
--- a/src/agatehoist/endpoints/engine_cache.py
+++ b/src/agatehoist/endpoints/engine_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -13,6 +14,7 @@
     EndpointFailedError,
     EndpointRejectedError,
 )
+from agatehoist.endpoints.exchange import exchange, read_lines, start_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Sequence
@@ -25,6 +27,8 @@
 EVENTS_TIMEOUT_S = 20.0
 LISTING_TIMEOUT_S = 5.0
 TRANSFER_TIMEOUT_S = 10.0
+# Enough for some 200,000 block hashes.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 
 
 class EngineCacheClient:
@@ -39,12 +43,14 @@
         Raises EndpointError.
         """
         try:
-            async with self._http.stream(
+            request = self._http.build_request(
                 "GET", EVENTS_PATH, timeout=EVENTS_TIMEOUT_S
-            ) as response:
-                _check_status(response)
-                async for line in response.aiter_lines():
-                    if line:
+            )
+            response = await start_exchange(self._http, request, EVENTS_TIMEOUT_S)
+            async with aclosing(response):
+                _check_status(response.status_code)
+                async for line in read_lines(response, MAX_REPLY_BYTES):
+                    if line.strip():
                         yield _read_event(json.loads(line))
         except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
             raise EndpointFailedError(
@@ -57,9 +63,11 @@
         Raises EndpointError.
         """
         try:
-            response = await self._http.get(BLOCKS_PATH, timeout=LISTING_TIMEOUT_S)
-            _check_status(response)
-            fields = response.json()
+            reply = await exchange(
+                self._http, "GET", BLOCKS_PATH, MAX_REPLY_BYTES, LISTING_TIMEOUT_S
+            )
+            _check_status(reply.head.status)
+            fields = json.loads(reply.body)
             return BlockListing(
                 _read_epoch(fields), fields["sequence"], tuple(fields["blocks"])
             )
@@ -92,20 +100,25 @@
 
     async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         try:
-            response = await self._http.post(
-                path, json=body, timeout=TRANSFER_TIMEOUT_S
+            reply = await exchange(
+                self._http,
+                "POST",
+                path,
+                MAX_REPLY_BYTES,
+                TRANSFER_TIMEOUT_S,
+                json=body,
             )
-            _check_status(response)
-            return response.json()
+            _check_status(reply.head.status)
+            return json.loads(reply.body)
         except (httpx.HTTPError, ValueError) as error:
             raise EndpointFailedError(f"block transfer failed: {error!r}") from error
 
 
-def _check_status(response: httpx.Response) -> None:
-    if response.is_client_error:
-        raise EndpointRejectedError(f"engine answered {response.status_code}")
-    if response.is_error:
-        raise EndpointError(f"engine answered {response.status_code}")
+def _check_status(status: int) -> None:
+    if httpx.codes.is_client_error(status):
+        raise EndpointRejectedError(f"engine answered {status}")
+    if httpx.codes.is_error(status):
+        raise EndpointError(f"engine answered {status}")
 
 
 def _read_event(fields: dict[str, Any]) -> CacheEvent:
--- /dev/null
+++ b/src/agatehoist/endpoints/exchange.py
@@ -0,0 +1,109 @@
+"""Exchanges over HTTP with limits on the bytes and the time of a reply."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+
+from agatehoist.http1.types import Reply, ReplyHead
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+async def exchange(
+    http: httpx.AsyncClient,
+    method: str,
+    path: str,
+    max_bytes: int,
+    timeout_s: float,
+    **options: Any,
+) -> Reply:
+    """Send a request and return the complete reply, its body decoded.
+
+    Raises httpx.HTTPError.
+    """
+    request = http.build_request(method, path, **options)
+    try:
+        with anyio.fail_after(timeout_s):
+            response = await http.send(request, stream=True)
+            try:
+                return Reply(_head(response), await _read_body(response, max_bytes))
+            finally:
+                await response.aclose()
+    except TimeoutError as error:
+        raise httpx.ReadTimeout(
+            f"{method} {path}: no complete reply within {timeout_s} s", request=request
+        ) from error
+
+
+async def start_exchange(
+    http: httpx.AsyncClient, request: httpx.Request, timeout_s: float
+) -> httpx.Response:
+    """Send a request and return the response, once its head has arrived.
+
+    Raises httpx.HTTPError.
+    """
+    try:
+        with anyio.fail_after(timeout_s):
+            return await http.send(request, stream=True)
+    except TimeoutError as error:
+        raise httpx.ReadTimeout(
+            f"{request.method} {request.url.path}: no head within {timeout_s} s",
+            request=request,
+        ) from error
+
+
+async def read_start(
+    response: httpx.Response, max_bytes: int, timeout_s: float
+) -> bytes:
+    """Return the first bytes of a body, those that arrive in time.
+
+    Raises httpx.HTTPError.
+    """
+    body = bytearray()
+    with anyio.move_on_after(timeout_s):
+        async for data in response.aiter_bytes():
+            body += data
+            if len(body) >= max_bytes:
+                break
+    return bytes(body[:max_bytes])
+
+
+async def read_lines(response: httpx.Response, max_bytes: int) -> AsyncIterator[bytes]:
+    """Yield the whole lines of a body, without their ends.
+
+    Raises httpx.HTTPError, also if a line is over the limit.
+    """
+    remainder = bytearray()
+    async for data in response.aiter_bytes():
+        remainder += data
+        if b"\n" in data:
+            *lines, remainder = remainder.split(b"\n")
+            for line in lines:
+                yield bytes(line)
+        if len(remainder) > max_bytes:
+            raise _too_long(response, f"line exceeds {max_bytes} bytes")
+
+
+async def _read_body(response: httpx.Response, max_bytes: int) -> bytes:
+    body = bytearray()
+    async for data in response.aiter_bytes():
+        body += data
+        if len(body) > max_bytes:
+            raise _too_long(response, f"body exceeds {max_bytes} bytes")
+    return bytes(body)
+
+
+def _head(response: httpx.Response) -> ReplyHead:
+    headers = tuple((name.lower(), value) for name, value in response.headers.raw)
+    return ReplyHead(response.status_code, headers)
+
+
+def _too_long(response: httpx.Response, reason: str) -> httpx.HTTPError:
+    request = response.request
+    return httpx.RemoteProtocolError(
+        f"{request.method} {request.url.path}: {reason}", request=request
+    )
--- a/src/agatehoist/endpoints/service.py
+++ b/src/agatehoist/endpoints/service.py
@@ -8,17 +8,23 @@
 
 from agatehoist.core.tls import tls_context
 from agatehoist.endpoints.errors import EndpointFailedError, EndpointNotReachedError
+from agatehoist.endpoints.exchange import exchange
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus
 
 if TYPE_CHECKING:
     from agatehoist.core.work import CallWork
+    from agatehoist.http1.types import Reply
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
+# Of a whole call, whose reply may come slowly.
+CALL_TIMEOUT_S = 60.0
+# A reply and its headers must fit into one frame of the inner protocol.
+MAX_REPLY_BYTES = 7 * 1024 * 1024
 
-# content-length is no hop-by-hop header, but httpx sets it for requests, and a response
-# body that httpx has decoded has another length.
+# content-length is no hop-by-hop header, but httpx sets it for requests, and the router
+# for replies.
 _HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "content-length", "keep-alive", "transfer-encoding", "upgrade"}
 )
@@ -42,15 +48,18 @@
         """Return a constant status, as services report no incarnation."""
         return EndpointStatus("service", "")
 
-    async def call(self, work: CallWork) -> httpx.Response:
-        """Return the complete response to one call.
+    async def call(self, work: CallWork) -> Reply:
+        """Return the complete reply to one call.
 
         Raises EndpointError.
         """
         try:
-            return await self._http.request(
+            return await exchange(
+                self._http,
                 work.method,
                 work.path,
+                MAX_REPLY_BYTES,
+                CALL_TIMEOUT_S,
                 headers=drop_hop_by_hop_headers(work.headers_by_name),
                 content=work.body,
             )
--- a/src/agatehoist/sidecar/attempt_runner.py
+++ b/src/agatehoist/sidecar/attempt_runner.py
@@ -65,18 +65,22 @@
     try:
         async with state.scheduler.call_slot(submit, execution.scope):
             execution.mark_started(state.clock.now(), 0.0)
-            response = await state.client.call(submit.work)
+            reply = await state.client.call(submit.work)
     except RequestRefusedError as error:
         execution.finish(Refused(attempt_id, error.refusal))
         return
     except EndpointError as error:
         execution.finish(Refused(attempt_id, refusal_for(error)))
         return
-    headers = drop_hop_by_hop_headers(dict(response.headers))
-    # httpx has decoded the body.
-    headers.pop("content-encoding", None)
+    headers_by_name = {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in reply.head.headers
+    }
+    headers_by_name = drop_hop_by_hop_headers(headers_by_name)
+    # The client has decoded the body.
+    headers_by_name.pop("content-encoding", None)
     execution.finish(
-        CallReply(attempt_id, response.status_code, headers, response.content)
+        CallReply(attempt_id, reply.head.status, headers_by_name, reply.body)
     )
 
 
--- a/tests/test_endpoints/test_engine.py
+++ b/tests/test_endpoints/test_engine.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import time
 import unittest
+from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 import anyio
 from parameterized import parameterized
@@ -13,10 +16,16 @@
     EndpointError,
     EndpointFailedError,
     EndpointNotReachedError,
+    EndpointRejectedError,
 )
 from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
 from standins.raw_replies import RawReply, serve_raw
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+# Longer than the bounds on loopback, and shorter than READ_TIMEOUT_S.
+LIMIT_S = 5.0
 TEST_TIMEOUT_S = 20.0
 STATUS = EndpointStatus("run-1", "1")
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
@@ -60,6 +69,18 @@
     return tokens, end
 
 
+async def _read_events(client: EngineClient) -> None:
+    async for _ in client.cache.events():
+        pass
+
+
+CACHE_REQUESTS: dict[str, Callable[[EngineClient], Awaitable[object]]] = {
+    "listing": lambda client: client.cache.listing(),
+    "export": lambda client: client.cache.export(["a"]),
+    "events": _read_events,
+}
+
+
 class EndOfStreamTests(unittest.TestCase):
     @parameterized.expand(
         [
@@ -139,3 +160,93 @@
             self.fail("no error")
 
         anyio.run(run)
+
+
+class EndlessBytesTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("head", HEAD, b"x-more: y\r\n", EndpointFailedError),
+            ("line", UNFRAMED, b"y" * 65536, EndpointFailedError),
+            ("event", UNFRAMED, b"data: 1\n" * 512, EndpointFailedError),
+            ("comments", UNFRAMED, b":\n\n" * 1000, EndpointFailedError),
+            ("tokens", UNFRAMED, TOKEN * 100, EndpointFailedError),
+            (
+                "failure",
+                b"HTTP/1.1 500 Failed\r\n\r\n",
+                b"y" * 65536,
+                EndpointFailedError,
+            ),
+            (
+                "rejection",
+                b"HTTP/1.1 400 Bad Request\r\n\r\n",
+                b"y" * 65536,
+                EndpointRejectedError,
+            ),
+        ]
+    )
+    def test_completion_is_cut_at_a_bound(
+        self, _name: str, data: bytes, repeated: bytes, error: type[EndpointError]
+    ) -> None:
+        began_at = time.monotonic()
+        _, result = anyio.run(complete, RawReply(data, "flood", repeated))
+        self.assertEqual(result, error)
+        self.assertLess(time.monotonic() - began_at, LIMIT_S)
+
+    @parameterized.expand(
+        [
+            ("interim", b"", b"HTTP/1.1 100 Continue\r\n\r\n", EndpointFailedError),
+            ("failure", b"HTTP/1.1 500 Failed\r\n\r\n", b"y", EndpointFailedError),
+        ]
+    )
+    def test_slow_bytes_without_end_are_cut_in_time(
+        self, _name: str, data: bytes, repeated: bytes, error: type[EndpointError]
+    ) -> None:
+        began_at = time.monotonic()
+        with (
+            patch("agatehoist.endpoints.engine.READ_TIMEOUT_S", 0.3),
+            patch("agatehoist.endpoints.engine.ERROR_TIMEOUT_S", 0.3),
+        ):
+            _, result = anyio.run(complete, RawReply(data, "drip", repeated))
+        self.assertEqual(result, error)
+        self.assertLess(time.monotonic() - began_at, LIMIT_S)
+
+    @parameterized.expand(
+        [
+            ("flood", "flood", b'{"incarnation": "' + b"y" * 65536),
+            ("drip", "drip", b"y"),
+        ]
+    )
+    def test_status_is_cut_at_a_bound(
+        self, _name: str, ending: str, repeated: bytes
+    ) -> None:
+        async def run() -> None:
+            reply = RawReply(b"HTTP/1.1 200 OK\r\n\r\n", ending, repeated)
+            async with serve_raw(reply) as url:
+                client = EngineClient(url)
+                try:
+                    with anyio.fail_after(LIMIT_S):
+                        await client.status()
+                except EndpointNotReachedError:
+                    return
+                finally:
+                    await client.aclose()
+            self.fail("no error")
+
+        anyio.run(run)
+
+    @parameterized.expand([("listing",), ("export",), ("events",)])
+    def test_cache_reply_is_cut_at_a_bound(self, name: str) -> None:
+        async def run() -> None:
+            reply = RawReply(UNFRAMED, "flood", b"y" * 65536)
+            async with serve_raw(reply) as url:
+                client = EngineClient(url)
+                try:
+                    with anyio.fail_after(LIMIT_S):
+                        await CACHE_REQUESTS[name](client)
+                except EndpointFailedError:
+                    return
+                finally:
+                    await client.aclose()
+            self.fail("no error")
+
+        anyio.run(run)
--- /dev/null
+++ b/tests/test_endpoints/test_service.py
@@ -0,0 +1,107 @@
+"""Tests that broken or endless replies of a service are not taken for complete ones."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from unittest.mock import patch
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.core.work import CallWork
+from agatehoist.endpoints import ServiceClient
+from agatehoist.endpoints.errors import EndpointError, EndpointFailedError
+from agatehoist.endpoints.service import MAX_REPLY_BYTES
+from agatehoist.http1.types import Reply
+from agatehoist.protocol.codec import MAX_FRAME_BYTES
+from standins.raw_replies import RawReply, serve_raw
+
+MAX_HEAD_BYTES = 128 * 1024
+# Longer than the bounds on loopback, and shorter than CALL_TIMEOUT_S.
+LIMIT_S = 5.0
+HEAD = b"HTTP/1.1 200 OK\r\n"
+UNFRAMED = HEAD + b"\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
+
+
+async def call(reply: RawReply) -> Reply | type[EndpointError]:
+    """Return the reply to a call, or the class of the error."""
+    async with serve_raw(reply) as url:
+        client = ServiceClient(url)
+        try:
+            with anyio.fail_after(2 * LIMIT_S):
+                return await client.call(CallWork("GET", "/"))
+        except EndpointError as error:
+            return type(error)
+        finally:
+            await client.aclose()
+
+
+class CallTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("unframed", UNFRAMED + b"ab", b"ab"),
+            ("unframed_kept", HEAD + b"connection: keep-alive\r\n\r\nab", b"ab"),
+            ("empty", UNFRAMED, b""),
+            ("chunks", CHUNKED + b"0\r\n\r\n", b"ab"),
+            ("length", HEAD + b"content-length: 2\r\n\r\nab", b"ab"),
+        ]
+    )
+    def test_whole_reply_is_accepted(
+        self, _name: str, data: bytes, body: bytes
+    ) -> None:
+        reply = anyio.run(call, RawReply(data))
+        assert isinstance(reply, Reply)
+        self.assertEqual((reply.head.status, reply.body), (200, body))
+
+    @parameterized.expand(
+        [
+            ("reset", UNFRAMED + b"ab", "reset"),
+            ("reset_after_head", UNFRAMED, "reset"),
+            ("cut_in_head", HEAD + b"content-le", "close"),
+            ("no_last_chunk", CHUNKED, "close"),
+            ("short", HEAD + b"content-length: 9\r\n\r\nab", "close"),
+        ]
+    )
+    def test_broken_reply_is_not_taken_for_a_complete_one(
+        self, _name: str, data: bytes, ending: str
+    ) -> None:
+        result = anyio.run(call, RawReply(data, ending))
+        self.assertEqual(result, EndpointFailedError)
+
+    @parameterized.expand(
+        [
+            ("head", HEAD, b"x-more: y\r\n" * 100),
+            ("body", UNFRAMED, b"y" * 65536),
+            ("failure", b"HTTP/1.1 500 Failed\r\n\r\n", b"y" * 65536),
+            ("chunks", CHUNKED, b"8000\r\n" + b"y" * 32768 + b"\r\n"),
+        ]
+    )
+    def test_bytes_without_end_are_cut_at_a_bound(
+        self, _name: str, data: bytes, repeated: bytes
+    ) -> None:
+        began_at = time.monotonic()
+        result = anyio.run(call, RawReply(data, "flood", repeated))
+        self.assertEqual(result, EndpointFailedError)
+        self.assertLess(time.monotonic() - began_at, LIMIT_S)
+
+    @parameterized.expand(
+        [
+            ("interim", b"", "drip", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ("body", UNFRAMED, "drip", b"y"),
+            ("failure", b"HTTP/1.1 500 Failed\r\n\r\n", "drip", b"y"),
+            ("small_chunks", CHUNKED, "flood", b"2\r\nab\r\n" * 100),
+        ]
+    )
+    def test_slow_bytes_without_end_are_cut_in_time(
+        self, _name: str, data: bytes, ending: str, repeated: bytes
+    ) -> None:
+        began_at = time.monotonic()
+        with patch("agatehoist.endpoints.service.CALL_TIMEOUT_S", 0.3):
+            result = anyio.run(call, RawReply(data, ending, repeated))
+        self.assertEqual(result, EndpointFailedError)
+        self.assertLess(time.monotonic() - began_at, LIMIT_S)
+
+    def test_longest_reply_does_not_break_the_link_to_the_router(self) -> None:
+        self.assertLess(MAX_REPLY_BYTES + MAX_HEAD_BYTES, MAX_FRAME_BYTES)
