Pass a service's compressed reply on as it came

Cause: the sidecar's client asked services for compressed replies and decoded them. The decoder doesn't notice that compressed data ends early. A reply without a length that was cut there reached the caller decoded, with status 200, as a complete success.

Change: the clients ask for replies without an encoding and pass the bytes on as they are with their header, so a caller that asked for compression can tell. The bounds hold for the bytes on the wire, and a small reply can't be decoded into a large one.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -18,6 +18,7 @@
     EndpointRejectedError,
 )
 from agatehoist.endpoints.exchange import (
+    UNENCODED,
     exchange,
     read_start,
     start_exchange,
@@ -71,6 +72,7 @@
             timeout=timeout,
             limits=limits,
             verify=tls_context(url),
+            headers=UNENCODED,
         )
         self.cache = EngineCacheClient(self._http)
 
@@ -180,7 +182,7 @@
     finish_reason = ""
     usage: dict[str, Any] | None = None
     splitter = EventSplitter(MAX_EVENT_BYTES)
-    async for data in response.aiter_bytes():
+    async for data in response.aiter_raw():
         stream_events = splitter.feed(data)
         payloads = (each for event in stream_events for each in _payloads(event.data))
         events = [json.loads(each) for each in payloads]
--- a/src/agatehoist/endpoints/exchange.py
+++ b/src/agatehoist/endpoints/exchange.py
@@ -10,7 +10,10 @@
 from agatehoist.http1.types import Reply, ReplyHead
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Mapping
+
+# Limits hold for the bytes on the wire, and the end of compressed data isn't checked.
+UNENCODED: Mapping[str, str] = {"accept-encoding": "identity"}
 
 
 async def exchange(
@@ -21,7 +24,7 @@
     timeout_s: float,
     **options: Any,
 ) -> Reply:
-    """Send a request and return the complete reply, its body decoded.
+    """Send a request and return the complete reply; its body isn't decoded.
 
     Raises httpx.HTTPError.
     """
@@ -65,7 +68,7 @@
     """
     body = bytearray()
     with anyio.move_on_after(timeout_s):
-        async for data in response.aiter_bytes():
+        async for data in response.aiter_raw():
             body += data
             if len(body) >= max_bytes:
                 break
@@ -78,7 +81,7 @@
     Raises httpx.HTTPError, also if a line is over the limit.
     """
     remainder = bytearray()
-    async for data in response.aiter_bytes():
+    async for data in response.aiter_raw():
         remainder += data
         if b"\n" in data:
             *lines, remainder = remainder.split(b"\n")
@@ -90,7 +93,7 @@
 
 async def _read_body(response: httpx.Response, max_bytes: int) -> bytes:
     body = bytearray()
-    async for data in response.aiter_bytes():
+    async for data in response.aiter_raw():
         body += data
         if len(body) > max_bytes:
             raise _too_long(response, f"body exceeds {max_bytes} bytes")
--- a/src/agatehoist/endpoints/service.py
+++ b/src/agatehoist/endpoints/service.py
@@ -8,7 +8,7 @@
 
 from agatehoist.core.tls import tls_context
 from agatehoist.endpoints.errors import EndpointFailedError, EndpointNotReachedError
-from agatehoist.endpoints.exchange import exchange
+from agatehoist.endpoints.exchange import UNENCODED, exchange
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus
 
@@ -37,7 +37,7 @@
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         self._http = httpx.AsyncClient(
-            base_url=url, timeout=timeout, verify=tls_context(url)
+            base_url=url, timeout=timeout, verify=tls_context(url), headers=UNENCODED
         )
 
     async def aclose(self) -> None:
--- a/src/agatehoist/sidecar/attempt_runner.py
+++ b/src/agatehoist/sidecar/attempt_runner.py
@@ -77,8 +77,6 @@
         for name, value in reply.head.headers
     }
     headers_by_name = drop_hop_by_hop_headers(headers_by_name)
-    # The client has decoded the body.
-    headers_by_name.pop("content-encoding", None)
     execution.finish(
         CallReply(attempt_id, reply.head.status, headers_by_name, reply.body)
     )
--- a/tests/test_endpoints/test_service.py
+++ b/tests/test_endpoints/test_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gzip
 import time
 import unittest
 from unittest.mock import patch
@@ -23,6 +24,8 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 UNFRAMED = HEAD + b"\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
+GZIPPED = gzip.compress(b"ab" * 100)
+ENCODED = HEAD + b"content-encoding: gzip\r\n\r\n"
 
 
 async def call(reply: RawReply) -> Reply | type[EndpointError]:
@@ -39,6 +42,7 @@
 
 
 class CallTests(unittest.TestCase):
+    # Encoded bodies reach the caller as they are, so that it can tell a cut one.
     @parameterized.expand(
         [
             ("unframed", UNFRAMED + b"ab", b"ab"),
@@ -46,6 +50,8 @@
             ("empty", UNFRAMED, b""),
             ("chunks", CHUNKED + b"0\r\n\r\n", b"ab"),
             ("length", HEAD + b"content-length: 2\r\n\r\nab", b"ab"),
+            ("encoded", ENCODED + GZIPPED, GZIPPED),
+            ("encoded_and_cut", ENCODED + GZIPPED[:-9], GZIPPED[:-9]),
         ]
     )
     def test_whole_reply_is_accepted(
