Resume a stream behind its last event when a comment came after it

Cause: the id of the last piece was sent as the point to resume at. A comment, or an event without an id, has none, so the next endpoint began the stream from its start, and the caller got the events again, joined to those of the first run. A move after a comment did the same.

Change: each event carries the last id so far, as clients of event streams keep it; a resumed stream begins with the id it was resumed at.

The test failed before: event 1 came twice.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -231,7 +231,7 @@
         return ReplyArrived(self.attempt_id, reply)
 
     async def _pass_stream_events(self, connection: ClientConnection) -> None:
-        splitter = EventSplitter()
+        splitter = EventSplitter(last_event_id=self.dispatch.last_event_id)
         is_first = True
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """Hold the bytes of one event, its blank line included, and its id."""
+    """Hold the bytes of one event, its blank line included, and the last id so far."""
 
     data: bytes
     event_id: bytes | None
@@ -33,10 +33,12 @@
         max_event_bytes: int = MAX_EVENT_BYTES,
         max_stream_bytes: int = MAX_STREAM_BYTES,
         max_stream_events: int = MAX_STREAM_EVENTS,
+        last_event_id: bytes | None = None,
     ) -> None:
         self._max_event_bytes = max_event_bytes
         self._max_stream_bytes = max_stream_bytes
         self._max_stream_events = max_stream_events
+        self._last_event_id = last_event_id
         self._remainder = bytearray()
         self._stream_bytes = 0
         self._stream_events = 0
@@ -59,7 +61,7 @@
         ]
         starts = [0, *ends]
         events = [
-            _event(bytes(self._remainder[start:end]))
+            self._event(bytes(self._remainder[start:end]))
             for start, end in zip(starts, ends, strict=False)
         ]
         del self._remainder[: starts[-1]]
@@ -79,6 +81,11 @@
                 f"the stream ended {len(self._remainder)} bytes into an event"
             )
 
+    def _event(self, data: bytes) -> StreamEvent:
+        if id_match := EVENT_ID.search(data):
+            self._last_event_id = id_match[1]
+        return StreamEvent(data, self._last_event_id)
+
     def _check_limits(self) -> None:
         if len(self._remainder) > self._max_event_bytes:
             raise InvalidReplyError(
@@ -88,8 +95,3 @@
             raise InvalidReplyError(f"stream exceeds {self._max_stream_bytes} bytes")
         if self._stream_events > self._max_stream_events:
             raise InvalidReplyError(f"stream exceeds {self._max_stream_events} events")
-
-
-def _event(data: bytes) -> StreamEvent:
-    id_match = EVENT_ID.search(data)
-    return StreamEvent(data, id_match[1] if id_match else None)
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -505,3 +505,14 @@
     comments = b":\n\n" * 400
     chunk = f"{len(comments):x}".encode() + b"\r\n" + comments + b"\r\n"
     await _send_without_end(connection, chunk)
+
+
+@FAULTS.register("comment_and_reset")
+async def _reset_after_a_comment(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    for event in (b"id: 1\ndata: t1\n\n", b": wait\n\n"):
+        await connection.send_data(event)
+        await anyio.sleep(EVENT_INTERVAL_S)
+    connection.abort()
--- a/tests/test_gateway/test_requests.py
+++ b/tests/test_gateway/test_requests.py
@@ -216,6 +216,16 @@
         self.assertEqual(reply.body if reply else None, body)
         self.assertEqual(len(world.runs()), runs)
 
+    def test_stream_broken_after_a_comment_does_not_begin_again(self) -> None:
+        world = GatewayHarness()
+        shared = ["comment_and_reset"]
+        for each in world.engines:
+            each.faults = shared
+        reply = send_request(world, "/trace/1")
+        assert reply is not None
+        events = COMPLETE_STREAM.replace(b"id: 2\n", b": wait\n\nid: 2\n")
+        self.assertEqual(reply.body, events)
+
     def test_connection_that_ended_a_reply_is_not_used_again(self) -> None:
         world = GatewayHarness()
         del world.applications[1]
