Don't take an engine's comments for progress of its stream

Cause: every event moved the deadline by which the endpoint must send more, comments too. A stalled engine that kept its stream alive with comments held a resumable stream until the route's timeout. The first comment also counted as the end of the prefill, by which the speed of the endpoint is learned.

Change: only an event with a field counts. Comments are still passed on.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -236,16 +236,18 @@
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
             if stream_events := splitter.feed(data):
-                if is_first:
+                has_progressed = not all(each.is_comment for each in stream_events)
+                if is_first and has_progressed:
                     self._note_prefill_done()
-                is_first = False
+                    is_first = False
                 await self.send_event(
                     PiecesArrived(
                         self.attempt_id, self._next_event_index, stream_events
                     )
                 )
                 self._next_event_index += len(stream_events)
-                self._silence_scope.deadline = self._silence_deadline()
+                if has_progressed:
+                    self._silence_scope.deadline = self._silence_deadline()
         splitter.finish()
 
     def _note_prefill_done(self) -> None:
--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -9,6 +9,7 @@
 
 END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
+FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 # Length of the longest match of END_OF_EVENT.
 MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 256 * 1024
@@ -24,6 +25,11 @@
     data: bytes
     event_id: bytes | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event has no field, as those that keep a stream alive."""
+        return FIELD.search(self.data) is None
+
 
 class EventSplitter:
     """Split a body into its events, whatever pieces it arrives in."""
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -516,3 +516,17 @@
         await connection.send_data(event)
         await anyio.sleep(EVENT_INTERVAL_S)
     connection.abort()
+
+
+@FAULTS.register("comments")
+async def _send_comments_after_two_events(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    await connection.send_data(b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n")
+    try:
+        while True:
+            await connection.send_data(b": wait\n\n")
+            await anyio.sleep(EVENT_INTERVAL_S)
+    except ConnectionFailedError:
+        connection.abort()
--- a/tests/test_gateway/test_requests.py
+++ b/tests/test_gateway/test_requests.py
@@ -226,6 +226,16 @@
         events = COMPLETE_STREAM.replace(b"id: 2\n", b": wait\n\nid: 2\n")
         self.assertEqual(reply.body, events)
 
+    def test_stalled_stream_that_sends_comments_is_resumed_elsewhere(self) -> None:
+        world = GatewayHarness()
+        shared = ["comments"]
+        for each in world.engines:
+            each.faults = shared
+        reply = send_request(world, "/trace/1")
+        assert reply is not None
+        self.assertEqual(reply.body.replace(b": wait\n\n", b""), COMPLETE_STREAM)
+        self.assertEqual(len(world.runs()), 2)
+
     def test_connection_that_ended_a_reply_is_not_used_again(self) -> None:
         world = GatewayHarness()
         del world.applications[1]
--- a/tests/test_http1/test_event_stream.py
+++ b/tests/test_http1/test_event_stream.py
@@ -39,6 +39,22 @@
         (event,) = EventSplitter(last_event_id=b"6").feed(data)
         self.assertEqual((event.data, event.event_id), (data, event_id))
 
+    @parameterized.expand(
+        [
+            ("comment", b": wait\n\n", True),
+            ("comments", b": a\r\n:b\r\n\r\n", True),
+            ("blank_lines", b"\n\n", True),
+            ("data", b"data: x\n\n", False),
+            ("data_after_a_comment", b": a\r\ndata: x\r\n\r\n", False),
+            ("id_only", b"id: 7\n\n", False),
+        ]
+    )
+    def test_comment_is_not_taken_for_progress(
+        self, _name: str, data: bytes, is_comment: bool
+    ) -> None:
+        (event,) = EventSplitter().feed(data)
+        self.assertIs(event.is_comment, is_comment)
+
     def test_event_before_the_first_id_has_none(self) -> None:
         (event,) = EventSplitter().feed(b"data: x\n\n")
         self.assertIsNone(event.event_id)
