Bound the replies to orders and to reads of the orders' state

Cause: the sidecar's client for orders read whole replies whatever their length, and only limited the pause between two reads.

Change: it uses the bounded exchange of the other clients of an engine: 1 MiB and one second. An order whose reply is cut has an unknown outcome.

--- a/src/agatehoist/orders/clients.py
+++ b/src/agatehoist/orders/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
@@ -9,6 +10,7 @@
 
 from agatehoist.core.registry import Registry
 from agatehoist.endpoints.errors import EndpointNotReachedError
+from agatehoist.endpoints.exchange import UNENCODED, exchange
 from agatehoist.errors import UnknownNameError
 from agatehoist.orders.errors import OrderOutcomeUnknownError, OrderRefusedError
 from agatehoist.orders.kinds import NAMES_BY_ORDER_CLASS
@@ -19,6 +21,7 @@
     from agatehoist.orders.kinds import Order
 
 ORDER_TIMEOUT_S = 1.0
+MAX_REPLY_BYTES = 1024 * 1024
 
 _converter = make_converter()
 
@@ -61,7 +64,9 @@
     """Send orders to one engine."""
 
     def __init__(self, url: str) -> None:
-        self._http = httpx.AsyncClient(base_url=url, timeout=ORDER_TIMEOUT_S)
+        self._http = httpx.AsyncClient(
+            base_url=url, timeout=ORDER_TIMEOUT_S, headers=UNENCODED
+        )
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -73,9 +78,12 @@
         Raises EndpointNotReachedError.
         """
         try:
-            answer = await self._http.get("/orders")
-            answer.raise_for_status()
-            return _converter.structure(answer.json(), Report)
+            reply = await exchange(
+                self._http, "GET", "/orders", MAX_REPLY_BYTES, ORDER_TIMEOUT_S
+            )
+            if reply.head.status != HTTPStatus.OK:
+                raise ValueError(f"status {reply.head.status}")
+            return _converter.structure(json.loads(reply.body), Report)
         except Exception as error:
             raise EndpointNotReachedError(
                 f"engine's report can't be read: {error!r}"
@@ -94,7 +102,14 @@
             "valid_until": valid_until,
         }
         try:
-            answer = await self._http.post("/orders", json=body)
+            reply = await exchange(
+                self._http,
+                "POST",
+                "/orders",
+                MAX_REPLY_BYTES,
+                ORDER_TIMEOUT_S,
+                json=body,
+            )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise OrderRefusedError(
                 f"connection to the engine failed: {error!r}"
@@ -103,5 +118,6 @@
             raise OrderOutcomeUnknownError(
                 f"engine did not answer the order: {error!r}"
             ) from error
-        if answer.status_code != HTTPStatus.ACCEPTED:
-            raise OrderRefusedError(f"{answer.status_code}: {answer.text}")
+        if reply.head.status != HTTPStatus.ACCEPTED:
+            text = reply.body.decode(errors="replace")
+            raise OrderRefusedError(f"{reply.head.status}: {text}")
