Bound the replies of the platform to routers and sidecars

Cause: the client of the platform read whole replies whatever their length and limited only the pause between two reads, so bytes without end filled the memory of a router, and a byte now and then held its call for good.

Change: it uses the bounded exchange: 32 MiB, and the call's timeout in all. The module moves to http1, as endpoints, orders and storage use it.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -17,16 +17,16 @@
     EndpointNotReachedError,
     EndpointRejectedError,
 )
-from agatehoist.endpoints.exchange import (
+from agatehoist.endpoints.kinds import ENDPOINT_KINDS
+from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
+from agatehoist.http1.errors import InvalidReplyError
+from agatehoist.http1.event_stream import EventSplitter
+from agatehoist.http1.exchange import (
     UNENCODED,
     exchange,
     read_start,
     start_exchange,
 )
-from agatehoist.endpoints.kinds import ENDPOINT_KINDS
-from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
-from agatehoist.http1.errors import InvalidReplyError
-from agatehoist.http1.event_stream import EventSplitter
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
--- a/src/agatehoist/endpoints/engine_cache.py
+++ b/src/agatehoist/endpoints/engine_cache.py
@@ -14,7 +14,7 @@
     EndpointFailedError,
     EndpointRejectedError,
 )
-from agatehoist.endpoints.exchange import exchange, read_lines, start_exchange
+from agatehoist.http1.exchange import exchange, read_lines, start_exchange
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Sequence
--- a/src/agatehoist/endpoints/service.py
+++ b/src/agatehoist/endpoints/service.py
@@ -8,9 +8,9 @@
 
 from agatehoist.core.tls import tls_context
 from agatehoist.endpoints.errors import EndpointFailedError, EndpointNotReachedError
-from agatehoist.endpoints.exchange import UNENCODED, exchange
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus
+from agatehoist.http1.exchange import UNENCODED, exchange
 
 if TYPE_CHECKING:
     from agatehoist.core.work import CallWork
--- a/src/agatehoist/endpoints/exchange.py
+++ b/src/agatehoist/http1/exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges over HTTP with limits on the bytes and the time of a reply."""
+"""Exchanges through httpx with limits on the bytes and the time of a reply."""
 
 from __future__ import annotations
 
--- a/src/agatehoist/orders/clients.py
+++ b/src/agatehoist/orders/clients.py
@@ -10,8 +10,8 @@
 
 from agatehoist.core.registry import Registry
 from agatehoist.endpoints.errors import EndpointNotReachedError
-from agatehoist.endpoints.exchange import UNENCODED, exchange
 from agatehoist.errors import UnknownNameError
+from agatehoist.http1.exchange import UNENCODED, exchange
 from agatehoist.orders.errors import OrderOutcomeUnknownError, OrderRefusedError
 from agatehoist.orders.kinds import NAMES_BY_ORDER_CLASS
 from agatehoist.orders.types import Report
--- a/src/agatehoist/storage/client.py
+++ b/src/agatehoist/storage/client.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import typing
 from collections import Counter
 from functools import partial
@@ -16,6 +17,7 @@
 import httpx
 
 from agatehoist.core.tls import tls_context
+from agatehoist.http1.exchange import UNENCODED, exchange
 from agatehoist.observability.metrics import PLATFORM_CALLS_TOTAL
 from agatehoist.storage.budget import CallBudget, Purpose
 from agatehoist.storage.errors import (
@@ -29,11 +31,13 @@
 from agatehoist.storage.types import HostEntry, StoredObject
 
 if TYPE_CHECKING:
+    from agatehoist.http1.types import Reply
     from agatehoist.settings.types import PlatformSettings
 
 CALL_TIMEOUT_S = 2.0
 WATCH_TIMEOUT_S = 30.0
 MAX_BUDGET_WAIT_S = 5.0
+MAX_REPLY_BYTES = 32 * 1024 * 1024
 
 
 class PlatformClient:
@@ -46,6 +50,7 @@
             base_url=settings.url,
             timeout=CALL_TIMEOUT_S,
             verify=tls_context(settings.url),
+            headers=UNENCODED,
         )
         self._budget = budget or CallBudget()
         self._host_reads = SingleFlight()
@@ -62,8 +67,8 @@
 
         Raises ObjectNotFoundError or PlatformUnavailableError.
         """
-        response = await self._call(purpose, "GET", f"/objects/{kind}/{name}")
-        return _decode(response, StoredObject)
+        reply = await self._call(purpose, "GET", f"/objects/{kind}/{name}")
+        return _decode(reply, StoredObject)
 
     async def names(
         self, kind: str, purpose: Purpose = Purpose.OTHER
@@ -72,8 +77,8 @@
 
         Raises PlatformUnavailableError.
         """
-        response = await self._call(purpose, "GET", f"/objects/{kind}")
-        return _decode(response, tuple[str, ...])
+        reply = await self._call(purpose, "GET", f"/objects/{kind}")
+        return _decode(reply, tuple[str, ...])
 
     async def put(
         self,
@@ -87,14 +92,14 @@
 
         Raises ConflictError or PlatformUnavailableError.
         """
-        response = await self._call(
+        reply = await self._call(
             purpose,
             "PUT",
             f"/objects/{kind}/{name}",
             json={"value": value},
             headers={"If-Match": str(version)},
         )
-        return _decode(response, StoredObject)
+        return _decode(reply, StoredObject)
 
     async def delete(
         self, kind: str, name: str, purpose: Purpose = Purpose.OTHER
@@ -112,16 +117,16 @@
 
         Raises PlatformUnavailableError.
         """
-        response = await self._call(
+        reply = await self._call(
             purpose,
             "GET",
             f"/watch/{kind}/{name}",
             params={"after": version, "timeout": WATCH_TIMEOUT_S},
-            timeout=WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
+            timeout_s=WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
         )
-        if response.status_code == HTTPStatus.NO_CONTENT:
+        if reply.head.status == HTTPStatus.NO_CONTENT:
             return None
-        return _decode(response, StoredObject)
+        return _decode(reply, StoredObject)
 
     async def hosts(self, purpose: Purpose = Purpose.HOSTS) -> tuple[HostEntry, ...]:
         """Return the list of endpoint hosts, which lags behind their real state.
@@ -129,16 +134,16 @@
         Raises PlatformUnavailableError.
         """
         fetch_hosts = partial(self._call, purpose, "GET", "/hosts")
-        response = await self._host_reads.run("/hosts", fetch_hosts)
-        return _decode(response, tuple[HostEntry, ...])
+        reply = await self._host_reads.run("/hosts", fetch_hosts)
+        return _decode(reply, tuple[HostEntry, ...])
 
     async def _call(
         self, purpose: Purpose, method: str, path: str, **options: Any
-    ) -> httpx.Response:
+    ) -> Reply:
         await self._wait_for_budget(purpose)
         outcome = "failed"
         try:
-            response = await self._send(method, path, **options)
+            reply = await self._send(method, path, **options)
             outcome = "answered"
         except (ConflictError, ObjectNotFoundError):
             outcome = "answered"
@@ -147,7 +152,7 @@
             self.calls_by_purpose[purpose] += 1
             # platform.store has HTTP methods and statuses in these labels.
             PLATFORM_CALLS_TOTAL.inc({"purpose": str(purpose), "outcome": outcome})
-        return response
+        return reply
 
     async def _wait_for_budget(self, purpose: Purpose) -> None:
         now = anyio.current_time()
@@ -158,27 +163,40 @@
         if allowed_at > now:
             await anyio.sleep_until(allowed_at)
 
-    async def _send(self, method: str, path: str, **options: Any) -> httpx.Response:
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float = CALL_TIMEOUT_S,
+        **options: Any,
+    ) -> Reply:
         try:
-            response = await self._http.request(method, path, **options)
+            reply = await exchange(
+                self._http,
+                method,
+                path,
+                MAX_REPLY_BYTES,
+                timeout_s,
+                timeout=timeout_s,
+                **options,
+            )
         except httpx.HTTPError as error:
             raise PlatformUnavailableError(f"{method} {path}: {error!r}") from error
-        if response.status_code == HTTPStatus.NOT_FOUND:
+        status = reply.head.status
+        if status == HTTPStatus.NOT_FOUND:
             raise ObjectNotFoundError(path)
-        if response.status_code == HTTPStatus.PRECONDITION_FAILED:
+        if status == HTTPStatus.PRECONDITION_FAILED:
             raise ConflictError(path)
-        if response.is_server_error:
-            raise PlatformUnavailableError(
-                f"{method} {path}: status {response.status_code}"
-            )
-        if response.is_error:
-            raise PlatformError(f"{method} {path}: status {response.status_code}")
-        return response
+        if httpx.codes.is_server_error(status):
+            raise PlatformUnavailableError(f"{method} {path}: status {status}")
+        if httpx.codes.is_error(status):
+            raise PlatformError(f"{method} {path}: status {status}")
+        return reply
 
 
-def _decode(response: httpx.Response, target: Any) -> Any:
+def _decode(reply: Reply, target: Any) -> Any:
     try:
-        value = response.json()
+        value = json.loads(reply.body)
         if typing.get_origin(target) is tuple and not isinstance(value, list):
             raise TypeError("response is not a list")
         return cattrs.structure(value, target)
--- a/tests/test_storage/test_client.py
+++ b/tests/test_storage/test_client.py
@@ -12,10 +12,12 @@
 from agatehoist.settings.types import PlatformSettings
 from agatehoist.storage.client import PlatformClient
 from agatehoist.storage.errors import PlatformUnavailableError
+from standins.raw_replies import RawReply, serve_raw
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
+LIMIT_S = 3.0
 BODIES = [("html", b"<html>"), ("other_shape", b'{"a": 1}'), ("empty", b"")]
 
 CALLS: list[tuple[str, Callable[[PlatformClient], Awaitable[Any]]]] = [
@@ -27,6 +29,11 @@
 ]
 
 
+async def send(content: bytes) -> AsyncIterator[bytes]:
+    """Yield the content of a response that is read as a stream."""
+    yield content
+
+
 class InvalidResponseTests(unittest.TestCase):
     @parameterized.expand(
         [
@@ -42,7 +49,7 @@
         content: bytes,
     ) -> None:
         def respond(_request: httpx.Request) -> httpx.Response:
-            return httpx.Response(200, content=content)
+            return httpx.Response(200, content=send(content))
 
         async def run_call() -> None:
             url = "http://platform"
@@ -54,3 +61,35 @@
             await client.aclose()
 
         anyio.run(run_call)
+
+
+class EndlessResponseTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (f"{call}_{ending}", make_call, ending, repeated)
+            for call, make_call in CALLS
+            if call != "watch"
+            for ending, repeated in [("flood", b"y" * 65536), ("drip", b"y")]
+        ]
+    )
+    def test_endless_response_is_cut_at_a_bound(
+        self,
+        _name: str,
+        make_call: Callable[[PlatformClient], Awaitable[Any]],
+        ending: str,
+        repeated: bytes,
+    ) -> None:
+        async def run() -> None:
+            reply = RawReply(b"HTTP/1.1 200 OK\r\n\r\n", ending, repeated)
+            async with serve_raw(reply) as url:
+                client = PlatformClient(PlatformSettings(url))
+                try:
+                    with anyio.fail_after(LIMIT_S):
+                        await make_call(client)
+                except PlatformUnavailableError:
+                    return
+                finally:
+                    await client.aclose()
+            self.fail("no error")
+
+        anyio.run(run)
