Don't use a sidecar's connection to its endpoint for another request

What went wrong for other operators: a server sent a second copy of an answer on a connection that was in use again, and the next caller got an answer that wasn't its own.

Cause: the clients of endpoints kept connections. httpx sees bytes that arrive on an idle connection, but not those that came with the reply before, nor those that come once the next request has been sent. Replies of endpoints don't name their requests, so the client can't tell. The gateway can: the platform's replies name the request.

Change: each request has a connection of its own.

Two of three cases failed before: the second call got the first one's body, and in the case `during_the_next_call` every later one the body before. The copy that came while the connection was idle was noticed before as well.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -22,6 +22,7 @@
 from agatehoist.http1.errors import InvalidReplyError
 from agatehoist.http1.event_stream import EventSplitter
 from agatehoist.http1.exchange import (
+    SINGLE_USE,
     UNENCODED,
     exchange,
     read_start,
@@ -66,11 +67,10 @@
 
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
-        limits = httpx.Limits(max_connections=None)
         self._http = httpx.AsyncClient(
             base_url=url,
             timeout=timeout,
-            limits=limits,
+            limits=SINGLE_USE,
             verify=tls_context(url),
             headers=UNENCODED,
         )
--- a/src/agatehoist/endpoints/service.py
+++ b/src/agatehoist/endpoints/service.py
@@ -10,7 +10,7 @@
 from agatehoist.endpoints.errors import EndpointFailedError, EndpointNotReachedError
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus
-from agatehoist.http1.exchange import UNENCODED, exchange
+from agatehoist.http1.exchange import SINGLE_USE, UNENCODED, exchange
 
 if TYPE_CHECKING:
     from agatehoist.core.work import CallWork
@@ -37,7 +37,11 @@
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         self._http = httpx.AsyncClient(
-            base_url=url, timeout=timeout, verify=tls_context(url), headers=UNENCODED
+            base_url=url,
+            timeout=timeout,
+            limits=SINGLE_USE,
+            verify=tls_context(url),
+            headers=UNENCODED,
         )
 
     async def aclose(self) -> None:
--- a/src/agatehoist/http1/exchange.py
+++ b/src/agatehoist/http1/exchange.py
@@ -14,6 +14,9 @@
 
 # Limits hold for the bytes on the wire, and the end of compressed data isn't checked.
 UNENCODED: Mapping[str, str] = {"accept-encoding": "identity"}
+# Replies of endpoints don't name their requests, so a second copy of a reply would be
+# taken for the reply to the next request on the connection.
+SINGLE_USE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
 async def exchange(
--- a/src/agatehoist/orders/clients.py
+++ b/src/agatehoist/orders/clients.py
@@ -11,7 +11,7 @@
 from agatehoist.core.registry import Registry
 from agatehoist.endpoints.errors import EndpointNotReachedError
 from agatehoist.errors import UnknownNameError
-from agatehoist.http1.exchange import UNENCODED, exchange
+from agatehoist.http1.exchange import SINGLE_USE, UNENCODED, exchange
 from agatehoist.orders.errors import OrderOutcomeUnknownError, OrderRefusedError
 from agatehoist.orders.kinds import NAMES_BY_ORDER_CLASS
 from agatehoist.orders.types import Report
@@ -65,7 +65,10 @@
 
     def __init__(self, url: str) -> None:
         self._http = httpx.AsyncClient(
-            base_url=url, timeout=ORDER_TIMEOUT_S, headers=UNENCODED
+            base_url=url,
+            timeout=ORDER_TIMEOUT_S,
+            limits=SINGLE_USE,
+            headers=UNENCODED,
         )
 
     async def aclose(self) -> None:
--- a/tests/test_endpoints/test_service.py
+++ b/tests/test_endpoints/test_service.py
@@ -5,6 +5,8 @@
 import gzip
 import time
 import unittest
+from functools import partial
+from typing import TYPE_CHECKING
 from unittest.mock import patch
 
 import anyio
@@ -14,9 +16,14 @@
 from agatehoist.endpoints import ServiceClient
 from agatehoist.endpoints.errors import EndpointError, EndpointFailedError
 from agatehoist.endpoints.service import MAX_REPLY_BYTES
+from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.types import Reply
 from agatehoist.protocol.codec import MAX_FRAME_BYTES
 from standins.raw_replies import RawReply, serve_raw
+from standins.users_platform.loopback import HOST, listen_on_loopback
+
+if TYPE_CHECKING:
+    from agatehoist.http1.channel import Channel
 
 MAX_HEAD_BYTES = 128 * 1024
 # Longer than the bounds on loopback, and shorter than CALL_TIMEOUT_S.
@@ -111,3 +118,46 @@
 
     def test_longest_reply_does_not_break_the_link_to_the_router(self) -> None:
         self.assertLess(MAX_REPLY_BYTES + MAX_HEAD_BYTES, MAX_FRAME_BYTES)
+
+
+async def serve_twice(pause_s: float, channel: Channel) -> None:
+    """Answer each request with its path, and again after a pause."""
+    try:
+        while request := await channel.receive():
+            path = request.split()[1]
+            length = f"content-length: {len(path)}".encode()
+            reply = HEAD + length + b"\r\n\r\n" + path
+            await channel.send(reply)
+            await anyio.sleep(pause_s)
+            await channel.send(reply)
+    except ConnectionFailedError:
+        channel.abort()
+    finally:
+        channel.close()
+
+
+class SecondCopyTests(unittest.TestCase):
+    # Case, pause before the second copy, pause before the next call.
+    @parameterized.expand(
+        [
+            ("with_the_first", 0.0, 0.0),
+            ("before_the_next_call", 0.01, 0.05),
+            ("during_the_next_call", 0.05, 0.01),
+        ]
+    )
+    def test_second_copy_of_a_reply_is_not_taken_for_the_next_one(
+        self, _name: str, copy_pause_s: float, call_pause_s: float
+    ) -> None:
+        async def run() -> list[bytes]:
+            bodies: list[bytes] = []
+            serve = partial(serve_twice, copy_pause_s)
+            async with listen_on_loopback(serve) as port:
+                client = ServiceClient(f"http://{HOST}:{port}")
+                for path in ("/first", "/second", "/third"):
+                    reply = await client.call(CallWork("GET", path))
+                    bodies.append(reply.body)
+                    await anyio.sleep(call_pause_s)
+                await client.aclose()
+            return bodies
+
+        self.assertEqual(anyio.run(run), [b"/first", b"/second", b"/third"])
