--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import aclosing
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +20,15 @@
 )
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
 from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
+from agatehoist.http1.errors import InvalidReplyError
+from agatehoist.http1.event_stream import EventSplitter
+from agatehoist.http1.exchange import (
+    SINGLE_USE,
+    UNENCODED,
+    exchange,
+    read_start,
+    start_exchange,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -28,6 +38,12 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 60.0
 STATUS_TIMEOUT_S = 1.0
+MAX_STATUS_BYTES = 64 * 1024
+# Of an error reply no more is read or waited for, as its status says enough.
+MAX_ERROR_BYTES = 4 * 1024
+ERROR_TIMEOUT_S = 1.0
+# The last event lists the blocks of the prompt.
+MAX_EVENT_BYTES = 4 * 1024 * 1024
 EVENT_PREFIX = "data: "
 END_MARKER = "[DONE]"
 INCARNATION_HEADER = "x-engine-incarnation"
@@ -36,6 +52,9 @@
 # know the header begins to fill its cache before the version in its reply is checked.
 EXPECTED_VERSION_HEADER = b"x-expected-weights-version"
 
+# Errors that JSON of another form than that of an event leads to.
+INVALID_EVENT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+
 # Client errors that depend on the state of the engine rather than on the request, so
 # that another engine may be able to run it.
 _RETRIABLE_STATUSES = frozenset(
@@ -54,9 +73,12 @@
 
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
-        limits = httpx.Limits(max_connections=None)
         self._http = httpx.AsyncClient(
-            base_url=url, timeout=timeout, limits=limits, verify=tls_context(url)
+            base_url=url,
+            timeout=timeout,
+            limits=SINGLE_USE,
+            verify=tls_context(url),
+            headers=UNENCODED,
         )
         self.cache = EngineCacheClient(self._http)
 
@@ -70,15 +92,18 @@
         Raises EndpointNotReachedError.
         """
         try:
-            response = await self._http.get("/status", timeout=STATUS_TIMEOUT_S)
-            response.raise_for_status()
-            fields = response.json()
+            reply = await exchange(
+                self._http, "GET", "/status", MAX_STATUS_BYTES, STATUS_TIMEOUT_S
+            )
+            if reply.head.status != HTTPStatus.OK:
+                raise ValueError(f"status {reply.head.status}")
+            fields = json.loads(reply.body)
             return EndpointStatus(
                 fields["incarnation"],
                 fields["weights_version"],
                 int(fields.get("running", 0)),
             )
-        except (httpx.HTTPError, ValueError, KeyError) as error:
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
             raise EndpointNotReachedError(
                 f"status request failed: {error!r}"
             ) from error
@@ -96,13 +121,14 @@
         """
         body = _engine_body(work, cache_salt, priority)
         headers = {EXPECTED_VERSION_HEADER: expected_status.weights_version.encode()}
+        request = self._http.build_request(
+            "POST", work.path, json=body, headers=headers
+        )
         try:
-            async with self._http.stream(
-                "POST", work.path, json=body, headers=headers
-            ) as response:
+            response = await start_exchange(self._http, request, READ_TIMEOUT_S)
+            async with aclosing(response):
                 if response.is_error:
-                    await response.aread()
-                    raise _error_for_response(response)
+                    raise await _error_for_response(response)
                 _check_identity(response, expected_status)
                 async for event in _read_events(response):
                     yield event
@@ -110,7 +136,7 @@
             raise EndpointNotReachedError(
                 f"could not connect to the engine: {error!r}"
             ) from error
-        except (httpx.HTTPError, ValueError, KeyError) as error:
+        except (httpx.HTTPError, InvalidReplyError, *INVALID_EVENT_ERRORS) as error:
             raise EndpointFailedError(
                 f"completion request to the engine failed: {error!r}"
             ) from error
@@ -150,8 +176,10 @@
             )
 
 
-def _error_for_response(response: httpx.Response) -> EndpointError:
-    detail = f"engine answered {response.status_code}: {response.text}"
+async def _error_for_response(response: httpx.Response) -> EndpointError:
+    start = await read_start(response, MAX_ERROR_BYTES, ERROR_TIMEOUT_S)
+    text = start.decode(errors="replace")
+    detail = f"engine answered {response.status_code}: {text}"
     if response.status_code == HTTPStatus.MISDIRECTED_REQUEST:
         return EndpointChangedError(detail)
     if response.status_code in _RETRIABLE_STATUSES or response.is_server_error:
@@ -164,10 +192,11 @@
 ) -> AsyncIterator[EngineTokens | EngineEnd]:
     finish_reason = ""
     usage: dict[str, Any] | None = None
-    pending = ""
-    async for chunk in response.aiter_text():
-        *lines, pending = (pending + chunk).split("\n")
-        events = [json.loads(line) for line in _payloads(lines)]
+    splitter = EventSplitter(MAX_EVENT_BYTES)
+    async for data in response.aiter_raw():
+        stream_events = splitter.feed(data)
+        payloads = (each for event in stream_events for each in _payloads(event.data))
+        events = [json.loads(each) for each in payloads]
         # Each event with a text counts as one token.
         texts = tuple(filter(None, map(_text_of, events)))
         if texts:
@@ -175,6 +204,7 @@
         for event in events:
             finish_reason = _finish_reason_of(event) or finish_reason
             usage = event.get("usage") or usage
+    splitter.finish()
     if usage is None or not finish_reason:
         raise EndpointFailedError(
             "the engine's stream ended without a finish reason or usage"
@@ -185,8 +215,8 @@
     yield EngineEnd(finish_reason, usage["prompt_tokens"], cached_tokens, block_hashes)
 
 
-def _payloads(lines: list[str]) -> Iterator[str]:
-    for line in lines:
+def _payloads(event: bytes) -> Iterator[str]:
+    for line in event.decode().split("\n"):
         payload = line.removeprefix(EVENT_PREFIX).strip()
         if line.startswith(EVENT_PREFIX) and payload != END_MARKER:
             yield payload
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -250,28 +250,26 @@
         return ReplyArrived(self.attempt_id, reply)
 
     async def _pass_stream_events(self, connection: ClientConnection) -> None:
-        splitter = EventSplitter()
+        splitter = EventSplitter(last_event_id=self.dispatch.last_event_id)
         is_first = True
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
             if self.has_answered:
                 self._note_answered()
             if stream_events := splitter.feed(data):
-                if is_first:
+                has_progressed = not all(each.is_comment for each in stream_events)
+                if is_first and has_progressed:
                     self._note_prefill_done()
-                is_first = False
+                    is_first = False
                 await self.send_event(
                     PiecesArrived(
                         self.attempt_id, self._next_event_index, stream_events
                     )
                 )
                 self._next_event_index += len(stream_events)
-                self._silence_scope.deadline = self._silence_deadline()
-        if stream_events := splitter.finish():
-            await self.send_event(
-                PiecesArrived(self.attempt_id, self._next_event_index, stream_events)
-            )
-            self._next_event_index += len(stream_events)
+                if has_progressed:
+                    self._silence_scope.deadline = self._silence_deadline()
+        splitter.finish()
         self._note_answered()
 
     def _note_answered(self) -> None:
--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -9,57 +9,95 @@
 
 END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
+FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 # Length of the longest match of END_OF_EVENT.
 MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 256 * 1024
+# Of all events of a stream, which are kept until it ends.
+MAX_STREAM_BYTES = 32 * 1024 * 1024
+MAX_STREAM_EVENTS = 100_000
 
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """Hold the bytes of one event, its blank line included, and its id."""
+    """Hold the bytes of one event, its blank line included, and the last id so far."""
 
     data: bytes
     event_id: bytes | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event has no field, as those that keep a stream alive."""
+        return FIELD.search(self.data) is None
+
 
 class EventSplitter:
     """Split a body into its events, whatever pieces it arrives in."""
 
-    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+    def __init__(
+        self,
+        max_event_bytes: int = MAX_EVENT_BYTES,
+        max_stream_bytes: int = MAX_STREAM_BYTES,
+        max_stream_events: int = MAX_STREAM_EVENTS,
+        last_event_id: bytes | None = None,
+    ) -> None:
         self._max_event_bytes = max_event_bytes
-        self._remainder = b""
+        self._max_stream_bytes = max_stream_bytes
+        self._max_stream_events = max_stream_events
+        self._last_event_id = last_event_id
+        self._remainder = bytearray()
+        self._stream_bytes = 0
+        self._stream_events = 0
 
     @property
     def remainder(self) -> bytes:
         """Return the received bytes of an incomplete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     def feed(self, data: bytes) -> tuple[StreamEvent, ...]:
         """Add bytes and return the events that they complete.
 
-        Raises InvalidReplyError if an event is over the limit.
+        Raises InvalidReplyError if an event or the stream is over the limit.
         """
         # An end that is split between two pieces starts in the last bytes of the first.
         search_from = max(0, len(self._remainder) - MAX_END_BYTES + 1)
         self._remainder += data
-        events = []
-        start = 0
-        for match in END_OF_EVENT.finditer(self._remainder, search_from):
-            events.append(_event(self._remainder[start : match.end()]))
-            start = match.end()
-        self._remainder = self._remainder[start:]
-        if len(self._remainder) > self._max_event_bytes:
-            raise InvalidReplyError(
-                f"event of the stream exceeds {self._max_event_bytes} bytes"
-            )
+        ends = [
+            match.end() for match in END_OF_EVENT.finditer(self._remainder, search_from)
+        ]
+        starts = [0, *ends]
+        events = [
+            self._event(bytes(self._remainder[start:end]))
+            for start, end in zip(starts, ends, strict=False)
+        ]
+        del self._remainder[: starts[-1]]
+        self._stream_bytes += len(data)
+        self._stream_events += len(events)
+        self._check_limits()
         return tuple(events)
 
-    def finish(self) -> tuple[StreamEvent, ...]:
-        """Return the data after the last blank line of a complete body as an event."""
-        remainder, self._remainder = self._remainder, b""
-        return (_event(remainder),) if remainder else ()
+    def finish(self) -> None:
+        """Check that the body ends after a whole event.
+
+        Raises InvalidReplyError.
+        """
+        # More blank lines than one may follow an event.
+        if self._remainder.strip(b"\r\n"):
+            raise InvalidReplyError(
+                f"the stream ended {len(self._remainder)} bytes into an event"
+            )
 
+    def _event(self, data: bytes) -> StreamEvent:
+        if id_match := EVENT_ID.search(data):
+            self._last_event_id = id_match[1]
+        return StreamEvent(data, self._last_event_id)
 
-def _event(data: bytes) -> StreamEvent:
-    id_match = EVENT_ID.search(data)
-    return StreamEvent(data, id_match[1] if id_match else None)
+    def _check_limits(self) -> None:
+        if len(self._remainder) > self._max_event_bytes:
+            raise InvalidReplyError(
+                f"event of the stream exceeds {self._max_event_bytes} bytes"
+            )
+        if self._stream_bytes > self._max_stream_bytes:
+            raise InvalidReplyError(f"stream exceeds {self._max_stream_bytes} bytes")
+        if self._stream_events > self._max_stream_events:
+            raise InvalidReplyError(f"stream exceeds {self._max_stream_events} events")
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -347,3 +348,187 @@
 ) -> None:
     await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
     await _send_without_end(connection, b"1000\r\n" + b"y" * 4096 + b"\r\n")
+
+
+def _raw_body(endpoint: EndpointStandIn, run: ReceivedRequest) -> bytes:
+    """Return the body of a complete answer."""
+    if not endpoint.model:
+        return f"{run.request_id} by {endpoint.name}".encode()
+    first = int(run.headers_by_name.get("last-event-id", "0"))
+    numbers = range(first + 1, endpoint.event_count + 1)
+    return b"".join(f"id: {each}\ndata: t{each}\n\n".encode() for each in numbers)
+
+
+async def _send_raw(
+    endpoint: EndpointStandIn,
+    connection: ServerConnection,
+    run: ReceivedRequest,
+    rest: bytes,
+    *framing: bytes,
+) -> None:
+    """Send a head with no other framing headers than the given ones, and the rest."""
+    headers = [*endpoint.answer_headers(run)]
+    headers += [STREAM] if endpoint.model else []
+    lines = [b"HTTP/1.1 200 OK", *(b": ".join(each) for each in headers), *framing]
+    await connection._channel.send(b"\r\n".join([*lines, rest]))
+
+
+@FAULTS.register("unframed")
+async def _end_with_the_connection(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"\r\n" + _raw_body(endpoint, run))
+    connection.close()
+
+
+@FAULTS.register("unframed_half_closed")
+async def _end_with_one_direction(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = b"\r\n" + _raw_body(endpoint, run)
+    await _send_raw(endpoint, connection, run, body, b"connection: keep-alive")
+    connection._channel._sock.shutdown(socket.SHUT_WR)
+    with anyio.move_on_after(STALL_S):
+        # A request sent on this connection gets no reply.
+        await connection.wait_closed()
+
+
+@FAULTS.register("unframed_cut")
+async def _end_without_the_last_byte(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = b"\r\n" + _raw_body(endpoint, run)
+    await _send_raw(endpoint, connection, run, body[:-1])
+    connection.close()
+
+
+@FAULTS.register("unframed_reset")
+async def _reset_in_place_of_the_end(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"\r\n" + _raw_body(endpoint, run))
+    await anyio.sleep(EVENT_INTERVAL_S)
+    connection.abort()
+
+
+@FAULTS.register("half_head")
+async def _end_inside_the_head(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"")
+    connection.close()
+
+
+@FAULTS.register("head_only")
+async def _end_after_the_head(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _send_raw(endpoint, connection, run, b"\r\n")
+    connection.close()
+
+
+@FAULTS.register("short")
+async def _end_before_the_length(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = _raw_body(endpoint, run)
+    length = f"content-length: {len(body) + 1}".encode()
+    await _send_raw(endpoint, connection, run, b"\r\n" + body, length)
+    connection.close()
+
+
+@FAULTS.register("chunks_unended")
+async def _end_before_the_last_chunk(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    body = _raw_body(endpoint, run)
+    chunk = b"\r\n" + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n"
+    await _send_raw(endpoint, connection, run, chunk, b": ".join(CHUNKED))
+    connection.close()
+
+
+@FAULTS.register("chunks_cut")
+async def _end_the_chunks_inside_an_event(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    await connection.send_data(_raw_body(endpoint, run)[:-1])
+    await connection.end()
+
+
+async def _endless_reply(
+    endpoint: EndpointStandIn,
+    connection: ServerConnection,
+    run: ReceivedRequest,
+    status: bytes,
+    *headers: bytes,
+) -> None:
+    """Send a reply whose body has neither a length nor an end."""
+    lines = [b": ".join(each) for each in endpoint.answer_headers(run)]
+    head = b"\r\n".join([b"HTTP/1.1 " + status, *lines, *headers, b"", b""])
+    await connection._channel.send(head)
+    await _send_without_end(connection, b"y" * 4096)
+
+
+@FAULTS.register("endless_unframed")
+async def _endless_unframed(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _endless_reply(endpoint, connection, run, b"200 OK")
+
+
+@FAULTS.register("endless_failure")
+async def _endless_failure(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _endless_reply(endpoint, connection, run, b"500 Internal Server Error")
+
+
+@FAULTS.register("endless_rejection")
+async def _endless_rejection(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    status, header = b"503 Service Unavailable", b"x-agatehoist-not-executed: 1"
+    await _endless_reply(endpoint, connection, run, status, header)
+
+
+@FAULTS.register("endless_misdirection")
+async def _endless_misdirection(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await _endless_reply(endpoint, connection, run, b"421 Misdirected Request")
+
+
+@FAULTS.register("endless_comments")
+async def _endless_comments(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    comments = b":\n\n" * 400
+    chunk = f"{len(comments):x}".encode() + b"\r\n" + comments + b"\r\n"
+    await _send_without_end(connection, chunk)
+
+
+@FAULTS.register("comment_and_reset")
+async def _reset_after_a_comment(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    for event in (b"id: 1\ndata: t1\n\n", b": wait\n\n"):
+        await connection.send_data(event)
+        await anyio.sleep(EVENT_INTERVAL_S)
+    connection.abort()
+
+
+@FAULTS.register("comments")
+async def _send_comments_after_two_events(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    await connection.send_data(b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n")
+    try:
+        while True:
+            await connection.send_data(b": wait\n\n")
+            await anyio.sleep(EVENT_INTERVAL_S)
+    except ConnectionFailedError:
+        connection.abort()
