Let prompt parts crash the endpoint stand-ins

Change: an endpoint stand-in has deadly_parts. A run whose prompt holds one, but not as its last part, waits a short prefill time and then crashes its endpoint: all connections are closed, connects are refused for down_s, then it listens at the same port and its entry has a new `born`. crash() plays a crash of its own accord. A bound socket that doesn't listen keeps the port meanwhile. The harness takes a number of engines, counts runs by part, and asks other ports than its own gateway's.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -15,7 +16,7 @@
 from standins.users_platform.loopback import HOST, serve_requests
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Set
 
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.server import ServerConnection
@@ -29,6 +30,9 @@
 WEIGHTS_LOAD_S = 0.05
 # Longer than a gateway waits for data if another endpoint may continue the stream.
 STALL_S = 0.7
+# Time from the start of a run on a deadly part to the crash.
+PREFILL_S = 0.05
+DOWN_S = 0.5
 
 FAULTS: Registry[Callable[..., Awaitable[None]]] = Registry("fault of an endpoint")
 
@@ -41,6 +45,21 @@
     headers_by_name: dict[str, str]
     target: str
     body: bytes
+    received_at: float = field(default_factory=time.monotonic)
+
+    def holds_part(self, parts: Set[str]) -> bool:
+        """Return whether the prompt holds one of these parts, but not as its last."""
+        prefix = self.headers_by_name.get("x-agatehoist-prompt-prefix", "")
+        ids = [each.strip().partition(":")[0] for each in prefix.split(",")]
+        return not parts.isdisjoint(ids[:-1])
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Record when an endpoint crashed, and the request whose run caused it, if any."""
+
+    at: float
+    request_id: str
 
 
 @dataclass
@@ -53,6 +72,9 @@
 
     stopped holds the ids of requests whose run was moved away; kv_handles names the KV
     cache copies that a moved run can resume from. busy is set while weights load.
+
+    A run whose prompt holds one of deadly_parts crashes the endpoint when it begins to
+    write its answer.
     """
 
     name: str
@@ -71,11 +93,26 @@
     active: int = 0
     busy: bool = False
     checks_version: bool = True
+    deadly_parts: set[str] = field(default_factory=set)
+    down_s: float = DOWN_S
+    crashes: list[Crash] = field(default_factory=list)
+    crashed: anyio.Event = field(default_factory=anyio.Event)
 
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
         await serve_requests(channel, self._answer)
 
+    def crash(self, request_id: str = "") -> None:
+        """End all connections and accept none for down_s."""
+        if not self.crashed.is_set():
+            self.crashes.append(Crash(time.monotonic(), request_id))
+            self.crashed.set()
+
+    def restart(self) -> None:
+        """Begin again after a crash."""
+        self.crashed = anyio.Event()
+        self.busy = False
+
     def entry(self, port: int) -> dict[str, Any]:
         """Return the object that the endpoint writes to the store about itself."""
         models = [{"Name": self.model, "Version": self.version}] if self.model else []
@@ -90,7 +127,7 @@
             "Models": models,
             "SeqNo": len(self.orders),
             # Start of the endpoint in epoch milliseconds.
-            "born": 1_700_000_000_000,
+            "born": 1_700_000_000_000 + len(self.crashes),
         }
 
     async def _answer(self, connection: ServerConnection, request: Request) -> None:
@@ -129,7 +166,11 @@
             self.runs.append(run)
         self.active += 1
         try:
-            if fault:
+            if run.holds_part(self.deadly_parts):
+                await anyio.sleep(PREFILL_S)
+                self.crash(request_id)
+                await anyio.sleep_forever()
+            elif fault:
                 await FAULTS[fault](self, connection, run)
             elif "x-agatehoist-model-name" in headers:
                 await self.stream(connection, run)
--- a/standins/users_platform/harness.py
+++ b/standins/users_platform/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -18,6 +19,7 @@
 from agatehoist.platform.adapter import UsersPlatform
 from agatehoist.platform.store import PlatformStore
 from standins.users_platform.endpoint import EndpointStandIn
+from standins.users_platform.endpoint_listener import run_endpoint
 from standins.users_platform.loopback import HOST, listen_on_loopback, send_request
 from standins.users_platform.store import StoreStandIn
 
@@ -108,15 +110,18 @@
 class GatewayHarness:
     """Hold a gateway's state and port, and the stand-ins that it works with."""
 
-    def __init__(self) -> None:
+    def __init__(self, engine_count: int = 3) -> None:
         self.store = StoreStandIn()
         self.store.put("config", "main", configuration())
         self.engines = [
-            EndpointStandIn(f"engine-{index}", ENGINES, MODEL) for index in range(3)
+            EndpointStandIn(f"engine-{index}", ENGINES, MODEL)
+            for index in range(engine_count)
         ]
-        # A moved run can resume on any engine.
+        self.deadly_parts: set[str] = set()
+        # A moved run can resume on any engine, and a deadly part crashes any engine.
         for engine in self.engines:
             engine.kv_handles = self.engines[0].kv_handles
+            engine.deadly_parts = self.deadly_parts
         self.applications = [
             EndpointStandIn(f"application-{index}", APPLICATION) for index in range(2)
         ]
@@ -127,15 +132,34 @@
         """Return all endpoints."""
         return [*self.engines, *self.applications]
 
+    def publish_endpoint(self, endpoint: EndpointStandIn, port: int) -> None:
+        """Write an endpoint's store entry."""
+        self.store.put("servers", endpoint.name, endpoint.entry(port))
+
     def runs(self) -> list[str]:
         """Return the ids of all requests that ran, one for each run."""
         return [run.request_id for each in self.endpoints() for run in each.runs]
 
+    def runs_with_part(self, part: str, since: float) -> int:
+        """Return how many runs on a part, not as their last, began after a time."""
+        return sum(
+            run.received_at > since and run.holds_part({part})
+            for each in self.engines
+            for run in (*each.runs, *each.continued_runs)
+        )
+
     async def ask(
-        self, path: str, method: str = "GET", body: bytes = b"", **headers: str
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        port: int = 0,
+        **headers: str,
     ) -> Reply:
         """Send a request as a caller and return the complete reply.
 
+        Without a port, it goes to the harness's gateway.
+
         Raises ConnectionFailedError if the connection ends before the reply does.
         """
         header_values = {
@@ -156,9 +180,9 @@
             ),
         )
         with anyio.fail_after(TIMEOUT_S):
-            return await send_request(self.port, head, body)
+            return await send_request(port or self.port, head, body)
 
-    async def ask_prompt(self, path: str, **headers: str) -> Reply:
+    async def ask_prompt(self, path: str, port: int = 0, **headers: str) -> Reply:
         """Send a request with a prompt and return the complete reply."""
         # Token counts: of the prompt and the answer, and of each prefix part.
         prompt = {
@@ -166,7 +190,7 @@
             "x_agatehoist_token_count": "130,5",
             "x_agatehoist_prompt_prefix": "aa:100,bb:30",
         }
-        return await self.ask(path, "POST", b"{}", **{**prompt, **headers})
+        return await self.ask(path, "POST", b"{}", port, **{**prompt, **headers})
 
 
 async def until(condition: Callable[[], bool]) -> None:
@@ -184,8 +208,8 @@
     """Serve the store and the endpoints, and yield the port of the store."""
     async with AsyncExitStack() as stack:
         for endpoint in harness.endpoints():
-            port = await stack.enter_async_context(listen_on_loopback(endpoint.serve))
-            harness.store.put("servers", endpoint.name, endpoint.entry(port))
+            publish = partial(harness.publish_endpoint, endpoint)
+            await stack.enter_async_context(run_endpoint(endpoint, publish))
         yield await stack.enter_async_context(listen_on_loopback(harness.store.serve))
 
 
