Name quarantined parts in a log field of their own

The lines about quarantines had a field `part`, which names the component of each line, so the events read `a83...: prompt part quarantined`. The field is `prompt_part` now, and the line about a crash gives the digest of each part beside its id, so that one leads to the other.

--- a/src/agatehoist/gateway/crashes.py
+++ b/src/agatehoist/gateway/crashes.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from agatehoist.gateway.part_evidence import note_crash
+from agatehoist.gateway.part_evidence import note_crash, shared_part_keys
 from agatehoist.http1.channel import connect
 from agatehoist.http1.errors import ConnectionFailedError, NotListeningError
 from agatehoist.observability.logs import get_logger
@@ -29,12 +29,15 @@
     if not is_serving(state, endpoint) or not await _refuses_connections(endpoint):
         return
     prompt = envelope.prompt
+    ids = [each.part_id for each in prompt.shared_parts] if prompt else []
+    keys = [each.hex() for each in shared_part_keys(envelope)]
     ENDPOINT_CRASHES_TOTAL.inc({})
     logger.info(
         "endpoint crashed before it answered",
         request=envelope.request_id,
         endpoint=endpoint.lifetime,
-        parts=[each.part_id for each in prompt.shared_parts] if prompt else [],
+        # The lines about quarantines name parts by these keys.
+        keys_by_part=dict(zip(ids, keys, strict=True)),
     )
     note_crash(state, envelope, endpoint, lost_at)
 
--- a/src/agatehoist/gateway/part_evidence.py
+++ b/src/agatehoist/gateway/part_evidence.py
@@ -156,7 +156,7 @@
     QUARANTINES_TOTAL.inc({"change": "lifted"})
     logger.info(
         "quarantine of a prompt part lifted, an endpoint answered",
-        part=answer.part.hex(),
+        prompt_part=answer.part.hex(),
         seen_here=is_first_hand,
     )
     state.evidence_outbox.add(answer, is_first_hand)
@@ -179,7 +179,7 @@
     QUARANTINES_TOTAL.inc({"change": change})
     logger.warning(
         "prompt part quarantined",
-        part=quarantine.part.hex(),
+        prompt_part=quarantine.part.hex(),
         change=change,
         first_crash_age_s=round(now - quarantine.since, 2),
         left_s=round(quarantine.until - now, 1),
--- a/tests/test_gateway/test_crashes.py
+++ b/tests/test_gateway/test_crashes.py
@@ -53,5 +53,6 @@
 
         with structlog.testing.capture_logs() as logs:
             anyio.run(run)
-        parts = [each["parts"] for each in logs if each["event"] == CRASHED]
+        lines = [each for each in logs if each["event"] == CRASHED]
+        parts = [list(each["keys_by_part"]) for each in lines]
         self.assertEqual(parts, [["pre", "aa"]] * crashed)
