Move each run over a connection of its own

Cause: the reply to a move names a KV cache copy, but not the run it was made of. A second copy of the reply to an earlier move, late on a connection in use again, was taken for the reply to this one, so a request could go on from the memory of another one (MIXED).

Change: a move opens a connection, on which no earlier reply can arrive. Moves are rare, so this is few channels. Answers to requests name them, and a copy of a move's reply has no stamp, so the connection may be used for requests later.

--- a/src/agatehoist/gateway/endpoint_calls.py
+++ b/src/agatehoist/gateway/endpoint_calls.py
@@ -60,13 +60,17 @@
     Raises CallFailedError, after which the run may have been stopped.
     """
     head, body = state.platform.move_request(source, request_id, destination)
-    return state.platform.read_move_reply(
-        source, await _call(state, source, head, body)
-    )
+    # The reply doesn't say which run it names.
+    reply = await _call(state, source, head, body, fresh=True)
+    return state.platform.read_move_reply(source, reply)
 
 
 async def _call(
-    state: GatewayState, endpoint: Endpoint, head: RequestHead, body: bytes
+    state: GatewayState,
+    endpoint: Endpoint,
+    head: RequestHead,
+    body: bytes,
+    fresh: bool = False,
 ) -> Reply:
     try:
         with anyio.fail_after(CALL_TIMEOUT_S):
@@ -77,6 +81,7 @@
                 body,
                 MAX_REPLY_BYTES,
                 state.platform.idle_limit_s,
+                fresh,
             )
     except TimeoutError as error:
         raise CallFailedError(f"{endpoint.name}: no answer in time") from error
--- a/src/agatehoist/http1/pool.py
+++ b/src/agatehoist/http1/pool.py
@@ -64,14 +64,16 @@
         body: bytes,
         max_bytes: int,
         idle_limit_s: Callable[[ReplyHead], float | None] = lambda _head: None,
+        fresh: bool = False,
     ) -> Reply:
         """Send a request and return the complete reply.
 
-        idle_limit_s returns the keep-alive timeout that a reply states, or None.
+        idle_limit_s returns the keep-alive timeout that a reply states, or None. On a
+        fresh connection no second copy of an earlier reply can arrive.
 
         Raises ConnectionFailedError and InvalidReplyError.
         """
-        connection = await self.acquire(peer_key, address.host, address.port)
+        connection = await self.acquire(peer_key, address.host, address.port, fresh)
         try:
             await connection.send(head, body)
             reply_head = await connection.read_head()
