Don't take a stream for whole that ends before its first event

Cause: a stream with neither a length nor chunks ends with its connection. When an engine's process ends after the head, its connection may end in the same way, so callers got status 200 and an empty stream.

Change: such a stream without a byte counts as broken off, unless it was resumed behind an event: then no more events may be left. A stream with chunks or a length may be empty as before, and so may a plain answer.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -207,7 +207,7 @@
         self._note_weights(head)
         if self._is_stream(head):
             self.stream_head = head
-            await self._pass_stream_events(connection)
+            await self._pass_stream_events(connection, head)
             event: Event = StreamEnded(self.attempt_id, Ending(self._next_event_index))
         else:
             body = await connection.read_body(MAX_REPLY_BYTES)
@@ -230,11 +230,15 @@
             return self._refused_event(EndpointFailed.refuse(detail))
         return ReplyArrived(self.attempt_id, reply)
 
-    async def _pass_stream_events(self, connection: ClientConnection) -> None:
+    async def _pass_stream_events(
+        self, connection: ClientConnection, head: ReplyHead
+    ) -> None:
         splitter = EventSplitter(last_event_id=self.dispatch.last_event_id)
         is_first = True
+        is_empty = True
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
+            is_empty = False
             if stream_events := splitter.feed(data):
                 has_progressed = not all(each.is_comment for each in stream_events)
                 if is_first and has_progressed:
@@ -249,6 +253,10 @@
                 if has_progressed:
                     self._silence_scope.deadline = self._silence_deadline()
         splitter.finish()
+        # An engine that dies after the head ends the stream like this. A resumed stream
+        # may have no more events.
+        if is_empty and not head.has_framing and self.dispatch.last_event_id is None:
+            raise InvalidReplyError("the stream ended before its first event")
 
     def _note_prefill_done(self) -> None:
         self._tracked.note_prefill_done()
--- a/src/agatehoist/http1/types.py
+++ b/src/agatehoist/http1/types.py
@@ -40,6 +40,12 @@
         """Return the first value of a header."""
         return next((value for each, value in self.headers if each == name), None)
 
+    @property
+    def has_framing(self) -> bool:
+        """Return whether the body has a length or chunks that show its end."""
+        framing = (b"content-length", b"transfer-encoding")
+        return any(each in framing for each, _ in self.headers)
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
