--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -226,7 +226,7 @@
         self._note_weights(head)
         if self._is_stream(head):
             self.stream_head = head
-            await self._pass_stream_events(connection)
+            await self._pass_stream_events(connection, head)
             event: Event = StreamEnded(self.attempt_id, Ending(self._next_event_index))
         else:
             body = await connection.read_body(MAX_REPLY_BYTES)
@@ -249,11 +249,15 @@
             return self._refused_event(EndpointFailed.refuse(detail))
         return ReplyArrived(self.attempt_id, reply)
 
-    async def _pass_stream_events(self, connection: ClientConnection) -> None:
+    async def _pass_stream_events(
+        self, connection: ClientConnection, head: ReplyHead
+    ) -> None:
         splitter = EventSplitter(last_event_id=self.dispatch.last_event_id)
         is_first = True
+        is_empty = True
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
+            is_empty = False
             if self.has_answered:
                 self._note_answered()
             if stream_events := splitter.feed(data):
@@ -270,6 +274,10 @@
                 if has_progressed:
                     self._silence_scope.deadline = self._silence_deadline()
         splitter.finish()
+        # An engine that dies after the head ends the stream like this. A resumed stream
+        # may have no more events.
+        if is_empty and not head.has_framing and self.dispatch.last_event_id is None:
+            raise InvalidReplyError("the stream ended before its first event")
         self._note_answered()
 
     def _note_answered(self) -> None:
