Soak with prompt parts that crash engines

Cause: the soak's schedule had no deadly parts, so nothing tested them beside restarts, suspensions and a store that is away.

Change: the fault "deadly_part" makes a new part deadly for 7 to 10 s, and callers put it into 15 % of their requests between the parts that all share. "budget": from 3 s after the fifth crash by a part, gateways that had no fault for 3 s send no more than three runs on it. "lost": from 6 s after it, at least half as large a share of the sound streams is served as before the first deadly request (with 20 of them or more; other faults overlap, so a lasting one of all engines could show here too). Endpoints crash behind their proxies, which then reset connections instead of refusing them.

--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -23,6 +23,8 @@
 # Longest pause between the steps of a fault, and shortest duration of a lasting fault.
 PAUSE_S = 0.2
 MAX_CONSECUTIVE_FAULTS = 6
+# Long enough for the five crashes that make a part known, and for what follows them.
+MIN_DEADLY_S = 7.0
 
 
 @FAULT_INJECTORS.register("kill")
@@ -123,6 +125,15 @@
     )
 
 
+@FAULT_INJECTORS.register("deadly_part")
+async def _let_part_crash_engines(testbed: Testbed, rng: random.Random) -> None:
+    # A new part each time, since gateways may refuse the previous ones for long.
+    part = f"deadly-{rng.randrange(1 << 32):x}"
+    testbed.harness.deadly_parts.add(part)
+    await anyio.sleep(rng.uniform(MIN_DEADLY_S, MIN_DEADLY_S + MAX_FAULT_S))
+    testbed.harness.deadly_parts.discard(part)
+
+
 @FAULT_INJECTORS.register("endpoint_leaves")
 async def _drain_endpoint(testbed: Testbed, rng: random.Random) -> None:
     endpoint = rng.choice(testbed.harness.endpoints())
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -2,23 +2,31 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+from collections import Counter, defaultdict
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from agatehoist.core.registry import Registry
 from soak.types import Violation
+from standins.users_platform.prompts import MAX_LATE_RUNS, STABLE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
 
-    from soak.types import ConfigurationChange, RequestResult
+    from soak.types import ConfigurationChange, RequestResult, SentRequest
+    from standins.users_platform.endpoint import Crash
 
 # Every gateway must apply a configuration within this time of its acknowledgement.
 IN_FORCE_LIMIT_S = 2.0
 # Requests on these routes must run at most once.
 AT_MOST_ONCE_ROUTES = frozenset({"post", "credit"})
 STREAMED_ROUTES = frozenset({"trace", "credit"})
+# The crashes after which a deadly part must be known.
+KNOWN_AFTER_CRASHES = 5
+# Sound requests must be served at least at this fraction of the usual rate.
+MIN_SERVED_FRACTION = 0.5
+MIN_SOUND_REQUESTS = 20
 # Statuses that state that the request has not run.
 NOT_RUN_STATUSES = frozenset(
     {
@@ -37,6 +45,7 @@
     run_ids: Sequence[str],
     changes: Sequence[ConfigurationChange],
     stream: bytes,
+    crashes: Sequence[Crash] = (),
 ) -> list[Violation]:
     """Check all invariants and return the violations.
 
@@ -47,7 +56,9 @@
     return [
         violation
         for name in INVARIANT_CHECKS
-        for violation in INVARIANT_CHECKS[name](results, counts, changes, stream)
+        for violation in INVARIANT_CHECKS[name](
+            results, counts, changes, stream, crashes
+        )
     ]
 
 
@@ -57,6 +68,7 @@
     run_counts: Counter[str],
     _changes: object,
     _stream: object,
+    _crashes: object,
 ) -> Iterator[Violation]:
     for each in results:
         count = run_counts[each.sent.request_id]
@@ -70,6 +82,7 @@
     run_counts: Counter[str],
     _changes: object,
     _stream: object,
+    _crashes: object,
 ) -> Iterator[Violation]:
     for each in results:
         if each.status in NOT_RUN_STATUSES and run_counts[each.sent.request_id]:
@@ -84,6 +97,7 @@
     _run_counts: object,
     _changes: object,
     stream: bytes,
+    _crashes: object,
 ) -> Iterator[Violation]:
     for each in results:
         if each.status == HTTPStatus.OK and not _is_body_correct(each, stream):
@@ -106,6 +120,7 @@
     _run_counts: object,
     changes: Sequence[ConfigurationChange],
     _stream: object,
+    _crashes: object,
 ) -> Iterator[Violation]:
     for each in results:
         sent = each.sent
@@ -124,3 +139,75 @@
             and in_force_by < sent.sent_at <= replaced_at
         ):
             yield Violation("in force", sent.request_id, f"404 at {sent.gateway}")
+
+
+@INVARIANT_CHECKS.register("budget")
+def _check_runs_on_known_parts(
+    results: Sequence[RequestResult],
+    run_counts: Counter[str],
+    _changes: object,
+    _stream: object,
+    crashes: Sequence[Crash],
+) -> Iterator[Violation]:
+    for part, requests in _deadly_requests_by_part(results).items():
+        known_at = _fifth_crash_at(requests, crashes) + STABLE_S
+        runs = sum(
+            run_counts[each.request_id]
+            for each in requests
+            # Gateways out of touch have the same time to learn the part.
+            if each.sent_at > max(known_at, each.fault_free_since + STABLE_S)
+        )
+        if runs > MAX_LATE_RUNS:
+            yield Violation("budget", part, f"{runs} runs after it was known")
+
+
+@INVARIANT_CHECKS.register("lost")
+def _check_sound_requests(
+    results: Sequence[RequestResult],
+    _run_counts: object,
+    _changes: object,
+    _stream: object,
+    crashes: Sequence[Crash],
+) -> Iterator[Violation]:
+    sound = [
+        each
+        for each in results
+        if each.sent.route in STREAMED_ROUTES
+        and not each.sent.deadly_part
+        and each.sent.sent_at > each.sent.fault_free_since + STABLE_S
+    ]
+    deadly_by_part = _deadly_requests_by_part(results)
+    first_deadly_at = min(
+        (each[0].sent_at for each in deadly_by_part.values()), default=math.inf
+    )
+    usual = _served_share([r for r in sound if r.sent.sent_at < first_deadly_at])
+    for part, requests in deadly_by_part.items():
+        settled_at = _fifth_crash_at(requests, crashes) + 2 * STABLE_S
+        late = [r for r in sound if settled_at < r.sent.sent_at < requests[-1].sent_at]
+        served = _served_share(late)
+        if len(late) >= MIN_SOUND_REQUESTS and served < MIN_SERVED_FRACTION * usual:
+            yield Violation("lost", part, f"{served:.0%} of sound ones served")
+
+
+def _deadly_requests_by_part(
+    results: Sequence[RequestResult],
+) -> dict[str, list[SentRequest]]:
+    by_part: defaultdict[str, list[SentRequest]] = defaultdict(list)
+    for each in sorted(results, key=lambda result: result.sent.sent_at):
+        if each.sent.deadly_part and each.sent.route in STREAMED_ROUTES:
+            by_part[each.sent.deadly_part].append(each.sent)
+    return by_part
+
+
+def _fifth_crash_at(requests: Sequence[SentRequest], crashes: Sequence[Crash]) -> float:
+    """Return when requests caused the fifth crash, infinity if they caused fewer."""
+    ids = {each.request_id for each in requests}
+    crashed_at = sorted(each.at for each in crashes if each.request_id in ids)
+    if len(crashed_at) < KNOWN_AFTER_CRASHES:
+        return math.inf
+    return crashed_at[KNOWN_AFTER_CRASHES - 1]
+
+
+def _served_share(results: Sequence[RequestResult]) -> float:
+    served = sum(each.status == HTTPStatus.OK and each.complete for each in results)
+    return served / len(results) if results else 0.0
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -61,6 +61,7 @@
                 testbed.harness.runs(),
                 testbed.changes,
                 EXPECTED_STREAM,
+                testbed.crashes,
             )
             if violations and log_folder is not None:
                 _save_logs(testbed, log_folder / str(seed))
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -15,6 +15,7 @@
 from soak.proxy import Fault, Proxy
 from soak.types import ConfigurationChange
 from standins.fleet import Fleet
+from standins.users_platform.endpoint_listener import run_endpoint
 from standins.users_platform.harness import MODEL, GatewayHarness, configuration
 from standins.users_platform.loopback import listen_on_loopback
 from standins.users_platform.processes import start_gateway
@@ -23,6 +24,8 @@
     from collections.abc import AsyncIterator, Iterator
     from pathlib import Path
 
+    from standins.users_platform.endpoint import Crash
+
 ROUTE_TIMEOUT_MS = 6000
 STREAM_EVENT_COUNT = 40
 STOP_TIMEOUT_S = 20.0
@@ -48,6 +51,11 @@
         self._fault_free_since_by_gateway: dict[str, float] = {}
         self._active_faults_by_gateway: dict[str, int] = {}
 
+    @property
+    def crashes(self) -> list[Crash]:
+        """Return the crashes of all endpoints."""
+        return [crash for each in self.harness.endpoints() for crash in each.crashes]
+
     @property
     def gateways(self) -> tuple[str, ...]:
         """Return the names of all gateways."""
@@ -152,14 +160,17 @@
     async with AsyncExitStack() as stack:
         for endpoint in harness.endpoints():
             endpoint.event_count = STREAM_EVENT_COUNT
+            name = endpoint.name
             proxy = Proxy()
+            port = await stack.enter_async_context(listen_on_loopback(proxy.serve))
+            testbed.endpoint_proxies_by_name[name] = proxy
+            testbed.ports_by_endpoint[name] = port
+            # Gateways are told the port of the proxy in place of the endpoint's own.
             proxy.target_port = await stack.enter_async_context(
-                listen_on_loopback(endpoint.serve)
+                run_endpoint(
+                    endpoint, lambda _, name=name: testbed.publish_endpoint(name)
+                )
             )
-            port = await stack.enter_async_context(listen_on_loopback(proxy.serve))
-            testbed.endpoint_proxies_by_name[endpoint.name] = proxy
-            testbed.ports_by_endpoint[endpoint.name] = port
-            testbed.publish_endpoint(endpoint.name)
         testbed.change_configuration()
         store_port = await stack.enter_async_context(
             listen_on_loopback(harness.store.serve)
@@ -184,5 +195,6 @@
         for proxy in each.values():
             proxy.fault = Fault.NONE
     testbed.harness.store.down = False
+    testbed.harness.deadly_parts.clear()
     for endpoint in testbed.harness.endpoints():
         endpoint.faults.clear()
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -27,6 +27,8 @@
 PAUSE_S = 0.03
 ROUTES = ("look", "post", "trace", "credit")
 PROMPT_COUNT = 6
+# Share of the requests that hold a deadly part while there is one.
+DEADLY_SHARE = 0.15
 
 
 class Callers:
@@ -68,6 +70,7 @@
             gateway,
             time.monotonic(),
             self._testbed.fault_free_since(gateway),
+            "" if route else self._choose_deadly_part(),
         )
         status, body, complete = 0, bytearray(), False
         abandons = self._rng.random() < ABANDONED_SHARE and not route
@@ -87,6 +90,12 @@
             )
         return complete and connection.prepare_next_request()
 
+    def _choose_deadly_part(self) -> str:
+        parts = sorted(self._testbed.harness.deadly_parts)
+        if not parts or self._rng.random() >= DEADLY_SHARE:
+            return ""
+        return self._rng.choice(parts)
+
     def _build_request(self, sent: SentRequest) -> tuple[RequestHead, bytes]:
         path = f"/{sent.route}/x"
         if sent.route == "look":
@@ -99,11 +108,14 @@
         }
         if sent.route in STREAMED_ROUTES:
             prompt = self._rng.randrange(PROMPT_COUNT)
+            parts = [f"a{prompt}:100", f"b{prompt}:30"]
+            if sent.deadly_part:
+                parts.insert(1, f"{sent.deadly_part}:20")
             # Token counts: of the prompt and the answer, and of each prefix part.
             headers |= {
                 "x-agatehoist-model-name": MODEL,
-                "x-agatehoist-token-count": "130,5",
-                "x-agatehoist-prompt-prefix": f"a{prompt}:100,b{prompt}:30",
+                "x-agatehoist-token-count": "150,5" if sent.deadly_part else "130,5",
+                "x-agatehoist-prompt-prefix": ",".join(parts),
             }
         method = b"GET" if sent.route == "look" else b"POST"
         pairs = tuple((n.encode(), v.encode()) for n, v in headers.items())
--- a/soak/types.py
+++ b/soak/types.py
@@ -10,7 +10,8 @@
     """Hold a request; times are in seconds of the monotonic clock.
 
     Its gateway has run and reached the store without a fault since `fault_free_since`;
-    that is infinite while the gateway has a fault.
+    that is infinite while the gateway has a fault. `deadly_part` is the part of its
+    prompt that crashes engines, if there is one.
     """
 
     request_id: str
@@ -19,6 +20,7 @@
     gateway: str
     sent_at: float
     fault_free_since: float
+    deadly_part: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_soak/test_invariants.py
+++ b/tests/test_soak/test_invariants.py
@@ -4,11 +4,13 @@
 
 import math
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
 from soak.invariants import find_violations
 from soak.types import ConfigurationChange, RequestResult, SentRequest
+from standins.users_platform.endpoint import Crash
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 CHANGES = (
@@ -96,3 +98,71 @@
         self.assertEqual(
             [each.invariant for each in violations], ["in force"] * expected
         )
+
+
+# Times of the requests of the deadly part: five crash engines from 11 s to 15 s.
+CRASHED_AT = (11.0, 12.0, 13.0, 14.0, 15.0)
+
+
+def make_stream(
+    request_id: str, sent_at: float, status: int = 200, deadly: bool = False
+) -> RequestResult:
+    """Return the result of a stream, sent by a gateway that had a fault until 5 s."""
+    body = STREAM if status == 200 else b""
+    result = make_result("trace", status, body, sent_at=sent_at, fault_free_since=5.0)
+    sent = replace(
+        result.sent, request_id=request_id, deadly_part="bad" if deadly else ""
+    )
+    return replace(result, sent=sent)
+
+
+class DeadlyPartTests(unittest.TestCase):
+    # Requests of the deadly part that run after the crashes, and when they are sent. It
+    # must be known from 18 s on.
+    @parameterized.expand(
+        [
+            ("as_many_as_allowed", 3, 18.1, 5, []),
+            ("one_too_many", 4, 18.1, 5, ["budget"]),
+            ("too_early", 4, 17.9, 5, []),
+            ("four_crashes", 4, 18.1, 4, []),
+        ]
+    )
+    def test_runs_on_known_part_are_bounded(
+        self, _name: str, runs: int, sent_at: float, crashes: int, expected: list[str]
+    ) -> None:
+        results = [make_stream(f"c{at}", at, 502, deadly=True) for at in CRASHED_AT]
+        results += [
+            make_stream(f"r{n}", sent_at, 502, deadly=True) for n in range(runs)
+        ]
+        crashed = [Crash(at, f"c{at}") for at in CRASHED_AT[:crashes]]
+        run_ids = [each.sent.request_id for each in results]
+        violations = find_violations(results, run_ids, CHANGES, STREAM, crashed)
+        self.assertEqual([each.invariant for each in violations], expected)
+
+    # How many of 30 sound requests are served from 21 s on, and at a gateway that has a
+    # fault until 5 s or until 20 s.
+    @parameterized.expand(
+        [
+            ("half", 15, 5.0, []),
+            ("fewer", 14, 5.0, ["lost"]),
+            ("out_of_touch", 14, 20.0, []),
+        ]
+    )
+    def test_sound_requests_go_on_beside_a_deadly_part(
+        self, _name: str, served: int, fault_free_since: float, expected: list[str]
+    ) -> None:
+        results = [make_stream(f"c{at}", at, 502, deadly=True) for at in CRASHED_AT]
+        results.append(make_stream("last", 23.0, 503, deadly=True))
+        results += [make_stream(f"before-{n}", 9.0) for n in range(30)]
+        late = [
+            make_stream(f"late-{n}", 22.0, 200 if n < served else 503)
+            for n in range(30)
+        ]
+        results += [
+            replace(r, sent=replace(r.sent, fault_free_since=fault_free_since))
+            for r in late
+        ]
+        crashed = [Crash(at, f"c{at}") for at in CRASHED_AT]
+        run_ids = [r.sent.request_id for r in results if r.status != 503]
+        violations = find_violations(results, run_ids, CHANGES, STREAM, crashed)
+        self.assertEqual([each.invariant for each in violations], expected)
