Model the KV cache of engines in the stand-in

The stand-in checked the expected version but had no cache, so a test could only look at the headers of a request, not at what a run used.

Change: an engine keeps, by salt and part, the weights version that computed the part; it drops them with an order or a restart. Use under another version is recorded in `stale_uses`. Like the engine, the stand-in answers 503 not executed while it carries out an order and for a copy that it doesn't hold, and 404 to a move of a run that it doesn't have; an order interrupts the runs or waits for them by its mode; a restart closes the connections. Before, a moved run could resume on any engine.

The harness can run a second gateway beside the same stand-ins.

The new tests show that the record isn't empty when a run does use cache of other weights.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -12,11 +12,10 @@
 
 from agatehoist.core.registry import Registry
 from agatehoist.http1.errors import ConnectionFailedError
+from standins.users_platform.kv_cache import KvNetwork, PartMemory
 from standins.users_platform.loopback import HOST, serve_requests
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.server import ServerConnection
     from agatehoist.http1.types import Request
@@ -25,6 +24,7 @@
 STAMP = b"x-agatehoist-server-stamp"
 STREAM = (b"content-type", b"text/event-stream")
 CHUNKED = (b"transfer-encoding", b"chunked")
+NOT_EXECUTED = ((b"x-agatehoist-not-executed", b"1"),)
 EVENT_INTERVAL_S = 0.01
 WEIGHTS_LOAD_S = 0.05
 # Longer than a gateway waits for data if another endpoint may continue the stream.
@@ -51,8 +51,12 @@
     runs; an empty one is no fault. Orders take entries of order_faults alike, where
     "lost" loads the weights, then resets the connection in place of a reply.
 
-    stopped holds the ids of requests whose run was moved away; kv_handles names the KV
-    cache copies that a moved run can resume from. busy is set while weights load.
+    stopped holds the ids of requests whose run was moved away. busy is set from the
+    acceptance of an order until its weights are loaded. A request waits queue_s before
+    it starts. rejections names why requests were refused without a run.
+
+    on_request is called before a request is checked, on_move before a run is stopped.
+    before_copy and after_copy are called at the destination of a moved run.
     """
 
     name: str
@@ -64,17 +68,66 @@
     runs: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     order_faults: list[str] = field(default_factory=list)
-    kv_handles: set[str] = field(default_factory=set)
+    kv_network: KvNetwork = field(default_factory=KvNetwork)
+    parts: PartMemory = field(default_factory=PartMemory)
+    rejections: list[str] = field(default_factory=list)
     continued_runs: list[ReceivedRequest] = field(default_factory=list)
     on_move: Callable[[], None] = lambda: None
+    on_request: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    before_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    after_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
     checks_version: bool = True
+    queue_s: float = 0.0
+    port: int = 0
+    # Start of the endpoint in epoch milliseconds.
+    started_ms: int = 1_700_000_000_000
+    _connection_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    _stopping: set[str] = field(default_factory=set)
+    _run_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    _weights_changes: int = 0
+    _made_under_by_copy: dict[str, int] = field(default_factory=dict)
+    _version_by_run: dict[str, int] = field(default_factory=dict)
 
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
-        await serve_requests(channel, self._answer)
+        with anyio.CancelScope() as scope:
+            self._connection_scopes.add(scope)
+            try:
+                await serve_requests(channel, self._answer)
+            finally:
+                self._connection_scopes.discard(scope)
+
+    @property
+    def address(self) -> str:
+        """Return HOST:PORT of the endpoint."""
+        return f"{HOST}:{self.port}"
+
+    def listen_at(self, port: int, kv_network: KvNetwork) -> None:
+        """Join the network of the KV caches under a port."""
+        self.port, self.kv_network = port, kv_network
+        kv_network.parts_by_address[self.address] = self.parts
+        kv_network.receivers_by_address[self.address] = self._receive_copy
+
+    def change_weights(self, version: int) -> None:
+        """Load weights at once, and reset the runs."""
+        self._reset_runs()
+        self.version = version
+        self._weights_changes += 1
+        self.parts.version_by_part.clear()
+
+    def restart(self, version: int | None = None) -> None:
+        """Begin a new lifetime under the same name and address, with nothing kept."""
+        for scope in tuple(self._connection_scopes):
+            scope.cancel()
+        self.change_weights(self.version if version is None else version)
+        self.started_ms += 1
+        self.busy = False
+        self.orders.clear()
+        self._stopping.clear()
+        self._made_under_by_copy.clear()
 
     def entry(self, port: int) -> dict[str, Any]:
         """Return the object that the endpoint writes to the store about itself."""
@@ -89,8 +142,7 @@
             "ColdLeftMs": 0,
             "Models": models,
             "SeqNo": len(self.orders),
-            # Start of the endpoint in epoch milliseconds.
-            "born": 1_700_000_000_000,
+            "born": self.started_ms,
         }
 
     async def _answer(self, connection: ServerConnection, request: Request) -> None:
@@ -105,39 +157,98 @@
             await self._move_run(connection, json.loads(request.body))
         elif request.head.target == b"/agatehoist/order":
             await self._handle_order(connection, json.loads(request.body))
-        elif self._has_unexpected_weights(headers):
+        else:
+            await self._admit(connection, request, headers)
+
+    async def _admit(
+        self, connection: ServerConnection, request: Request, headers: dict[str, str]
+    ) -> None:
+        """Run a request, or refuse it before it starts."""
+        await self.on_request()
+        if self._has_unexpected_weights(headers):
+            self.rejections.append("other weights")
             await connection.send_reply(421, (), b"")
+            return
+        weights_changes = self._weights_changes
+        if self.queue_s:
+            await anyio.sleep(self.queue_s)
+        has_prompt = "x-agatehoist-model-name" in headers
+        if has_prompt and (self.busy or self._weights_changes != weights_changes):
+            await self._reject(connection, "weights change")
+        elif headers.get("kv-from", "") not in ("", *self._made_under_by_copy):
+            await self._reject(connection, "no copy")
         else:
             await self._run(connection, request, headers)
 
+    async def _reject(self, connection: ServerConnection, reason: str) -> None:
+        self.rejections.append(reason)
+        await connection.send_reply(503, NOT_EXECUTED, b"")
+
     async def _run(
         self, connection: ServerConnection, request: Request, headers: dict[str, str]
     ) -> None:
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "shed":
-            await connection.send_reply(
-                503, ((b"x-agatehoist-not-executed", b"1"),), b""
-            )
+            await self._reject(connection, "shed")
             return
         request_id = headers.get(REQUEST_ID.decode(), "")
         run = ReceivedRequest(
             request_id, headers, request.head.target.decode(), request.body
         )
-        if self._take_kv_handle(headers):
-            self.continued_runs.append(run)
-        else:
-            self.runs.append(run)
+        continued = "kv-from" in headers
+        (self.continued_runs if continued else self.runs).append(run)
+        self._use_cache(run)
+        # A run that was moved away may be tried here again.
+        self._stopping.discard(run.request_id)
         self.active += 1
         try:
-            if fault:
-                await FAULTS[fault](self, connection, run)
-            elif "x-agatehoist-model-name" in headers:
-                await self.stream(connection, run)
-            else:
-                await self.reply(connection, run, 200)
+            with anyio.CancelScope() as scope:
+                self._run_scopes.add(scope)
+                await self._answer_run(connection, run, fault)
+            if scope.cancelled_caught:
+                connection.abort()
         finally:
+            self._run_scopes.discard(scope)
+            self._version_by_run.pop(run.request_id, None)
             self.active -= 1
 
+    async def _answer_run(
+        self, connection: ServerConnection, run: ReceivedRequest, fault: str
+    ) -> None:
+        if fault:
+            await FAULTS[fault](self, connection, run)
+        elif "x-agatehoist-model-name" in run.headers_by_name:
+            await self.stream(connection, run)
+        else:
+            await self.reply(connection, run, 200)
+
+    def _use_cache(self, run: ReceivedRequest) -> None:
+        """Read the prompt of a run as the headers of its request say."""
+        headers, network = run.headers_by_name, self.kv_network
+        self._version_by_run[run.request_id] = self.version
+        if copy := headers.get("kv-from"):
+            made_under = self._made_under_by_copy.pop(copy)
+            network.note_use(run.request_id, "copy", made_under, self.version)
+        salt = headers.get("x-agatehoist-cache-salt", "")
+        parts = headers.get("x-agatehoist-prompt-prefix", "").split(",")
+        part_ids = [part_id for each in parts if (part_id := each.partition(":")[0])]
+        fetched_from = headers.get("x-agatehoist-kv-fetch", "")
+        network.fetch(self.parts, fetched_from, salt, part_ids)
+        for made_under in self.parts.read(salt, part_ids, self.version):
+            network.note_use(run.request_id, "part", made_under, self.version)
+        network.save(
+            self.parts, headers.get("x-agatehoist-kv-save", ""), salt, part_ids
+        )
+
+    def _reset_runs(self) -> None:
+        for scope in tuple(self._run_scopes):
+            scope.cancel()
+
+    async def _receive_copy(self, name: str, made_under: int) -> None:
+        await self.before_copy()
+        self._made_under_by_copy[name] = made_under
+        await self.after_copy()
+
     async def reply(
         self, connection: ServerConnection, run: ReceivedRequest, status: int
     ) -> None:
@@ -159,7 +270,7 @@
         await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
         until = self.event_count if count is None else first + count
         for number in range(first + 1, until + 1):
-            if run.request_id in self.stopped:
+            if run.request_id in self._stopping:
                 connection.abort()
                 return
             await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
@@ -197,22 +308,23 @@
             "Runs": [],
         }
 
-    def _take_kv_handle(self, headers: dict[str, str]) -> bool:
-        # The header's value ends with a slash and the handle.
-        handle = headers.get("kv-from", "").partition("/")[2]
-        if handle not in self.kv_handles:
-            return False
-        self.kv_handles.discard(handle)
-        return True
-
     async def _move_run(
         self, connection: ServerConnection, move: dict[str, Any]
     ) -> None:
         self.on_move()
-        self.stopped.add(move["Id"])
-        handle = f"copy-of-{move['Id']}"
-        self.kv_handles.add(handle)
-        await _send_json(connection, 200, {"handle": handle, "Created": 1})
+        request_id = move["Id"]
+        made_under = self._version_by_run.get(request_id)
+        receive = self.kv_network.receivers_by_address.get(move["To"])
+        if made_under is None:
+            await connection.send_reply(404, (), b"")
+            return
+        self.stopped.add(request_id)
+        self._stopping.add(request_id)
+        handle = f"copy-of-{request_id}"
+        if receive is not None:
+            await receive(f"{self.address}/{handle}", made_under)
+        status = 200 if receive else 503
+        await _send_json(connection, status, {"handle": handle, "Created": 1})
 
     async def _handle_order(
         self, connection: ServerConnection, order: dict[str, Any]
@@ -224,15 +336,19 @@
         self.orders.append(order)
         self.busy = True
         if fault == "lost":
-            await self._load(order["Version"])
+            await self._load(order)
             connection.abort()
             return
         await connection.send_reply(202, (), b"")
-        await self._load(order["Version"])
+        await self._load(order)
 
-    async def _load(self, version: int) -> None:
+    async def _load(self, order: dict[str, Any]) -> None:
+        if order["Mode"] == "truncate":
+            self._reset_runs()
+        while self.active:  # noqa: ASYNC110
+            await anyio.sleep(EVENT_INTERVAL_S)
         await anyio.sleep(WEIGHTS_LOAD_S)
-        self.version = version
+        self.change_weights(order["Version"])
         self.busy = False
 
 
--- a/standins/users_platform/harness.py
+++ b/standins/users_platform/harness.py
@@ -18,6 +18,7 @@
 from agatehoist.platform.adapter import UsersPlatform
 from agatehoist.platform.store import PlatformStore
 from standins.users_platform.endpoint import EndpointStandIn
+from standins.users_platform.kv_cache import KvNetwork, PartMemory
 from standins.users_platform.loopback import HOST, listen_on_loopback, send_request
 from standins.users_platform.store import StoreStandIn
 
@@ -30,6 +31,8 @@
 ENGINES, APPLICATION = "engines", "application"
 API_KEY = "key-of-the-crew"
 TIMEOUT_S = 20.0
+# Nothing listens there: the engines reach the KV store through the KvNetwork.
+KV_STORE = "127.0.0.1:9"
 
 
 def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -114,9 +117,9 @@
         self.engines = [
             EndpointStandIn(f"engine-{index}", ENGINES, MODEL) for index in range(3)
         ]
-        # A moved run can resume on any engine.
-        for engine in self.engines:
-            engine.kv_handles = self.engines[0].kv_handles
+        self.kv_network = KvNetwork()
+        self.kv_store = PartMemory()
+        self.kv_network.parts_by_address[KV_STORE] = self.kv_store
         self.applications = [
             EndpointStandIn(f"application-{index}", APPLICATION) for index in range(2)
         ]
@@ -127,6 +130,11 @@
         """Return all endpoints."""
         return [*self.engines, *self.applications]
 
+    def list_endpoint(self, endpoint: EndpointStandIn, **fields: Any) -> None:
+        """Write the entry of an endpoint to the store, with some fields replaced."""
+        entry = {**endpoint.entry(endpoint.port), **fields}
+        self.store.put("servers", endpoint.name, entry)
+
     def runs(self) -> list[str]:
         """Return the ids of all requests that ran, one for each run."""
         return [run.request_id for each in self.endpoints() for run in each.runs]
@@ -185,32 +193,44 @@
     async with AsyncExitStack() as stack:
         for endpoint in harness.endpoints():
             port = await stack.enter_async_context(listen_on_loopback(endpoint.serve))
-            harness.store.put("servers", endpoint.name, endpoint.entry(port))
+            endpoint.listen_at(port, harness.kv_network)
+            harness.list_endpoint(endpoint)
         yield await stack.enter_async_context(listen_on_loopback(harness.store.serve))
 
 
 @asynccontextmanager
-async def running_gateway(
-    harness: GatewayHarness, rolls_out_weights: bool = False
-) -> AsyncIterator[None]:
-    """Run a gateway with the harness's stand-ins while the context is open."""
+async def serve_gateway(
+    store_port: int,
+    node: str = "n1",
+    rolls_out_weights: bool = False,
+) -> AsyncIterator[tuple[GatewayState, int]]:
+    """Run a gateway while the context is open; yield its state and its port."""
     async with AsyncExitStack() as stack:
-        store_port = await stack.enter_async_context(run_standins(harness))
         task_group = await stack.enter_async_context(anyio.create_task_group())
         clock = SystemClock()
-        gateway_settings = settings(store_port)
+        gateway_settings = settings(store_port, node)
         store = PlatformStore(gateway_settings.store, clock)
-        harness.state = GatewayState(
+        state = GatewayState(
             gateway_settings, clock, UsersPlatform(), store, task_group, 0.0
         )
-        task_group.start_soon(follow_store, harness.state)
-        task_group.start_soon(harness.state.lines.run)
+        task_group.start_soon(follow_store, state)
+        task_group.start_soon(state.lines.run)
         if rolls_out_weights:
-            task_group.start_soon(roll_out_weights, harness.state)
-        ingress = Ingress(harness.state)
-        harness.port = await stack.enter_async_context(
-            listen_on_loopback(ingress.serve)
-        )
-        await until(lambda: harness.state.ready)
-        yield
+            task_group.start_soon(roll_out_weights, state)
+        port = await stack.enter_async_context(listen_on_loopback(Ingress(state).serve))
+        await until(lambda: state.ready)
+        yield state, port
         task_group.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def running_gateway(
+    harness: GatewayHarness, rolls_out_weights: bool = False
+) -> AsyncIterator[None]:
+    """Run a gateway with the harness's stand-ins while the context is open."""
+    async with (
+        run_standins(harness) as store_port,
+        serve_gateway(store_port, "n1", rolls_out_weights) as gateway,
+    ):
+        harness.state, harness.port = gateway
+        yield
--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from typing import Any
 
@@ -9,15 +10,18 @@
 import structlog
 from parameterized import parameterized
 
+from agatehoist.errors import AgatehoistError
 from standins.users_platform.harness import (
+    KV_STORE,
     MODEL,
     GatewayHarness,
     configuration,
+    run_standins,
     running_gateway,
+    until,
 )
 from tests.test_gateway.test_run_moves import EVENT_COUNT, drain_while_running
 
-KV_STORE = "127.0.0.1:9"
 LONG_PROMPT = {
     "x_agatehoist_token_count": "8130,5",
     "x_agatehoist_prompt_prefix": "pre:2000,aa:6100,bb:30",
@@ -106,3 +110,44 @@
             anyio.run(run)
         events = [each["event"] for each in logs]
         self.assertEqual(events.count("reply made on unexpected weights"), lines)
+
+
+class StandInTests(unittest.TestCase):
+    # Case, the header with which a request on version 2 reads what another engine made
+    # under version 1, and the sources of the cache that it then uses.
+    @parameterized.expand(
+        [
+            ("engine", "x-agatehoist-kv-fetch", "{engine}", ["part"]),
+            ("kv_store", "x-agatehoist-kv-fetch", KV_STORE, ["part"]),
+            ("copy", "kv-from", "{engine}/copy-of-r1", ["copy"]),
+            ("nothing", "x-agatehoist-kv-save", KV_STORE, []),
+        ]
+    )
+    def test_standin_records_use_of_cache_of_other_weights(
+        self, _name: str, header: str, value: str, sources: list[str]
+    ) -> None:
+        world = GatewayHarness()
+        first, second, *_ = world.engines
+        first.event_count = EVENT_COUNT
+
+        async def run() -> None:
+            async with run_standins(world), anyio.create_task_group() as task_group:
+                world.port = first.port
+                task_group.start_soon(self._ask_until_moved, world)
+                await until(lambda: bool(first.active))
+                move = {"Id": "r1", "To": second.address, "Last": True}
+                body = json.dumps(move).encode()
+                await world.ask("/agatehoist/kv-move", "POST", body)
+                second.change_weights(2)
+                world.port = second.port
+                headers = {header.replace("-", "_"): value.format(engine=first.address)}
+                await world.ask_prompt("/trace/1", **headers)
+
+        anyio.run(run)
+        uses = world.kv_network.stale_uses
+        self.assertEqual([each.source for each in uses], sources)
+        self.assertTrue(all((u.made_under, u.used_on) == (1, 2) for u in uses))
+
+    async def _ask_until_moved(self, world: GatewayHarness) -> None:
+        with self.assertRaises(AgatehoistError):
+            await world.ask_prompt("/trace/1", x_agatehoist_kv_save=KV_STORE)
