Test each way in which cache of one version can meet a run of another

The ways were known from single findings; nothing showed whether others remain.

Change: a table of schedules: dispatch, change or order at arrival, in the engine's queue and in line, retry, move with the destination changed, ended or restarted before and after the copy, second move, fetch from an engine and a KV store, save, unlisted weights, late and early entries, a plan that is ahead, a gateway that is behind, restarts. Each asserts that no stale use was recorded, that answers are whole or true refusals, and why engines refused, so that a schedule that no longer meets its case fails.

--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -4,28 +4,45 @@
 
 import json
 import unittest
-from typing import Any
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import structlog
 from parameterized import parameterized
 
 from agatehoist.errors import AgatehoistError
+from agatehoist.gateway.topics import EndpointsTopic
+from agatehoist.http1.types import Reply
+from agatehoist.storage.objects import Changes, ObjectChange, StoredValue
+from agatehoist.weights.types import Plan, SeenPlan
+from standins.users_platform.endpoint import EndpointStandIn
 from standins.users_platform.harness import (
+    ENGINES,
     KV_STORE,
     MODEL,
     GatewayHarness,
     configuration,
     run_standins,
     running_gateway,
+    serve_gateway,
     until,
 )
 from tests.test_gateway.test_run_moves import EVENT_COUNT, drain_while_running
 
+if TYPE_CHECKING:
+    from agatehoist.fleet.load import TrackedRequest
+
 LONG_PROMPT = {
     "x_agatehoist_token_count": "8130,5",
     "x_agatehoist_prompt_prefix": "pre:2000,aa:6100,bb:30",
 }
+STREAM_EVENT_COUNT = 30
+# Prompt tokens ahead of the next request, which make it go elsewhere.
+BACKLOG_TOKENS = 400_000
+QUEUE_S = 0.2
+ORDER_S = 0.3
 
 
 def harness_with_kv_store() -> GatewayHarness:
@@ -112,6 +129,474 @@
         self.assertEqual(events.count("reply made on unexpected weights"), lines)
 
 
+class Meeting:
+    """Play a schedule in which cache may meet other weights, and hold the answers."""
+
+    def __init__(self, case: unittest.TestCase, kv_store: bool = True) -> None:
+        self.case = case
+        self.world = harness_with_kv_store() if kv_store else GatewayHarness()
+        for each in self.world.engines:
+            each.event_count = STREAM_EVENT_COUNT
+        # The answer to each request, or why there was none.
+        self.answers: dict[str, Reply | AgatehoistError] = {}
+        self.stack: AsyncExitStack
+
+    async def play(self, schedule: Schedule, **arguments: Any) -> None:
+        """Run a gateway, and a schedule beside it."""
+        async with AsyncExitStack() as self.stack:
+            self.store_port = await self.stack.enter_async_context(
+                run_standins(self.world)
+            )
+            await self.use_another_gateway("n1")
+            self.task_group = await self.stack.enter_async_context(
+                anyio.create_task_group()
+            )
+            await schedule(self, **arguments)
+
+    async def use_another_gateway(
+        self, node: str, rolls_out_weights: bool = False
+    ) -> None:
+        """Start a gateway and send it the next requests."""
+        gateway = serve_gateway(self.store_port, node, rolls_out_weights)
+        world = self.world
+        world.state, world.port = await self.stack.enter_async_context(gateway)
+
+    async def ask(
+        self, request_id: str, path: str = "/trace/1", **headers: str
+    ) -> None:
+        """Ask with the long prompt and record the answer."""
+        prompt = {**LONG_PROMPT, **headers, "x_agatehoist_request_id": request_id}
+        try:
+            self.answers[request_id] = await self.world.ask_prompt(path, **prompt)
+        except AgatehoistError as error:
+            self.answers[request_id] = error
+
+    async def ask_first(self) -> EndpointStandIn:
+        """Ask once and return the engine that then has the parts."""
+        await self.ask("r1")
+        (home,) = (each for each in self.world.engines if each.runs)
+        return home
+
+    def others(self, engine: EndpointStandIn) -> list[EndpointStandIn]:
+        """Return the other engines."""
+        return [each for each in self.world.engines if each is not engine]
+
+    async def ask_until_active(self, request_id: str) -> EndpointStandIn:
+        """Begin a request in the background and return the engine that runs it."""
+        self.task_group.start_soon(self.ask, request_id)
+        await until(lambda: any(each.active for each in self.world.engines))
+        (engine,) = (each for each in self.world.engines if each.active)
+        return engine
+
+    def make_busy(self, engine: EndpointStandIn) -> TrackedRequest:
+        """Let the gateway expect a long wait at an engine."""
+        endpoint = self.world.state.fleet.by_name[engine.name]
+        return self.world.state.load.track(endpoint.lifetime, BACKLOG_TOKENS)
+
+    def list_entry(self, engine: EndpointStandIn, **fields: Any) -> None:
+        """Let the gateway that is used read an entry, with some fields replaced."""
+        self.apply_entry(engine.name, {**engine.entry(engine.port), **fields})
+
+    def apply_entry(
+        self, name: str, entry: dict[str, Any], removed: bool = False
+    ) -> None:
+        """Apply an entry as a watch would, at once and at this gateway only."""
+        revision = self.world.state.fleet.revision + 1
+        change = ObjectChange(StoredValue(name, revision, entry), removed)
+        EndpointsTopic().change(self.world.state, Changes((change,), revision))
+
+    def rejections(self) -> set[str]:
+        """Return why engines refused requests."""
+        return {reason for each in self.world.engines for reason in each.rejections}
+
+    def check_answers(self, event_count: int = STREAM_EVENT_COUNT) -> None:
+        """Check that no run used stale cache, and that each answer is whole or true."""
+        events = (f"id: {n}\ndata: t{n}\n\n" for n in range(1, event_count + 1))
+        whole = "".join(events).encode()
+        self.case.assertEqual(self.world.kv_network.stale_uses, [])
+        for request_id, answer in self.answers.items():
+            self.case.assertNotIsInstance(answer, AgatehoistError, request_id)
+            assert isinstance(answer, Reply)
+            if answer.head.status == 200:
+                self.case.assertEqual(answer.body, whole, request_id)
+                continue
+            self.case.assertEqual(answer.head.status, 503, request_id)
+            self.case.assertNotIn(request_id, self.world.runs())
+
+
+Schedule = Callable[..., Awaitable[None]]
+Effect = Callable[[Meeting, EndpointStandIn], Awaitable[None]]
+
+
+async def nothing(_meeting: Meeting, _engine: EndpointStandIn) -> None:
+    """Leave an engine as it is."""
+
+
+async def change(_meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Change the weights of an engine without an entry that says so."""
+    engine.change_weights(engine.version + 1)
+
+
+async def change_listed(meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Change the weights of an engine and let the gateway know."""
+    engine.change_weights(engine.version + 1)
+    meeting.list_entry(engine)
+
+
+async def begin_change(meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Let an engine carry out an order for as long as a request takes."""
+    engine.busy = True
+
+    async def end() -> None:
+        await anyio.sleep(ORDER_S)
+        engine.change_weights(engine.version + 1)
+        engine.busy = False
+
+    meeting.task_group.start_soon(end)
+
+
+async def restart(_meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Restart an engine with the weights it had."""
+    engine.restart()
+
+
+async def restart_listed(meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Restart an engine and let the gateway know."""
+    engine.restart()
+    meeting.list_entry(engine)
+
+
+async def restart_changed(_meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Restart an engine with newer weights."""
+    engine.restart(engine.version + 1)
+
+
+async def restart_changed_listed(meeting: Meeting, engine: EndpointStandIn) -> None:
+    """Restart an engine with newer weights and let the gateway know."""
+    engine.restart(engine.version + 1)
+    meeting.list_entry(engine)
+
+
+async def end(meeting: Meeting, engine: EndpointStandIn) -> None:
+    """End an engine without a successor, and let the gateway know."""
+    engine.restart()
+    meeting.apply_entry(engine.name, engine.entry(engine.port), removed=True)
+    state = meeting.world.state
+    serving = state.fleet.serving(ENGINES, state.clock.now())
+    meeting.case.assertNotIn(engine.name, [each.name for each in serving])
+
+
+async def ask_after(meeting: Meeting, effect: Effect, count: int = 1) -> None:
+    """Ask again once something has happened to the engine that has the parts."""
+    home = await meeting.ask_first()
+    for each in [home, *meeting.others(home)][:count]:
+        await effect(meeting, each)
+    await meeting.ask("r2")
+
+
+async def ask_while(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to an engine at the moment at which a request arrives."""
+    home = await meeting.ask_first()
+    arrived: list[str] = []
+
+    async def on_request() -> None:
+        arrived.append(home.name)
+        if len(arrived) == 1:
+            await effect(meeting, home)
+
+    home.on_request = on_request
+    await meeting.ask("r2")
+    meeting.case.assertTrue(arrived)
+
+
+async def wait_at_engine(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to an engine in whose queue a request waits."""
+    home = await meeting.ask_first()
+    arrived = anyio.Event()
+
+    async def on_request() -> None:
+        arrived.set()
+
+    home.on_request, home.queue_s = on_request, QUEUE_S
+    meeting.task_group.start_soon(meeting.ask, "r2")
+    await arrived.wait()
+    await effect(meeting, home)
+
+
+async def wait_in_line(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to an engine for which a request waits in the gateway."""
+    routes = [{**each, "TargetLatencyMs": 2000} for each in configuration()["Routes"]]
+    services = meeting.world.store.spec("config", "main")["Services"]
+    changed = configuration(4, Routes=routes, Services=services)
+    meeting.world.store.put("config", "main", changed)
+    state = meeting.world.state
+    await until(lambda: state.table is not None and state.table.version == 4)
+    home = await meeting.ask_first()
+    (tracked, *_) = [meeting.make_busy(each) for each in (home, *meeting.others(home))]
+    meeting.task_group.start_soon(meeting.ask, "r2")
+    await until(lambda: bool(state.in_flight.count))
+    await anyio.sleep(0.05)
+    meeting.case.assertEqual(meeting.world.runs(), ["r1"])
+    await effect(meeting, home)
+    # The engine has a new lifetime, without this load, if it has restarted.
+    tracked.end()
+
+
+async def retry(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to the engine at which a broken run is tried next."""
+    home = await meeting.ask_first()
+    following, last = meeting.others(home)
+    meeting.make_busy(last)
+    home.faults = ["cut"]
+    await effect(meeting, following)
+    await meeting.ask("r2")
+    meeting.case.assertEqual(home.faults, [])
+
+
+async def move(
+    meeting: Meeting, before: Effect = nothing, after: Effect = nothing
+) -> None:
+    """Let something happen to the destination of a run before or after the copy."""
+    source = await meeting.ask_until_active("r1")
+    copied: list[str] = []
+    for each in meeting.others(source):
+
+        async def before_copy(engine: EndpointStandIn = each) -> None:
+            await before(meeting, engine)
+
+        async def after_copy(engine: EndpointStandIn = each) -> None:
+            copied.append(engine.name)
+            await after(meeting, engine)
+
+        each.before_copy, each.after_copy = before_copy, after_copy
+    meeting.list_entry(source, State="draining")
+    await until(lambda: "r1" in meeting.answers)
+    meeting.case.assertEqual(len(copied), 1)
+
+
+async def move_twice(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to the destination of a run that moves again."""
+    source = await meeting.ask_until_active("r1")
+    destinations: list[EndpointStandIn] = []
+    for each in meeting.others(source):
+
+        async def after_copy(engine: EndpointStandIn = each) -> None:
+            destinations.append(engine)
+            if len(destinations) == 2:
+                await effect(meeting, engine)
+
+        each.after_copy = after_copy
+    meeting.list_entry(source, State="draining")
+    await until(lambda: bool(destinations and destinations[0].continued_runs))
+    meeting.list_entry(destinations[0], State="draining")
+    await until(lambda: "r1" in meeting.answers)
+    meeting.case.assertGreaterEqual(len(destinations), 2)
+
+
+async def change_source(meeting: Meeting) -> None:
+    """Change the weights of an engine at the moment at which a run leaves it."""
+    source = await meeting.ask_until_active("r1")
+    source.on_move = lambda: source.change_weights(2)
+    meeting.list_entry(source, State="draining")
+    await until(lambda: "r1" in meeting.answers)
+
+
+async def save_after(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to the engines before the first prompt is saved."""
+    for each in meeting.world.engines:
+        await effect(meeting, each)
+    await meeting.ask("r1")
+    meeting.case.assertEqual(meeting.world.kv_store.version_by_part, {})
+
+
+async def fetch(
+    meeting: Meeting,
+    holder: Effect = nothing,
+    readers: Effect = nothing,
+    from_holder: bool = False,
+) -> None:
+    """Ask where the parts must be fetched from the engine that read them."""
+    home = await meeting.ask_first()
+    meeting.make_busy(home)
+    await holder(meeting, home)
+    for each in meeting.others(home):
+        await readers(meeting, each)
+    await meeting.ask("r2")
+    (run,) = (
+        run
+        for each in meeting.world.engines
+        for run in each.runs[-1:]
+        if run.request_id == "r2"
+    )
+    fetched_from = run.headers_by_name.get("x-agatehoist-kv-fetch")
+    meeting.case.assertEqual(fetched_from == home.address, from_holder)
+
+
+async def use_unlisted_weights(meeting: Meeting) -> None:
+    """Change weights of which neither the entries nor the replies tell."""
+    for each in meeting.world.engines:
+        meeting.list_entry(each, Models=[])
+        each.model = ""
+    home = await meeting.ask_first()
+    meeting.make_busy(home)
+    for each in meeting.others(home):
+        each.change_weights(2)
+    await meeting.ask("r2")
+    meeting.case.assertEqual(meeting.world.runs(), ["r1", "r2"])
+
+
+async def list_late(meeting: Meeting, version: int, count: int) -> None:
+    """Ask while entries state a version that engines have no more, or not yet."""
+    home = await meeting.ask_first()
+    for each in [home, *meeting.others(home)][:count]:
+        if version == 1:
+            await change_listed(meeting, each)
+        meeting.list_entry(each, Models=[{"Name": MODEL, "Version": version}])
+    await meeting.ask("r2")
+
+
+async def plan_ahead(meeting: Meeting) -> None:
+    """Ask once a plan lists an engine as changed that hasn't changed."""
+    home = await meeting.ask_first()
+    state = meeting.world.state
+    lifetime = state.fleet.by_name[home.name].lifetime
+    plan = Plan(MODEL, "n2", 1, 2, 1, changed=(lifetime,))
+    state.record_plan(SeenPlan(plan, 1, state.clock.now()))
+    await meeting.ask("r2")
+
+
+async def list_earlier_lifetime(meeting: Meeting) -> None:
+    """Ask once the entry of an ended lifetime has come after that of the next."""
+    home = await meeting.ask_first()
+    entry = home.entry(home.port)
+    await restart_changed_listed(meeting, home)
+    meeting.apply_entry(home.name, entry)
+    await meeting.ask("r2")
+
+
+async def ask_gateway_behind(meeting: Meeting, busy: bool) -> None:
+    """Ask a gateway that hasn't learned of weights that another one uses."""
+    home = await meeting.ask_first()
+    behind = meeting.world.state, meeting.world.port
+    home.change_weights(2)
+    await meeting.use_another_gateway("n2")
+    endpoint = meeting.world.state.fleet.by_name[home.name]
+    meeting.world.state.fleet.note_version(endpoint, MODEL, 2)
+    await meeting.ask("r2")
+    meeting.world.state, meeting.world.port = behind
+    if busy:
+        meeting.make_busy(home)
+    await meeting.ask("r3")
+    await meeting.ask("r4")
+
+
+async def interrupt(meeting: Meeting, effect: Effect) -> None:
+    """Let something happen to an engine in the middle of a run."""
+    engine = await meeting.ask_until_active("r1")
+    await effect(meeting, engine)
+    await until(lambda: "r1" in meeting.answers)
+    meeting.case.assertEqual(meeting.world.runs(), ["r1", "r1"])
+
+
+OTHER, CHANGING, NO_COPY = {"other weights"}, {"weights change"}, {"no copy"}
+SALT: set[str] = set()
+# Case, the schedule with its arguments, and why engines refuse; with an empty set the
+# cache name or the emptied memory keeps the versions apart.
+WAYS: list[tuple[str, Schedule, dict[str, Any], set[str]]] = [
+    ("dispatch_to_changed", ask_after, {"effect": change}, OTHER),
+    ("dispatch_to_listed", ask_after, {"effect": change_listed}, SALT),
+    ("dispatch_to_all_changed", ask_after, {"effect": change, "count": 3}, OTHER),
+    ("dispatch_to_changing", ask_after, {"effect": begin_change}, CHANGING),
+    ("change_on_arrival", ask_while, {"effect": change}, OTHER),
+    ("order_on_arrival", ask_while, {"effect": begin_change}, CHANGING),
+    ("change_in_queue", wait_at_engine, {"effect": change}, CHANGING),
+    ("order_in_queue", wait_at_engine, {"effect": begin_change}, CHANGING),
+    ("change_in_line", wait_in_line, {"effect": change}, OTHER),
+    ("listed_in_line", wait_in_line, {"effect": change_listed}, SALT),
+    ("restart_in_line", wait_in_line, {"effect": restart_changed}, OTHER),
+    ("retry_at_changed", retry, {"effect": change}, OTHER),
+    ("retry_at_listed", retry, {"effect": change_listed}, SALT),
+    ("retry_at_changing", retry, {"effect": begin_change}, CHANGING),
+    ("retry_at_restarted", retry, {"effect": restart_changed}, OTHER),
+    ("move_change_before_copy", move, {"before": change}, OTHER),
+    ("move_listed_before_copy", move, {"before": change_listed}, OTHER),
+    ("move_change_after_copy", move, {"after": change}, OTHER),
+    ("move_listed_after_copy", move, {"after": change_listed}, OTHER),
+    ("move_order_after_copy", move, {"after": begin_change}, CHANGING),
+    ("move_destination_ends", move, {"after": end}, SALT),
+    ("move_restart_before_copy", move, {"before": restart}, SALT),
+    ("move_restart_after_copy", move, {"after": restart}, NO_COPY),
+    ("move_restart_listed", move, {"after": restart_listed}, NO_COPY),
+    ("move_restart_changed_before", move, {"before": restart_changed}, OTHER),
+    (
+        "move_restart_changed_listed_before",
+        move,
+        {"before": restart_changed_listed},
+        OTHER,
+    ),
+    ("move_restart_changed", move, {"after": restart_changed}, OTHER),
+    ("move_restart_changed_listed", move, {"after": restart_changed_listed}, OTHER),
+    ("move_source_changes", change_source, {}, SALT),
+    ("second_move_listed", move_twice, {"effect": change_listed}, OTHER),
+    ("second_move_restarted", move_twice, {"effect": restart_listed}, NO_COPY),
+    ("fetch_holder_changed", fetch, {"holder": change, "from_holder": True}, SALT),
+    ("fetch_holder_listed", fetch, {"holder": change_listed}, SALT),
+    (
+        "fetch_holder_restarted",
+        fetch,
+        {"holder": restart_changed, "from_holder": True},
+        SALT,
+    ),
+    ("fetch_reader_changed", fetch, {"readers": change}, OTHER),
+    ("fetch_reader_listed", fetch, {"readers": change_listed}, SALT),
+    ("save_changed", save_after, {"effect": change}, OTHER),
+    ("save_changing", save_after, {"effect": begin_change}, CHANGING),
+    ("unlisted_weights", use_unlisted_weights, {}, SALT),
+    ("entry_older", list_late, {"version": 1, "count": 1}, OTHER),
+    ("entry_newer", list_late, {"version": 2, "count": 1}, OTHER),
+    ("entries_newer", list_late, {"version": 2, "count": 3}, OTHER),
+    ("plan_ahead", plan_ahead, {}, OTHER),
+    ("entry_of_ended_lifetime", list_earlier_lifetime, {}, OTHER),
+    ("gateway_behind", ask_gateway_behind, {"busy": False}, OTHER),
+    ("gateway_behind_fetches", ask_gateway_behind, {"busy": True}, SALT),
+    ("restart", ask_after, {"effect": restart}, SALT),
+    ("restart_listed", ask_after, {"effect": restart_listed}, SALT),
+    ("restart_changed", ask_after, {"effect": restart_changed}, OTHER),
+    ("restart_changed_listed", ask_after, {"effect": restart_changed_listed}, SALT),
+    ("restart_of_all", ask_after, {"effect": restart_changed_listed, "count": 3}, SALT),
+    ("change_in_run", interrupt, {"effect": change}, SALT),
+    ("restart_in_run", interrupt, {"effect": restart_changed}, SALT),
+]
+
+
+# Schedules in which parts come from an engine if there is no KV store.
+FROM_ENGINES = (fetch, use_unlisted_weights, ask_gateway_behind)
+
+
+class StaleUseTests(unittest.TestCase):
+    # A KV store keeps parts when weights change; without one, engines have them.
+    @parameterized.expand(
+        [
+            (f"{name}_{place}", place == "store", *row)
+            for name, *row in WAYS
+            for place in ("store", "engines")
+            if place == "store" or row[0] in FROM_ENGINES
+        ]
+    )
+    def test_no_run_uses_cache_of_other_weights(
+        self,
+        _name: str,
+        kv_store: bool,
+        schedule: Schedule,
+        arguments: dict[str, Any],
+        rejections: set[str],
+    ) -> None:
+        meeting = Meeting(self, kv_store)
+        anyio.run(lambda: meeting.play(schedule, **arguments))
+        meeting.check_answers()
+        self.assertEqual(meeting.rejections(), rejections)
+
+
 class StandInTests(unittest.TestCase):
     # Case, the header with which a request on version 2 reads what another engine made
     # under version 1, and the sources of the cache that it then uses.
