Play random weights orders, restarts and drains against stale cache

Change: five seeds of three seconds each: requests with shared prompts at two gateways, of which one rolls out weights, a new target about every 0.8 s, one engine of six at a time restarted with a late entry, half of them after a drain. Each asserts no stale use and whole answers or true refusals.

The schedule now has six engines and entries that follow.

--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import random
 import unittest
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -32,6 +34,8 @@
 from tests.test_gateway.test_run_moves import EVENT_COUNT, drain_while_running
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from agatehoist.fleet.load import TrackedRequest
 
 LONG_PROMPT = {
@@ -39,10 +43,15 @@
     "x_agatehoist_prompt_prefix": "pre:2000,aa:6100,bb:30",
 }
 STREAM_EVENT_COUNT = 30
+SCHEDULE_EVENT_COUNT = 40
 # Prompt tokens ahead of the next request, which make it go elsewhere.
 BACKLOG_TOKENS = 400_000
 QUEUE_S = 0.2
 ORDER_S = 0.3
+DRAIN_S = 0.7
+MORE_ENGINES = ("engine-3", "engine-4", "engine-5")
+SCHEDULE_S = 3.0
+RETRY_SLACK = 10_000.0
 
 
 def harness_with_kv_store() -> GatewayHarness:
@@ -636,3 +645,102 @@
     async def _ask_until_moved(self, world: GatewayHarness) -> None:
         with self.assertRaises(AgatehoistError):
             await world.ask_prompt("/trace/1", x_agatehoist_kv_save=KV_STORE)
+
+
+class RandomSchedule:
+    """Mix requests at two gateways with orders, restarts and drains."""
+
+    def __init__(self, meeting: Meeting, seed: int) -> None:
+        self._meeting = meeting
+        self._seed = seed
+        self._ends_at = 0.0
+        # The engine whose entry doesn't follow it at the moment.
+        self._disturbed = ""
+
+    async def play(self, _meeting: Meeting) -> None:
+        """Play for SCHEDULE_S, and wait for the answers."""
+        self._ends_at = anyio.current_time() + SCHEDULE_S
+        world = self._meeting.world
+        gateways = [(world.state, world.port)]
+        await self._meeting.use_another_gateway("n2", rolls_out_weights=True)
+        gateways.append((world.state, world.port))
+        for state, _ in gateways:
+            retries = replace(state.settings.retries, slack=RETRY_SLACK)
+            state.apply_settings(replace(state.settings, retries=retries))
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._set_targets)
+            task_group.start_soon(self._disturb)
+            task_group.start_soon(self._report)
+            number = 0
+            rng = self._rng("ask")
+            async for _ in self._pauses(rng, 0.02, 0.06):
+                number += 1
+                _, port = rng.choice(gateways)
+                task_group.start_soon(self._ask, number, port)
+
+    async def _ask(self, number: int, port: int) -> None:
+        self._meeting.world.port = port
+        shared = f"{number % 3:x}a:6100"
+        prefix = f"pre:2000,{shared},{number:x}f:30"
+        await self._meeting.ask(f"r{number}", x_agatehoist_prompt_prefix=prefix)
+
+    async def _set_targets(self) -> None:
+        version = 1
+        async for _ in self._pauses(self._rng("targets"), 0.6, 1.0):
+            version += 1
+            target = {"Model": MODEL, "Version": version}
+            self._meeting.world.store.put("versions", MODEL, target)
+
+    async def _disturb(self) -> None:
+        """Restart one engine at a time; entries come late, some after a drain."""
+        world = self._meeting.world
+        rng = self._rng("disturb")
+        async for _ in self._pauses(rng, 0.3, 0.6):
+            engine = rng.choice(world.engines)
+            self._disturbed = engine.name
+            if rng.random() < 0.5:
+                world.list_endpoint(engine, State="draining")
+                await anyio.sleep(DRAIN_S)
+            engine.restart()
+            await anyio.sleep(rng.uniform(0.0, 0.2))
+            self._disturbed = ""
+
+    async def _report(self) -> None:
+        """Write the entries that have changed, as engines do now and then."""
+        world = self._meeting.world
+        async for _ in self._pauses(self._rng("report"), 0.05, 0.3):
+            for each in world.engines:
+                listed = world.store.spec("servers", each.name)
+                if each.name != self._disturbed and listed != each.entry(each.port):
+                    world.list_endpoint(each)
+
+    def _rng(self, task: str) -> random.Random:
+        # Each task draws from its own, so that their timing doesn't change the draws.
+        return random.Random(f"{self._seed}/{task}")
+
+    async def _pauses(
+        self, rng: random.Random, least_s: float, most_s: float
+    ) -> AsyncIterator[None]:
+        while anyio.current_time() < self._ends_at:
+            await anyio.sleep(rng.uniform(least_s, most_s))
+            yield
+
+
+class RandomScheduleTests(unittest.TestCase):
+    @parameterized.expand([(1,), (2,), (3,), (4,), (5,)])
+    def test_mixed_changes_and_restarts_leave_no_stale_use(self, seed: int) -> None:
+        meeting = Meeting(self)
+        routes = [
+            {**each, "TimeoutMs": 8000, "MaxAttempts": 4}
+            for each in configuration()["Routes"]
+        ]
+        services = meeting.world.store.spec("config", "main")["Services"]
+        changed = configuration(Routes=routes, Services=services)
+        meeting.world.store.put("config", "main", changed)
+        engines = meeting.world.engines
+        engines += [EndpointStandIn(name, ENGINES, MODEL) for name in MORE_ENGINES]
+        for each in engines:
+            each.event_count = SCHEDULE_EVENT_COUNT
+        anyio.run(meeting.play, RandomSchedule(meeting, seed).play)
+        meeting.check_answers(SCHEDULE_EVENT_COUNT)
+        self.assertGreater(max(each.version for each in engines), 1)
