Refuse prompt parts that the evidence can't tell apart only together

Found by the process tests of a gateway that was away: with no other traffic, the three shared parts of the deadly prompts were on the same crashes, and the last one was condemned although the middle one was deadly; sound prompts with it were refused.

Cause: of parts with equal evidence the last was picked.

Change: a quarantine names all parts that were always on the same crashes and were not answered, and refuses requests that hold all of them. An answer clears its part, a crash without one of them condemns the rest; a quarantine of fewer parts replaces one of more. A node counts as unlisted by its whole address, not by its host.

--- a/src/agatehoist/gateway/part_evidence.py
+++ b/src/agatehoist/gateway/part_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -116,10 +117,9 @@
     for crash in evidence.crashes:
         _note_crash(state, crash, is_first_hand=False)
     for quarantine in evidence.quarantines:
-        refutation = state.quarantine.refutation(quarantine)
-        if refutation is not None:
+        for refutation in state.quarantine.refutations(quarantine):
             state.evidence_outbox.add(refutation, is_first_hand=False)
-        elif state.quarantine.accept(quarantine, state.clock.now()):
+        if state.quarantine.accept(quarantine, state.clock.now()):
             _apply(state, quarantine, "accepted", is_first_hand=False)
 
 
@@ -135,6 +135,11 @@
         if now >= standing_at:
             standing_at = now + STANDING_INTERVAL_S
             standing = state.quarantine.standing(now, now - CRASHES_REPEATED_S)
+            # Over time, each of more quarantines than fit into a datagram is told.
+            quarantines = state.rng.sample(
+                standing.quarantines, len(standing.quarantines)
+            )
+            standing = replace(standing, quarantines=tuple(quarantines))
             _send_to_peers(state, sock, standing, STANDING_PEERS)
         await anyio.sleep(BATCH_DELAY_S)
 
@@ -151,11 +156,11 @@
 
 
 def _note_answer(state: GatewayState, answer: Answer, is_first_hand: bool) -> None:
-    if state.quarantine.note_answer(answer) is None:
+    if not state.quarantine.note_answer(answer):
         return
-    QUARANTINES_TOTAL.inc({"change": "lifted"})
+    QUARANTINES_TOTAL.inc({"change": "cleared"})
     logger.info(
-        "quarantine of a prompt part lifted, an endpoint answered",
+        "prompt part cleared, an endpoint answered",
         prompt_part=answer.part.hex(),
         seen_here=is_first_hand,
     )
@@ -179,7 +184,7 @@
     QUARANTINES_TOTAL.inc({"change": change})
     logger.warning(
         "prompt part quarantined",
-        prompt_part=quarantine.part.hex(),
+        prompt_parts=sorted(each.hex() for each in quarantine.parts),
         change=change,
         first_crash_age_s=round(now - quarantine.since, 2),
         left_s=round(quarantine.until - now, 1),
--- a/src/agatehoist/gateway/peer_datagrams.py
+++ b/src/agatehoist/gateway/peer_datagrams.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from agatehoist.core.address import Address
 from agatehoist.core.registry import Registry
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.datagrams import MAX_DATAGRAM_BYTES, datagram_kind
@@ -15,7 +16,6 @@
     import socket
     from collections.abc import Callable
 
-    from agatehoist.core.address import Address
     from agatehoist.gateway.state import GatewayState
 
 logger = get_logger("gateway")
@@ -57,8 +57,9 @@
         if kind not in DATAGRAM_HANDLERS:
             logger.debug("datagram of an unknown kind ignored", kind=kind)
             continue
-        if not any(sender[0] == each.host for each in state.nodes):
+        if Address(*sender) not in state.nodes:
             state.unlisted_node_seen.set()
+        if not any(sender[0] == each.host for each in state.nodes):
             continue
         try:
             DATAGRAM_HANDLERS[kind](state, data, sent_after)
--- a/src/agatehoist/protocol/part_evidence.py
+++ b/src/agatehoist/protocol/part_evidence.py
@@ -17,9 +17,9 @@
 from agatehoist.quarantine.types import Answer, Crash, Evidence, Quarantine
 
 # Entries of each kind in one datagram; with all of them it takes some 1,300 bytes.
-MAX_CRASHES = 8
-MAX_ANSWERS = 16
-MAX_QUARANTINES = 16
+MAX_CRASHES = 6
+MAX_ANSWERS = 12
+MAX_QUARANTINES = 8
 MAX_PARTS_PER_CRASH = 8
 
 
@@ -33,7 +33,12 @@
         [each.part, _to_ms(now - each.at)] for each in evidence.answers[:MAX_ANSWERS]
     ]
     quarantines = [
-        [each.part, _to_ms(now - each.since), _to_ms(each.until - now), each.count]
+        [
+            sorted(each.parts),
+            _to_ms(now - each.since),
+            _to_ms(each.until - now),
+            each.count,
+        ]
         for each in evidence.quarantines[:MAX_QUARANTINES]
     ]
     data: bytes = msgpack.packb([PART_EVIDENCE, crashes, answers, quarantines])
@@ -60,10 +65,8 @@
 
 def _read_crash(fields: Any, sent_at: float) -> Crash:
     parts, endpoint, request, age_ms = fields
-    if len(parts) > MAX_PARTS_PER_CRASH:
-        raise ValueError(f"a crash has {len(parts)} parts")
     return Crash(
-        tuple(checked_key(each) for each in parts),
+        _read_parts(parts),
         checked_key(endpoint),
         checked_key(request),
         sent_at - _to_s(age_ms),
@@ -76,15 +79,21 @@
 
 
 def _read_quarantine(fields: Any, sent_at: float) -> Quarantine:
-    part, age_ms, left_ms, count = fields
+    parts, age_ms, left_ms, count = fields
     return Quarantine(
-        checked_key(part),
+        frozenset(_read_parts(parts)),
         sent_at - _to_s(age_ms),
         sent_at + _to_s(left_ms),
         _checked_count(count),
     )
 
 
+def _read_parts(fields: Any) -> tuple[bytes, ...]:
+    if not 0 < len(fields) <= MAX_PARTS_PER_CRASH:
+        raise ValueError(f"{len(fields)} parts of a prompt")
+    return tuple(checked_key(each) for each in fields)
+
+
 def _to_ms(duration_s: float) -> int:
     return round(duration_s * MS_PER_S)
 
--- a/src/agatehoist/quarantine/part_quarantine.py
+++ b/src/agatehoist/quarantine/part_quarantine.py
@@ -2,7 +2,8 @@
 
 A part that crashes each endpoint is in a request at every crash and in no answer. Sound
 parts are on crashes too, beside it in the same prompts or by chance; they are answered
-elsewhere, which clears them.
+elsewhere, which clears them. Until then, parts that were always on the same crashes are
+refused only together.
 """
 
 from __future__ import annotations
@@ -47,12 +48,12 @@
     def __init__(self) -> None:
         self._crashes_by_run: OrderedDict[tuple[bytes, bytes], Crash] = OrderedDict()
         self._answered_at_by_part: OrderedDict[bytes, float] = OrderedDict()
-        self._quarantines_by_part: dict[bytes, Quarantine] = {}
-        self._trial_until_by_part: dict[bytes, float] = {}
+        self._quarantines_by_parts: dict[frozenset[bytes], Quarantine] = {}
+        self._trial_until_by_parts: dict[frozenset[bytes], float] = {}
 
     def __bool__(self) -> bool:
         """Return whether any part is quarantined or on trial after a quarantine."""
-        return bool(self._quarantines_by_part)
+        return bool(self._quarantines_by_parts)
 
     def note_crash(self, crash: Crash, now: float) -> bool:
         """Record a crash and return whether it is news."""
@@ -64,44 +65,58 @@
             self._crashes_by_run.popitem(last=False)
         return True
 
-    def note_answer(self, answer: Answer) -> Quarantine | None:
-        """Record an answer on a part and return the quarantine that it refutes."""
+    def note_answer(self, answer: Answer) -> bool:
+        """Record an answer on a part and return whether it changes a quarantine."""
         part = answer.part
         at = max(answer.at, self._answered_at_by_part.pop(part, NEVER))
         self._answered_at_by_part[part] = at
         if len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
             self._answered_at_by_part.popitem(last=False)
-        quarantine = self._quarantines_by_part.get(part)
-        if quarantine is None or quarantine.since >= at:
-            return None
-        self._lift(part)
-        return quarantine
+        changed = [
+            each
+            for each in self._quarantines_by_parts.values()
+            if part in each.parts and each.since < at
+        ]
+        for each in changed:
+            self._lift(each.parts)
+            if left := each.parts - {part}:
+                self._put(replace(each, parts=left))
+        return bool(changed)
 
-    def refutation(self, quarantine: Quarantine) -> Answer | None:
-        """Return the known answer that refutes a quarantine, if any."""
-        at = self._answered_at_by_part.get(quarantine.part, NEVER)
-        return Answer(quarantine.part, at) if at > quarantine.since else None
+    def refutations(self, quarantine: Quarantine) -> tuple[Answer, ...]:
+        """Return the known answers that clear parts of a quarantine."""
+        return tuple(
+            Answer(part, at)
+            for part in sorted(quarantine.parts)
+            if (at := self._answered_at_by_part.get(part, NEVER)) > quarantine.since
+        )
 
     def impose(self, crash: Crash, now: float) -> Quarantine | None:
-        """Impose the quarantine that a recorded crash calls for, if it is new.
-
-        Prompts that share a part share those before it too, so the last part with
-        enough crashes is the one that explains them.
-        """
-        for part in reversed(crash.parts):
-            quarantine = self._judge(part, now)
-            if quarantine is not None:
-                self._put(quarantine)
-                return quarantine
-        return None
+        """Impose the quarantine that a recorded crash calls for, if it is new."""
+        if any(
+            now < each.until and each.parts.issubset(crash.parts)
+            for each in self._quarantines_by_parts.values()
+        ):
+            return None
+        quarantine = self._renewal(crash, now) or self._condemnation(crash, now)
+        if quarantine is not None:
+            self._put(quarantine)
+        return quarantine
 
     def accept(self, quarantine: Quarantine, now: float) -> bool:
-        """Take over a peer's quarantine and return whether it is news."""
-        known = self._quarantines_by_part.get(quarantine.part)
-        if known is not None and known.count >= quarantine.count:
+        """Take over what no answer refutes of a peer's quarantine; tell if it is news.
+
+        A quarantine of fewer of the same parts rests on more evidence.
+        """
+        cleared = {each.part for each in self.refutations(quarantine)}
+        parts = quarantine.parts - cleared
+        known = self._quarantines_by_parts
+        if not parts or any(each < parts for each in known):
+            return False
+        if parts in known and known[parts].count >= quarantine.count:
             return False
-        latest = now + MAX_QUARANTINE_S
-        self._put(replace(quarantine, until=min(quarantine.until, latest)))
+        until = min(quarantine.until, now + MAX_QUARANTINE_S)
+        self._put(replace(quarantine, parts=parts, until=until))
         return True
 
     def refused_until(
@@ -112,20 +127,16 @@
         After a quarantine, requests of a node are let through one at a time, and only
         from its turn among the nodes on.
         """
-        untils = []
-        for part in parts:
-            quarantine = self._quarantines_by_part.get(part)
-            if quarantine is not None:
-                untils.append(quarantine.until + turn * TRIAL_TURN_S)
-                untils.append(self._trial_until_by_part.get(part, NEVER))
-        until = max(untils, default=NEVER)
+        until = NEVER
+        for each in self._quarantines_on(parts):
+            trial_until = self._trial_until_by_parts.get(each.parts, NEVER)
+            until = max(until, each.until + turn * TRIAL_TURN_S, trial_until)
         return until if now < until else None
 
     def note_sent(self, parts: Iterable[bytes], now: float) -> None:
-        """Record a request to an endpoint; the next with a part on trial waits."""
-        for part in parts:
-            if part in self._quarantines_by_part:
-                self._trial_until_by_part[part] = now + TRIAL_S
+        """Record a request to an endpoint; the next with parts on trial waits."""
+        for each in self._quarantines_on(parts):
+            self._trial_until_by_parts[each.parts] = now + TRIAL_S
 
     def is_accused(self, parts: Iterable[bytes], endpoint: bytes) -> bool:
         """Return whether a part has been on the crash of another endpoint as well."""
@@ -145,31 +156,47 @@
         crashes = (
             each for each in self._crashes_by_run.values() if each.at > crashes_since
         )
-        quarantines = self._quarantines_by_part.values()
         return Evidence(
             tuple(sorted(crashes, key=lambda each: each.at, reverse=True)),
             (),
-            tuple(sorted(quarantines, key=lambda each: each.until, reverse=True)),
+            tuple(self._quarantines_by_parts.values()),
         )
 
-    def _judge(self, part: bytes, now: float) -> Quarantine | None:
-        """Return the quarantine that the crashes of a part call for, if it is new."""
-        before = self._quarantines_by_part.get(part)
-        if before is not None and now < before.until:
+    def _renewal(self, crash: Crash, now: float) -> Quarantine | None:
+        """Return the quarantine of parts whose last one had ended before a crash."""
+        for each in self._quarantines_by_parts.values():
+            if each.parts.issubset(crash.parts) and crash.at > each.until:
+                count = min(each.count + 1, MAX_COUNT)
+                length_s = min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * 2 ** (count - 1))
+                return replace(each, until=now + length_s, count=count)
+        return None
+
+    def _condemnation(self, crash: Crash, now: float) -> Quarantine | None:
+        """Return the quarantine of the parts that the crashes so far condemn.
+
+        Prompts that share a part share those before it too, so the last part with
+        enough crashes explains them, alone or with others on all of the same crashes.
+        """
+        counted_by_part = {
+            part: self._counted_crashes(part, now) for part in crash.parts
+        }
+        condemned = [
+            part
+            for part, counted in counted_by_part.items()
+            if len(counted) >= self._needed_crashes(part, now)
+        ]
+        if not condemned:
             return None
-        crashes = self._counted_crashes(part, now)
-        if before is not None:
-            # A part whose quarantine has ended is condemned by its next crash.
-            if not crashes or crashes[-1].at <= before.until:
-                return None
-            count = min(before.count + 1, MAX_COUNT)
-            length_s = min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * 2 ** (count - 1))
-            return Quarantine(part, before.since, now + length_s, count)
+        counted = counted_by_part[condemned[-1]]
+        parts = frozenset(
+            part for part in condemned if all(part in each.parts for each in counted)
+        )
+        return Quarantine(parts, counted[0].at, now + FIRST_QUARANTINE_S, 1)
+
+    def _needed_crashes(self, part: bytes, now: float) -> int:
         answered_at = self._answered_at_by_part.get(part, NEVER)
         is_answered = answered_at > now - EVIDENCE_RETENTION_S
-        if len(crashes) < (MIN_CRASHES_IF_ANSWERED if is_answered else MIN_CRASHES):
-            return None
-        return Quarantine(part, crashes[0].at, now + FIRST_QUARANTINE_S, 1)
+        return MIN_CRASHES_IF_ANSWERED if is_answered else MIN_CRASHES
 
     def _counted_crashes(self, part: bytes, now: float) -> list[Crash]:
         """Return crashes of a part that differ in endpoint, request and cause."""
@@ -196,23 +223,34 @@
             if part in each.parts
             and each.at > answered_at
             and not any(
-                other != part and other in self._quarantines_by_part
-                for other in each.parts
+                part not in other and other.issubset(each.parts)
+                for other in self._quarantines_by_parts
             )
         ]
 
+    def _quarantines_on(self, parts: Iterable[bytes]) -> list[Quarantine]:
+        held = set(parts)
+        return [
+            each for each in self._quarantines_by_parts.values() if each.parts <= held
+        ]
+
     def _put(self, quarantine: Quarantine) -> None:
-        self._quarantines_by_part[quarantine.part] = quarantine
-        self._trial_until_by_part.pop(quarantine.part, None)
-        if len(self._quarantines_by_part) > MAX_QUARANTINES:
-            first = min(self._quarantines_by_part.values(), key=lambda each: each.until)
-            self._lift(first.part)
+        """Store a quarantine in place of those of more parts."""
+        for parts in tuple(self._quarantines_by_parts):
+            if parts >= quarantine.parts:
+                self._lift(parts)
+        self._quarantines_by_parts[quarantine.parts] = quarantine
+        if len(self._quarantines_by_parts) > MAX_QUARANTINES:
+            first = min(
+                self._quarantines_by_parts.values(), key=lambda each: each.until
+            )
+            self._lift(first.parts)
 
-    def _lift(self, part: bytes) -> None:
-        self._quarantines_by_part.pop(part, None)
-        self._trial_until_by_part.pop(part, None)
+    def _lift(self, parts: frozenset[bytes]) -> None:
+        self._quarantines_by_parts.pop(parts, None)
+        self._trial_until_by_parts.pop(parts, None)
 
     def _forget_ended(self, now: float) -> None:
-        for each in tuple(self._quarantines_by_part.values()):
+        for each in tuple(self._quarantines_by_parts.values()):
             if each.until + QUARANTINE_RETENTION_S <= now:
-                self._lift(each.part)
+                self._lift(each.parts)
--- a/src/agatehoist/quarantine/types.py
+++ b/src/agatehoist/quarantine/types.py
@@ -31,13 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Quarantine:
-    """Hold the time until which requests with a part are refused.
+    """Hold the time until which requests with all of these parts are refused.
 
-    An answer on the part after `since`, the time of the first crash that counted,
-    refutes it. `count` is the number of quarantines of the part in a row.
+    There is more than one if the evidence doesn't tell them apart. An answer after
+    `since`, the time of the first crash that counted, clears its part. `count` is the
+    number of quarantines of these parts in a row.
     """
 
-    part: bytes
+    parts: frozenset[bytes]
     since: float
     until: float
     count: int
