--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -57,9 +57,9 @@
 # A move that isn't confirmed within this time has failed.
 MOVE_TIMEOUT_S = 1.0
 MIN_SILENCE_TIMEOUT_S = 0.4
-# An endpoint that crashes over a prompt does so as it begins to answer; the first event
+# An endpoint that crashes over a prompt does so as it begins to answer; a few events
 # may still arrive.
-ANSWER_PROOF_S = 0.1
+ANSWER_PROOF_EVENTS = 5
 # Silence timeout as a multiple of the route's objective for latency or for the gap
 # between events, whichever is longer.
 SILENCE_TIMEOUT_FACTOR = 3.0
@@ -101,6 +101,7 @@
         # Counted before the task starts, so that the next choice takes it into account.
         self._tracked = load.track(lifetime, dispatch.missing_tokens)
         self._first_event_at = math.inf
+        self._answered_events = 0
         self._is_answer_noted = False
         self._withheld_event: Event | None = None
         self._scope = anyio.CancelScope()
@@ -189,7 +190,7 @@
     @property
     def has_answered(self) -> bool:
         """Return whether the endpoint has survived the start of its answer."""
-        return self._state.clock.now() >= self._first_event_at + ANSWER_PROOF_S
+        return self._answered_events >= ANSWER_PROOF_EVENTS
 
     async def _exchange(self, connection: ClientConnection) -> Event:
         platform = self._state.platform
@@ -231,6 +232,9 @@
         else:
             body = await connection.read_body(MAX_REPLY_BYTES)
             event = self._reply_event(Reply(head, body))
+            if head.status < HTTPStatus.MULTIPLE_CHOICES:
+                now = self._state.clock.now()
+                note_answered(self._state, self._request.envelope, now)
         limit_s = platform.idle_limit_s(head)
         self._state.pool.return_connection(
             self.dispatch.endpoint.lifetime, connection, limit_s
@@ -258,9 +262,10 @@
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
             is_empty = False
-            if self.has_answered:
-                self._note_answered()
             if stream_events := splitter.feed(data):
+                self._answered_events += sum(
+                    not each.is_comment for each in stream_events
+                )
                 has_progressed = not all(each.is_comment for each in stream_events)
                 if is_first and has_progressed:
                     self._note_prefill_done()
@@ -271,6 +276,8 @@
                     )
                 )
                 self._next_event_index += len(stream_events)
+                if self.has_answered:
+                    self._note_answered()
                 if has_progressed:
                     self._silence_scope.deadline = self._silence_deadline()
         splitter.finish()
--- a/src/agatehoist/gateway/crashes.py
+++ b/src/agatehoist/gateway/crashes.py
@@ -20,13 +20,14 @@
 logger = get_logger("gateway")
 
 CONNECT_TIMEOUT_S = 0.5
+SECOND_LOOK_S = 0.1
 
 
 async def check_crash(
     state: GatewayState, envelope: Envelope, endpoint: Endpoint, lost_at: float
 ) -> None:
     """Record a crash if an endpoint whose connection was lost accepts no other one."""
-    if not is_serving(state, endpoint) or not await _refuses_connections(endpoint):
+    if not is_serving(state, endpoint) or not await _has_ended(endpoint):
         return
     prompt = envelope.prompt
     ids = [each.part_id for each in prompt.shared_parts] if prompt else []
@@ -50,6 +51,15 @@
     return not state.weights.is_changing(endpoint, state.clock.now())
 
 
+async def _has_ended(endpoint: Endpoint) -> bool:
+    """Return whether nothing listens at an endpoint, now or a moment later."""
+    if await _refuses_connections(endpoint):
+        return True
+    # Its process may close the connections before the listener.
+    await anyio.sleep(SECOND_LOOK_S)
+    return await _refuses_connections(endpoint)
+
+
 async def _refuses_connections(endpoint: Endpoint) -> bool:
     """Return whether nothing listens at the address of an endpoint."""
     try:
--- a/src/agatehoist/gateway/part_evidence.py
+++ b/src/agatehoist/gateway/part_evidence.py
@@ -51,9 +51,9 @@
 
 def quarantine_refusal(state: GatewayState, envelope: Envelope) -> Refusal | None:
     """Return the refusal of a request with a quarantined part, or None."""
-    if not state.quarantine:
-        return None
     parts = shared_part_keys(envelope)
+    if not state.quarantine.concerns(parts):
+        return None
     now = state.clock.now()
     until = state.quarantine.refused_until(parts, _turn(state), now)
     if until is None:
@@ -68,20 +68,20 @@
 ) -> Refusal | None:
     """Return the refusal to send a request on to another endpoint after a crash.
 
-    A part that has been on the crash of another endpoint too may be the cause.
+    A part that has been on the crashes of others too may be the cause.
     """
     parts = shared_part_keys(envelope)
-    if not state.quarantine.is_accused(parts, endpoint_key(crashed.lifetime)):
+    key = endpoint_key(crashed.lifetime)
+    if not state.quarantine.is_accused(parts, key, state.clock.now()):
         return None
     return PromptQuarantined.refuse(
-        "a part of the prompt was on the crashes of two endpoints"
+        "a part of the prompt was on the crashes of several endpoints"
     ).refusal
 
 
 def note_sent(state: GatewayState, envelope: Envelope) -> None:
     """Record that a request is sent to an endpoint."""
-    if state.quarantine:
-        state.quarantine.note_sent(shared_part_keys(envelope), state.clock.now())
+    state.quarantine.note_sent(shared_part_keys(envelope), state.clock.now())
 
 
 def note_answered(state: GatewayState, envelope: Envelope, at: float) -> None:
@@ -95,8 +95,7 @@
 ) -> None:
     """Record that an endpoint crashed before it answered a request."""
     crash = Crash(
-        # Of long prompts the last parts are told, as most prompts share the first ones.
-        shared_part_keys(envelope)[-MAX_PARTS_PER_CRASH:],
+        _told_parts(state, shared_part_keys(envelope)),
         endpoint_key(endpoint.lifetime),
         part_key("", envelope.request_id),
         at,
@@ -194,6 +193,21 @@
     state.active_requests.withdraw_quarantined()
 
 
+def _told_parts(state: GatewayState, parts: tuple[bytes, ...]) -> tuple[bytes, ...]:
+    """Return the parts of a lost prompt that are told, the likeliest if they are many.
+
+    Those are parts without an answer, and of these the first and the last.
+    """
+    if len(parts) <= MAX_PARTS_PER_CRASH:
+        return parts
+    now = state.clock.now()
+    parts = tuple(p for p in parts if not state.quarantine.has_answered(p, now))
+    half = MAX_PARTS_PER_CRASH // 2
+    return (
+        parts if len(parts) <= MAX_PARTS_PER_CRASH else (*parts[:half], *parts[-half:])
+    )
+
+
 def _turn(state: GatewayState) -> int:
     """Return the turn of this node to try a part after its quarantine."""
     own = state.settings.inner
--- a/src/agatehoist/gateway/peer_datagrams.py
+++ b/src/agatehoist/gateway/peer_datagrams.py
@@ -58,7 +58,7 @@
             logger.debug("datagram of an unknown kind ignored", kind=kind)
             continue
         if Address(*sender) not in state.nodes:
-            state.unlisted_node_seen.set()
+            state.note_unlisted_node(Address(*sender))
         if not any(sender[0] == each.host for each in state.nodes):
             continue
         try:
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -118,7 +118,7 @@
     def withdraw_if_quarantined(self) -> None:
         """Take the request back from its endpoint if it has a quarantined part."""
         attempt = self._attempt
-        if attempt is None or attempt.has_answered or self._machine.ended:
+        if attempt is None or self._stream_started or self._machine.ended:
             return
         if quarantine_refusal(self._state, self._request.envelope) is None:
             return
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -52,6 +52,8 @@
 # Share of the slack that the listed nodes may use together; the rest is a reserve for
 # nodes that aren't listed yet.
 RETRY_SLACK_SHARE = 0.9
+# Addresses beyond these are found by the regular poll.
+MAX_UNLISTED_NODES = 64
 # Endpoints count retries on arrival, slightly later than this node sends them.
 RETRY_WINDOW_MARGIN_S = 0.5
 
@@ -88,6 +90,7 @@
         self.nodes_changed = Wakeup()
         # Set when a node sends that isn't listed yet.
         self.unlisted_node_seen = Wakeup()
+        self._unlisted_nodes: set[Address] = set()
         # The nodes that watch the store for all, with their data centres.
         self.watchers: dict[Address, str] = {}
         self.feed = StoreFeed()
@@ -210,6 +213,7 @@
     ) -> None:
         """Set the nodes, which share the retry slack and exchange load reports."""
         self.nodes = nodes
+        self._unlisted_nodes -= nodes
         self.watchers = elect_watchers(data_centres_by_node or {})
         self.nodes_changed.set()
         count = max(1, len(nodes))
@@ -220,6 +224,13 @@
         for retry_budget in self._retry_budgets_by_service.values():
             retry_budget.set_slack(self._retry_slack())
 
+    def note_unlisted_node(self, node: Address) -> None:
+        """Have the list of nodes read again, once for each address that isn't on it."""
+        if len(self._unlisted_nodes) < MAX_UNLISTED_NODES:
+            if node not in self._unlisted_nodes:
+                self.unlisted_node_seen.set()
+            self._unlisted_nodes.add(node)
+
     def retry_budget(self, service: str) -> WindowBudget:
         """Return this node's retry budget for a service."""
         retry_budget = self._retry_budgets_by_service.get(service)
--- a/src/agatehoist/protocol/part_evidence.py
+++ b/src/agatehoist/protocol/part_evidence.py
@@ -21,21 +21,22 @@
 MAX_ANSWERS = 12
 MAX_QUARANTINES = 8
 MAX_PARTS_PER_CRASH = 8
+MAX_DURATION_MS = 24 * 3600 * 1000
 
 
 def encode_evidence(evidence: Evidence, now: float) -> bytes:
     """Encode evidence with times in epoch seconds; only the first entries fit."""
     crashes = [
-        [each.parts, each.endpoint, each.request, _to_ms(now - each.at)]
+        [each.parts, each.endpoint, each.request, _age_ms(each.at, now)]
         for each in evidence.crashes[:MAX_CRASHES]
     ]
     answers = [
-        [each.part, _to_ms(now - each.at)] for each in evidence.answers[:MAX_ANSWERS]
+        [each.part, _age_ms(each.at, now)] for each in evidence.answers[:MAX_ANSWERS]
     ]
     quarantines = [
         [
             sorted(each.parts),
-            _to_ms(now - each.since),
+            _age_ms(each.since, now),
             _to_ms(each.until - now),
             each.count,
         ]
@@ -83,7 +84,8 @@
     return Quarantine(
         frozenset(_read_parts(parts)),
         sent_at - _to_s(age_ms),
-        sent_at + _to_s(left_ms),
+        # An ended quarantine is told too, as one more crash renews it.
+        sent_at + _to_s(left_ms, -MAX_DURATION_MS),
         _checked_count(count),
     )
 
@@ -94,13 +96,17 @@
     return tuple(checked_key(each) for each in fields)
 
 
+def _age_ms(at: float, now: float) -> int:
+    return max(0, _to_ms(now - at))
+
+
 def _to_ms(duration_s: float) -> int:
-    return round(duration_s * MS_PER_S)
+    return min(round(duration_s * MS_PER_S), MAX_DURATION_MS)
 
 
-def _to_s(duration_ms: Any) -> float:
-    if type(duration_ms) is not int:
-        raise ValueError(f"duration {duration_ms!r:.40} is not an integer")
+def _to_s(duration_ms: Any, least_ms: int = 0) -> float:
+    if type(duration_ms) is not int or not least_ms <= duration_ms <= MAX_DURATION_MS:
+        raise ValueError(f"duration {duration_ms!r:.40} is out of range")
     return duration_ms / MS_PER_S
 
 
--- a/src/agatehoist/quarantine/part_quarantine.py
+++ b/src/agatehoist/quarantine/part_quarantine.py
@@ -25,8 +25,9 @@
 # Endpoints that crash within this time may have a cause in common, such as a failed
 # rack, and count once.
 COMMON_CAUSE_S = 0.25
-# Crashes and answers count for this long.
-EVIDENCE_RETENTION_S = 60.0
+CRASH_RETENTION_S = 600.0
+# A part counts as answered before for this long after an answer.
+ANSWERED_S = 60.0
 FIRST_QUARANTINE_S = 120.0
 MAX_QUARANTINE_S = 3600.0
 MAX_COUNT = 64
@@ -51,14 +52,14 @@
         self._quarantines_by_parts: dict[frozenset[bytes], Quarantine] = {}
         self._trial_until_by_parts: dict[frozenset[bytes], float] = {}
 
-    def __bool__(self) -> bool:
-        """Return whether any part is quarantined or on trial after a quarantine."""
-        return bool(self._quarantines_by_parts)
+    def concerns(self, parts: Iterable[bytes]) -> bool:
+        """Return whether a request with these parts is, or was, to be refused."""
+        return bool(self._quarantines_by_parts) and bool(self._quarantines_on(parts))
 
     def note_crash(self, crash: Crash, now: float) -> bool:
         """Record a crash and return whether it is news."""
         run = (crash.endpoint, crash.request)
-        if crash.at <= now - EVIDENCE_RETENTION_S or run in self._crashes_by_run:
+        if crash.at <= now - CRASH_RETENTION_S or run in self._crashes_by_run:
             return False
         self._crashes_by_run[run] = crash
         if len(self._crashes_by_run) > MAX_CRASHES:
@@ -138,14 +139,18 @@
         for each in self._quarantines_on(parts):
             self._trial_until_by_parts[each.parts] = now + TRIAL_S
 
-    def is_accused(self, parts: Iterable[bytes], endpoint: bytes) -> bool:
-        """Return whether a part has been on the crash of another endpoint as well."""
+    def is_accused(self, parts: Iterable[bytes], endpoint: bytes, now: float) -> bool:
+        """Return whether one more crash than those elsewhere would condemn a part."""
         return any(
-            each.endpoint != endpoint
+            sum(each.endpoint != endpoint for each in self._counted_crashes(part, now))
+            >= self._needed_crashes(part, now) - 1
             for part in parts
-            for each in self._unexplained_crashes(part)
         )
 
+    def has_answered(self, part: bytes, now: float) -> bool:
+        """Return whether an endpoint is known to have answered a part of late."""
+        return self._answered_at_by_part.get(part, NEVER) > now - ANSWERED_S
+
     def standing(self, now: float, crashes_since: float) -> Evidence:
         """Return the quarantines and the latest crashes, which peers may have missed.
 
@@ -194,16 +199,16 @@
         return Quarantine(parts, counted[0].at, now + FIRST_QUARANTINE_S, 1)
 
     def _needed_crashes(self, part: bytes, now: float) -> int:
-        answered_at = self._answered_at_by_part.get(part, NEVER)
-        is_answered = answered_at > now - EVIDENCE_RETENTION_S
-        return MIN_CRASHES_IF_ANSWERED if is_answered else MIN_CRASHES
+        if self.has_answered(part, now):
+            return MIN_CRASHES_IF_ANSWERED
+        return MIN_CRASHES
 
     def _counted_crashes(self, part: bytes, now: float) -> list[Crash]:
         """Return crashes of a part that differ in endpoint, request and cause."""
         counted: list[Crash] = []
         crashes = self._unexplained_crashes(part)
         for crash in sorted(crashes, key=lambda each: each.at):
-            if crash.at <= now - EVIDENCE_RETENTION_S:
+            if crash.at <= now - CRASH_RETENTION_S:
                 continue
             is_same_cause = counted and crash.at < counted[-1].at + COMMON_CAUSE_S
             is_repeat = any(
--- a/tests/test_gateway/test_crashes.py
+++ b/tests/test_gateway/test_crashes.py
@@ -12,6 +12,7 @@
 
 from agatehoist.gateway.crashes import check_crash
 from agatehoist.routing.types import Prompt, PromptPart
+from agatehoist.weights.types import Plan, SeenPlan
 from standins.fleet import free_ports
 from standins.users_platform.harness import (
     ENGINES,
@@ -27,17 +28,23 @@
 
 class CrashTests(unittest.TestCase):
     # Case, whether the endpoint still listens after a connection to it was lost, what
-    # its entry says by then, and whether it crashed.
+    # its entry says by then, whether a plan lists it, and whether it crashed.
     @parameterized.expand(
         [
-            ("crash", False, {}, True),
-            ("cut_channel", True, {}, False),
-            ("leaving", False, {"leaving": True}, False),
-            ("restarted", False, {"started_ms": 1}, False),
+            ("crash", False, {}, False, True),
+            ("cut_channel", True, {}, False, False),
+            ("leaving", False, {"leaving": True}, False, False),
+            ("restarted", False, {"started_ms": 1}, False, False),
+            ("changing_weights", False, {}, True, False),
         ]
     )
     def test_lost_connection_counts_as_crash_only_if_nothing_listens(
-        self, _name: str, listens: bool, entry: dict[str, Any], crashed: bool
+        self,
+        _name: str,
+        listens: bool,
+        entry: dict[str, Any],
+        changes: bool,
+        crashed: bool,
     ) -> None:
         world = GatewayHarness()
         prompt = Prompt(MODEL, PARTS, 150, 5)
@@ -49,6 +56,10 @@
                 if not listens:
                     endpoint = replace(endpoint, port=free_ports(1)[0])
                 world.state.fleet.by_name[endpoint.name] = replace(endpoint, **entry)
+                if changes:
+                    plan = Plan(MODEL, "n2", 1, 2, 1, (endpoint.lifetime,))
+                    now = world.state.clock.now()
+                    world.state.record_plan(SeenPlan(plan, 1, now))
                 await check_crash(world.state, envelope, endpoint, 0.0)
 
         with structlog.testing.capture_logs() as logs:
--- a/tests/test_gateway/test_part_evidence.py
+++ b/tests/test_gateway/test_part_evidence.py
@@ -12,14 +12,17 @@
 from parameterized import parameterized
 
 from agatehoist.core.address import Address
+from agatehoist.gateway.part_evidence import note_crash
 from agatehoist.gateway.peer_reports import exchange_peer_reports
 from agatehoist.protocol.datagrams import PART_EVIDENCE, datagram_kind
 from agatehoist.protocol.node_reports import part_key
 from agatehoist.protocol.part_evidence import decode_evidence, encode_evidence
 from agatehoist.quarantine.types import Answer, Crash, Evidence, Quarantine
+from agatehoist.routing.types import Prompt, PromptPart
 from standins.fleet import free_ports
 from standins.users_platform.harness import MODEL, GatewayHarness, running_gateway
 from standins.users_platform.loopback import HOST
+from tests.test_routing.test_resolution import ENVELOPE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -123,6 +126,29 @@
         has_return_time = reply.head.value(b"retry-after") is not None
         self.assertEqual(has_return_time, status == 503)
 
+    # The number of shared parts, of which the first or the last is deadly.
+    @parameterized.expand([("few", 3, 0), ("first", 12, 0), ("last", 12, 11)])
+    def test_deadly_part_of_a_long_prompt_is_condemned(
+        self, _name: str, count: int, deadly: int
+    ) -> None:
+        world = GatewayHarness()
+
+        async def run() -> bool:
+            async with gateway_with_peer(world):
+                state = world.state
+                for n in range(3):
+                    parts = [PromptPart(f"p{n}-{index}", 10) for index in range(count)]
+                    parts[deadly] = PromptPart("bad", 10)
+                    prompt = Prompt(MODEL, (*parts, PromptPart("own", 10)), 500, 5)
+                    envelope = replace(ENVELOPE, request_id=f"r{n}", prompt=prompt)
+                    endpoint = replace(
+                        next(iter(state.fleet.by_name.values())), started_ms=n
+                    )
+                    note_crash(state, envelope, endpoint, state.clock.now() - n)
+                return state.quarantine.concerns([part_key(MODEL, "bad")])
+
+        self.assertTrue(anyio.run(run))
+
     def test_answer_seen_here_refutes_the_quarantine_of_a_peer(self) -> None:
         world = GatewayHarness()
 
--- a/tests/test_quarantine/test_part_quarantine.py
+++ b/tests/test_quarantine/test_part_quarantine.py
@@ -129,6 +129,23 @@
         sent = [at for at, by in simulation.deadly_sent if at > until + STABLE_S]
         self.assertEqual(sent, [])
 
+    def test_part_that_is_rarely_asked_for_is_condemned(self) -> None:
+        quarantine = PartQuarantine()
+        for n in range(3):
+            key, at = str(n).encode(), 1000.0 + 100.0 * n
+            row = Crash((b"bad",), key, key, at)
+            quarantine.note_crash(row, at)
+            quarantine.impose(row, at)
+        self.assertTrue(quarantine.concerns([b"bad"]))
+
+    def test_one_request_at_a_time_tries_a_part_after_its_quarantine(self) -> None:
+        quarantine = PartQuarantine()
+        quarantine.accept(Quarantine(frozenset((b"bad",)), 1.0, 10.0, 1), 2.0)
+        now = 20.0
+        self.assertIsNone(quarantine.refused_until([b"bad"], 0, now))
+        quarantine.note_sent([b"bad"], now)
+        self.assertGreater(quarantine.refused_until([b"bad"], 0, now) or 0.0, now)
+
     def test_part_that_is_mended_is_served_after_its_quarantine(self) -> None:
         simulation = Simulation(1, 4, 9)
         simulation.deadly = {b"bad"}
@@ -191,6 +208,28 @@
         simulation.run(until)
         self.assertEqual(simulation.sound_refused_at, [])
 
+    # Case, the other crashes of the part, whether it was answered before, and whether
+    # the request that it is on now may be sent to another endpoint.
+    @parameterized.expand(
+        [
+            ("first_crash", 0, False, True),
+            ("second_crash", 1, False, True),
+            ("third_crash", 2, False, False),
+            ("third_crash_of_an_answered_part", 2, True, True),
+        ]
+    )
+    def test_request_moves_after_a_crash_unless_its_part_is_nearly_condemned(
+        self, _name: str, others: int, answered: bool, moves: bool
+    ) -> None:
+        quarantine = PartQuarantine()
+        if answered:
+            quarantine.note_answer(Answer(b"p", 1.0))
+        for n in range(others):
+            key = str(n).encode()
+            quarantine.note_crash(Crash((b"p",), key, key, 2.0 + n), 5.0)
+        quarantine.note_crash(Crash((b"p",), b"this", b"r", 5.0), 5.0)
+        self.assertIs(quarantine.is_accused([b"p"], b"this", 5.0), not moves)
+
     def test_answer_elsewhere_lifts_a_wrong_quarantine(self) -> None:
         quarantine = PartQuarantine()
         wrong = Quarantine(frozenset((b"p",)), 10.0, 130.0, 1)
