Pass on a peer's quarantine as it was accepted

A node that shortened a quarantine to the bound, or left out parts that it knew to be answered, passed on what it had been told. It passes on what it holds now.

--- a/src/agatehoist/gateway/part_evidence.py
+++ b/src/agatehoist/gateway/part_evidence.py
@@ -118,8 +118,9 @@
     for quarantine in evidence.quarantines:
         for refutation in state.quarantine.refutations(quarantine):
             state.evidence_outbox.add(refutation, is_first_hand=False)
-        if state.quarantine.accept(quarantine, state.clock.now()):
-            _apply(state, quarantine, "accepted", is_first_hand=False)
+        accepted = state.quarantine.accept(quarantine, state.clock.now())
+        if accepted is not None:
+            _apply(state, accepted, "accepted", is_first_hand=False)
 
 
 async def send_evidence(state: GatewayState, sock: socket.socket) -> None:
--- a/src/agatehoist/quarantine/part_quarantine.py
+++ b/src/agatehoist/quarantine/part_quarantine.py
@@ -104,8 +104,8 @@
             self._put(quarantine)
         return quarantine
 
-    def accept(self, quarantine: Quarantine, now: float) -> bool:
-        """Take over what no answer refutes of a peer's quarantine; tell if it is news.
+    def accept(self, quarantine: Quarantine, now: float) -> Quarantine | None:
+        """Take over what no answer refutes of a peer's quarantine; return it if new.
 
         A quarantine of fewer of the same parts rests on more evidence.
         """
@@ -113,12 +113,13 @@
         parts = quarantine.parts - cleared
         known = self._quarantines_by_parts
         if not parts or any(each < parts for each in known):
-            return False
+            return None
         if parts in known and known[parts].count >= quarantine.count:
-            return False
+            return None
         until = min(quarantine.until, now + MAX_QUARANTINE_S)
-        self._put(replace(quarantine, parts=parts, until=until))
-        return True
+        accepted = replace(quarantine, parts=parts, until=until)
+        self._put(accepted)
+        return accepted
 
     def refused_until(
         self, parts: Iterable[bytes], turn: int, now: float
--- a/tests/test_quarantine/simulation.py
+++ b/tests/test_quarantine/simulation.py
@@ -153,8 +153,9 @@
         elif isinstance(news, Quarantine):
             if refutations := quarantine.refutations(news):
                 self._tell(node, Evidence(answers=refutations))
-            if quarantine.accept(news, self.now):
-                self._tell(node, Evidence(quarantines=(news,)))
+            accepted = quarantine.accept(news, self.now)
+            if accepted is not None:
+                self._tell(node, Evidence(quarantines=(accepted,)))
         elif quarantine.note_crash(news, self.now):
             self._tell(node, Evidence(crashes=(news,)))
             imposed = quarantine.impose(news, self.now)
--- a/tests/test_quarantine/test_part_quarantine.py
+++ b/tests/test_quarantine/test_part_quarantine.py
@@ -233,12 +233,12 @@
     def test_answer_elsewhere_lifts_a_wrong_quarantine(self) -> None:
         quarantine = PartQuarantine()
         wrong = Quarantine(frozenset((b"p",)), 10.0, 130.0, 1)
-        self.assertTrue(quarantine.accept(wrong, 10.5))
+        self.assertEqual(quarantine.accept(wrong, 10.5), wrong)
         self.assertFalse(quarantine.note_answer(Answer(b"p", 9.0)))
         self.assertTrue(quarantine.note_answer(Answer(b"p", 10.1)))
         self.assertIsNone(quarantine.refused_until([b"p"], 0, 11.0))
         self.assertEqual(quarantine.refutations(wrong), (Answer(b"p", 10.1),))
-        self.assertFalse(quarantine.accept(wrong, 11.0))
+        self.assertIsNone(quarantine.accept(wrong, 11.0))
 
 
 def crash(parts: str, endpoint: str = "", request: str = "") -> tuple[str, ...]:
