--- a/src/agatehoist/quarantine/part_quarantine.py
+++ b/src/agatehoist/quarantine/part_quarantine.py
@@ -18,10 +18,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Crashes of different endpoints, each with another request, that condemn a part which
-# no endpoint has answered, or has not answered since the first of them.
+# Crashes of different endpoints that condemn a part which no endpoint has answered, or
+# has not answered since the first of them.
 MIN_CRASHES = 3
 MIN_CRASHES_IF_ANSWERED = 5
+# A single request may be unlucky more than once.
+MIN_REQUESTS = 2
 # Endpoints that crash within this time may have a cause in common, such as a failed
 # rack, and count once.
 COMMON_CAUSE_S = 0.25
@@ -190,6 +192,7 @@
             part
             for part, counted in counted_by_part.items()
             if len(counted) >= self._needed_crashes(part, now)
+            and len({each.request for each in counted}) >= MIN_REQUESTS
         ]
         if not condemned:
             return None
@@ -205,17 +208,14 @@
         return MIN_CRASHES
 
     def _counted_crashes(self, part: bytes, now: float) -> list[Crash]:
-        """Return crashes of a part that differ in endpoint, request and cause."""
+        """Return crashes of a part that differ in endpoint and cause."""
         counted: list[Crash] = []
         crashes = self._unexplained_crashes(part)
         for crash in sorted(crashes, key=lambda each: each.at):
             if crash.at <= now - CRASH_RETENTION_S:
                 continue
             is_same_cause = counted and crash.at < counted[-1].at + COMMON_CAUSE_S
-            is_repeat = any(
-                crash.endpoint == each.endpoint or crash.request == each.request
-                for each in counted
-            )
+            is_repeat = any(crash.endpoint == each.endpoint for each in counted)
             if not is_same_cause and not is_repeat:
                 counted.append(crash)
         return counted
--- a/tests/test_quarantine/test_part_quarantine.py
+++ b/tests/test_quarantine/test_part_quarantine.py
@@ -261,7 +261,12 @@
             ("one_of_them_is_answered", [*[crash("xb")] * 3, answer("x")], "b"),
             ("one_of_them_crashes_alone", [*[crash("xb")] * 3, crash("cb")], "b"),
             ("one_endpoint", [crash("xb", "e1")] * 3, ""),
-            ("one_request", [crash("xb", request="r1")] * 3, ""),
+            ("one_request", [crash("b", request="r1")] * 5, ""),
+            (
+                "request_sent_to_two_endpoints_and_another",
+                [*[crash("b", request="r1")] * 2, crash("b")],
+                "b",
+            ),
             ("other_last_parts", [crash("xb"), crash("xc"), crash("xd")], "x"),
             ("answer_in_between", [crash("b"), answer("b"), crash("b")] * 3, ""),
             ("answered_before", [answer("b"), *[crash("b")] * 4], ""),
