Require replaced weights of a gateway that started after they were replaced

Version 3 was named at 6.4 and replaced by 4 at about 11. Gateway front-bay-sued-c-1 started at 11.3, knew of 4 only, and at 15.0 still sent requests to an engine with version 2, 8.6 s after 3 had been named.

Cause: a gateway learns from its peers when targets were set, but only of versions that it knows, and a store's list holds the newest only.

Change: the time of a version older than the target is taken from peers too.

The test failed before (`replaced`: 0 for 3).

--- a/src/agatehoist/weights/view.py
+++ b/src/agatehoist/weights/view.py
@@ -67,8 +67,14 @@
         return True
 
     def merge_target_time(self, model: str, version: int, seen_at: float) -> None:
-        """Merge the time at which a peer observed a target version known here."""
+        """Merge the time at which a peer observed a target version.
+
+        A process that started after a version had been replaced doesn't know of it, but
+        no request may begin on still older weights for long.
+        """
         times_by_version = self._target_times_by_model.get(model, {})
+        if version < self.target(model) and len(times_by_version) < MAX_TARGETS:
+            times_by_version.setdefault(version, _TargetTime(seen_at, observed=False))
         if version in times_by_version:
             times_by_version[version].merge(seen_at)
 
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -148,6 +148,18 @@
         view.merge_target_time("m", 3, 3.0)
         self.assertEqual([at for _, at in view.targets_seen_since(0.0)], expected)
 
+    # Case, the version that a peer saw named at 5.0 while 4 is the target, and what is
+    # then required of requests that begin on versions named by 6.0.
+    @parameterized.expand([("replaced", 3, 3), ("target", 4, 4), ("newer", 5, 0)])
+    def test_version_that_was_replaced_before_the_start_is_required_in_time(
+        self, _name: str, version: int, required: int
+    ) -> None:
+        view = WeightsView()
+        view.set_target(TargetWeights("m", 4), 10.0, observed=False)
+        view.merge_target_time("m", version, 5.0)
+        self.assertEqual(view.required_version("m", 6.0), required)
+        self.assertEqual(view.target("m"), 4)
+
     def test_unknown_targets_are_not_taken_from_peers(self) -> None:
         view = WeightsView()
         view.set_target(TargetWeights("m", 3), 1.0)
