Cut streams of comments at a bound of their own

The stream of comments was cut at 100,000 events, which took the gateway 7.7 s of its loop there.

Cause: the bound on events is meant for answers; a sound stream has few comments.

Change: 10,000 comments are the bound. The limit of the test stays. The new row of test_stream_without_end_is_rejected failed before (no such limit).

--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -16,6 +16,7 @@
 # Of all events of a stream, which are kept until it ends.
 MAX_STREAM_BYTES = 32 * 1024 * 1024
 MAX_STREAM_EVENTS = 100_000
+MAX_STREAM_COMMENTS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,15 +40,18 @@
         max_event_bytes: int = MAX_EVENT_BYTES,
         max_stream_bytes: int = MAX_STREAM_BYTES,
         max_stream_events: int = MAX_STREAM_EVENTS,
+        max_stream_comments: int = MAX_STREAM_COMMENTS,
         last_event_id: bytes | None = None,
     ) -> None:
         self._max_event_bytes = max_event_bytes
         self._max_stream_bytes = max_stream_bytes
         self._max_stream_events = max_stream_events
+        self._max_stream_comments = max_stream_comments
         self._last_event_id = last_event_id
         self._remainder = bytearray()
         self._stream_bytes = 0
         self._stream_events = 0
+        self._stream_comments = 0
 
     @property
     def remainder(self) -> bytes:
@@ -73,6 +77,7 @@
         del self._remainder[: starts[-1]]
         self._stream_bytes += len(data)
         self._stream_events += len(events)
+        self._stream_comments += sum(each.is_comment for each in events)
         self._check_limits()
         return tuple(events)
 
@@ -101,3 +106,7 @@
             raise InvalidReplyError(f"stream exceeds {self._max_stream_bytes} bytes")
         if self._stream_events > self._max_stream_events:
             raise InvalidReplyError(f"stream exceeds {self._max_stream_events} events")
+        if self._stream_comments > self._max_stream_comments:
+            raise InvalidReplyError(
+                f"stream exceeds {self._max_stream_comments} comments"
+            )
--- a/tests/test_http1/test_event_stream.py
+++ b/tests/test_http1/test_event_stream.py
@@ -72,18 +72,19 @@
 
     @parameterized.expand(
         [
-            ("bytes", {"max_stream_bytes": 50}, "stream exceeds 50 bytes"),
-            ("events", {"max_stream_events": 5}, "stream exceeds 5 events"),
+            ("bytes", {"max_stream_bytes": 50}, b"data: x\n\n", "50 bytes"),
+            ("events", {"max_stream_events": 5}, b"data: x\n\n", "5 events"),
+            ("comments", {"max_stream_comments": 5}, b": x\n\n", "5 comments"),
         ]
     )
     def test_stream_without_end_is_rejected(
-        self, _name: str, limits: dict[str, int], message: str
+        self, _name: str, limits: dict[str, int], event: bytes, limit: str
     ) -> None:
         splitter = EventSplitter(**limits)
         for _ in range(5):
-            self.assertEqual(len(splitter.feed(b"data: x\n\n")), 1)
-        with self.assertRaisesRegex(InvalidReplyError, message):
-            splitter.feed(b"data: x\n\n")
+            self.assertEqual(len(splitter.feed(event)), 1)
+        with self.assertRaisesRegex(InvalidReplyError, f"stream exceeds {limit}"):
+            splitter.feed(event)
 
     def test_event_in_small_pieces_is_not_copied_for_each_of_them(self) -> None:
         splitter = EventSplitter(max_event_bytes=2 << 20)
