Let the soak's proxies refuse connections while their endpoint is down

Cause: the proxy before a crashed endpoint went on accepting connections and reset them. A gateway looks whether the endpoint still listens, so no crash was ever counted; the soak played cut connections, which condemn nothing, on purpose.

Change: the proxy's listener closes and opens with that of its endpoint.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from agatehoist.http1.channel import Channel
+    from standins.users_platform.endpoint import EndpointStandIn
 
 
 class Fault(enum.Enum):
@@ -86,3 +87,21 @@
         except ConnectionFailedError:
             source.abort()
             sink.abort()
+
+
+class EndpointFront:
+    """Serve the proxy of an endpoint, which listens only while the endpoint does."""
+
+    def __init__(self, proxy: Proxy, endpoint: EndpointStandIn) -> None:
+        self.serve = proxy.serve
+        # The endpoint listens again first.
+        self.down_s = endpoint.down_s + POLL_INTERVAL_S
+        self._endpoint = endpoint
+
+    @property
+    def crashed(self) -> anyio.Event:
+        """Return the event of the endpoint's next crash."""
+        return self._endpoint.crashed
+
+    def restart(self) -> None:
+        """Do nothing, as the endpoint restarts itself."""
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -12,7 +12,7 @@
 import anyio
 import anyio.to_thread
 
-from soak.proxy import Fault, Proxy
+from soak.proxy import EndpointFront, Fault, Proxy
 from soak.types import ConfigurationChange
 from standins.fleet import Fleet
 from standins.users_platform.endpoint_listener import run_endpoint
@@ -162,7 +162,8 @@
             endpoint.event_count = STREAM_EVENT_COUNT
             name = endpoint.name
             proxy = Proxy()
-            port = await stack.enter_async_context(listen_on_loopback(proxy.serve))
+            front = EndpointFront(proxy, endpoint)
+            port = await stack.enter_async_context(run_endpoint(front, lambda _: None))
             testbed.endpoint_proxies_by_name[name] = proxy
             testbed.ports_by_endpoint[name] = port
             # Gateways are told the port of the proxy in place of the endpoint's own.
--- a/standins/users_platform/endpoint_listener.py
+++ b/standins/users_platform/endpoint_listener.py
@@ -4,7 +4,7 @@
 
 import socket
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
@@ -14,12 +14,25 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from standins.users_platform.endpoint import EndpointStandIn
+    from agatehoist.http1.channel import Channel
+
+
+class CrashingServer(Protocol):
+    """Serve connections until `crashed` is set, and again down_s later."""
+
+    crashed: anyio.Event
+    down_s: float
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve a connection until it ends."""
+
+    def restart(self) -> None:
+        """Begin again after a crash."""
 
 
 @asynccontextmanager
 async def run_endpoint(
-    endpoint: EndpointStandIn, publish: Callable[[int], object]
+    endpoint: CrashingServer, publish: Callable[[int], object]
 ) -> AsyncIterator[int]:
     """Serve an endpoint on a free port while the context is open; yield the port.
 
@@ -39,7 +52,7 @@
 
 
 async def _serve_until_crashes(
-    endpoint: EndpointStandIn,
+    endpoint: CrashingServer,
     listening: socket.socket,
     publish: Callable[[int], object],
 ) -> None:
