--- a/src/agatehoist/gateway/evidence_outbox.py
+++ b/src/agatehoist/gateway/evidence_outbox.py
@@ -22,7 +22,7 @@
 
     def add(self, news: Crash | Answer | Quarantine, is_first_hand: bool) -> None:
         """Add a piece of evidence, which this node has seen itself or passes on."""
-        # What doesn't fit is repeated with the standing evidence.
+        # More is dropped; crashes and quarantines are repeated as standing evidence.
         if len(self._pending) < MAX_PENDING:
             self._pending.append(news)
         if is_first_hand:
--- a/src/agatehoist/gateway/part_evidence.py
+++ b/src/agatehoist/gateway/part_evidence.py
@@ -203,10 +203,10 @@
         return parts
     now = state.clock.now()
     parts = tuple(p for p in parts if not state.quarantine.has_answered(p, now))
+    if len(parts) <= MAX_PARTS_PER_CRASH:
+        return parts
     half = MAX_PARTS_PER_CRASH // 2
-    return (
-        parts if len(parts) <= MAX_PARTS_PER_CRASH else (*parts[:half], *parts[-half:])
-    )
+    return (*parts[:half], *parts[-half:])
 
 
 def _turn(state: GatewayState) -> int:
--- a/src/agatehoist/gateway/prompt_cache.py
+++ b/src/agatehoist/gateway/prompt_cache.py
@@ -46,8 +46,10 @@
         return 0
     cached = _cached_tokens(state, request, endpoint, version)
     shared = sum(each.tokens for each in prompt.shared_parts)
-    has_store = version != UNKNOWN_VERSION and _kv_store_for(state, endpoint)
-    fetched = max(0, shared - cached) if has_store else 0
+    fetched = max(0, shared - cached)
+    # Cache of unknown weights isn't shared.
+    if version == UNKNOWN_VERSION or _kv_store_for(state, endpoint) is None:
+        fetched = 0
     return cached + round((1 - FETCH_COST_RATIO) * fetched)
 
 
