Log and count what endpoints state of themselves in answers

Change: the adapter reads the three headers into a Statement; the gateway logs each change ("endpoint stated"), counts statements, and shows the limit in the steps of a request. No decision uses them yet.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -18,6 +18,7 @@
 )
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.gateway.crashes import check_crash
+from agatehoist.gateway.endpoint_statements import note_statement
 from agatehoist.gateway.part_evidence import note_answered
 from agatehoist.gateway.prompt_cache import note_prompt_read
 from agatehoist.http1.errors import ConnectionFailedError, InvalidReplyError
@@ -223,6 +224,7 @@
         if platform.answered_request_id(head) not in (None, self._request_id):
             raise InvalidReplyError("the reply belongs to another request")
         self._state.record_contact(self.dispatch.endpoint)
+        note_statement(self._state, self.dispatch.endpoint, head, self._began_at)
         platform.check_success(head)
         self._note_weights(head)
         if self._is_stream(head):
--- a/src/agatehoist/gateway/endpoint_calls.py
+++ b/src/agatehoist/gateway/endpoint_calls.py
@@ -9,6 +9,7 @@
 
 from agatehoist.core.address import Address
 from agatehoist.errors import AgatehoistError
+from agatehoist.gateway.endpoint_statements import note_statement
 
 if TYPE_CHECKING:
     from agatehoist.fleet.types import Endpoint, EndpointReport
@@ -18,6 +19,8 @@
 
 # Reports take a few milliseconds and orders are acknowledged before they are executed.
 CALL_TIMEOUT_S = 0.4
+# The reply to a call may name a limit, but one without a limit doesn't end it.
+NOT_A_REQUEST = 0.0
 MAX_REPLY_BYTES = 256 * 1024
 
 
@@ -74,7 +77,7 @@
 ) -> Reply:
     try:
         with anyio.fail_after(CALL_TIMEOUT_S):
-            return await state.pool.exchange(
+            reply = await state.pool.exchange(
                 endpoint.lifetime,
                 Address(endpoint.host, endpoint.port),
                 head,
@@ -87,3 +90,5 @@
         raise CallFailedError(f"{endpoint.name}: no answer in time") from error
     except AgatehoistError as error:
         raise CallFailedError(f"{endpoint.name}: {error}") from error
+    note_statement(state, endpoint, reply.head, NOT_A_REQUEST)
+    return reply
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -48,6 +48,7 @@
     RETRIES_TOTAL,
     TTFT_SECONDS,
 )
+from agatehoist.protocol.node_reports import endpoint_key
 from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint, OutcomeUnknown
 
 if TYPE_CHECKING:
@@ -235,6 +236,10 @@
         wait_ms = round(wait_s * MS_PER_S)
         # The wait is the expected one; `cache` is followed by the KV cache salt.
         step = f"{at_ms} ms: {action} to {endpoint.name}, wait {wait_ms} ms"
+        key = endpoint_key(endpoint.lifetime)
+        limit_per_s = self._state.statements.limit_per_s(key, self._now())
+        if limit_per_s is not None:
+            step += f", limit {limit_per_s}/s"
         if dispatch.weights_version:
             step += f", cache {dispatch.salt}"
         self._steps.append(step)
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -16,6 +16,7 @@
 from agatehoist.core.wakeup import Wakeup
 from agatehoist.fleet.health import Health
 from agatehoist.fleet.load import Load
+from agatehoist.fleet.statements import EndpointStatements
 from agatehoist.fleet.view import EndpointsView
 from agatehoist.gateway.active_requests import ActiveRequests
 from agatehoist.gateway.evidence_outbox import EvidenceOutbox
@@ -81,6 +82,7 @@
         self.table: RoutingTable | None = None
         self.table_loaded_at = 0.0
         self.fleet = EndpointsView()
+        self.statements = EndpointStatements()
         self.weights = WeightsView()
         self.load_changed = Wakeup()
         self.lines = StartLines(clock)
--- a/src/agatehoist/gateway/types.py
+++ b/src/agatehoist/gateway/types.py
@@ -8,6 +8,7 @@
 from agatehoist.fleet.types import Endpoint
 
 if TYPE_CHECKING:
+    from agatehoist.fleet.statements import Statement
     from agatehoist.fleet.types import EndpointReport
     from agatehoist.http1.event_stream import StreamEvent
     from agatehoist.http1.types import (
@@ -100,6 +101,9 @@
     def check_success(self, head: ReplyHead) -> None:
         """Check that a successful reply has the stamp that its endpoint wrote it."""
 
+    def read_statement(self, head: ReplyHead, now: float) -> Statement:
+        """Return what the endpoint says of itself in a reply."""
+
     def idle_limit_s(self, head: ReplyHead) -> float | None:
         """Return the endpoint's keep-alive timeout, or None if it states none."""
 
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -36,6 +36,10 @@
 RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
 # Calls with an idempotency key, by the state of the key's claim.
 CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
+# Answers in which an endpoint names a limit, says that it leaves or asks for time.
+ENDPOINT_STATEMENTS_TOTAL = Counter(
+    "agatehoist_endpoint_statements_total", "Statements of endpoints, by service."
+)
 # Requests that had no answer yet when their endpoint crashed.
 ENDPOINT_CRASHES_TOTAL = Counter(
     "agatehoist_endpoint_crashes_total", "Requests lost in a crash before an answer."
@@ -64,6 +68,7 @@
     "CONFIGURATION_REVISION",
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
+    "ENDPOINT_STATEMENTS_TOTAL",
     "EXCHANGES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
--- a/src/agatehoist/platform/adapter.py
+++ b/src/agatehoist/platform/adapter.py
@@ -27,6 +27,7 @@
     answered_request_id = staticmethod(replies.answered_request_id)
     weights_version = staticmethod(replies.weights_version)
     check_success = staticmethod(replies.check_success)
+    read_statement = staticmethod(replies.read_statement)
     idle_limit_s = staticmethod(replies.idle_limit_s)
     returned_headers = staticmethod(replies.returned_headers)
     refusal_reply = staticmethod(replies.refusal_reply)
--- a/src/agatehoist/platform/names.py
+++ b/src/agatehoist/platform/names.py
@@ -35,6 +35,9 @@
 ENDPOINT_STAMP = b"x-agatehoist-server-stamp"
 NOT_EXECUTED = b"x-agatehoist-not-executed"
 WEIGHTS_VERSION = b"x-agatehoist-weight-versions"
+# What an endpoint says of itself, in answers of all statuses.
+REQUEST_LIMIT_PER_S = b"server-limit"
+LEAVING = b"server-leaving"
 
 # Callers may not set these headers, so their values are not forwarded.
 SYSTEM_HEADERS = frozenset(
--- a/src/agatehoist/platform/replies.py
+++ b/src/agatehoist/platform/replies.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from agatehoist.core.work import Run
+from agatehoist.fleet.statements import Statement
 from agatehoist.http1.errors import InvalidReplyError
 from agatehoist.http1.types import Reply, ReplyHead
+from agatehoist.observability.logs import get_logger
 from agatehoist.platform import names
 from agatehoist.refusals.kinds import REFUSALS
 
@@ -16,6 +19,10 @@
     from agatehoist.http1.types import Headers
     from agatehoist.refusals.types import Refusal
 
+logger = get_logger("platform")
+
+# Statuses with which an endpoint that turns a request away may ask for time.
+STATUSES_WITH_PAUSE = frozenset({429, 503})
 # Statuses from which a caller concludes that its request did not run or is invalid.
 STATUSES_FOR_NOT_RUN = frozenset({400, 401, 404, 408, 413, 429, 431, 503})
 MIN_RETRY_AFTER_S = 0.05
@@ -59,6 +66,33 @@
         )
 
 
+def read_statement(head: ReplyHead, now: float) -> Statement:
+    """Return what the endpoint says of itself in a reply."""
+    retry_after_s = None
+    if head.status in STATUSES_WITH_PAUSE:
+        retry_after_s = _read_number(head, b"retry-after")
+    return Statement(
+        limit_per_s=_read_number(head, names.REQUEST_LIMIT_PER_S),
+        leaving=head.value(names.LEAVING) == b"1",
+        paused_until=None if retry_after_s is None else now + retry_after_s,
+    )
+
+
+def _read_number(head: ReplyHead, name: bytes) -> float | None:
+    """Return a header with a number that isn't negative, or None."""
+    value = head.value(name)
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        number = math.nan
+    if not 0 <= number < math.inf:
+        logger.info("header is not a number, ignored", header=name, value=value[:40])
+        return None
+    return number
+
+
 def idle_limit_s(head: ReplyHead) -> float | None:
     """Return the endpoint's keep-alive timeout, or None if it states none."""
     if b"close" in (head.value(b"connection") or b"").lower():
--- /dev/null
+++ b/tests/test_platform/test_replies.py
@@ -0,0 +1,60 @@
+"""Tests of the reading of endpoints' replies."""
+
+from __future__ import annotations
+
+import unittest
+
+from parameterized import parameterized
+
+from agatehoist.fleet.statements import NO_STATEMENT, Statement
+from agatehoist.http1.types import ReplyHead
+from agatehoist.platform.replies import read_statement
+
+NOW = 1000.0
+
+
+class StatementTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("nothing", 200, (), NO_STATEMENT),
+            ("limit", 200, ((b"server-limit", b"1.9"),), Statement(limit_per_s=1.9)),
+            ("limit_of_zero", 503, ((b"server-limit", b"0"),), Statement(0.0)),
+            ("leaving", 500, ((b"server-leaving", b"1"),), Statement(leaving=True)),
+            ("not_leaving", 200, ((b"server-leaving", b"0"),), NO_STATEMENT),
+            (
+                "pause",
+                503,
+                ((b"retry-after", b"1.5"),),
+                Statement(paused_until=NOW + 1.5),
+            ),
+            (
+                "pause_at_429",
+                429,
+                ((b"retry-after", b"2"),),
+                Statement(None, False, 1002),
+            ),
+            ("no_pause_after_success", 200, ((b"retry-after", b"2"),), NO_STATEMENT),
+            (
+                "all",
+                503,
+                (
+                    (b"server-limit", b"3"),
+                    (b"server-leaving", b"1"),
+                    (b"retry-after", b"1"),
+                ),
+                Statement(3.0, True, 1001.0),
+            ),
+            ("words", 503, ((b"server-limit", b"few"),), NO_STATEMENT),
+            ("negative", 503, ((b"server-limit", b"-1"),), NO_STATEMENT),
+            ("not_finite", 503, ((b"server-limit", b"inf"),), NO_STATEMENT),
+            ("date", 503, ((b"retry-after", b"Sat, 05 Dec 2026"),), NO_STATEMENT),
+        ]
+    )
+    def test_statement_is_read_and_nonsense_ignored(
+        self,
+        _name: str,
+        status: int,
+        headers: tuple[tuple[bytes, bytes], ...],
+        expected: Statement,
+    ) -> None:
+        self.assertEqual(read_statement(ReplyHead(status, headers), NOW), expected)
