Let gateways queue news for peers of any kind

The outbox of the evidence on prompt parts and its way of picking peers serve the notices of endpoints' limits next.

--- a/src/agatehoist/gateway/part_evidence.py
+++ b/src/agatehoist/gateway/part_evidence.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from agatehoist.gateway.peer_datagrams import DATAGRAM_HANDLERS, send_datagram
+from agatehoist.gateway.peer_datagrams import DATAGRAM_HANDLERS, send_to_some_peers
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import QUARANTINES_TOTAL
 from agatehoist.protocol.datagrams import PART_EVIDENCE
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Sequence
 
     from agatehoist.core.address import Address
     from agatehoist.fleet.types import Endpoint
@@ -129,8 +130,8 @@
     standing_at = 0.0
     while True:
         await outbox.changed.wait(STANDING_INTERVAL_S)
-        evidence, peer_count = outbox.pop()
-        _send_to_peers(state, sock, evidence, peer_count)
+        news, peer_count = outbox.pop()
+        _send_to_peers(state, sock, _evidence(news), peer_count)
         now = state.clock.now()
         if now >= standing_at:
             standing_at = now + STANDING_INTERVAL_S
@@ -150,9 +151,15 @@
     if not evidence:
         return
     data = encode_evidence(evidence, state.clock.now())
-    peers = sorted(state.nodes - {state.settings.inner}, key=str)
-    for peer in state.rng.sample(peers, min(count, len(peers))):
-        send_datagram(sock, data, peer)
+    send_to_some_peers(state, sock, data, count)
+
+
+def _evidence(news: Sequence[Crash | Answer | Quarantine]) -> Evidence:
+    return Evidence(
+        tuple(each for each in news if isinstance(each, Crash)),
+        tuple(each for each in news if isinstance(each, Answer)),
+        tuple(each for each in news if isinstance(each, Quarantine)),
+    )
 
 
 def _note_answer(state: GatewayState, answer: Answer, is_first_hand: bool) -> None:
--- a/src/agatehoist/gateway/peer_datagrams.py
+++ b/src/agatehoist/gateway/peer_datagrams.py
@@ -37,6 +37,15 @@
         logger.debug("datagram not sent", peer=str(peer), reason=str(error))
 
 
+def send_to_some_peers(
+    state: GatewayState, sock: socket.socket, data: bytes, count: int
+) -> None:
+    """Send a datagram to peers picked at random, at most `count` of them."""
+    peers = sorted(state.nodes - {state.settings.inner}, key=str)
+    for peer in state.rng.sample(peers, min(count, len(peers))):
+        send_datagram(sock, data, peer)
+
+
 async def receive_datagrams(state: GatewayState, sock: socket.socket) -> None:
     """Handle the datagrams of the other nodes until cancelled."""
     # Datagrams may queue in the socket while the process is suspended. The last time
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -19,7 +19,7 @@
 from agatehoist.fleet.statements import EndpointStatements
 from agatehoist.fleet.view import EndpointsView
 from agatehoist.gateway.active_requests import ActiveRequests
-from agatehoist.gateway.evidence_outbox import EvidenceOutbox
+from agatehoist.gateway.peer_outbox import PeerOutbox
 from agatehoist.gateway.start_lines import StartLines
 from agatehoist.gateway.store_feed import StoreFeed
 from agatehoist.gateway.store_roles import StoreRole
@@ -29,6 +29,7 @@
 from agatehoist.http1.types import ConnectionLimits
 from agatehoist.observability.logs import get_logger
 from agatehoist.quarantine.part_quarantine import PartQuarantine
+from agatehoist.quarantine.types import Answer, Crash, Quarantine
 from agatehoist.weights.view import WeightsView
 
 if TYPE_CHECKING:
@@ -55,6 +56,9 @@
 RETRY_SLACK_SHARE = 0.9
 # Addresses beyond these are found by the regular poll.
 MAX_UNLISTED_NODES = 64
+# More news is dropped; crashes, quarantines and notices are repeated as they stand.
+MAX_PENDING_EVIDENCE = 16
+MAX_PENDING_NOTICES = 256
 # Endpoints count retries on arrival, slightly later than this node sends them.
 RETRY_WINDOW_MARGIN_S = 0.5
 
@@ -100,7 +104,9 @@
         self.saved_parts = SavedParts()
         self.suspects = SuspicionTable()
         self.quarantine = PartQuarantine()
-        self.evidence_outbox = EvidenceOutbox()
+        self.evidence_outbox = PeerOutbox[Crash | Answer | Quarantine](
+            MAX_PENDING_EVIDENCE
+        )
         self.pool = ConnectionPool(clock)
         self._last_contact_at_by_lifetime: dict[str, float] = {}
         self.in_flight = InFlightCounter()
