Keep the limits that endpoints name, all gateways together

Cause: no gateway knew the limits (the first hypothesis), and a limit that each of them kept for itself would be passed as many times as there are gateways.

Change: what an endpoint says of itself is kept in one pure place (fleet.statements), told to peers by datagrams, and expires. Each request to an endpoint with a limit, also a retry or a moved run, needs a permit. Permits come from the limit's home, a node chosen by rendezvous hash; another node stands in with half of the limit while the home can't be reached (limits.endpoint_permits). Without any permit left, a request is refused at once, with a time to come back that spreads the returns. Short prompts leave the permits to long ones while an endpoint without a limit can take them: a limit counts requests, not work.

--- a/src/agatehoist/admission/line.py
+++ b/src/agatehoist/admission/line.py
@@ -74,15 +74,18 @@
     Each time is later than the one before by what the work of the caller takes.
     """
 
-    def __init__(self, tokens_per_s: float) -> None:
-        self._tokens_per_s = tokens_per_s
+    def __init__(self) -> None:
         self._last_at = 0.0
 
-    def next_at(self, request: StartRequest, now: float, room_at: float) -> float:
-        """Return when a caller may come back, early enough to use the time it has."""
+    def next_at(
+        self, deadline: float, work_s: float, now: float, room_at: float
+    ) -> float:
+        """Return when a caller may come back, early enough to use the time it has.
+
+        Its deadline and `room_at`, when there is room again, are in epoch seconds.
+        """
         first_at = max(now + MIN_RETRY_DELAY_S, room_at)
-        latest_at = now + RETRY_SHARE * max(0.0, request.deadline - now)
-        work_s = request.job.missing_tokens / self._tokens_per_s
+        latest_at = now + RETRY_SHARE * max(0.0, deadline - now)
         self._last_at = min(max(first_at, self._last_at + work_s), now + MAX_SPREAD_S)
         return min(self._last_at, latest_at)
 
@@ -93,11 +96,12 @@
     def __init__(
         self, tokens_per_s: float, limits: SchedulerLimits = LINE_LIMITS
     ) -> None:
+        self._tokens_per_s = tokens_per_s
         self._limits = limits
         self._order = ORDERS[limits.order](limits)
         self._waiting_by_id: dict[AttemptId, WaitingJob] = {}
         self._requests_by_id: dict[AttemptId, StartRequest] = {}
-        self._return_times = ReturnTimes(tokens_per_s)
+        self._return_times = ReturnTimes()
         self._pick: Pick | None = None
 
     def __len__(self) -> int:
@@ -141,7 +145,8 @@
 
     def refuse(self, request: StartRequest, now: float, room_at: float) -> Refusal:
         """Return the refusal of a request that finds no room before `room_at`."""
-        retry_at = self._return_times.next_at(request, now, room_at)
+        work_s = request.job.missing_tokens / self._tokens_per_s
+        retry_at = self._return_times.next_at(request.deadline, work_s, now, room_at)
         return Overloaded.refuse("no endpoint has room in time", retry_at).refusal
 
     def _forget(self, attempt_id: AttemptId) -> None:
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -8,6 +8,7 @@
 from agatehoist.core.identity import EndpointIdentity
 from agatehoist.core.work import PrefixLevel, Priority
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
+from agatehoist.gateway.endpoint_permits import is_refused
 from agatehoist.gateway.prompt_cache import (
     cache_salt_for,
     fetch_address,
@@ -15,6 +16,7 @@
     save_address,
 )
 from agatehoist.gateway.types import Dispatch
+from agatehoist.limits.endpoint_permits import LEAST_URGENT
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Candidate, Offer, PlacementRequest
 
@@ -32,6 +34,8 @@
 # passed: a request may wait in the engine's queue, and a new target is noticed with a
 # delay.
 OLD_WEIGHTS_MARGIN_S = 1.0
+# A caller that comes back after a refusal states less time than the route allows.
+RETURNED_TIME_SHARE = 0.97
 DIGEST_BYTES = 16
 # Engines run all short prompts before the long ones, which take many times as long, and
 # those of each class by the priority of their organisation or route.
@@ -99,10 +103,21 @@
     return state.settings.weights_in_force_s - OLD_WEIGHTS_MARGIN_S
 
 
+def is_returned(request: RoutedRequest) -> bool:
+    """Return whether the caller has less time than a new one has."""
+    time_left_s = request.deadline - request.envelope.received_at
+    return time_left_s < RETURNED_TIME_SHARE * request.route.timeout_s
+
+
 def _available(
     state: GatewayState, request: RoutedRequest, now: float
 ) -> tuple[Endpoint, ...]:
-    serving = state.fleet.serving(request.service, now)
+    priority = urgency(request)
+    serving = tuple(
+        each
+        for each in state.fleet.serving(request.service, now)
+        if not is_refused(state, each, priority)
+    )
     prompt = request.envelope.prompt
     if prompt is None:
         return serving
@@ -119,6 +134,16 @@
     return tuple(unchanging) or allowed
 
 
+def urgency(request: RoutedRequest) -> int:
+    """Return the priority of a request for permits; 0 is the most urgent.
+
+    A caller that comes back after a refusal goes before new ones.
+    """
+    if is_returned(request):
+        return 0
+    return min(max(0, _caller_priority(request)), LEAST_URGENT)
+
+
 def _offer(state: GatewayState, request: RoutedRequest, candidate: Candidate) -> Offer:
     endpoint = state.fleet.by_name[candidate.host]
     prompt = request.envelope.prompt
@@ -156,14 +181,15 @@
     )
 
 
-def _priority(request: RoutedRequest) -> int:
+def _caller_priority(request: RoutedRequest) -> int:
     organisation = request.organisation
-    organisation_priority = organisation.priority if organisation else None
-    priority = (
-        request.route.priority
-        if organisation_priority is None
-        else organisation_priority
-    )
+    if organisation is None or organisation.priority is None:
+        return request.route.priority
+    return organisation.priority
+
+
+def _priority(request: RoutedRequest) -> int:
+    priority = _caller_priority(request)
     if work_priority(request.envelope.prompt) is Priority.LONG:
         return FIRST_LONG_PRIORITY + priority
     return min(priority, FIRST_LONG_PRIORITY - 1)
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -15,6 +15,7 @@
 
 from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.load import changed_loads
+from agatehoist.gateway.endpoint_statements import send_notices
 from agatehoist.gateway.part_evidence import send_evidence
 from agatehoist.gateway.peer_datagrams import (
     DATAGRAM_HANDLERS,
@@ -60,6 +61,7 @@
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(receive_datagrams, state, sock)
             task_group.start_soon(send_evidence, state, sock)
+            task_group.start_soon(send_notices, state, sock)
             await _send(state, sock)
 
 
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -31,14 +31,14 @@
 from agatehoist.core.registry import Registry
 from agatehoist.core.units import MS_PER_S
 from agatehoist.gateway.attempt import Attempt
-from agatehoist.gateway.endpoint_choice import find_offers, make_dispatch
+from agatehoist.gateway.endpoint_choice import make_dispatch
+from agatehoist.gateway.offer_search import OfferSearch
 from agatehoist.gateway.part_evidence import (
     note_sent,
     quarantine_refusal,
     repeat_refusal,
 )
 from agatehoist.gateway.run_moves import move_if_needed
-from agatehoist.gateway.tickets import make_ticket
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.types import Reply
 from agatehoist.observability.logs import get_logger
@@ -50,17 +50,15 @@
 )
 from agatehoist.protocol.node_reports import endpoint_key
 from agatehoist.refusals.kinds import EndpointFailed, NoEndpoint, OutcomeUnknown
+from agatehoist.refusals.types import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from agatehoist.attempts.types import Event
     from agatehoist.core.identity import AttemptId
-    from agatehoist.gateway.start_lines import Ticket
     from agatehoist.gateway.state import GatewayState
     from agatehoist.gateway.types import Dispatch, ReplyWriter
-    from agatehoist.placement.types import Offer
-    from agatehoist.refusals.types import Refusal
     from agatehoist.routing.types import RoutedRequest
 
 logger = get_logger("gateway")
@@ -95,8 +93,8 @@
             state.rng,
         )
         self._attempt: Attempt | None = None
-        self._tried_lifetimes: list[str] = []
-        self._steps: list[str] = []
+        self._search = OfferSearch(state, request)
+        self._steps = self._search.steps
         self._stream_started = False
         self._outcome = "caller gone"
         self._is_caller_disconnected = False
@@ -109,6 +107,7 @@
         """Record that the caller has closed its connection."""
         self._is_caller_disconnected = True
         self._wait_scope.cancel()
+        self._search.stop_waiting()
 
     def consider_move(self) -> None:
         """Move the run if its endpoint is about to stop serving it."""
@@ -164,21 +163,12 @@
             return DeadlinePassed()
         if (quarantined := self._quarantine_refusal()) is not None:
             return NotAdmitted(quarantined)
-        offers = self._find_offers()
-        ticket = self._ticket(offers)
-        if ticket is not None and not self._state.lines.may_start_now(
-            self._request.service, ticket
-        ):
-            refusal = await self._wait_in_line(ticket)
-            if self._is_caller_disconnected:
-                return CallerDisconnected()
-            if refusal is not None:
-                return NotAdmitted(refusal)
-            offers = self._find_offers()
-        return Offered(offers)
-
-    def _find_offers(self) -> tuple[Offer, ...]:
-        return find_offers(self._state, self._request, frozenset(self._tried_lifetimes))
+        found = await self._search.find(has_begun=bool(self._machine.pieces))
+        if self._is_caller_disconnected:
+            return CallerDisconnected()
+        if isinstance(found, Refusal):
+            return NotAdmitted(found)
+        return Offered(found)
 
     def _quarantine_refusal(self) -> Refusal | None:
         envelope = self._request.envelope
@@ -188,26 +178,6 @@
             refusal = repeat_refusal(self._state, envelope, endpoint)
         return refusal
 
-    def _ticket(self, offers: tuple[Offer, ...]) -> Ticket | None:
-        """Return a ticket for the line, or None if the request needn't wait in it.
-
-        Calls without a prompt and answers that have begun don't wait.
-        """
-        request = self._request
-        if request.envelope.prompt is None or self._machine.pieces or not offers:
-            return None
-        return make_ticket(self._state, request, offers, self._find_offers)
-
-    async def _wait_in_line(self, ticket: Ticket) -> Refusal | None:
-        request = self._request
-        joined_at = self._now()
-        refusal = None
-        with anyio.CancelScope() as self._wait_scope:
-            refusal = await self._state.lines.wait(request.service, ticket)
-        waited_ms = round((self._now() - joined_at) * MS_PER_S)
-        self._steps.append(f"waited {waited_ms} ms for room")
-        return refusal
-
     @DECISION_HANDLERS.register(Submit)
     async def _submit(self, decision: Submit) -> Event | None:
         endpoint = self._state.fleet.by_name.get(decision.offer.candidate.host)
@@ -217,14 +187,14 @@
         if (quarantined := self._quarantine_refusal()) is not None:
             return AttemptRefused(attempt_id, quarantined)
         note_sent(self._state, self._request.envelope)
-        if self._tried_lifetimes:
+        if self._search.tried_lifetimes:
             RETRIES_TOTAL.inc({})
         last_event_id = self._request.envelope.last_event_id
         # The pieces are the stream events that earlier attempts have returned.
         if decision.pieces:
             last_event_id = decision.pieces[-1].event_id
         dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
-        self._tried_lifetimes.append(endpoint.lifetime)
+        self._search.tried_lifetimes.append(endpoint.lifetime)
         self._record_step("sent", dispatch)
         self._start_attempt(dispatch, attempt_id, len(decision.pieces))
         return None
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -9,6 +9,11 @@
 from agatehoist.fleet.view import UNKNOWN_VERSION
 from agatehoist.gateway.endpoint_calls import CallFailedError, move_run
 from agatehoist.gateway.endpoint_choice import required_version
+from agatehoist.gateway.endpoint_permits import (
+    acquire_permit,
+    is_limited,
+    is_refused,
+)
 from agatehoist.observability.logs import get_logger
 from agatehoist.placement.types import Candidate, Offer
 
@@ -26,6 +31,8 @@
 # Runs move this long after their endpoint began to change its weights; those that end
 # before needn't move.
 MOVE_DELAY_S = 0.25
+# Priority for permits: a run that doesn't move may be cut.
+MOVE_PRIORITY = 0
 
 
 def move_if_needed(
@@ -72,14 +79,17 @@
         if each.lifetime != source.lifetime
         and not state.weights.is_changing(each, now)
         and not state.suspects.is_suspected(each.name, now)
+        and not is_refused(state, each, MOVE_PRIORITY)
         and state.fleet.version_of(each, prompt.model) == version
     ]
     return min(
         possible,
-        # An endpoint in another data centre counts as if it had one more run.
+        # An endpoint in another data centre counts as if it had one more run. One with
+        # a limit may give no permit.
         key=lambda each: (
+            is_limited(state, each),
             state.load.runs(each.lifetime, now)
-            + (each.data_centre != source.data_centre)
+            + (each.data_centre != source.data_centre),
         ),
         default=None,
     )
@@ -106,6 +116,10 @@
 ) -> None:
     source = attempt.dispatch.endpoint
     request_id = request.envelope.request_id
+    if not await acquire_permit(state, destination, MOVE_PRIORITY):
+        logger.info("run not moved", request=request_id, reason="no permit")
+        await attempt.cancel_move()
+        return
     try:
         continuation_name = await move_run(state, source, request_id, destination)
     except CallFailedError as error:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -16,7 +16,7 @@
 from agatehoist.core.wakeup import Wakeup
 from agatehoist.fleet.health import Health
 from agatehoist.fleet.load import Load
-from agatehoist.fleet.statements import EndpointStatements
+from agatehoist.fleet.statements import EndpointStatements, Notice
 from agatehoist.fleet.view import EndpointsView
 from agatehoist.gateway.active_requests import ActiveRequests
 from agatehoist.gateway.peer_outbox import PeerOutbox
@@ -27,6 +27,7 @@
 from agatehoist.gateway.watchers import elect_watchers
 from agatehoist.http1.pool import ConnectionPool
 from agatehoist.http1.types import ConnectionLimits
+from agatehoist.limits.endpoint_permits import PermitHomes, PermitIssuer
 from agatehoist.observability.logs import get_logger
 from agatehoist.quarantine.part_quarantine import PartQuarantine
 from agatehoist.quarantine.types import Answer, Crash, Quarantine
@@ -37,6 +38,7 @@
 
     from anyio.abc import TaskGroup
 
+    from agatehoist.admission.line import ReturnTimes
     from agatehoist.core.address import Address
     from agatehoist.core.clock import Clock
     from agatehoist.fleet.types import Endpoint
@@ -107,6 +109,11 @@
         self.evidence_outbox = PeerOutbox[Crash | Answer | Quarantine](
             MAX_PENDING_EVIDENCE
         )
+        self.notice_outbox = PeerOutbox[Notice](MAX_PENDING_NOTICES)
+        self.permit_issuer = PermitIssuer()
+        self.permit_homes = PermitHomes()
+        # For callers that are refused because all endpoints are at their limits.
+        self.return_times_by_service: dict[str, ReturnTimes] = {}
         self.pool = ConnectionPool(clock)
         self._last_contact_at_by_lifetime: dict[str, float] = {}
         self.in_flight = InFlightCounter()
--- a/src/agatehoist/gateway/tickets.py
+++ b/src/agatehoist/gateway/tickets.py
@@ -7,7 +7,7 @@
 from agatehoist.admission.line import LINE_SHARE, StartRequest
 from agatehoist.admission.types import Job
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S, FIRST_TOKEN_S
-from agatehoist.gateway.endpoint_choice import work_priority
+from agatehoist.gateway.endpoint_choice import is_returned, work_priority
 from agatehoist.gateway.start_lines import Ticket
 
 if TYPE_CHECKING:
@@ -17,9 +17,6 @@
     from agatehoist.placement.types import Offer
     from agatehoist.routing.types import RoutedRequest
 
-# A caller that comes back after a refusal states less time than the route allows.
-RETURNED_TIME_SHARE = 0.97
-
 
 def make_ticket(
     state: GatewayState,
@@ -66,9 +63,3 @@
     lifetimes = (each.identity.endpoint_incarnation for each in offers)
     waits_s = (state.load.wait_s(each, now) for each in lifetimes)
     return min(waits_s, default=0.0)
-
-
-def is_returned(request: RoutedRequest) -> bool:
-    """Return whether the caller has less time than a new one has."""
-    time_left_s = request.deadline - request.envelope.received_at
-    return time_left_s < RETURNED_TIME_SHARE * request.route.timeout_s
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -40,6 +40,8 @@
 ENDPOINT_STATEMENTS_TOTAL = Counter(
     "agatehoist_endpoint_statements_total", "Statements of endpoints, by service."
 )
+# Permits asked for requests to endpoints with a limit.
+PERMITS_TOTAL = Counter("agatehoist_permits_total", "Permits asked for, by outcome.")
 # Requests that had no answer yet when their endpoint crashed.
 ENDPOINT_CRASHES_TOTAL = Counter(
     "agatehoist_endpoint_crashes_total", "Requests lost in a crash before an answer."
@@ -76,6 +78,7 @@
     "QUARANTINES_TOTAL",
     "RECOMPUTED_TOKENS",
     "REFUSALS_TOTAL",
+    "PERMITS_TOTAL",
     "PLATFORM_CALLS_TOTAL",
     "RESUMES_TOTAL",
     "REQUEST_SECONDS",
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -28,6 +28,7 @@
 STAMP = b"x-agatehoist-server-stamp"
 STREAM = (b"content-type", b"text/event-stream")
 CHUNKED = (b"transfer-encoding", b"chunked")
+RETRY_AFTER = b"retry-after"
 NOT_EXECUTED = ((b"x-agatehoist-not-executed", b"1"),)
 EVENT_INTERVAL_S = 0.01
 WEIGHTS_LOAD_S = 0.05
@@ -83,6 +84,9 @@
     on_request is called before a request is checked, on_move before a run is stopped.
     before_copy and after_copy are called at the destination of a moved run.
 
+    All answers state limit_per_s, if it is set, and whether the endpoint is_leaving;
+    refusals also state pause_s. Arrivals are those of all requests, run or refused.
+
     A run whose prompt holds one of deadly_parts crashes the endpoint when it begins to
     write its answer.
     """
@@ -113,6 +117,10 @@
     crashes: list[Crash] = field(default_factory=list)
     crashed: anyio.Event = field(default_factory=anyio.Event)
     queue_s: float = 0.0
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
+    arrivals: list[float] = field(default_factory=list)
     port: int = 0
     # Start of the endpoint in epoch milliseconds.
     started_ms: int = 1_700_000_000_000
@@ -203,10 +211,12 @@
         self, connection: ServerConnection, request: Request, headers: dict[str, str]
     ) -> None:
         """Run a request, or refuse it before it starts."""
+        self.arrivals.append(time.monotonic())
         await self.on_request()
         if self._has_unexpected_weights(headers):
             self.rejections.append("other weights")
-            await connection.send_reply(421, self._weights_headers(), b"")
+            headers_out = (*self._weights_headers(), *self.statement_headers())
+            await connection.send_reply(421, headers_out, b"")
             return
         weights_changes = self._weights_changes
         if self.queue_s:
@@ -221,7 +231,9 @@
 
     async def _reject(self, connection: ServerConnection, reason: str) -> None:
         self.rejections.append(reason)
-        await connection.send_reply(503, NOT_EXECUTED, b"")
+        pause = () if self.pause_s is None else ((RETRY_AFTER, _text(self.pause_s)),)
+        headers = (*NOT_EXECUTED, *pause, *self.statement_headers())
+        await connection.send_reply(503, headers, b"")
 
     async def _run(
         self, connection: ServerConnection, request: Request, headers: dict[str, str]
@@ -331,7 +343,13 @@
             (REQUEST_ID, run.request_id.encode()),
             (STAMP, self.name.encode()),
         )
-        return (*identity_headers, *self._weights_headers())
+        return (*identity_headers, *self._weights_headers(), *self.statement_headers())
+
+    def statement_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers in which the endpoint speaks of itself."""
+        limit, leaving = self.limit_per_s, self.is_leaving
+        stated = () if limit is None else ((b"server-limit", _text(limit)),)
+        return (*stated, (b"server-leaving", b"1")) if leaving else stated
 
     def _weights_headers(self) -> tuple[tuple[bytes, bytes], ...]:
         if not self.model:
@@ -399,6 +417,10 @@
         self.busy = False
 
 
+def _text(number: float) -> bytes:
+    return str(number).encode()
+
+
 @FAULTS.register("reset")
 async def _reset(
     _endpoint: EndpointStandIn, connection: ServerConnection, _run: ReceivedRequest
--- a/tests/test_gateway/test_crashing_parts_fleet.py
+++ b/tests/test_gateway/test_crashing_parts_fleet.py
@@ -72,13 +72,21 @@
         return self.gateways.fleet.ports_by_name[name]
 
 
-@asynccontextmanager
-async def running_gateways() -> AsyncIterator[RunningGateway]:
-    """Run gateways that know each other while the context is open."""
+def world_with_a_deadly_part() -> GatewayHarness:
+    """Return endpoints that a part of prompts crashes."""
     world = GatewayHarness(ENGINE_COUNT)
     world.deadly_parts.add("bad")
     for each in world.engines:
         each.down_s = DOWN_S
+    return world
+
+
+@asynccontextmanager
+async def running_gateways(
+    world: GatewayHarness | None = None,
+) -> AsyncIterator[RunningGateway]:
+    """Run gateways that know each other while the context is open."""
+    world = world or world_with_a_deadly_part()
     async with run_standins(world) as store_port:
         with tempfile.TemporaryDirectory() as folder:
             fleet = Fleet(Path(folder))
