Ignore what another endpoint says at the address of a former one

Cause: a reply with status 421 may come from the endpoint that took over the address, and its Server-Limit was recorded for the endpoint that was asked; one without a limit would have ended the limit.

The row of_another_endpoint fails on the code before (Statement(3.0) for None) and passes.

--- a/src/agatehoist/gateway/endpoint_statements.py
+++ b/src/agatehoist/gateway/endpoint_statements.py
@@ -44,6 +44,8 @@
     """Record what the head of an answer says of the endpoint itself."""
     now = state.clock.now()
     statement = state.platform.read_statement(head, now)
+    if statement is None:
+        return
     if statement != NO_STATEMENT:
         ENDPOINT_STATEMENTS_TOTAL.inc({"service": endpoint.service})
     key = endpoint_key(endpoint.lifetime)
--- a/src/agatehoist/gateway/types.py
+++ b/src/agatehoist/gateway/types.py
@@ -101,8 +101,8 @@
     def check_success(self, head: ReplyHead) -> None:
         """Check that a successful reply has the stamp that its endpoint wrote it."""
 
-    def read_statement(self, head: ReplyHead, now: float) -> Statement:
-        """Return what the endpoint says of itself in a reply."""
+    def read_statement(self, head: ReplyHead, now: float) -> Statement | None:
+        """Return what the endpoint says of itself in a reply, None if it isn't its."""
 
     def idle_limit_s(self, head: ReplyHead) -> float | None:
         """Return the endpoint's keep-alive timeout, or None if it states none."""
--- a/src/agatehoist/platform/replies.py
+++ b/src/agatehoist/platform/replies.py
@@ -66,8 +66,13 @@
         )
 
 
-def read_statement(head: ReplyHead, now: float) -> Statement:
-    """Return what the endpoint says of itself in a reply."""
+def read_statement(head: ReplyHead, now: float) -> Statement | None:
+    """Return what the endpoint says of itself in a reply.
+
+    Returns None if another endpoint may have replied, at an address that it took over.
+    """
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return None
     retry_after_s = None
     if head.status in STATUSES_WITH_PAUSE:
         retry_after_s = _read_number(head, b"retry-after")
--- a/tests/test_platform/test_replies.py
+++ b/tests/test_platform/test_replies.py
@@ -44,6 +44,7 @@
                 ),
                 Statement(3.0, True, 1001.0),
             ),
+            ("of_another_endpoint", 421, ((b"server-limit", b"3"),), None),
             ("words", 503, ((b"server-limit", b"few"),), NO_STATEMENT),
             ("negative", 503, ((b"server-limit", b"-1"),), NO_STATEMENT),
             ("not_finite", 503, ((b"server-limit", b"inf"),), NO_STATEMENT),
@@ -55,6 +56,6 @@
         _name: str,
         status: int,
         headers: tuple[tuple[bytes, bytes], ...],
-        expected: Statement,
+        expected: Statement | None,
     ) -> None:
         self.assertEqual(read_statement(ReplyHead(status, headers), NOW), expected)
