Send nothing new to endpoints that say in an answer that they leave

What callers would see: requests sent to an endpoint that exits; a DRAIN by Server-Leaving wherever the store's entry comes late or not at all, since a gateway believed the entries alone. Of the class of the limits: what an endpoint says of itself in an answer was not used.

Change: an endpoint leaves if its entry or any of its answers says so, for this lifetime and at all gateways (notices between peers); its runs move as for an entry. A new lifetime under the same name starts afresh.

--- a/src/agatehoist/fleet/statements.py
+++ b/src/agatehoist/fleet/statements.py
@@ -83,6 +83,11 @@
         notice = self._notice(endpoint, now)
         return notice.limit_per_s if notice is not None else None
 
+    def is_leaving(self, endpoint: bytes, now: float) -> bool:
+        """Return whether an endpoint has said that it leaves."""
+        notice = self._notice(endpoint, now)
+        return notice is not None and notice.leaving
+
     def stated_since(self, since: float) -> tuple[Notice, ...]:
         """Return the notices of answers after a time."""
         return tuple(
--- a/src/agatehoist/fleet/view.py
+++ b/src/agatehoist/fleet/view.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from agatehoist.fleet.statements import EndpointStatements
+from agatehoist.protocol.node_reports import endpoint_key
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -18,7 +21,8 @@
 class EndpointsView:
     """Track the endpoint entries in the store; times are in epoch seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, statements: EndpointStatements | None = None) -> None:
+        self._statements = statements or EndpointStatements()
         self.revision = 0
         self.by_name: dict[str, Endpoint] = {}
         self._removed_at_by_name: dict[str, float] = {}
@@ -58,9 +62,15 @@
         return tuple(
             each
             for each in self.by_name.values()
-            if each.service == service and not each.leaving
+            if each.service == service and not self.is_leaving(each, now)
         )
 
+    def is_leaving(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether an endpoint leaves, by its entry or by its own answers."""
+        if endpoint.leaving:
+            return True
+        return self._statements.is_leaving(endpoint_key(endpoint.lifetime), now)
+
     def version_of(self, endpoint: Endpoint, model: str) -> int:
         """Return the newest known weights version of an endpoint."""
         listed = endpoint.versions_by_model.get(model, UNKNOWN_VERSION)
--- a/src/agatehoist/gateway/crashes.py
+++ b/src/agatehoist/gateway/crashes.py
@@ -45,10 +45,13 @@
 
 def is_serving(state: GatewayState, endpoint: Endpoint) -> bool:
     """Return whether no planned work explains that an endpoint ends."""
+    now = state.clock.now()
     listed = state.fleet.by_name.get(endpoint.name)
-    if listed is None or listed.lifetime != endpoint.lifetime or listed.leaving:
+    if listed is None or listed.lifetime != endpoint.lifetime:
         return False
-    return not state.weights.is_changing(endpoint, state.clock.now())
+    if state.fleet.is_leaving(listed, now):
+        return False
+    return not state.weights.is_changing(endpoint, now)
 
 
 async def _has_ended(endpoint: Endpoint) -> bool:
--- a/src/agatehoist/gateway/endpoint_statements.py
+++ b/src/agatehoist/gateway/endpoint_statements.py
@@ -59,7 +59,7 @@
             leaving=notice.leaving,
             status=head.status,
         )
-        state.notice_outbox.add(notice, is_first_hand=True)
+        _apply(state, notice, is_first_hand=True)
 
 
 @DATAGRAM_HANDLERS.register(ENDPOINT_NOTICES)
@@ -78,7 +78,13 @@
                 leaving=notice.leaving,
                 age_s=round(now - notice.stated_at, 3),
             )
-            state.notice_outbox.add(notice, is_first_hand=False)
+            _apply(state, notice, is_first_hand=False)
+
+
+def _apply(state: GatewayState, notice: Notice, is_first_hand: bool) -> None:
+    state.notice_outbox.add(notice, is_first_hand)
+    if notice.leaving:
+        state.active_requests.consider_moves()
 
 
 async def send_notices(state: GatewayState, sock: socket.socket) -> None:
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -96,14 +96,14 @@
 
 
 def _must_move(state: GatewayState, endpoint: Endpoint) -> bool:
+    now = state.clock.now()
     current = state.fleet.by_name.get(endpoint.name)
     if (
         current is not None
         and current.lifetime == endpoint.lifetime
-        and current.leaving
+        and state.fleet.is_leaving(current, now)
     ):
         return True
-    now = state.clock.now()
     since = state.weights.changing_since(endpoint, now)
     return since is not None and now >= since + MOVE_DELAY_S
 
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -87,8 +87,8 @@
         # The configuration in force, None until one has been read.
         self.table: RoutingTable | None = None
         self.table_loaded_at = 0.0
-        self.fleet = EndpointsView()
         self.statements = EndpointStatements()
+        self.fleet = EndpointsView(self.statements)
         self.weights = WeightsView()
         self.load_changed = Wakeup()
         self.lines = StartLines(clock)
--- a/tests/test_fleet/test_statements.py
+++ b/tests/test_fleet/test_statements.py
@@ -17,6 +17,7 @@
 NAMED_AT = 100.0
 LIMITED = Statement(limit_per_s=2.0)
 PLAIN = Statement()
+LEAVING = Statement(leaving=True)
 
 
 class NoteTests(unittest.TestCase):
@@ -92,3 +93,21 @@
         notice = Notice(ENDPOINT, limit, leaving, stated_at)
         self.assertEqual(statements.accept(notice, 102.0), is_news)
         self.assertEqual(statements.limit_per_s(ENDPOINT, 102.0), expected)
+
+
+class LeavingTests(unittest.TestCase):
+    # What an endpoint says after it has said that it leaves, and when it is looked at.
+    @parameterized.expand(
+        [
+            ("says_so_again", LEAVING, 101.0, True),
+            ("says_nothing_more", PLAIN, 101.0, True),
+            ("expired", PLAIN, NAMED_AT + NOTICE_VALID_S + 3.0, False),
+        ]
+    )
+    def test_endpoint_that_leaves_does_not_return(
+        self, _name: str, second: Statement, looked_at: float, leaving: bool
+    ) -> None:
+        statements = EndpointStatements()
+        statements.note(ENDPOINT, LEAVING, 99.5, NAMED_AT)
+        statements.note(ENDPOINT, second, 100.5, 101.0)
+        self.assertEqual(statements.is_leaving(ENDPOINT, looked_at), leaving)
