Send nothing to an endpoint for as long as it asks in Retry-After

What callers saw: an endpoint that turned requests away with 503 and Retry-After went on getting them, each one a retry taken from the budget; a caller was told to come back after a fixed 0.25 s.

Cause: of the class of the limits, as Retry-After in an endpoint's answer wasn't read.

Change: the pause is kept as a deadline for the endpoint's lifetime, at this node alone, as it concerns no other. Neither requests nor moved runs go there before its end. If all endpoints of a service are paused or at their limits, callers are refused at once, with the time at which the first one takes requests again, at most a third of the time they have.

--- a/src/agatehoist/fleet/statements.py
+++ b/src/agatehoist/fleet/statements.py
@@ -7,6 +7,8 @@
 # An endpoint says nothing while it gets no requests, so what it said last holds for so
 # long. One that leaves has ended by then.
 NOTICE_VALID_S = 600.0
+# A longer pause is taken for an error of the endpoint.
+MAX_PAUSE_S = 600.0
 # Beyond this number, the endpoint without news for the longest time is forgotten.
 MAX_ENDPOINTS = 4096
 # Limits that differ by a smaller share are no news for other nodes.
@@ -47,6 +49,8 @@
 
     def __init__(self) -> None:
         self._notices_by_endpoint: dict[bytes, Notice] = {}
+        # Pauses concern this node alone, so they aren't told to others.
+        self._paused_until_by_endpoint: dict[bytes, float] = {}
 
     def note(
         self, endpoint: bytes, statement: Statement, sent_at: float, now: float
@@ -55,6 +59,8 @@
 
         Returns a notice if it is news for other nodes.
         """
+        if statement.paused_until is not None:
+            self._pause(endpoint, statement.paused_until, now)
         before = self._notice(endpoint, now)
         if before is None and statement.limit_per_s is None and not statement.leaving:
             return None
@@ -83,6 +89,11 @@
         notice = self._notice(endpoint, now)
         return notice.limit_per_s if notice is not None else None
 
+    def paused_until(self, endpoint: bytes, now: float) -> float | None:
+        """Return until when an endpoint wants nothing from this node, or None."""
+        until = self._paused_until_by_endpoint.get(endpoint)
+        return until if until is not None and now < until else None
+
     def is_leaving(self, endpoint: bytes, now: float) -> bool:
         """Return whether an endpoint has said that it leaves."""
         notice = self._notice(endpoint, now)
@@ -96,6 +107,13 @@
             if each.stated_at > since
         )
 
+    def _pause(self, endpoint: bytes, until: float, now: float) -> None:
+        paused = self._paused_until_by_endpoint
+        until = min(until, now + MAX_PAUSE_S)
+        paused[endpoint] = max(until, paused.pop(endpoint, until))
+        while len(paused) > MAX_ENDPOINTS:
+            del paused[next(iter(paused))]
+
     def _notice(self, endpoint: bytes, now: float) -> Notice | None:
         notice = self._notices_by_endpoint.get(endpoint)
         if notice is None or now >= notice.stated_at + NOTICE_VALID_S:
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from agatehoist.admission.line import RETRY_SHARE
 from agatehoist.attempts.types import (
     AttemptRefused,
     Ending,
@@ -18,6 +19,8 @@
 )
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.gateway.crashes import check_crash
+from agatehoist.gateway.endpoint_choice import urgency
+from agatehoist.gateway.endpoint_permits import earliest_start
 from agatehoist.gateway.endpoint_statements import note_statement
 from agatehoist.gateway.part_evidence import note_answered
 from agatehoist.gateway.prompt_cache import note_prompt_read
@@ -245,7 +248,7 @@
 
     def _reply_event(self, reply: Reply) -> Event:
         if self._state.platform.is_not_executed(reply.head):
-            retry_at = self._state.clock.now() + REJECTED_RETRY_DELAY_S
+            retry_at = self._rejected_retry_at()
             detail = f"{self.dispatch.endpoint.name} answered {reply.head.status}"
             return self._refused_event(NotStarted.refuse(detail, retry_at))
         failed = reply.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
@@ -255,6 +258,14 @@
             return self._refused_event(EndpointFailed.refuse(detail))
         return ReplyArrived(self.attempt_id, reply)
 
+    def _rejected_retry_at(self) -> float:
+        """Return when the caller may retry if no other endpoint takes the request."""
+        request, now = self._request, self._state.clock.now()
+        start_at = earliest_start(self._state, request.service, urgency(request), now)
+        # Callers follow no longer times.
+        usable_s = RETRY_SHARE * max(0.0, request.deadline - now)
+        return min(max(now + REJECTED_RETRY_DELAY_S, start_at), now + usable_s)
+
     async def _pass_stream_events(
         self, connection: ClientConnection, head: ReplyHead
     ) -> None:
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -8,7 +8,7 @@
 from agatehoist.core.identity import EndpointIdentity
 from agatehoist.core.work import PrefixLevel, Priority
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
-from agatehoist.gateway.endpoint_permits import is_refused
+from agatehoist.gateway.endpoint_permits import held_back_until
 from agatehoist.gateway.prompt_cache import (
     cache_salt_for,
     fetch_address,
@@ -116,7 +116,7 @@
     serving = tuple(
         each
         for each in state.fleet.serving(request.service, now)
-        if not is_refused(state, each, priority)
+        if held_back_until(state, each, priority) is None
     )
     prompt = request.envelope.prompt
     if prompt is None:
--- a/src/agatehoist/gateway/endpoint_permits.py
+++ b/src/agatehoist/gateway/endpoint_permits.py
@@ -1,4 +1,4 @@
-"""Permits for requests to endpoints that have named a limit."""
+"""Access to endpoints that have named a limit or asked this node for time."""
 
 from __future__ import annotations
 
@@ -37,8 +37,10 @@
 # A home in another data centre replies within a few milliseconds.
 PERMIT_TIMEOUT_S = 0.1
 MAX_REPLY_BYTES = 1024
-# Callers are told to come back as if the endpoints took at least this in total.
-MIN_TOTAL_LIMIT_PER_S = 0.5
+# Callers are told to come back as if the endpoints of a service took at least this in
+# total, and each one without a limit this.
+MIN_TOTAL_RATE_PER_S = 0.5
+UNLIMITED_RATE_PER_S = 20.0
 
 
 class PermitsUnavailableError(AgatehoistError):
@@ -73,51 +75,64 @@
     return False
 
 
-def is_refused(state: GatewayState, endpoint: Endpoint, priority: int) -> bool:
-    """Return whether a permit for an endpoint has just been refused."""
-    return _refused_until(state, endpoint, priority) is not None
-
-
 def is_limited(state: GatewayState, endpoint: Endpoint) -> bool:
     """Return whether an endpoint has named a limit."""
     key = endpoint_key(endpoint.lifetime)
     return state.statements.limit_per_s(key, state.clock.now()) is not None
 
 
-def limit_refusal(
+def held_back_until(
+    state: GatewayState, endpoint: Endpoint, priority: int
+) -> float | None:
+    """Return until when an endpoint gets no requests of a priority, or None.
+
+    It has asked this node for time, or its permits are spent.
+    """
+    key = endpoint_key(endpoint.lifetime)
+    now = state.clock.now()
+    paused_until = state.statements.paused_until(key, now)
+    refused_until = None
+    if state.statements.limit_per_s(key, now) is not None:
+        refused_until = state.permit_homes.refused_until(key, priority, now)
+    known = [each for each in (paused_until, refused_until) if each is not None]
+    return max(known, default=None)
+
+
+def earliest_start(
+    state: GatewayState, service: str, priority: int, now: float
+) -> float:
+    """Return when the first endpoint of a service takes requests of a priority."""
+    endpoints = state.fleet.serving(service, now)
+    held = (held_back_until(state, each, priority) or now for each in endpoints)
+    return min(held, default=now)
+
+
+def held_back_refusal(
     state: GatewayState, service: str, priority: int, deadline: float
 ) -> Refusal | None:
-    """Return the refusal of a request if all endpoints are at their limits.
+    """Return the refusal of a request if no endpoint of a service takes any now.
 
-    Returns None if any endpoint of the service has no limit, or a permit to give.
+    Returns None if an endpoint may be asked, or if there is none.
     """
     now = state.clock.now()
-    endpoints = state.fleet.serving(service, now)
-    refused_until = [_refused_until(state, each, priority) for each in endpoints]
-    known = [each for each in refused_until if each is not None]
-    if not known or len(known) < len(endpoints):
+    start_at = earliest_start(state, service, priority, now)
+    if start_at <= now:
         return None
-    limits = [
-        state.statements.limit_per_s(endpoint_key(each.lifetime), now) or 0.0
-        for each in endpoints
-    ]
-    # Each node spreads the returns over its part of the limits.
-    interval_s = len(_nodes(state)) / max(MIN_TOTAL_LIMIT_PER_S, sum(limits))
+    rates = (_rate_per_s(state, each) for each in state.fleet.serving(service, now))
+    # Each node spreads the returns over its part of what the endpoints take.
+    interval_s = len(_nodes(state)) / max(MIN_TOTAL_RATE_PER_S, sum(rates))
     return_times = state.return_times_by_service.setdefault(service, ReturnTimes())
-    retry_at = return_times.next_at(deadline, interval_s, now, min(known))
+    retry_at = return_times.next_at(deadline, interval_s, now, start_at)
     return Overloaded.refuse(
-        f"all endpoints of {service} are at the limits that they named", retry_at
+        f"all endpoints of {service} are at their limits or have asked for time",
+        retry_at,
     ).refusal
 
 
-def _refused_until(
-    state: GatewayState, endpoint: Endpoint, priority: int
-) -> float | None:
+def _rate_per_s(state: GatewayState, endpoint: Endpoint) -> float:
     key = endpoint_key(endpoint.lifetime)
-    now = state.clock.now()
-    if state.statements.limit_per_s(key, now) is None:
-        return None
-    return state.permit_homes.refused_until(key, priority, now)
+    limit_per_s = state.statements.limit_per_s(key, state.clock.now())
+    return UNLIMITED_RATE_PER_S if limit_per_s is None else limit_per_s
 
 
 def _nodes(state: GatewayState) -> frozenset[Address]:
--- a/src/agatehoist/gateway/offer_search.py
+++ b/src/agatehoist/gateway/offer_search.py
@@ -12,8 +12,8 @@
 from agatehoist.gateway.endpoint_choice import find_offers, urgency, work_priority
 from agatehoist.gateway.endpoint_permits import (
     acquire_permit,
+    held_back_refusal,
     is_limited,
-    limit_refusal,
 )
 from agatehoist.gateway.tickets import least_wait_s, make_ticket
 from agatehoist.limits.endpoint_permits import permit_priority
@@ -56,7 +56,7 @@
         offers = self._find_unlimited()
         if has_begun:
             return offers
-        refusal = None if offers else self._limit_refusal()
+        refusal = None if offers else self._held_back_refusal()
         if refusal is not None:
             return refusal
         return await self._find_room(offers)
@@ -113,9 +113,9 @@
         self.steps.append(f"waited {waited_ms} ms for room")
         return refusal
 
-    def _limit_refusal(self) -> Refusal | None:
+    def _held_back_refusal(self) -> Refusal | None:
         request = self._request
-        return limit_refusal(
+        return held_back_refusal(
             self._state, request.service, urgency(request), request.deadline
         )
 
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -11,8 +11,8 @@
 from agatehoist.gateway.endpoint_choice import required_version
 from agatehoist.gateway.endpoint_permits import (
     acquire_permit,
+    held_back_until,
     is_limited,
-    is_refused,
 )
 from agatehoist.observability.logs import get_logger
 from agatehoist.placement.types import Candidate, Offer
@@ -79,7 +79,7 @@
         if each.lifetime != source.lifetime
         and not state.weights.is_changing(each, now)
         and not state.suspects.is_suspected(each.name, now)
-        and not is_refused(state, each, MOVE_PRIORITY)
+        and held_back_until(state, each, MOVE_PRIORITY) is None
         and state.fleet.version_of(each, prompt.model) == version
     ]
     return min(
--- a/tests/test_fleet/test_statements.py
+++ b/tests/test_fleet/test_statements.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from agatehoist.fleet.statements import (
+    MAX_PAUSE_S,
     NOTICE_VALID_S,
     EndpointStatements,
     Notice,
@@ -111,3 +112,25 @@
         statements.note(ENDPOINT, LEAVING, 99.5, NAMED_AT)
         statements.note(ENDPOINT, second, 100.5, 101.0)
         self.assertEqual(statements.is_leaving(ENDPOINT, looked_at), leaving)
+
+
+class PauseTests(unittest.TestCase):
+    # The ends of two pauses that an endpoint asks for at 100 and 101, and what holds.
+    @parameterized.expand(
+        [
+            ("longer", 102.0, 105.0, 105.0),
+            ("shorter", 105.0, 102.0, 105.0),
+            ("over", 100.5, 101.2, None),
+            ("bounded", 1e9, 1e9, 101.0 + MAX_PAUSE_S),
+        ]
+    )
+    def test_pause_holds_for_this_node_until_its_end(
+        self, _name: str, first: float, second: float, expected: float | None
+    ) -> None:
+        statements = EndpointStatements()
+        for at, until in ((100.0, first), (101.0, second)):
+            notice = statements.note(
+                ENDPOINT, Statement(paused_until=until), at - 0.1, at
+            )
+            self.assertIsNone(notice)
+        self.assertEqual(statements.paused_until(ENDPOINT, 101.5), expected)
