Let unused permits of two seconds be used later

Cause: requests for an endpoint arrive unevenly, so with permits saved for one second about a tenth of a limit went unused while prompts were read elsewhere, without their cache.

Change: a home saves the permits of two seconds, and each account starts empty: another node, or the home before a restart, may have given out a burst. In any 4 s a limit L gets at most 6 L + 1 requests; endpoints bear 6 L + 5.

--- a/src/agatehoist/limits/bucket.py
+++ b/src/agatehoist/limits/bucket.py
@@ -11,14 +11,15 @@
 
 
 class _ResourceBucket:
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, burst_s: float) -> None:
+        self._burst_s = burst_s
         self.rate: float | None = None
         self.level = 0.0
         self._filled_at = now
 
     def set_rate(self, rate: float | None, now: float) -> None:
         if self.rate is None and rate is not None:
-            self.level = rate * BURST_S
+            self.level = rate * self._burst_s
             self._filled_at = now
         self.refill(now)
         self.rate = rate
@@ -28,7 +29,7 @@
             return
         elapsed = max(0.0, now - self._filled_at)
         self._filled_at = max(now, self._filled_at)
-        self.level = min(self.rate * BURST_S, self.level + elapsed * self.rate)
+        self.level = min(self.rate * self._burst_s, self.level + elapsed * self.rate)
 
     @property
     def available(self) -> float:
@@ -48,12 +49,12 @@
     """Admit requests while the levels for both requests and tokens are above zero.
 
     Over any period it admits at most the rate times the period, plus one burst, plus
-    the largest single amount.
+    the largest single amount. A burst is what the rate allows in `burst_s`.
     """
 
-    def __init__(self, ceiling: Ceiling, now: float) -> None:
-        self._requests = _ResourceBucket(now)
-        self._tokens = _ResourceBucket(now)
+    def __init__(self, ceiling: Ceiling, now: float, burst_s: float = BURST_S) -> None:
+        self._requests = _ResourceBucket(now, burst_s)
+        self._tokens = _ResourceBucket(now, burst_s)
         self.set_ceiling(ceiling, now)
 
     def set_ceiling(self, ceiling: Ceiling, now: float) -> None:
--- a/src/agatehoist/limits/endpoint_permits.py
+++ b/src/agatehoist/limits/endpoint_permits.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from agatehoist.limits.bucket import Bucket
-from agatehoist.limits.types import BURST_S, Amount, Ceiling
+from agatehoist.limits.types import Amount, Ceiling
 from agatehoist.placement.ranking import rank
 from agatehoist.placement.types import Candidate
 
@@ -21,6 +21,9 @@
     from agatehoist.core.address import Address
 
 ONE_REQUEST = Amount(requests=1.0)
+# Unused permits for this time may be used later, as requests arrive unevenly. Endpoints
+# bear half as much again as their limits over a few seconds.
+PERMIT_BURST_S = 2.0
 # An endpoint that takes nothing gets a request now and then, whose answer tells when
 # its limit has ended.
 MIN_RATE_PER_S = 0.1
@@ -82,7 +85,9 @@
 
 class _Account:
     def __init__(self, rate: float, now: float) -> None:
-        self.bucket = Bucket(Ceiling(requests_per_s=rate), now)
+        self.bucket = Bucket(Ceiling(requests_per_s=rate), now, PERMIT_BURST_S)
+        # Another node, or this one before a restart, may have given out a burst.
+        self.bucket.take(self.bucket.available(now))
         self.equal_from = 0.0
         self.retained_until = 0.0
 
@@ -105,16 +110,13 @@
         account = self._accounts_by_endpoint.get(request.endpoint)
         if account is None:
             account = self._accounts_by_endpoint[request.endpoint] = _Account(rate, now)
-            # The home may have just given out what a full bucket holds.
-            if not is_home:
-                account.bucket.take(account.bucket.available(now))
         account.retained_until = now + ACCOUNT_RETENTION_S
         account.bucket.set_ceiling(Ceiling(requests_per_s=rate), now)
         level = account.bucket.available(now).requests
         reserved = 0.0
         if now < account.equal_from or request.priority >= LEFTOVER:
             steps = min(request.priority, LEFTOVER)
-            reserved = RESERVED_SHARE * steps * rate * BURST_S
+            reserved = RESERVED_SHARE * steps * rate * PERMIT_BURST_S
         if level <= reserved:
             return Permit(False, now + (reserved - level) / rate)
         account.bucket.take(ONE_REQUEST)
