Log the eras of the store and the updates that are ignored as older

Nothing told whether updates were dropped or never came, nor which history an answer was from. The client logs each era that begins, by Store-Era; the feed logs each update that is older than what it knows. No decision uses either.

--- a/src/agatehoist/gateway/store_feed.py
+++ b/src/agatehoist/gateway/store_feed.py
@@ -9,6 +9,7 @@
 import anyio
 
 from agatehoist.gateway.topics import TOPICS
+from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.store_feed import FeedReply
 from agatehoist.storage.objects import Listing
 from agatehoist.storage.replica import Replica
@@ -20,6 +21,8 @@
     from agatehoist.gateway.topics import Topic
     from agatehoist.protocol.store_feed import FeedRequest, Update
 
+logger = get_logger("gateway")
+
 # A watcher whose watch has been silent for this much longer than it lasts has lost the
 # store.
 CONTACT_MARGIN_S = 0.5
@@ -104,6 +107,12 @@
         """Apply an update to a topic unless a newer one was applied before."""
         before = self.revisions_by_topic[name]
         if update.revision < before:
+            logger.info(
+                "older update ignored",
+                topic=name,
+                revision=update.revision,
+                known=before,
+            )
             return
         replica = self._replicas_by_topic.get(name)
         if replica is not None:
--- a/src/agatehoist/platform/names.py
+++ b/src/agatehoist/platform/names.py
@@ -10,6 +10,9 @@
 ORDER_TARGET = b"/agatehoist/order"
 MOVE_TARGET = b"/agatehoist/kv-move"
 
+# The store counts its eras, each of which begins when it comes back from an older copy.
+STORE_ERA = b"store-era"
+
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 ENDPOINT_KIND = "servers"
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -19,7 +19,9 @@
 from agatehoist.http1.errors import ConnectionFailedError, InvalidReplyError
 from agatehoist.http1.pool import ConnectionPool
 from agatehoist.http1.types import Reply, ReplyHead, RequestHead
+from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import PLATFORM_CALLS_TOTAL
+from agatehoist.platform import names
 from agatehoist.platform.names import OBJECTS_PATH
 from agatehoist.storage.backoff import Backoff
 from agatehoist.storage.errors import (
@@ -37,6 +39,8 @@
 
     from agatehoist.core.clock import Clock
 
+logger = get_logger("platform")
+
 # A reply takes 4 ms; during an outage it may take a hundred times as long.
 CALL_TIMEOUT_S = 1.5
 # A watch that exceeds its wait time by this much counts as lost.
@@ -68,6 +72,7 @@
         self._address = address
         self._clock = clock
         self._failing_since = math.inf
+        self._era = 0
         self._pool = ConnectionPool(clock)
         self._rng = random.Random()
         self.relays: Callable[[], Iterable[Address]] = tuple
@@ -253,6 +258,12 @@
         relays = sorted(self.relays(), key=str)
         return self._rng.choice(relays) if relays else None
 
+    def _note_era(self, head: ReplyHead) -> None:
+        era = _read_era(head)
+        if era > self._era:
+            logger.warning("store era began", era=era, before=self._era)
+            self._era = era
+
     async def _exchange(
         self, method: str, target: str, body: Any, address: Address
     ) -> tuple[int, bytes]:
@@ -266,9 +277,16 @@
         reply = await self._pool.exchange(
             str(address), address, head, data, MAX_REPLY_BYTES
         )
+        self._note_era(reply.head)
         return reply.head.status, reply.body
 
 
+def _read_era(head: ReplyHead) -> int:
+    """Return the era that a reply of the store states, 0 if it states none."""
+    value = head.value(names.STORE_ERA) or b""
+    return int(value) if value.isdigit() else 0
+
+
 def _decode_reply(call_text: str, status: int, reply_body: bytes) -> dict[str, Any]:
     if status == HTTPStatus.NOT_FOUND:
         raise ObjectNotFoundError(call_text)
