Follow the new arguments of the return times in their tests

They check the same times; the spread is now checked through the line, which computes the work from the rate.

--- a/tests/test_admission/test_line.py
+++ b/tests/test_admission/test_line.py
@@ -81,14 +81,13 @@
     def test_first_return(
         self, _name: str, room_s: float, left_s: float, expected_s: float
     ) -> None:
-        request = replace(REQUEST, deadline=NOW + left_s)
-        at = ReturnTimes(1000.0).next_at(request, NOW, NOW + room_s)
+        at = ReturnTimes().next_at(NOW + left_s, 0.4, NOW, NOW + room_s)
         self.assertAlmostEqual(at, NOW + expected_s)
 
     def test_returns_are_spread_in_the_order_of_refusals(self) -> None:
-        times = ReturnTimes(1000.0)
+        line = Line(1000.0)
         patient = replace(REQUEST, deadline=NOW + 100.0)
-        ats = [times.next_at(patient, NOW, NOW) for _ in range(30)]
+        ats = [line.refuse(patient, NOW, NOW).retry_at or 0.0 for _ in range(30)]
         self.assertEqual(ats, sorted(ats))
         # 400 tokens take 0.4 s at this rate.
         self.assertAlmostEqual(ats[1] - ats[0], 0.4)
