Order what the store says by its eras, not by revisions alone

Each update of the new history was dropped as older, until its revisions passed those of the lost one; the log of 'older update ignored' shows every list after the return.

Change: a Revision is an era and a number, compared in this order, and the client reads the era of each answer (Store-Era). A watch or a conditional write from another era isn't taken up, a list is of one era, an answer of an earlier era is none, a relayed read tells its era, and replicas and followers compare eras too (version 2 of the feed). When an era begins, all topics are read again.

--- a/src/agatehoist/fleet/view.py
+++ b/src/agatehoist/fleet/view.py
@@ -6,11 +6,13 @@
 
 from agatehoist.fleet.statements import EndpointStatements
 from agatehoist.protocol.node_reports import endpoint_key
+from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from agatehoist.fleet.types import Endpoint
+    from agatehoist.storage.revisions import Revision
 
 # Entries that expired during a store outage are back within about two seconds.
 STORE_RETURN_GRACE_S = 2.5
@@ -23,7 +25,7 @@
 
     def __init__(self, statements: EndpointStatements | None = None) -> None:
         self._statements = statements or EndpointStatements()
-        self.revision = 0
+        self.revision = NO_REVISION
         self.by_name: dict[str, Endpoint] = {}
         self._removed_at_by_name: dict[str, float] = {}
         self._observed_versions: dict[tuple[str, str], int] = {}
@@ -34,7 +36,9 @@
         """Keep entries that are missing after an outage for `STORE_RETURN_GRACE_S`."""
         self._grace_ends_at = now + STORE_RETURN_GRACE_S
 
-    def replace(self, endpoints: Iterable[Endpoint], revision: int, now: float) -> None:
+    def replace(
+        self, endpoints: Iterable[Endpoint], revision: Revision, now: float
+    ) -> None:
         """Replace all entries by a complete list."""
         listed = {each.name: each for each in endpoints}
         for name in self.by_name.keys() - listed.keys():
--- a/src/agatehoist/gateway/plan_lease.py
+++ b/src/agatehoist/gateway/plan_lease.py
@@ -63,7 +63,7 @@
             "plan taken over",
             model=self._model,
             before=seen.plan.holder if seen else "",
-            revision=seen.revision if seen else 0,
+            revision=str(seen.revision) if seen else "",
             order_in_s=round(max(0, times.order_at - now), 2),
         )
         return True
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -333,7 +333,7 @@
             service=request.service,
             prompt=self._last_shared_part(),
             configuration=request.table_version,
-            fleet=self._state.fleet.revision,
+            fleet=str(self._state.fleet.revision),
             steps=self._steps,
             outcome=self._outcome,
             in_flight=self._state.in_flight.count,
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -31,6 +31,7 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.quarantine.part_quarantine import PartQuarantine
 from agatehoist.quarantine.types import Answer, Crash, Quarantine
+from agatehoist.storage.revisions import NO_REVISION
 from agatehoist.weights.view import WeightsView
 
 if TYPE_CHECKING:
@@ -83,6 +84,7 @@
         self.platform = platform
         self.store = store
         store.relays = self.peers
+        store.on_new_era = self._note_new_era
         self._task_group = task_group
         # The configuration in force, None until one has been read.
         self.table: RoutingTable | None = None
@@ -135,7 +137,8 @@
     def ready(self) -> bool:
         """Return whether this node can serve callers."""
         # The fleet has a revision once its endpoints have been listed.
-        return not self.leaving and self.table is not None and bool(self.fleet.revision)
+        has_endpoints = self.fleet.revision != NO_REVISION
+        return not self.leaving and self.table is not None and has_endpoints
 
     def record_plan(self, seen: SeenPlan) -> None:
         """Record a roll-out plan read or written, unless a newer one is known.
@@ -155,7 +158,7 @@
             holder=plan.holder,
             target=plan.target,
             changing=plan.changing,
-            revision=seen.revision,
+            revision=str(seen.revision),
         )
         self.rollout_wakeup.set()
 
@@ -208,6 +211,10 @@
         for retry_budget in self._retry_budgets_by_service.values():
             retry_budget.set_slack(self._retry_slack())
 
+    def _note_new_era(self) -> None:
+        """Read all topics again, as the store has come back from an older copy."""
+        self.feed.renew_watches()
+
     def peers(self) -> frozenset[Address]:
         """Return the addresses of the other nodes."""
         return (self.nodes | set(self.settings.seeds)) - {self.settings.inner}
--- a/src/agatehoist/gateway/store_feed.py
+++ b/src/agatehoist/gateway/store_feed.py
@@ -13,6 +13,7 @@
 from agatehoist.protocol.store_feed import FeedReply
 from agatehoist.storage.objects import Listing
 from agatehoist.storage.replica import Replica
+from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -37,8 +38,8 @@
         self.topics_by_name: dict[str, Topic] = {
             str(name): TOPICS[name]() for name in TOPICS
         }
-        # The revision of the last update of each topic, 0 before the first one.
-        self.revisions_by_topic = dict.fromkeys(self.topics_by_name, 0)
+        # The revision of the last update of each topic.
+        self.revisions_by_topic = dict.fromkeys(self.topics_by_name, NO_REVISION)
         self._replicas_by_topic: dict[str, Replica] = {}
         self._valid_until_by_topic: dict[str, float] = {}
         self._watch_scopes_by_topic: dict[str, anyio.CancelScope] = {}
@@ -110,8 +111,8 @@
             logger.info(
                 "older update ignored",
                 topic=name,
-                revision=update.revision,
-                known=before,
+                revision=str(update.revision),
+                known=str(before),
             )
             return
         replica = self._replicas_by_topic.get(name)
--- a/src/agatehoist/gateway/store_follow.py
+++ b/src/agatehoist/gateway/store_follow.py
@@ -17,6 +17,7 @@
     encode_request,
 )
 from agatehoist.storage.errors import HistoryLostError, PlatformError
+from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
     from http import HTTPStatus
@@ -117,12 +118,12 @@
             revision = state.feed.revisions_by_topic[name]
             update: Update
             try:
-                if revision:
+                if revision != NO_REVISION:
                     update = await state.store.watch(kind, revision, DIRECT_WATCH_S)
                 else:
                     update = await state.store.list(kind)
             except HistoryLostError:
-                state.feed.revisions_by_topic[name] = 0
+                state.feed.revisions_by_topic[name] = NO_REVISION
                 continue
             except PlatformError as error:
                 logger.info("store not read", topic=name, reason=str(error))
--- a/src/agatehoist/gateway/store_watch.py
+++ b/src/agatehoist/gateway/store_watch.py
@@ -12,12 +12,14 @@
 from agatehoist.storage.backoff import Backoff
 from agatehoist.storage.errors import HistoryLostError, PlatformError
 from agatehoist.storage.objects import Changes, Listing
+from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
     from agatehoist.gateway.state import GatewayState
     from agatehoist.gateway.topics import Topic
+    from agatehoist.storage.revisions import Revision
 
 logger = get_logger("gateway")
 
@@ -68,7 +70,7 @@
     state.feed.start_serving()
     for name in state.feed.topics_by_name:
         # The replicas are filled by whole lists.
-        state.feed.revisions_by_topic[name] = 0
+        state.feed.revisions_by_topic[name] = NO_REVISION
         task_group.start_soon(_follow_topic, state, name)
 
 
@@ -82,7 +84,7 @@
 async def _follow_topic(state: GatewayState, name: str) -> None:
     topic = state.feed.topics_by_name[name]
     backoff = Backoff(state.rng, FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
-    revision: int | None = state.feed.revisions_by_topic[name] or None
+    revision = state.feed.revisions_by_topic[name]
     is_store_reachable = True
     is_watch_short = False
     while True:
@@ -91,8 +93,10 @@
         try:
             update = await _read(state, name, revision, watch_s)
         except HistoryLostError:
-            logger.info("history lost, listing again", topic=name, revision=revision)
-            revision = None
+            logger.info(
+                "history lost, listing again", topic=name, revision=str(revision)
+            )
+            revision = NO_REVISION
             is_watch_short = True
             continue
         except PlatformError as error:
@@ -109,7 +113,7 @@
             is_watch_short = True
             continue
         if not is_store_reachable:
-            logger.info("store regained", topic=name, revision=update.revision)
+            logger.info("store regained", topic=name, revision=str(update.revision))
             state.fleet.start_grace_period(state.clock.now())
         is_store_reachable = True
         backoff.reset()
@@ -136,11 +140,11 @@
 
 
 async def _read(
-    state: GatewayState, name: str, revision: int | None, watch_s: float
+    state: GatewayState, name: str, revision: Revision, watch_s: float
 ) -> Listing | Changes | None:
     """Return a whole list, the changes, or None if the watch is to be renewed."""
     kind = state.feed.topics_by_name[name].kind(state.platform.kinds)
-    if revision is None:
+    if revision == NO_REVISION:
         return await state.store.list(kind)
     if watch_s <= RECOVERY_WATCH_S:
         return await state.store.watch(kind, revision, watch_s)
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -95,7 +95,7 @@
             "configuration in force",
             version=table.version,
             before=before,
-            revision=value.revision,
+            revision=str(value.revision),
         )
 
 
@@ -117,7 +117,9 @@
         found = [each for each in read if each is not None]
         state.fleet.replace(found, listing.revision, state.clock.now())
         state.forget(state.fleet.pop_ended())
-        logger.info("endpoints listed", count=len(found), revision=listing.revision)
+        logger.info(
+            "endpoints listed", count=len(found), revision=str(listing.revision)
+        )
 
     def change(self, state: GatewayState, changes: Changes) -> None:
         """Apply changes in order."""
@@ -141,12 +143,14 @@
             endpoint=endpoint.lifetime,
             leaving=endpoint.leaving,
             weights=endpoint.versions_by_model,
-            revision=value.revision,
+            revision=str(value.revision),
         )
 
     def _remove(self, state: GatewayState, value: StoredValue) -> None:
         state.fleet.remove(value.name, state.clock.now())
-        logger.info("endpoint removed", endpoint=value.name, revision=value.revision)
+        logger.info(
+            "endpoint removed", endpoint=value.name, revision=str(value.revision)
+        )
 
 
 @TOPICS.register("weights")
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -8,6 +8,7 @@
 import json
 import math
 import random
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -33,6 +34,7 @@
     RateLimitedError,
 )
 from agatehoist.storage.objects import Changes, Listing, ObjectChange, StoredValue
+from agatehoist.storage.revisions import NO_REVISION, Revision
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -62,6 +64,53 @@
 RELAYED_READ_TIMEOUT_S = 31.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Hold the fields of a successful reply and the era that it is from."""
+
+    fields: dict[str, Any]
+    era: int
+
+    def revision(self) -> Revision:
+        """Return the revision of the store as of the reply.
+
+        Raises PlatformUnavailableError.
+        """
+        number = self.fields.get("CurrentRev")
+        if not isinstance(number, int):
+            raise PlatformUnavailableError("reply of the store has no revision")
+        return Revision(self.era, number)
+
+    def values(self, name: str) -> list[StoredValue]:
+        """Return the objects in a list.
+
+        Raises PlatformUnavailableError.
+        """
+        return [self.value(each) for each in _parse_items(self.fields, name)]
+
+    def only_value(self) -> StoredValue:
+        """Return the object that the reply consists of.
+
+        Raises PlatformUnavailableError.
+        """
+        return self.value(self.fields)
+
+    def value(self, item: Any) -> StoredValue:
+        """Return an object that the reply holds.
+
+        Raises PlatformUnavailableError.
+        """
+        metadata = item.get("Metadata") if isinstance(item, dict) else None
+        if not isinstance(metadata, dict):
+            raise PlatformUnavailableError("object of the store has no metadata")
+        name, number = metadata.get("Name"), metadata.get("Revision")
+        if not isinstance(name, str) or not isinstance(number, int):
+            raise PlatformUnavailableError(
+                "object of the store has no name or revision"
+            )
+        return StoredValue(name, Revision(self.era, number), item.get("Spec"))
+
+
 class PlatformStore:
     """Read, watch and write objects; a read that fails is retried through a peer.
 
@@ -76,6 +125,7 @@
         self._pool = ConnectionPool(clock)
         self._rng = random.Random()
         self.relays: Callable[[], Iterable[Address]] = tuple
+        self.on_new_era: Callable[[], None] = lambda: None
 
     @property
     def is_failing(self) -> bool:
@@ -95,42 +145,55 @@
         Raises PlatformUnavailableError.
         """
         values: list[StoredValue] = []
-        revision: int | None = None
+        revision = NO_REVISION
         after = ""
         deadline = self._clock.now() + LIST_TIMEOUT_S
         while True:
             query = {"AllowStale": "1"} if allow_stale else {}
             if after:
                 query["after"] = after
-            page = await self._read_page(kind, query, deadline)
-            values += [_parse_value(each) for each in _parse_items(page, "items")]
+            answer = await self._read_page(kind, query, deadline)
+            if after and answer.era != revision.era:
+                # The pages of a list must be from one era.
+                values, after = [], ""
+                continue
+            values += answer.values("items")
             # A watch from the first page's revision repeats changes made meanwhile.
-            revision = _parse_revision(page) if revision is None else revision
-            if not page.get("HasMore") or not values:
+            revision = revision if after else answer.revision()
+            if not answer.fields.get("HasMore") or not values:
                 return Listing(tuple(values), revision)
             after = values[-1].name
 
-    async def watch(self, kind: str, revision: int, timeout_s: float) -> Changes:
+    async def watch(self, kind: str, revision: Revision, timeout_s: float) -> Changes:
         """Return the changes after a revision, or none if none occur in time.
 
         Raises HistoryLostError and PlatformUnavailableError.
         """
-        query = {"Watch": revision, "WaitMs": int(timeout_s * MS_PER_S)}
-        page = await self._call(
+        self._check_era(kind, revision)
+        query = {"Watch": revision.number, "WaitMs": int(timeout_s * MS_PER_S)}
+        answer = await self._call(
             "GET", f"/{kind}", query, timeout_s=timeout_s + WATCH_MARGIN_S
         )
+        # The new era may have given out the same number for another state.
+        self._check_era(kind, revision)
         changes = [
-            ObjectChange(_parse_value(each.get("Object")), each.get("Deleted") is True)
-            for each in _parse_items(page, "Events")
+            ObjectChange(answer.value(each.get("Object")), each.get("Deleted") is True)
+            for each in _parse_items(answer.fields, "Events")
         ]
-        return Changes(tuple(changes), _parse_revision(page))
+        return Changes(tuple(changes), answer.revision())
+
+    def _check_era(self, kind: str, revision: Revision) -> None:
+        if revision.era != self._era:
+            raise HistoryLostError(
+                f"{kind}: revision {revision} is not of the store's era {self._era}"
+            )
 
     async def get(self, kind: str, name: str) -> StoredValue:
         """Return one object.
 
         Raises ObjectNotFoundError and PlatformUnavailableError.
         """
-        return _parse_value(await self._call("GET", f"/{kind}/{name}"))
+        return (await self._call("GET", f"/{kind}/{name}")).only_value()
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredValue:
         """Create an object.
@@ -138,21 +201,28 @@
         Raises ConflictError and PlatformUnavailableError.
         """
         body = {"Metadata": {"Name": name}, "Spec": spec}
-        return _parse_value(await self._call("POST", f"/{kind}", body=body))
+        return (await self._call("POST", f"/{kind}", body=body)).only_value()
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self, kind: str, name: str, spec: Any, revision: Revision
     ) -> StoredValue:
         """Write an object if it is at the revision.
 
         Raises ConflictError, ObjectNotFoundError and PlatformUnavailableError.
         """
-        body = {"Metadata": {"Name": name, "Revision": revision}, "Spec": spec}
-        return _parse_value(await self._call("PUT", f"/{kind}/{name}", body=body))
+        metadata = {"Name": name, "Revision": revision.number}
+        body = {"Metadata": metadata, "Spec": spec}
+        if revision.era < self._era:
+            raise ConflictError(f"PUT /{kind}/{name}: {revision} is of an earlier era")
+        answer = await self._call("PUT", f"/{kind}/{name}", body=body)
+        if answer.era != revision.era:
+            # The number happened to fit an object that this process has never read.
+            raise ConflictError(f"PUT /{kind}/{name}: written in era {answer.era}")
+        return answer.only_value()
 
     async def _read_page(
         self, kind: str, query: dict[str, Any], deadline: float
-    ) -> dict[str, Any]:
+    ) -> _Answer:
         backoff = Backoff(self._rng, FIRST_PAGE_RETRY_DELAY_S, MAX_PAGE_RETRY_DELAY_S)
         while True:
             try:
@@ -171,7 +241,7 @@
         query: dict[str, Any] | None = None,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> dict[str, Any]:
+    ) -> _Answer:
         target = f"{OBJECTS_PATH}{path}"
         if query:
             target += f"?{urlencode(query)}"
@@ -204,10 +274,13 @@
         if not target_text.startswith(f"{OBJECTS_PATH}/"):
             raise PlatformUnavailableError(f"GET {target_text:.80}: not an object path")
         call_text = f"relayed GET {target_text:.80}"
-        status, reply_body = await self._send(
+        reply = await self._send(
             call_text, "GET", target_text, None, self._address, RELAYED_READ_TIMEOUT_S
         )
-        return Reply(ReplyHead(status, ()), reply_body)
+        # The peer must learn from which era the objects are.
+        era = reply.head.value(names.STORE_ERA)
+        headers = () if era is None else ((names.STORE_ERA, era),)
+        return Reply(ReplyHead(reply.head.status, headers), reply.body)
 
     async def _call_once(
         self,
@@ -217,11 +290,13 @@
         body: Any,
         address: Address,
         timeout_s: float,
-    ) -> dict[str, Any]:
-        status, reply_body = await self._send(
-            call_text, method, target, body, address, timeout_s
+    ) -> _Answer:
+        reply = await self._send(call_text, method, target, body, address, timeout_s)
+        self._note_era(call_text, reply.head)
+        return _Answer(
+            _decode_reply(call_text, reply.head.status, reply.body),
+            _read_era(reply.head),
         )
-        return _decode_reply(call_text, status, reply_body)
 
     async def _send(
         self,
@@ -231,12 +306,12 @@
         body: Any,
         address: Address,
         timeout_s: float,
-    ) -> tuple[int, bytes]:
+    ) -> Reply:
         outcome = "lost"
         try:
             with anyio.fail_after(timeout_s):
-                status, reply_body = await self._exchange(method, target, body, address)
-            outcome = str(status)
+                reply = await self._exchange(method, target, body, address)
+            outcome = str(reply.head.status)
         except TimeoutError as error:
             raise PlatformUnavailableError(f"{call_text}: timed out") from error
         except (ConnectionFailedError, InvalidReplyError) as error:
@@ -244,7 +319,7 @@
         finally:
             # storage.client has Purpose values and other outcomes in these labels.
             PLATFORM_CALLS_TOTAL.inc({"purpose": method, "outcome": outcome})
-        return status, reply_body
+        return reply
 
     def _choose_relay(self, after_s: float) -> Address | None:
         """Return a random peer, or None until the store has failed for long enough.
@@ -258,15 +333,24 @@
         relays = sorted(self.relays(), key=str)
         return self._rng.choice(relays) if relays else None
 
-    def _note_era(self, head: ReplyHead) -> None:
+    def _note_era(self, call_text: str, head: ReplyHead) -> None:
+        """Record the era of a reply.
+
+        Raises PlatformUnavailableError if the reply is from an earlier one.
+        """
         era = _read_era(head)
         if era > self._era:
             logger.warning("store era began", era=era, before=self._era)
             self._era = era
+            self.on_new_era()
+        if era < self._era and head.status < HTTPStatus.BAD_REQUEST:
+            raise PlatformUnavailableError(
+                f"{call_text}: answered in era {era}, after era {self._era} began"
+            )
 
     async def _exchange(
         self, method: str, target: str, body: Any, address: Address
-    ) -> tuple[int, bytes]:
+    ) -> Reply:
         headers = [(b"host", str(address).encode())]
         data = b""
         if body is not None:
@@ -274,11 +358,9 @@
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(data)).encode()))
         head = RequestHead(method.encode(), target.encode(), tuple(headers))
-        reply = await self._pool.exchange(
+        return await self._pool.exchange(
             str(address), address, head, data, MAX_REPLY_BYTES
         )
-        self._note_era(reply.head)
-        return reply.head.status, reply.body
 
 
 def _read_era(head: ReplyHead) -> int:
@@ -314,20 +396,3 @@
     if not isinstance(items, list):
         raise PlatformUnavailableError(f"reply of the store has no list {name}")
     return [each for each in items if isinstance(each, dict)]
-
-
-def _parse_revision(page: dict[str, Any]) -> int:
-    revision = page.get("CurrentRev")
-    if not isinstance(revision, int):
-        raise PlatformUnavailableError("reply of the store has no revision")
-    return revision
-
-
-def _parse_value(item: Any) -> StoredValue:
-    metadata = item.get("Metadata") if isinstance(item, dict) else None
-    if not isinstance(metadata, dict):
-        raise PlatformUnavailableError("object of the store has no metadata")
-    name, revision = metadata.get("Name"), metadata.get("Revision")
-    if not isinstance(name, str) or not isinstance(revision, int):
-        raise PlatformUnavailableError("object of the store has no name or revision")
-    return StoredValue(name, revision, item.get("Spec"))
--- a/src/agatehoist/protocol/store_feed.py
+++ b/src/agatehoist/protocol/store_feed.py
@@ -9,8 +9,9 @@
 
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.storage.objects import Changes, Listing, ObjectChange, StoredValue
+from agatehoist.storage.revisions import Revision
 
-VERSION = 1
+VERSION = 2
 FEED_TARGET = b"/store-feed"
 MAX_TOPICS = 16
 MAX_WAIT_S = 5.0
@@ -22,12 +23,12 @@
 class FeedRequest:
     """Ask for what has changed since the revision known of each topic.
 
-    A revision of 0 asks for a whole list. The reply is held for `wait_s` while nothing
-    has changed.
+    NO_REVISION asks for a whole list. The reply is held for `wait_s` while nothing has
+    changed.
     """
 
     wait_s: float
-    revisions_by_topic: dict[str, int]
+    revisions_by_topic: dict[str, Revision]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +40,11 @@
 
 def encode_request(request: FeedRequest) -> bytes:
     """Encode a request."""
-    data: bytes = msgpack.packb([VERSION, request.wait_s, request.revisions_by_topic])
+    revisions = {
+        topic: [revision.era, revision.number]
+        for topic, revision in request.revisions_by_topic.items()
+    }
+    data: bytes = msgpack.packb([VERSION, request.wait_s, revisions])
     return data
 
 
@@ -56,10 +61,13 @@
             raise ValueError(f"wait of {wait_s!r} s is out of range")
         if not isinstance(revisions, dict) or len(revisions) > MAX_TOPICS:
             raise ValueError("the revisions are not a short mapping")
-        for topic, revision in revisions.items():
-            _check(topic, str)
-            _check_revision(revision)
-        return FeedRequest(wait_s, revisions)
+        return FeedRequest(
+            wait_s,
+            {
+                _check(topic, str): _decode_revision(*each)
+                for topic, each in revisions.items()
+            },
+        )
     except (ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
         raise BadFrameError(f"invalid feed request: {error}") from error
 
@@ -67,7 +75,12 @@
 def encode_reply(reply: FeedReply) -> bytes:
     """Encode a reply."""
     updates = {
-        topic: [isinstance(update, Listing), update.revision, _encode_objects(update)]
+        topic: [
+            isinstance(update, Listing),
+            update.revision.era,
+            update.revision.number,
+            _encode_objects(update),
+        ]
         for topic, update in reply.updates_by_topic.items()
     }
     data: bytes = msgpack.packb([VERSION, updates])
@@ -100,23 +113,29 @@
 
 def _encode_objects(update: Update) -> list[list[Any]]:
     if isinstance(update, Listing):
-        return [[each.name, each.revision, False, each.spec] for each in update.values]
+        return [
+            [each.name, each.revision.number, False, each.spec]
+            for each in update.values
+        ]
     return [
-        [each.value.name, each.value.revision, each.removed, each.value.spec]
+        [each.value.name, each.value.revision.number, each.removed, each.value.spec]
         for each in update.changes
     ]
 
 
-def _decode_update(is_list: Any, revision: Any, objects: Any) -> Update:
-    _check_revision(revision)
-    changes = tuple(_decode_object(*each) for each in objects)
+def _decode_update(is_list: Any, era: Any, number: Any, objects: Any) -> Update:
+    revision = _decode_revision(era, number)
+    # All objects of an update are from one era.
+    changes = tuple(_decode_object(era, *each) for each in objects)
     if is_list is True:
         return Listing(tuple(each.value for each in changes), revision)
     return Changes(changes, revision)
 
 
-def _decode_object(name: Any, revision: Any, removed: Any, spec: Any) -> ObjectChange:
-    _check_revision(revision)
+def _decode_object(
+    era: int, name: Any, number: Any, removed: Any, spec: Any
+) -> ObjectChange:
+    revision = _decode_revision(era, number)
     return ObjectChange(StoredValue(_check(name, str), revision, spec), removed is True)
 
 
@@ -126,6 +145,8 @@
     return value
 
 
-def _check_revision(value: Any) -> None:
-    if type(value) is not int or value < 0:
-        raise ValueError(f"revision {value!r:.40} is not a non-negative integer")
+def _decode_revision(era: Any, number: Any) -> Revision:
+    for value in (era, number):
+        if type(value) is not int or value < 0:
+            raise ValueError(f"revision {value!r:.40} is not a non-negative integer")
+    return Revision(era, number)
--- a/src/agatehoist/storage/objects.py
+++ b/src/agatehoist/storage/objects.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
+from agatehoist.storage.revisions import Revision
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -20,7 +22,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     spec: Any
 
 
@@ -29,7 +31,7 @@
     """Hold all objects of a kind as of a revision of the store."""
 
     values: tuple[StoredValue, ...]
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +47,7 @@
     """Hold the changes up to a revision of the store, in order."""
 
     changes: tuple[ObjectChange, ...]
-    revision: int
+    revision: Revision
 
 
 class ObjectStore(Protocol):
@@ -53,6 +55,8 @@
 
     # Returns the peers through which failed reads are retried.
     relays: Callable[[], Iterable[Address]]
+    # Called when the store has come back from an older copy.
+    on_new_era: Callable[[], None]
 
     @property
     def is_failing(self) -> bool:
@@ -67,7 +71,7 @@
     async def list(self, kind: str, allow_stale: bool = False) -> Listing:
         """Return all objects of a kind; a stale list is cheaper but seconds old."""
 
-    async def watch(self, kind: str, revision: int, timeout_s: float) -> Changes:
+    async def watch(self, kind: str, revision: Revision, timeout_s: float) -> Changes:
         """Return the changes after a revision, or none if none occur in time."""
 
     async def get(self, kind: str, name: str) -> StoredValue:
@@ -77,6 +81,6 @@
         """Create an object."""
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self, kind: str, name: str, spec: Any, revision: Revision
     ) -> StoredValue:
         """Write an object if it is at the revision."""
--- a/src/agatehoist/storage/replica.py
+++ b/src/agatehoist/storage/replica.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 
 from agatehoist.storage.objects import Changes, Listing
+from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
     from agatehoist.storage.objects import ObjectChange, StoredValue
+    from agatehoist.storage.revisions import Revision
 
 # A reader that is further behind gets a whole list.
 MAX_RECENT_CHANGES = 512
@@ -18,12 +20,14 @@
     """Follow one kind of object from lists and changes, and pass changes on."""
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.revision = NO_REVISION
         self._values_by_name: dict[str, StoredValue] = {}
         # Changes with the revision of the update that brought them.
-        self._recent: deque[tuple[int, ObjectChange]] = deque(maxlen=MAX_RECENT_CHANGES)
+        self._recent: deque[tuple[Revision, ObjectChange]] = deque(
+            maxlen=MAX_RECENT_CHANGES
+        )
         # Changes up to this revision have been dropped.
-        self._complete_from = 0
+        self._complete_from = NO_REVISION
 
     def apply(self, update: Listing | Changes) -> None:
         """Apply an update that follows the last one."""
@@ -36,7 +40,7 @@
                 self._apply_change(each, update.revision)
         self.revision = max(self.revision, update.revision)
 
-    def since(self, revision: int) -> Listing | Changes | None:
+    def since(self, revision: Revision) -> Listing | Changes | None:
         """Return what has changed after a revision, or None if nothing has."""
         if revision >= self.revision:
             return None
@@ -45,7 +49,7 @@
         changes = tuple(change for at, change in self._recent if at > revision)
         return Changes(changes, self.revision) if changes else None
 
-    def _apply_change(self, change: ObjectChange, revision: int) -> None:
+    def _apply_change(self, change: ObjectChange, revision: Revision) -> None:
         if len(self._recent) == MAX_RECENT_CHANGES:
             self._complete_from = self._recent[0][0]
         self._recent.append((revision, change))
--- a/src/agatehoist/weights/types.py
+++ b/src/agatehoist/weights/types.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from agatehoist.storage.revisions import Revision
+
 
 @dataclass(frozen=True, slots=True)
 class TargetWeights:
@@ -40,7 +42,7 @@
     """Hold a plan with its store revision and the epoch time at which it was read."""
 
     plan: Plan
-    revision: int
+    revision: Revision
     seen_at: float
 
 
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import copy
 import itertools
 import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -21,9 +23,19 @@
 JSON = ((b"content-type", b"application/json"),)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold a copy of the objects of a store."""
+
+    objects_by_kind: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+
+
 class StoreStandIn:
     """Hold objects in memory, and inject the faults that its attributes set.
 
+    With an era above 0, all answers state it. `restore` begins the next one.
+
     The next unanswered_writes writes take effect but get no reply, and the next
     watches_without_events watches wait until their timeout. throttled_call_interval n
     answers every nth call with 429.
@@ -32,6 +44,7 @@
     def __init__(self) -> None:
         self.objects_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
         self.revision = 1
+        self.era = 0
         self.calls: list[str] = []
         self.down = False
         self.unanswered_writes = 0
@@ -63,6 +76,18 @@
         stored = self.objects_by_kind.get(kind, {}).get(name)
         return stored["Spec"] if stored else None
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        return StoreCopy(copy.deepcopy(self.objects_by_kind), self.revision)
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Come back from a copy: what was written since is lost, revisions go back."""
+        self.era += 1
+        self.objects_by_kind = copy.deepcopy(copied.objects_by_kind)
+        self.revision = copied.revision
+        self.abort_watches()
+        self.compact_history()
+
     def compact_history(self) -> None:
         """Drop all past events, so that watches from older revisions end with 410."""
         self._history.clear()
@@ -95,13 +120,13 @@
         method = request.head.method.decode()
         self.calls.append(f"{method} {kind}")
         if self.down:
-            await connection.send_reply(503, (), b"")
+            await connection.send_reply(503, self._era_headers(), b"")
             return
         if (
             self.throttled_call_interval
             and len(self.calls) % self.throttled_call_interval == 0
         ):
-            await connection.send_reply(429, (), b"")
+            await connection.send_reply(429, self._era_headers(), b"")
             return
         query = dict(parse_qsl(url.query))
         body = json.loads(request.body) if request.body else {}
@@ -114,7 +139,11 @@
             self.unanswered_writes -= 1
             connection.abort()
             return
-        await connection.send_reply(status, JSON, json.dumps(value).encode())
+        headers = (*JSON, *self._era_headers())
+        await connection.send_reply(status, headers, json.dumps(value).encode())
+
+    def _era_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b"store-era", str(self.era).encode()),) if self.era else ()
 
     async def _handle_call(
         self, method: str, kind: str, name: str, query: dict[str, str], body: Any
--- a/tests/test_fleet/test_view.py
+++ b/tests/test_fleet/test_view.py
@@ -9,6 +9,7 @@
 
 from agatehoist.fleet.types import Endpoint
 from agatehoist.fleet.view import STORE_RETURN_GRACE_S, EndpointsView
+from agatehoist.storage.revisions import Revision
 
 ENDPOINT = Endpoint("e1", "songs", "10.0.0.1", 80, "dc1", 64, False, 1, {"m": 1})
 
@@ -42,12 +43,12 @@
         self, after_s: float, expected: list[str]
     ) -> None:
         self.view.start_grace_period(10.0)
-        self.view.replace((), 5, 10.0)
+        self.view.replace((), Revision(0, 5), 10.0)
         self.assertEqual(names(self.view, 10.0 + after_s), expected)
 
     def test_entry_that_returns_in_time_is_kept(self) -> None:
         self.view.start_grace_period(10.0)
-        self.view.replace((), 5, 10.0)
+        self.view.replace((), Revision(0, 5), 10.0)
         self.view.put(ENDPOINT)
         self.assertEqual(names(self.view, 20.0), ["e1"])
 
--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -19,6 +19,7 @@
 from agatehoist.http1.types import Reply
 from agatehoist.protocol.node_reports import part_key
 from agatehoist.storage.objects import Changes, ObjectChange, StoredValue
+from agatehoist.storage.revisions import Revision
 from agatehoist.weights.types import Plan, SeenPlan
 from standins.users_platform.endpoint import EndpointStandIn
 from standins.users_platform.harness import (
@@ -237,7 +238,8 @@
         self, name: str, entry: dict[str, Any], removed: bool = False
     ) -> None:
         """Apply an entry as a watch would, at once and at this gateway only."""
-        revision = self.world.state.fleet.revision + 1
+        known = self.world.state.fleet.revision
+        revision = replace(known, number=known.number + 1)
         change = ObjectChange(StoredValue(name, revision, entry), removed)
         EndpointsTopic().change(self.world.state, Changes((change,), revision))
 
@@ -497,7 +499,7 @@
     state = meeting.world.state
     lifetime = state.fleet.by_name[home.name].lifetime
     plan = Plan(MODEL, "n2", 1, 2, 1, changed=(lifetime,))
-    state.record_plan(SeenPlan(plan, 1, state.clock.now()))
+    state.record_plan(SeenPlan(plan, Revision(0, 1), state.clock.now()))
     await meeting.ask("r2")
 
 
--- a/tests/test_gateway/test_crashes.py
+++ b/tests/test_gateway/test_crashes.py
@@ -12,6 +12,7 @@
 
 from agatehoist.gateway.crashes import check_crash
 from agatehoist.routing.types import Prompt, PromptPart
+from agatehoist.storage.revisions import Revision
 from agatehoist.weights.types import Plan, SeenPlan
 from standins.fleet import free_ports
 from standins.users_platform.harness import (
@@ -59,7 +60,7 @@
                 if changes:
                     plan = Plan(MODEL, "n2", 1, 2, 1, (endpoint.lifetime,))
                     now = world.state.clock.now()
-                    world.state.record_plan(SeenPlan(plan, 1, now))
+                    world.state.record_plan(SeenPlan(plan, Revision(0, 1), now))
                 await check_crash(world.state, envelope, endpoint, 0.0)
 
         with structlog.testing.capture_logs() as logs:
--- a/tests/test_gateway/test_plan_lease.py
+++ b/tests/test_gateway/test_plan_lease.py
@@ -9,6 +9,7 @@
 from agatehoist.gateway.model_endpoints import ModelEndpoints
 from agatehoist.gateway.plan_lease import PlanLease
 from agatehoist.gateway.plans import PLAN_KIND, write_plan
+from agatehoist.storage.revisions import Revision
 from agatehoist.weights.types import Plan, SeenPlan
 from standins.users_platform.harness import MODEL, GatewayHarness, running_gateway
 
@@ -23,7 +24,7 @@
     state = world.state
     stored = world.store.put(PLAN_KIND, MODEL, write_plan(Plan(MODEL, "n2", 1, 2, 1)))
     seen_at = state.clock.now() - PLAN_AGE_S
-    revision = stored["Metadata"]["Revision"]
+    revision = Revision(0, stored["Metadata"]["Revision"])
     seen = SeenPlan(Plan(MODEL, "n2", 1, 2, 1), revision, seen_at)
     lease = PlanLease(state, ModelEndpoints(state, MODEL))
     assert await lease.take_over(seen, seen_at), "the plan could not be taken over"
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -12,6 +12,7 @@
 
 from agatehoist.gateway.plans import write_plan
 from agatehoist.storage.objects import Changes, ObjectChange, StoredValue
+from agatehoist.storage.revisions import Revision
 from agatehoist.weights.types import Plan, SeenPlan, TargetWeights
 from standins.users_platform.harness import (
     MODEL,
@@ -52,8 +53,8 @@
 def changes_of(name: str, specs: list[Any]) -> Changes:
     """Return the changes in which a watch delivers versions of one object."""
     changes = tuple(
-        ObjectChange(StoredValue(name, revision, spec), removed=False)
-        for revision, spec in enumerate(specs, start=100)
+        ObjectChange(StoredValue(name, Revision(0, number), spec), removed=False)
+        for number, spec in enumerate(specs, start=100)
     )
     return Changes(changes, changes[-1].value.revision)
 
@@ -135,7 +136,7 @@
                     # The wave of the source began before the outage.
                     began_at = state.clock.now() - OUTAGE_S
                     before = Plan(MODEL, "n2", 1, 2, 1, (lifetimes[0],))
-                    state.record_plan(SeenPlan(before, 1, began_at))
+                    state.record_plan(SeenPlan(before, Revision(0, 1), began_at))
                     after = replace(before, beat=3, changing=tuple(lifetimes))
                     updates = {}
                     if source_leaves:
--- a/tests/test_gateway/test_store_relay.py
+++ b/tests/test_gateway/test_store_relay.py
@@ -87,7 +87,7 @@
                     stored = world.store.put(PLAN_KIND, f"plan-{number}", {})
                     await anyio.sleep(KNOWN_WITHIN_S)
                     revision = stored["Metadata"]["Revision"]
-                    known.append(feed.revisions_by_topic["plans"] >= revision)
+                    known.append(feed.revisions_by_topic["plans"].number >= revision)
                 return known
 
         self.assertEqual(anyio.run(run), [True] * 3)
--- a/tests/test_gateway/test_store_watch.py
+++ b/tests/test_gateway/test_store_watch.py
@@ -65,6 +65,6 @@
                 world.store.put(dead_kind, "new", {})
                 await anyio.sleep(IN_FORCE_S)
                 feed = world.state.feed
-                return min(feed.revisions_by_topic.values())
+                return min(feed.revisions_by_topic.values()).number
 
         self.assertEqual(anyio.run(run), world.store.revision)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -18,6 +18,7 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
+from agatehoist.storage.revisions import Revision
 from standins.users_platform.loopback import HOST, listen_on_loopback
 from standins.users_platform.store import PAGE_OBJECTS, StoreStandIn
 
@@ -42,7 +43,7 @@
     standin.put("k", "a", {})
     standin.put("k", "b", {})
     standin.compact_history()
-    await store.watch("k", 1, 1.0)
+    await store.watch("k", Revision(0, 1), 1.0)
 
 
 async def _get_missing(_standin: StoreStandIn, store: PlatformStore) -> None:
@@ -58,7 +59,7 @@
     standin: StoreStandIn, store: PlatformStore
 ) -> None:
     standin.throttled_call_interval = 1
-    await store.watch("k", 1, 1.0)
+    await store.watch("k", Revision(0, 1), 1.0)
 
 
 async def _leave_write_unanswered(standin: StoreStandIn, store: PlatformStore) -> None:
@@ -182,7 +183,7 @@
                 store.relays = lambda: [Address(HOST, port)]
                 for _ in range(3):
                     with self.assertRaises(RateLimitedError):
-                        await store.watch("k", 1, 1.0)
+                        await store.watch("k", Revision(0, 1), 1.0)
                     await anyio.sleep(RELAY_AFTER_S)
             self.assertEqual(other.calls, [])
 
--- a/tests/test_protocol/test_store_feed.py
+++ b/tests/test_protocol/test_store_feed.py
@@ -12,6 +12,7 @@
 from agatehoist.protocol.errors import BadFrameError
 from agatehoist.protocol.store_feed import (
     MAX_WAIT_S,
+    VERSION,
     FeedReply,
     FeedRequest,
     decode_reply,
@@ -20,14 +21,17 @@
     encode_request,
 )
 from agatehoist.storage.objects import Changes, Listing, ObjectChange, StoredValue
+from agatehoist.storage.revisions import NO_REVISION, Revision
 
-REQUEST = FeedRequest(0.5, {"endpoints": 7, "plans": 0})
+MANY_TOPICS = {str(n): [0, 1] for n in range(99)}
+AT_8, AT_9 = Revision(2, 8), Revision(2, 9)
+REQUEST = FeedRequest(0.5, {"endpoints": Revision(2, 7), "plans": NO_REVISION})
 REPLY = FeedReply(
     {
         "endpoints": Changes(
-            (ObjectChange(StoredValue("e1", 8, {"State": "ready"}), True),), 9
+            (ObjectChange(StoredValue("e1", AT_8, {"State": "ready"}), True),), AT_9
         ),
-        "plans": Listing((StoredValue("m", 3, {"Token": [1, None, 0.5]}),), 9),
+        "plans": Listing((StoredValue("m", AT_8, {"Token": [1, None, 0.5]}),), AT_9),
     }
 )
 
@@ -41,11 +45,14 @@
         [
             ("empty", b""),
             ("other_version", msgpack.packb([9, 0.5, {}])),
-            ("long_wait", msgpack.packb([1, MAX_WAIT_S + 1, {}])),
-            ("text_for_wait", msgpack.packb([1, "soon", {}])),
-            ("list_of_revisions", msgpack.packb([1, 0.5, [7]])),
-            ("negative_revision", msgpack.packb([1, 0.5, {"plans": -1}])),
-            ("many_topics", msgpack.packb([1, 0.5, {str(n): 1 for n in range(99)}])),
+            ("long_wait", msgpack.packb([VERSION, MAX_WAIT_S + 1, {}])),
+            ("text_for_wait", msgpack.packb([VERSION, "soon", {}])),
+            ("list_of_revisions", msgpack.packb([VERSION, 0.5, [7]])),
+            ("negative_revision", msgpack.packb([VERSION, 0.5, {"plans": [0, -1]}])),
+            (
+                "many_topics",
+                msgpack.packb([VERSION, 0.5, {str(n): [0, 1] for n in range(99)}]),
+            ),
         ]
     )
     def test_invalid_requests_are_rejected(self, _name: str, data: bytes) -> None:
@@ -56,10 +63,16 @@
         [
             ("empty", b""),
             ("other_version", msgpack.packb([9, {}])),
-            ("no_mapping", msgpack.packb([1, [7]])),
-            ("short_update", msgpack.packb([1, {"plans": [True, 9]}])),
-            ("short_object", msgpack.packb([1, {"plans": [True, 9, [["m", 3]]]}])),
-            ("number_for_name", msgpack.packb([1, {"p": [True, 9, [[5, 3, 0, 0]]]}])),
+            ("no_mapping", msgpack.packb([VERSION, [7]])),
+            ("short_update", msgpack.packb([VERSION, {"plans": [True, 9]}])),
+            (
+                "short_object",
+                msgpack.packb([VERSION, {"plans": [True, 9, [["m", 3]]]}]),
+            ),
+            (
+                "number_for_name",
+                msgpack.packb([VERSION, {"p": [True, 9, [[5, 3, 0, 0]]]}]),
+            ),
         ]
     )
     def test_invalid_replies_are_rejected(self, _name: str, data: bytes) -> None:
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -7,6 +7,7 @@
 
 from parameterized import parameterized
 
+from agatehoist.storage.revisions import Revision
 from agatehoist.weights.types import Plan, SeenPlan, TargetWeights
 from agatehoist.weights.view import UNKNOWN_TIME, WeightsView
 from agatehoist.weights.waves import (
@@ -26,7 +27,7 @@
 ) -> SeenPlan:
     """Return a plan read at a given time."""
     plan = Plan("m", holder, 3, 5, 9, released=released, idle_s=idle_s)
-    return SeenPlan(plan, 40, at)
+    return SeenPlan(plan, Revision(0, 40), at)
 
 
 class TakeoverTests(unittest.TestCase):
