Let one holder give orders across the eras of the store

The holder wrote its plan at a revision of the lost history and took each 409 for another holder's write; so did all others. What a restore leaves also names holders that have been replaced since, and tokens that have been given out.

Change: a plan tells the era in which it was written. What the store has from an earlier era is a copy: it doesn't replace a newer plan that is known, and nobody is its holder, except the process that has just written the newest plan and can't have been replaced yet. All others, and any that find no plan in a store with eras, wait as after a silent holder. Tokens begin above all those of earlier eras. A plan written as the era changed isn't held.

--- a/src/agatehoist/gateway/plan_lease.py
+++ b/src/agatehoist/gateway/plan_lease.py
@@ -10,8 +10,13 @@
 from agatehoist.gateway.plans import PLAN_KIND, write_plan
 from agatehoist.observability.logs import get_logger
 from agatehoist.storage.errors import ConflictError, PlatformError
-from agatehoist.weights.types import Plan, SeenPlan
-from agatehoist.weights.waves import LEASE_S, takeover_times
+from agatehoist.weights.types import Plan, SeenPlan, first_token
+from agatehoist.weights.waves import (
+    LEASE_S,
+    TAKEOVER_SILENCE_S,
+    Continuity,
+    takeover_times,
+)
 
 if TYPE_CHECKING:
     from agatehoist.gateway.model_endpoints import ModelEndpoints
@@ -32,6 +37,7 @@
         self.orders_allowed_at = 0.0
         self.written_at = 0.0
         self._lease_valid_until = 0.0
+        self._last_written_order: tuple[int, int] | None = None
         self._last_order_at = 0.0
         self._state = state
         self._endpoints = endpoints
@@ -44,17 +50,27 @@
             return False
         return seen.revision <= self.held.revision
 
-    async def take_over(self, seen: SeenPlan | None, outdated_since: float) -> bool:
+    async def take_over(
+        self,
+        seen: SeenPlan | None,
+        outdated_since: float,
+        changing: tuple[str, ...] = (),
+    ) -> bool:
         """Acquire the plan unless another node renews it; return whether it worked."""
         now = self._state.clock.now()
         settings = self._state.settings
         times = takeover_times(
-            settings.node, seen, now, settings.order_turn_s, outdated_since
+            settings.node,
+            seen,
+            now,
+            settings.order_turn_s,
+            outdated_since,
+            self._continuity(),
         )
         if now < times.write_at:
             return False
         async with self._write_lock:
-            if not await self._write(self._new_plan(seen), seen):
+            if not await self._write(self._new_plan(seen, changing), seen):
                 return False
         # If this node acquires its own plan again, it still has to wait for the orders
         # of the previous holder.
@@ -101,14 +117,30 @@
         await self.update_plan(changing=(), released=True, idle_s=idle_s)
         self.held = None
 
-    def _new_plan(self, seen: SeenPlan | None) -> Plan:
-        node = self._state.settings.node
-        target = self._endpoints.target
-        if seen is None:
-            return Plan(self._model, node, 1, target, 1)
-        plan = seen.plan
-        token = plan.token if plan.holder == node else plan.token + 1
-        return Plan(self._model, node, token, target, plan.beat + 1)
+    def _continuity(self) -> Continuity:
+        """Return what is known of the last holder if the store has lost its plan."""
+        weights = self._state.weights
+        known = weights.plans_by_model.get(self._model)
+        own_until = 0.0
+        if known is not None and known.plan.order == self._last_written_order:
+            # Others take over only a plan that hasn't been written for so long.
+            own_until = self.written_at + TAKEOVER_SILENCE_S
+        listed_at = weights.plans_listed_at if weights.plans_era else None
+        return Continuity(listed_at, own_until)
+
+    def _new_plan(self, seen: SeenPlan | None, changing: tuple[str, ...]) -> Plan:
+        node, weights = self._state.settings.node, self._state.weights
+        known = weights.plans_by_model.get(self._model)
+        era = seen.revision.era if seen is not None else weights.plans_era
+        plans = [each.plan for each in (seen, known) if each is not None]
+        token, beat = first_token(era), 1
+        if plans:
+            last = max(plans, key=lambda each: each.order)
+            token = max(token, last.token + (last.holder != node))
+            beat = last.beat + 1
+        return Plan(
+            self._model, node, token, self._endpoints.target, beat, changing, era=era
+        )
 
     async def _write_changes(self, changes: dict[str, Any]) -> bool:
         if self.held is None:
@@ -125,8 +157,10 @@
         sent_at = self._state.clock.now()
         try:
             value = await self._put(plan, seen)
-        except ConflictError:
-            logger.info("plan held by another node", model=self._model)
+        except ConflictError as error:
+            logger.info(
+                "plan held by another node", model=self._model, reason=str(error)
+            )
             self.held = None
             return False
         except PlatformError as error:
@@ -134,8 +168,13 @@
             self.held = None
             return False
         self.held = SeenPlan(plan, value.revision, self._state.clock.now())
+        if self.held.is_copy:
+            # Another era began before the write; nobody can tell whose plan it is.
+            self.held = None
+            return False
         self._lease_valid_until = sent_at + LEASE_S
         self.written_at = sent_at
+        self._last_written_order = None if plan.released else plan.order
         self._state.record_plan(self.held)
         self._state.active_requests.consider_moves()
         return True
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -220,6 +220,13 @@
             return
         state.record_plan(SeenPlan(plan, value.revision, state.clock.now()))
 
+    def replace(self, state: GatewayState, listing: Listing) -> None:
+        """Apply a whole list; a plan that isn't on it any more has been lost."""
+        models = [each.name for each in listing.values]
+        now = state.clock.now()
+        state.weights.note_plans_listed(models, listing.revision.era, now)
+        super().replace(state, listing)
+
 
 def _read_endpoint(state: GatewayState, value: StoredValue) -> Endpoint | None:
     try:
--- a/src/agatehoist/gateway/weights_rollout.py
+++ b/src/agatehoist/gateway/weights_rollout.py
@@ -104,11 +104,12 @@
 
     async def _step(self) -> None:
         """Take over the plan, or start the next wave, or renew the plan, or wait."""
-        seen = self._state.weights.plans_by_model.get(self._model)
+        seen = self._state.weights.stored_plans_by_model.get(self._model)
         lease = self._lease
         self._state.models_in_rollout.add(self._model)
         if not lease.holds(seen):
-            if not await lease.take_over(seen, self._outdated_since):
+            changing = self._changing_lifetimes_in_service()
+            if not await lease.take_over(seen, self._outdated_since, changing):
                 await anyio.sleep(WRITE_RETRY_S)
             return
         # The first wave begins before orders are allowed, so that runs have moved to
--- a/src/agatehoist/weights/types.py
+++ b/src/agatehoist/weights/types.py
@@ -6,6 +6,8 @@
 
 from agatehoist.storage.revisions import Revision
 
+TOKENS_PER_ERA = 2**20
+
 
 @dataclass(frozen=True, slots=True)
 class TargetWeights:
@@ -23,7 +25,7 @@
     token that grows with each change of holder. `beat` counts the writes, so that a
     renewed plan differs from the one before. If `released` is set, another node may
     take the plan over at once. `idle_s` is the time in seconds between the holder's
-    last order and the write.
+    last order and the write. `era` is that of the store in which it was written.
     """
 
     model: str
@@ -35,6 +37,17 @@
     changed: tuple[str, ...] = ()
     released: bool = False
     idle_s: float = 0.0
+    era: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what grows with each write of the plan, in all eras."""
+        return (self.token, self.beat)
+
+
+def first_token(era: int) -> int:
+    """Return a fencing token above all those of earlier eras, which may be lost."""
+    return era * TOKENS_PER_ERA + 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +58,14 @@
     revision: Revision
     seen_at: float
 
+    @property
+    def is_copy(self) -> bool:
+        """Return whether the store has it from an earlier era.
+
+        The holder may have changed since, in writes that the store has lost.
+        """
+        return self.plan.era != self.revision.era
+
 
 @dataclass(frozen=True, slots=True)
 class WeightsOrder:
--- a/src/agatehoist/weights/view.py
+++ b/src/agatehoist/weights/view.py
@@ -9,6 +9,8 @@
 from agatehoist.weights.types import TargetWeights
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from agatehoist.fleet.types import Endpoint
     from agatehoist.weights.types import SeenPlan
 
@@ -45,7 +47,13 @@
     def __init__(self) -> None:
         self.targets_by_model: dict[str, TargetWeights] = {}
         self._target_times_by_model: dict[str, dict[int, _TargetTime]] = {}
+        # The newest plan of each model, which a restored store may have lost, and the
+        # one that the store has.
         self.plans_by_model: dict[str, SeenPlan] = {}
+        self.stored_plans_by_model: dict[str, SeenPlan] = {}
+        self.plans_era = 0
+        # When the plans were first read in their era.
+        self.plans_listed_at = 0.0
         self._changing_since_by_lifetime: dict[str, float] = {}
 
     def set_target(
@@ -93,10 +101,26 @@
             and target_time.observed_here_at > since
         )
 
+    def note_plans_listed(self, models: Iterable[str], era: int, now: float) -> None:
+        """Record for which models the store has plans, as of a list."""
+        self.stored_plans_by_model = {
+            model: self.stored_plans_by_model[model]
+            for model in models
+            if model in self.stored_plans_by_model
+        }
+        if era != self.plans_era:
+            self.plans_era, self.plans_listed_at = era, now
+
     def accept_plan(self, seen: SeenPlan) -> bool:
-        """Store a plan and return whether it is newer than the known one."""
+        """Record the stored plan; return whether it is newer than the known one.
+
+        A restored store has plans that are older than the known ones.
+        """
+        stored = self.stored_plans_by_model.get(seen.plan.model)
+        if stored is None or stored.revision < seen.revision:
+            self.stored_plans_by_model[seen.plan.model] = seen
         known = self.plans_by_model.get(seen.plan.model)
-        if known is not None and known.revision >= seen.revision:
+        if known is not None and known.plan.order >= seen.plan.order:
             return False
         self.plans_by_model[seen.plan.model] = seen
         since_by_lifetime = self._changing_since_by_lifetime
--- a/src/agatehoist/weights/waves.py
+++ b/src/agatehoist/weights/waves.py
@@ -19,6 +19,8 @@
 MAX_START_DELAY_S = 1.0
 # It then writes the plan again at least this often while endpoints are outdated.
 RENEWAL_INTERVAL_S = 2.5
+# A holder that hasn't written its plan for so long may be replaced.
+TAKEOVER_SILENCE_S = RENEWAL_INTERVAL_S + MAX_START_DELAY_S
 # Orders of the previous holder may still be in transit when its lease expires.
 ORDER_TRANSIT_S = 0.3
 # Share of a model's endpoints that may change at once while the others serve, by the
@@ -42,20 +44,40 @@
     order_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Continuity:
+    """Hold what a node knows of earlier holders when the store can't tell.
+
+    `listed_at` is the epoch time at which it first read the plans in the current era,
+    or None if the store has no eras. Until `own_until` no other node can have taken
+    over the plan that this process holds.
+    """
+
+    listed_at: float | None = None
+    own_until: float = 0.0
+
+
 def takeover_times(
     node: str,
     seen: SeenPlan | None,
     now: float,
     min_order_gap_s: float,
     outdated_since: float,
+    continuity: Continuity = Continuity(),
 ) -> TakeoverTimes:
     """Return when a node may take over a roll-out.
 
     Orders of two holders must be more than `min_order_gap_s` apart (`order_turn_s` in
     the settings). A plan that its holder no longer writes is taken over only shortly
     before orders are allowed: an earlier takeover would not make the first order any
-    earlier.
+    earlier. A restored store may have lost the last holder's plan, so what it has left
+    is taken over like the plan of a holder that wrote it when it was first read.
     """
+    unsure_since = _unsure_since(seen, continuity)
+    if unsure_since is not None:
+        if now < continuity.own_until:
+            return TakeoverTimes(now, now)
+        return _times_after_silence(unsure_since, now, min_order_gap_s, outdated_since)
     if seen is None or seen.plan.holder == node:
         return TakeoverTimes(now, now)
     if seen.plan.released:
@@ -65,8 +87,21 @@
             + ORDER_TRANSIT_S
         )
         return TakeoverTimes(now, max(now, order_at))
-    order_at = seen.seen_at + LEASE_S + min_order_gap_s + ORDER_TRANSIT_S
-    silent_at = seen.seen_at + RENEWAL_INTERVAL_S + MAX_START_DELAY_S
+    return _times_after_silence(seen.seen_at, now, min_order_gap_s, outdated_since)
+
+
+def _unsure_since(seen: SeenPlan | None, continuity: Continuity) -> float | None:
+    """Return since when the last holder may be one whose plan was lost, or None."""
+    if seen is None:
+        return continuity.listed_at
+    return seen.seen_at if seen.is_copy else None
+
+
+def _times_after_silence(
+    since: float, now: float, min_order_gap_s: float, outdated_since: float
+) -> TakeoverTimes:
+    order_at = since + LEASE_S + min_order_gap_s + ORDER_TRANSIT_S
+    silent_at = since + TAKEOVER_SILENCE_S
     write_at = max(silent_at, outdated_since + MAX_START_DELAY_S)
     return TakeoverTimes(max(now, write_at), max(now, order_at))
 
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -99,6 +99,7 @@
     faults: list[str] = field(default_factory=list)
     runs: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    order_times: list[float] = field(default_factory=list)
     order_faults: list[str] = field(default_factory=list)
     kv_network: KvNetwork = field(default_factory=KvNetwork)
     parts: PartMemory = field(default_factory=PartMemory)
@@ -167,6 +168,7 @@
         self.crashed = anyio.Event()
         self.busy = False
         self.orders.clear()
+        self.order_times.clear()
         self._stopping.clear()
         self._made_under_by_copy.clear()
 
@@ -399,6 +401,7 @@
             await connection.send_reply(409, (), b"")
             return
         self.orders.append(order)
+        self.order_times.append(time.monotonic())
         self.busy = True
         if fault == "lost":
             await self._load(order)
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -8,10 +8,11 @@
 from parameterized import parameterized
 
 from agatehoist.storage.revisions import Revision
-from agatehoist.weights.types import Plan, SeenPlan, TargetWeights
+from agatehoist.weights.types import Plan, SeenPlan, TargetWeights, first_token
 from agatehoist.weights.view import UNKNOWN_TIME, WeightsView
 from agatehoist.weights.waves import (
     LEASE_S,
+    Continuity,
     WaveCandidate,
     next_wave,
     takeover_times,
@@ -30,6 +31,12 @@
     return SeenPlan(plan, Revision(0, 40), at)
 
 
+def copied_plan(holder: str, at: float, released: bool = False) -> SeenPlan:
+    """Return a plan that the store has from an earlier era."""
+    plan = Plan("m", holder, 3, 5, 9, released=released, idle_s=60.0, era=1)
+    return SeenPlan(plan, Revision(2, 40), at)
+
+
 class TakeoverTests(unittest.TestCase):
     # `long_silent` is a holder that hasn't written the plan for long. In
     # `released_after_rest`, its last order was sent long before the release.
@@ -52,6 +59,43 @@
             self.assertGreaterEqual(times.order_at, NOW + wait_s)
             self.assertLess(times.order_at, NOW + wait_s + 0.5)
 
+    # What the store has after a restore, when this node first read it or until when its
+    # own plan is safe, and the wait for its first write and order.
+    @parameterized.expand(
+        [
+            ("own_copy", copied_plan("me", NOW), Continuity(NOW), 3.5, 4.1),
+            ("copy_of_another", copied_plan("you", NOW), Continuity(NOW), 3.5, 4.1),
+            ("released_copy", copied_plan("you", NOW, True), Continuity(NOW), 3.5, 4.1),
+            ("old_copy", copied_plan("you", NOW - 9), Continuity(NOW - 9), 0.0, 0.0),
+            ("no_plan", None, Continuity(NOW), 3.5, 4.1),
+            ("no_plan_for_long", None, Continuity(NOW - 9), 0.0, 0.0),
+            (
+                "still_the_holder",
+                copied_plan("you", NOW),
+                Continuity(NOW, NOW + 1),
+                0.0,
+                0.0,
+            ),
+            ("no_plan_still_the_holder", None, Continuity(NOW, NOW + 1), 0.0, 0.0),
+        ]
+    )
+    def test_restored_store_gives_nobody_a_plan_too_early(
+        self,
+        _name: str,
+        plan: SeenPlan | None,
+        continuity: Continuity,
+        write_s: float,
+        order_s: float,
+    ) -> None:
+        times = takeover_times("me", plan, NOW, MIN_ORDER_GAP_S, NOW - 5.0, continuity)
+        self.assertAlmostEqual(times.write_at, NOW + write_s)
+        self.assertAlmostEqual(times.order_at, NOW + order_s)
+
+    def test_tokens_of_an_era_are_above_all_lost_ones(self) -> None:
+        self.assertEqual(first_token(0), 1)
+        lost = [first_token(era) + 100_000 for era in range(5)]
+        self.assertTrue(all(first_token(era + 1) > lost[era] for era in range(5)))
+
     def test_orders_of_successive_holders_keep_the_minimum_gap(self) -> None:
         rng = random.Random(7)
         for _ in range(2000):
@@ -186,3 +230,20 @@
         self.assertFalse(view.set_target(TargetWeights("m", 2), 2.0))
         self.assertTrue(view.accept_plan(seen_plan("you", 1.0)))
         self.assertFalse(view.accept_plan(seen_plan("me", 2.0)))
+
+    def test_restored_plan_replaces_no_newer_one(self) -> None:
+        view = WeightsView()
+        newest = Plan("m", "you", 3, 6, 10, changing=("e1",), era=1)
+        view.accept_plan(SeenPlan(newest, Revision(1, 60), 1.0))
+        view.note_plans_listed(["m"], 2, 2.0)
+        copied = copied_plan("me", 2.0)
+        self.assertFalse(view.accept_plan(copied))
+        self.assertEqual(view.plans_by_model["m"].plan, newest)
+        self.assertEqual(view.stored_plans_by_model["m"], copied)
+
+    def test_lost_plan_is_not_stored_any_more(self) -> None:
+        view = WeightsView()
+        view.accept_plan(seen_plan("you", 1.0))
+        view.note_plans_listed([], 2, 2.0)
+        self.assertEqual(view.stored_plans_by_model, {})
+        self.assertIn("m", view.plans_by_model)
