Register again after the store has lost the node

Cause: a node registered once in its lifetime. A restore that lost its entry left it unknown for good: peers counted too few nodes, so each took a larger part of the retry budget, sent it no reports and refused its calls on the inner port.

Change: a node that isn't on the list registers again, at once when an era begins, and the nodes known before it are kept for 30 s.

Evidence: test_node_that_the_store_has_lost_registers_again times out on the code before and passes.

--- a/src/agatehoist/gateway/nodes.py
+++ b/src/agatehoist/gateway/nodes.py
@@ -27,7 +27,8 @@
 async def track_nodes(state: GatewayState) -> None:
     """Register this node and update the list of nodes until cancelled.
 
-    The list is read again early when a node that isn't listed sends a datagram.
+    The list is read again early when a node that isn't listed sends a datagram, and
+    when the store has come back from an older copy, which may lack nodes.
     """
     registered = False
     count = 0
@@ -37,6 +38,10 @@
                 await _register(state)
                 registered = True
             listing = await state.store.list(NODE_KIND, allow_stale=True)
+            # A stale list may still lack a node that has just registered.
+            registered = any(
+                each.name == state.settings.node for each in listing.values
+            )
         except PlatformError as error:
             logger.info("node list not read", reason=str(error))
             await anyio.sleep(RETRY_DELAY_S)
@@ -46,9 +51,10 @@
             for each in listing.values
             if (address := _parse_address(each.spec)) is not None
         }
+        data_centres_by_node |= state.nodes_before_restore()
         state.set_nodes(frozenset(data_centres_by_node), data_centres_by_node)
         # While nodes start together, the list is still growing and is read again soon.
-        is_complete = len(listing.values) == count > 1
+        is_complete = registered and len(listing.values) == count > 1
         count = len(listing.values)
         await anyio.sleep(RETRY_DELAY_S)
         if is_complete:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -59,6 +59,9 @@
 RETRY_SLACK_SHARE = 0.9
 # Addresses beyond these are found by the regular poll.
 MAX_UNLISTED_NODES = 64
+# Nodes that a restored store has lost have registered again after this time; the slack
+# isn't shared by fewer meanwhile.
+LOST_NODES_KEPT_S = 30.0
 # More news is dropped; crashes, quarantines and notices are repeated as they stand.
 MAX_PENDING_EVIDENCE = 16
 MAX_PENDING_NOTICES = 256
@@ -97,6 +100,8 @@
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
         self.parts = EndpointParts()
         self.nodes: frozenset[Address] = frozenset()
+        self._data_centres_by_node: dict[Address, str] = {}
+        self._lost_nodes_kept_until = 0.0
         self.nodes_changed = Wakeup()
         # Set when a node sends that isn't listed yet.
         self.unlisted_node_seen = Wakeup()
@@ -212,8 +217,16 @@
             retry_budget.set_slack(self._retry_slack())
 
     def _note_new_era(self) -> None:
-        """Read all topics again, as the store has come back from an older copy."""
+        """Read everything again, as the store has come back from an older copy."""
         self.feed.renew_watches()
+        self._lost_nodes_kept_until = self.clock.now() + LOST_NODES_KEPT_S
+        self.unlisted_node_seen.set()
+
+    def nodes_before_restore(self) -> dict[Address, str]:
+        """Return the nodes known before a restore, which register again after it."""
+        if self.clock.now() >= self._lost_nodes_kept_until:
+            return {}
+        return self._data_centres_by_node
 
     def peers(self) -> frozenset[Address]:
         """Return the addresses of the other nodes."""
@@ -235,6 +248,7 @@
     ) -> None:
         """Set the nodes, which share the retry slack and exchange load reports."""
         self.nodes = nodes
+        self._data_centres_by_node = data_centres_by_node or {}
         self._unlisted_nodes -= nodes
         self.watchers = elect_watchers(data_centres_by_node or {})
         self.nodes_changed.set()
--- a/tests/test_gateway/test_nodes.py
+++ b/tests/test_gateway/test_nodes.py
@@ -56,3 +56,26 @@
                 return new in state.nodes
 
         self.assertEqual(anyio.run(run), sends)
+
+
+class RestoredStoreTests(unittest.TestCase):
+    def test_node_that_the_store_has_lost_registers_again(self) -> None:
+        world = GatewayHarness()
+        world.store.era = 1
+
+        async def run() -> None:
+            async with running_gateway(world), anyio.create_task_group() as task_group:
+                copied = world.store.copy()
+                other = {"host": HOST, "port": 9, "data_centre": "z1"}
+                world.store.put(NODE_KIND, "n2", other)
+                task_group.start_soon(track_nodes, world.state)
+                await until(lambda: len(world.state.nodes) == 2)
+                world.store.restore(copied)
+                with anyio.fail_after(KNOWN_WITHIN_S):
+                    await until(lambda: world.store.spec(NODE_KIND, "n1") is not None)
+                # The other node hasn't registered again yet, and isn't forgotten.
+                await anyio.sleep(0.5)
+                self.assertEqual(len(world.state.nodes), 2)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(run)
