Don't take back endpoints that a restored store lists as before

Cause: the first list of an era has entries as old as the copy. An endpoint that was known to leave came back as ready, one that had ended or restarted came back in its former lifetime, and weights went back: requests would reach a leaver later than DrainMs, or expect replaced weights.

Change: an endpoint whose entry said that it leaves goes on leaving in its lifetime. In the first list of an era, an earlier lifetime doesn't replace a later one, weights don't go back, and a lifetime that had ended is used once its endpoint writes again or is still listed after 5 s, as the store removes silent entries before.

Evidence: four of the six tests of RestoredStoreTests in test_view fail on the code before and pass.

--- a/src/agatehoist/fleet/view.py
+++ b/src/agatehoist/fleet/view.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from agatehoist.fleet.statements import EndpointStatements
+from agatehoist.fleet.statements import EndpointStatements, Notice
 from agatehoist.protocol.node_reports import endpoint_key
 from agatehoist.storage.revisions import NO_REVISION
 
@@ -16,6 +16,10 @@
 
 # Entries that expired during a store outage are back within about two seconds.
 STORE_RETURN_GRACE_S = 2.5
+# How long lifetimes that have ended are kept in mind; a restored store may list them.
+ENDED_KEPT_S = 60.0
+# The entry of an endpoint that has gone is removed again within this time.
+ENDED_DOUBT_S = 5.0
 # Weights version of an endpoint that lists none; versions start at 1.
 UNKNOWN_VERSION = 0
 
@@ -31,6 +35,8 @@
         self._observed_versions: dict[tuple[str, str], int] = {}
         self._grace_ends_at = 0.0
         self._ended: list[Endpoint] = []
+        self._ended_at_by_lifetime: dict[str, float] = {}
+        self._doubted_until_by_lifetime: dict[str, float] = {}
 
     def start_grace_period(self, now: float) -> None:
         """Keep entries that are missing after an outage for `STORE_RETURN_GRACE_S`."""
@@ -39,19 +45,39 @@
     def replace(
         self, endpoints: Iterable[Endpoint], revision: Revision, now: float
     ) -> None:
-        """Replace all entries by a complete list."""
+        """Replace all entries by a complete list.
+
+        The first list of an era may be older than what is known: it may have lifetimes
+        that have ended or been replaced.
+        """
         listed = {each.name: each for each in endpoints}
+        begins_era = NO_REVISION.era < self.revision.era < revision.era
+        if begins_era:
+            listed = {
+                name: self.by_name[name] if self._is_replaced(each) else each
+                for name, each in listed.items()
+            }
+            for known in self.by_name.values():
+                for model, version in known.versions_by_model.items():
+                    self.note_version(known, model, version)
         for name in self.by_name.keys() - listed.keys():
             self.remove(name, now)
         for endpoint in listed.values():
-            self.put(endpoint)
+            self.put(endpoint, now)
+        if begins_era:
+            self._doubt(listed.values(), now)
         self.revision = revision
 
-    def put(self, endpoint: Endpoint) -> None:
+    def put(self, endpoint: Endpoint, now: float) -> None:
         """Add or update an entry."""
+        self._doubted_until_by_lifetime.pop(endpoint.lifetime, None)
         before = self.by_name.get(endpoint.name)
         if before is not None and before.lifetime != endpoint.lifetime:
-            self._end_lifetime(before)
+            self._end_lifetime(before, now)
+        if endpoint.leaving:
+            # An entry from an older copy of the store must not revoke it.
+            key = endpoint_key(endpoint.lifetime)
+            self._statements.accept(Notice(key, None, True, now), now)
         self._removed_at_by_name.pop(endpoint.name, None)
         self.by_name[endpoint.name] = endpoint
 
@@ -73,6 +99,8 @@
         """Return whether an endpoint leaves, by its entry or by its own answers."""
         if endpoint.leaving:
             return True
+        if now < self._doubted_until_by_lifetime.get(endpoint.lifetime, 0.0):
+            return True
         return self._statements.is_leaving(endpoint_key(endpoint.lifetime), now)
 
     def version_of(self, endpoint: Endpoint, model: str) -> int:
@@ -97,10 +125,27 @@
         ended = [name for name, at in self._removed_at_by_name.items() if at <= now]
         for name in ended:
             del self._removed_at_by_name[name]
-            self._end_lifetime(self.by_name.pop(name))
+            self._end_lifetime(self.by_name.pop(name), now)
+
+    def _is_replaced(self, endpoint: Endpoint) -> bool:
+        known = self.by_name.get(endpoint.name)
+        return known is not None and known.started_ms > endpoint.started_ms
+
+    def _doubt(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Use endpoints that had ended only if they are still listed later."""
+        self._doubted_until_by_lifetime = {
+            each.lifetime: now + ENDED_DOUBT_S
+            for each in endpoints
+            if each.lifetime in self._ended_at_by_lifetime
+        }
 
-    def _end_lifetime(self, endpoint: Endpoint) -> None:
+    def _end_lifetime(self, endpoint: Endpoint, now: float) -> None:
         self._ended.append(endpoint)
+        ended_at = self._ended_at_by_lifetime
+        ended_at[endpoint.lifetime] = now
+        for lifetime, at in tuple(ended_at.items()):
+            if now > at + ENDED_KEPT_S:
+                del ended_at[lifetime]
         self._forget_versions(endpoint)
 
     def _forget_versions(self, endpoint: Endpoint) -> None:
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -136,7 +136,7 @@
         if endpoint is None:
             state.fleet.remove(value.name, state.clock.now())
             return
-        state.fleet.put(endpoint)
+        state.fleet.put(endpoint, state.clock.now())
         # Logged for each entry that is added or changed.
         logger.info(
             "endpoint listed",
--- a/tests/test_fleet/test_view.py
+++ b/tests/test_fleet/test_view.py
@@ -8,7 +8,11 @@
 from parameterized import parameterized
 
 from agatehoist.fleet.types import Endpoint
-from agatehoist.fleet.view import STORE_RETURN_GRACE_S, EndpointsView
+from agatehoist.fleet.view import (
+    ENDED_DOUBT_S,
+    STORE_RETURN_GRACE_S,
+    EndpointsView,
+)
 from agatehoist.storage.revisions import Revision
 
 ENDPOINT = Endpoint("e1", "songs", "10.0.0.1", 80, "dc1", 64, False, 1, {"m": 1})
@@ -22,10 +26,10 @@
 class EndpointsViewTests(unittest.TestCase):
     def setUp(self) -> None:
         self.view = EndpointsView()
-        self.view.put(ENDPOINT)
+        self.view.put(ENDPOINT, 0.0)
 
     def test_leaving_endpoint_gets_no_new_work(self) -> None:
-        self.view.put(replace(ENDPOINT, leaving=True))
+        self.view.put(replace(ENDPOINT, leaving=True), 0.0)
         self.assertEqual(names(self.view, 0.0), [])
 
     def test_removed_endpoint_is_dropped_at_once(self) -> None:
@@ -49,12 +53,58 @@
     def test_entry_that_returns_in_time_is_kept(self) -> None:
         self.view.start_grace_period(10.0)
         self.view.replace((), Revision(0, 5), 10.0)
-        self.view.put(ENDPOINT)
+        self.view.put(ENDPOINT, 0.0)
         self.assertEqual(names(self.view, 20.0), ["e1"])
 
     def test_restarted_endpoint_loses_its_observed_weights_versions(self) -> None:
         self.view.note_version(ENDPOINT, "m", 4)
         self.assertEqual(self.view.version_of(ENDPOINT, "m"), 4)
         restarted = replace(ENDPOINT, started_ms=2)
-        self.view.put(restarted)
+        self.view.put(restarted, 0.0)
         self.assertEqual(self.view.version_of(restarted, "m"), 1)
+
+
+class RestoredStoreTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = EndpointsView()
+        self.view.replace((ENDPOINT,), Revision(1, 50), 0.0)
+
+    def restore(self, *endpoints: Endpoint) -> None:
+        """Read the first list after the store has come back from an older copy."""
+        self.view.replace(endpoints, Revision(2, 40), 10.0)
+
+    def test_endpoint_that_was_leaving_does_not_come_back_as_ready(self) -> None:
+        self.view.put(replace(ENDPOINT, leaving=True), 1.0)
+        self.restore(ENDPOINT)
+        self.assertEqual(names(self.view, 10.0), [])
+
+    # Times after the restore, whether the endpoint writes its entry again, and what
+    # serves.
+    @parameterized.expand(
+        [
+            ("gone", 1.0, False, []),
+            ("back", 1.0, True, ["e1"]),
+            ("still_listed", ENDED_DOUBT_S + 0.1, False, ["e1"]),
+        ]
+    )
+    def test_endpoint_that_had_ended_serves_once_it_is_sure_to_live(
+        self, _name: str, after_s: float, writes: bool, expected: list[str]
+    ) -> None:
+        self.view.remove("e1", 1.0)
+        self.assertEqual(names(self.view, 2.0), [])
+        self.restore(ENDPOINT)
+        if writes:
+            self.view.put(ENDPOINT, 10.5)
+        self.assertEqual(names(self.view, 10.0 + after_s), expected)
+
+    def test_earlier_lifetime_does_not_replace_a_later_one(self) -> None:
+        restarted = replace(ENDPOINT, started_ms=2)
+        self.view.put(restarted, 1.0)
+        self.restore(ENDPOINT)
+        self.assertEqual(self.view.by_name["e1"], restarted)
+        self.assertEqual(names(self.view, 10.0), ["e1"])
+
+    def test_weights_of_a_lifetime_do_not_go_back(self) -> None:
+        self.view.put(replace(ENDPOINT, versions_by_model={"m": 2}), 1.0)
+        self.restore(ENDPOINT)
+        self.assertEqual(self.view.version_of(self.view.by_name["e1"], "m"), 2)
