Take no reply without an id for an answer on a kept connection

A report of other operators: a faulty runner writes an earlier refusal once more on a kept connection, callers are told 'not run' for requests that run, or these run twice.

It can happen here if the copy has no request id (a copy with one was skipped already): the next request took it for its own refusal, answered 503 although it ran, or ran again elsewhere. A copy with the id of the same request could end a moved run that continues at an endpoint that had refused it before.

Change: on a connection that has carried a reply before, a reply must have the request's id; an endpoint that has got the request before gets it on a new connection. The stand-in echoes ids in refusals and 421, as endpoints do.

Evidence: test_earlier_refusal_is_not_taken_for_the_next_answer (503 for a request that ran), ..._does_not_run_a_request_twice (8 runs of 6 requests) and ..._does_not_end_a_run_that_moves _there (reset) fail on the code before and pass.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -81,6 +81,7 @@
         first_event_index: int,
         events: MemoryObjectSendStream[Event],
         may_retry: bool = False,
+        was_tried: bool = False,
     ) -> None:
         self.dispatch = dispatch
         self.stream_head: ReplyHead | None = None
@@ -93,6 +94,7 @@
         # Set if the connection was lost before the endpoint answered.
         self.was_lost = False
         self._may_retry = may_retry
+        self._was_tried = was_tried
         self._next_event_index = first_event_index
         self._began_at = state.clock.now()
         # The endpoint processes earlier prompts first.
@@ -164,7 +166,9 @@
                 endpoint.lifetime,
                 endpoint.host,
                 endpoint.port,
-                fresh=self._state.silence_s(endpoint) > MAX_SILENCE_FOR_REUSE_S,
+                # An endpoint that has answered this request before may do so again.
+                fresh=self._was_tried
+                or self._state.silence_s(endpoint) > MAX_SILENCE_FOR_REUSE_S,
             )
         except ConnectionFailedError as error:
             self._state.suspect(endpoint, str(error))
@@ -208,7 +212,7 @@
         ) as self._silence_scope:
             reply_head = await connection.read_head()
             for _ in range(MAX_STALE_REPLIES):
-                if platform.answered_request_id(reply_head) in (None, self._request_id):
+                if self._is_answer(connection, reply_head):
                     break
                 await connection.read_body(MAX_REPLY_BYTES)
                 connection.skip_reply(head, body)
@@ -220,11 +224,19 @@
             f"{self.dispatch.endpoint.name}: no data within the silence timeout"
         )
 
+    def _is_answer(self, connection: ClientConnection, head: ReplyHead) -> bool:
+        """Return whether a reply answers this request, not an earlier one."""
+        request_id = self._state.platform.answered_request_id(head)
+        if request_id is None:
+            # Only on a new connection can't it be a late copy of an earlier reply.
+            return not connection.is_reused
+        return request_id == self._request_id
+
     async def _read_answer(
         self, connection: ClientConnection, head: ReplyHead
     ) -> Event:
         platform = self._state.platform
-        if platform.answered_request_id(head) not in (None, self._request_id):
+        if not self._is_answer(connection, head):
             raise InvalidReplyError("the reply belongs to another request")
         self._state.record_contact(self.dispatch.endpoint)
         note_statement(self._state, self.dispatch.endpoint, head, self._began_at)
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -95,6 +95,8 @@
         self._attempt: Attempt | None = None
         self._search = OfferSearch(state, request)
         self._steps = self._search.steps
+        # The endpoints that have got this request, also to continue a moved run.
+        self._asked_lifetimes: set[str] = set()
         self._stream_started = False
         self._outcome = "caller gone"
         self._is_caller_disconnected = False
@@ -217,6 +219,7 @@
     def _start_attempt(
         self, dispatch: Dispatch, attempt_id: AttemptId, first_event_index: int
     ) -> None:
+        lifetime = dispatch.endpoint.lifetime
         self._attempt = Attempt(
             self._state,
             self._request,
@@ -225,7 +228,9 @@
             first_event_index,
             self._sender.clone(),
             self._machine.may_retry,
+            lifetime in self._asked_lifetimes,
         )
+        self._asked_lifetimes.add(lifetime)
         self._state.spawn(self._attempt.run)
 
     @DECISION_HANDLERS.register(ContinueRun)
--- a/src/agatehoist/http1/client.py
+++ b/src/agatehoist/http1/client.py
@@ -28,6 +28,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.usable_until = 0.0
+        # Whether it has carried a reply before the one to the current request.
+        self.is_reused = False
 
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Send a complete request.
@@ -94,6 +96,7 @@
             self.close()
             return False
         self._http.start_next_cycle()
+        self.is_reused = True
         return True
 
     def is_idle(self) -> bool:
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -14,6 +14,7 @@
 
 from agatehoist.core.registry import Registry
 from agatehoist.http1.errors import ConnectionFailedError
+from agatehoist.http1.server import ServerConnection
 from standins.users_platform.kv_cache import KvNetwork, PartMemory
 from standins.users_platform.loopback import HOST, serve_requests
 
@@ -21,7 +22,6 @@
     from collections.abc import Set
 
     from agatehoist.http1.channel import Channel
-    from agatehoist.http1.server import ServerConnection
     from agatehoist.http1.types import Request
 
 REQUEST_ID = b"x-agatehoist-request-id"
@@ -122,6 +122,9 @@
     is_leaving: bool = False
     pause_s: float | None = None
     arrivals: list[float] = field(default_factory=list)
+    # Whether a refusal is sent once more before the next answer on its connection,
+    # with the id of its request or without ("named", "unnamed").
+    repeats_refusals: str = ""
     port: int = 0
     # Start of the endpoint in epoch milliseconds.
     started_ms: int = 1_700_000_000_000
@@ -131,6 +134,7 @@
     _weights_changes: int = 0
     _made_under_by_copy: dict[str, int] = field(default_factory=dict)
     _version_by_run: dict[str, int] = field(default_factory=dict)
+    _stale_refusals: dict[ServerConnection, bytes] = field(default_factory=dict)
 
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
@@ -201,7 +205,7 @@
         if request.head.target == b"/agatehoist/report":
             await _send_json(connection, 200, self._report())
         elif headers.get("x-agatehoist-expect-instance") not in (None, self.name):
-            await connection.send_reply(421, (), b"")
+            await connection.send_reply(421, _echoed_id(headers), b"")
         elif request.head.target == b"/agatehoist/kv-move":
             await self._move_run(connection, json.loads(request.body))
         elif request.head.target == b"/agatehoist/order":
@@ -214,35 +218,44 @@
     ) -> None:
         """Run a request, or refuse it before it starts."""
         self.arrivals.append(time.monotonic())
+        stale = self._stale_refusals.pop(connection, b"")
+        if stale:
+            await connection._channel.send(stale)
         await self.on_request()
         if self._has_unexpected_weights(headers):
             self.rejections.append("other weights")
-            headers_out = (*self._weights_headers(), *self.statement_headers())
-            await connection.send_reply(421, headers_out, b"")
+            stated = (*self._weights_headers(), *self.statement_headers())
+            await connection.send_reply(421, (*_echoed_id(headers), *stated), b"")
             return
         weights_changes = self._weights_changes
         if self.queue_s:
             await anyio.sleep(self.queue_s)
         has_prompt = "x-agatehoist-model-name" in headers
         if has_prompt and (self.busy or self._weights_changes != weights_changes):
-            await self._reject(connection, "weights change")
+            await self._reject(connection, headers, "weights change")
         elif headers.get("kv-from", "") not in ("", *self._made_under_by_copy):
-            await self._reject(connection, "no copy")
+            await self._reject(connection, headers, "no copy")
         else:
             await self._run(connection, request, headers)
 
-    async def _reject(self, connection: ServerConnection, reason: str) -> None:
+    async def _reject(
+        self, connection: ServerConnection, request: dict[str, str], reason: str
+    ) -> None:
         self.rejections.append(reason)
+        named = _echoed_id(request)
         pause = () if self.pause_s is None else ((RETRY_AFTER, _text(self.pause_s)),)
-        headers = (*NOT_EXECUTED, *pause, *self.statement_headers())
+        headers = (*NOT_EXECUTED, *pause, *named, *self.statement_headers())
         await connection.send_reply(503, headers, b"")
+        if self.repeats_refusals:
+            stale = NOT_EXECUTED if self.repeats_refusals == "unnamed" else headers
+            self._stale_refusals[connection] = _raw_refusal(stale)
 
     async def _run(
         self, connection: ServerConnection, request: Request, headers: dict[str, str]
     ) -> None:
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "shed":
-            await self._reject(connection, "shed")
+            await self._reject(connection, headers, "shed")
             return
         request_id = headers.get(REQUEST_ID.decode(), "")
         run = ReceivedRequest(
@@ -424,6 +437,16 @@
     return str(number).encode()
 
 
+def _echoed_id(request: dict[str, str]) -> tuple[tuple[bytes, bytes], ...]:
+    request_id = request.get(REQUEST_ID.decode())
+    return () if request_id is None else ((REQUEST_ID, request_id.encode()),)
+
+
+def _raw_refusal(headers: tuple[tuple[bytes, bytes], ...]) -> bytes:
+    lines = [b"HTTP/1.1 503 ", *(b": ".join(each) for each in headers)]
+    return b"\r\n".join([*lines, b"content-length: 0", b"", b""])
+
+
 @FAULTS.register("reset")
 async def _reset(
     _endpoint: EndpointStandIn, connection: ServerConnection, _run: ReceivedRequest
@@ -445,6 +468,20 @@
     await endpoint.reply(connection, run, 500)
 
 
+@FAULTS.register("missing")
+async def _answer_not_found(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await endpoint.reply(connection, run, 404)
+
+
+@FAULTS.register("plain")
+async def _answer_without_events(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await endpoint.reply(connection, run, 200)
+
+
 @FAULTS.register("cut")
 async def _reset_after_two_events(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
