Show that no other answer gets into a stream and no cut head is a success

The tests play a 500, a 404 and a reply without events after a stream that broke off behind two events (the caller gets one head, no foreign text and no last chunk), and an answer cut after each byte of its head, with a length and without (never 200).

--- a/tests/test_gateway/test_faulty_answers.py
+++ b/tests/test_gateway/test_faulty_answers.py
@@ -7,11 +7,22 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.http1.channel import connect
+from agatehoist.http1.errors import ConnectionFailedError
 from standins.users_platform.harness import (
+    APPLICATION,
     GatewayHarness,
     running_gateway,
     until,
 )
+from standins.users_platform.loopback import HOST, listen_on_loopback
+
+STREAM_REQUEST = (
+    b"POST /trace/1 HTTP/1.1\r\nhost: a.example\r\nx-agatehoist-request-id: r1\r\n"
+    b"api-key: key-of-the-crew\r\nx-agatehoist-model-name: songs-large\r\n"
+    b"x-agatehoist-token-count: 130,5\r\nx-agatehoist-prompt-prefix: aa:100,bb:30\r\n"
+    b"content-length: 2\r\n\r\n{}"
+)
 
 
 class RepeatedRefusalTests(unittest.TestCase):
@@ -88,3 +99,85 @@
         body = anyio.run(run)
         self.assertTrue(body.endswith(b"data: t60\n\n"))
         self.assertEqual(len([r for e in world.engines for r in e.continued_runs]), 1)
+
+
+class BrokenStreamTests(unittest.TestCase):
+    # What the next endpoint answers after a stream has broken off behind two events.
+    @parameterized.expand(
+        [("error", "fail"), ("not_found", "missing"), ("no_stream", "plain")]
+    )
+    def test_answer_of_the_next_endpoint_does_not_get_into_the_stream(
+        self, _name: str, fault: str
+    ) -> None:
+        world = GatewayHarness()
+        faults = ["cut", fault, fault, fault]
+        for each in world.engines:
+            each.faults = faults
+
+        async def run() -> bytes:
+            async with running_gateway(world):
+                channel = await connect(HOST, world.port)
+                received = bytearray()
+                try:
+                    await channel.send(STREAM_REQUEST)
+                    while data := await channel.receive():
+                        received += data
+                except ConnectionFailedError:
+                    pass
+                channel.close()
+                return bytes(received)
+
+        received = anyio.run(run)
+        self.assertEqual(received.count(b"HTTP/1.1"), 1)
+        self.assertNotIn(b"r1 by engine", received)
+        # The last chunk would make the stream look complete.
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+
+
+class CutHeadTests(unittest.TestCase):
+    # The whole answer, cut after each of its bytes up to the end of its head.
+    @parameterized.expand(
+        [("with_length", b"content-length: 7\r\n"), ("unframed", b"")]
+    )
+    def test_answer_cut_in_its_head_is_no_success(
+        self, _name: str, framing: bytes
+    ) -> None:
+        head = (
+            b"HTTP/1.1 200 OK\r\nx-agatehoist-server-stamp: s\r\n"
+            b"x-agatehoist-request-id: r1\r\n" + framing + b"\r\n"
+        )
+
+        async def run() -> set[int]:
+            world = GatewayHarness()
+            world.applications.clear()
+            heads = [head]
+            statuses = set()
+
+            async def answer(channel) -> None:  # type: ignore[no-untyped-def]
+                await channel.receive()
+                await channel.send(heads[-1])
+                channel.close()
+
+            async with running_gateway(world), listen_on_loopback(answer) as port:
+                entry = {
+                    "Service": APPLICATION,
+                    "Address": f"{HOST}:{port}",
+                    "Zone": "z1",
+                    "Version": "v1",
+                    "Slots": 8,
+                    "State": "ready",
+                    "ColdLeftMs": 0,
+                    "Models": [],
+                    "SeqNo": 0,
+                    "born": 1,
+                }
+                world.store.put("servers", "cutter", entry)
+                await anyio.sleep(0.2)
+                for cut_at in range(1, len(head)):
+                    heads.append(head[:cut_at])
+                    world.state.suspects.note_answer("cutter")
+                    reply = await world.ask("/post/1", "POST")
+                    statuses.add(reply.head.status)
+            return statuses
+
+        self.assertNotIn(200, anyio.run(run))
