Relay reads of the store on new connections

Cause, by reading: between two relayed reads the direct one times out, after 1.3 s, so the connection to the peer is nearly as old as the idle limit of both sides, 2 s in the test. Under load the peer closes it as the next read is sent. That read fails, and the next try comes after the back-off and another direct timeout: more than the 3.5 s that the test allows. The failure itself wasn't reproduced.

Change: relayed reads use a new connection each.

Evidence: test_read_is_relayed_though_the_peer_closes_a_kept_connection fails on the code before (the second read is reset) and passes.

--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -358,8 +358,10 @@
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(data)).encode()))
         head = RequestHead(method.encode(), target.encode(), tuple(headers))
+        # Relayed reads are seconds apart, so a peer may be closing a kept connection.
+        is_relayed = address != self._address
         return await self._pool.exchange(
-            str(address), address, head, data, MAX_REPLY_BYTES
+            str(address), address, head, data, MAX_REPLY_BYTES, fresh=is_relayed
         )
 
 
--- a/tests/test_gateway/test_store_relay.py
+++ b/tests/test_gateway/test_store_relay.py
@@ -4,6 +4,7 @@
 
 import unittest
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,6 +15,7 @@
 from agatehoist.gateway.plans import PLAN_KIND
 from agatehoist.gateway.store_relay import Relay
 from agatehoist.http1.errors import ConnectionFailedError
+from agatehoist.http1.server import ServerConnection
 from agatehoist.platform.store import RELAY_AFTER_S, PlatformStore
 from agatehoist.storage.errors import PlatformUnavailableError
 from standins.users_platform.harness import GatewayHarness, running_gateway
@@ -92,6 +94,37 @@
 
         self.assertEqual(anyio.run(run), [True] * 3)
 
+    def test_read_is_relayed_though_the_peer_closes_a_kept_connection(self) -> None:
+        world = GatewayHarness()
+
+        async def run() -> list[bool]:
+            async with (
+                running_gateway(world),
+                listen_on_loopback(partial(_close_kept, world)) as relay_port,
+            ):
+                world.state.set_nodes(frozenset({Address(HOST, 1)}))
+                store = PlatformStore(UNREACHABLE, SystemClock())
+                store.relays = lambda: [Address(HOST, relay_port)]
+                with suppress(PlatformUnavailableError):
+                    await store.list("config")
+                await anyio.sleep(RELAY_AFTER_S)
+                return [bool((await store.list("config")).values) for _ in range(4)]
+
+        self.assertEqual(anyio.run(run), [True] * 4)
+
+
+async def _close_kept(world: GatewayHarness, channel: Channel) -> None:
+    """Relay one read, then reset the connection when another one arrives."""
+    relay = Relay(world.state)
+    connection = ServerConnection(channel, world.state.clock, world.state.limits)
+    request = await connection.next_request(lambda: None)
+    assert request is not None
+    reply = await relay._answer(request)
+    await connection.send_reply(reply.head.status, reply.head.headers, reply.body)
+    with suppress(ConnectionFailedError):
+        await channel.receive()
+    channel.abort()
+
 
 async def _never_answer(channel: Channel) -> None:
     with suppress(ConnectionFailedError):
