Teach the soak limits, leaving by answer, requests for time and older stores

Endpoints name limits, leave by their answers or ask for time, several at once, and the store comes back from a copy, after which operators and endpoints write again.

An endpoint that leaves comes back in another lifetime, as on the platform; before, it could return in the same one, which stays leaving now. Seeds choose other faults than before, as there are four more.

--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import signal
+import time
 from typing import TYPE_CHECKING
 
 import anyio
 
 from agatehoist.core.registry import Registry
 from soak.proxy import Fault
+from soak.types import StatementPeriod
 from standins.users_platform.endpoint import FAULTS
 
 if TYPE_CHECKING:
@@ -25,6 +27,8 @@
 MAX_CONSECUTIVE_FAULTS = 6
 # Long enough for the five crashes that make a part known, and for what follows them.
 MIN_DEADLY_S = 7.0
+# Long enough for all gateways to know what an endpoint says, and for what follows.
+MIN_STATED_S = 5.0
 
 
 @FAULT_INJECTORS.register("kill")
@@ -136,13 +140,19 @@
 
 @FAULT_INJECTORS.register("endpoint_leaves")
 async def _drain_endpoint(testbed: Testbed, rng: random.Random) -> None:
-    endpoint = rng.choice(testbed.harness.endpoints())
+    endpoint = testbed.choose_leaver(rng)
+    if endpoint is None:
+        return
+    testbed.leaving_endpoints.add(endpoint.name)
     testbed.publish_endpoint(endpoint.name, "draining")
     await anyio.sleep(rng.uniform(PAUSE_S, MAX_FAULT_S))
     if rng.random() < 0.5:
         testbed.harness.store.remove("servers", endpoint.name)
         await anyio.sleep(rng.uniform(0, PAUSE_S))
-    testbed.publish_endpoint(endpoint.name, born_offset_ms=rng.randint(0, 5))
+    # It comes back in another lifetime.
+    endpoint.started_ms += rng.randint(1, 5)
+    testbed.publish_endpoint(endpoint.name)
+    testbed.leaving_endpoints.discard(endpoint.name)
 
 
 @FAULT_INJECTORS.register("configuration")
@@ -157,3 +167,58 @@
     for _ in range(rng.randint(1, 2)):
         testbed.publish_weights()
         await anyio.sleep(rng.uniform(0, MAX_FAULT_S))
+
+
+@FAULT_INJECTORS.register("endpoint_names_limit")
+async def _name_limits(testbed: Testbed, rng: random.Random) -> None:
+    endpoints = testbed.harness.endpoints()
+    limited = rng.sample(endpoints, rng.randint(1, len(endpoints) - 1))
+    limit_per_s = round(rng.uniform(1.0, 6.0), 1)
+    began_at = time.monotonic()
+    for each in limited:
+        each.limit_per_s = limit_per_s
+    await anyio.sleep(rng.uniform(MIN_STATED_S, MIN_STATED_S + MAX_FAULT_S))
+    for each in limited:
+        each.limit_per_s = None
+        testbed.statement_periods.append(
+            StatementPeriod("limit", each.name, began_at, time.monotonic(), limit_per_s)
+        )
+
+
+@FAULT_INJECTORS.register("endpoint_leaves_by_answer")
+async def _leave_by_answer(testbed: Testbed, rng: random.Random) -> None:
+    endpoint = testbed.choose_leaver(rng)
+    if endpoint is None:
+        return
+    testbed.leaving_endpoints.add(endpoint.name)
+    began_at = time.monotonic()
+    endpoint.is_leaving = True
+    await anyio.sleep(rng.uniform(MIN_STATED_S, MIN_STATED_S + MAX_FAULT_S))
+    endpoint.is_leaving = False
+    testbed.statement_periods.append(
+        StatementPeriod("leaving", endpoint.name, began_at, time.monotonic())
+    )
+    endpoint.started_ms += rng.randint(1, 5)
+    testbed.publish_endpoint(endpoint.name)
+    testbed.leaving_endpoints.discard(endpoint.name)
+
+
+@FAULT_INJECTORS.register("endpoint_asks_for_time")
+async def _ask_for_time(testbed: Testbed, rng: random.Random) -> None:
+    endpoint = rng.choice(testbed.harness.endpoints())
+    endpoint.pause_s = round(rng.uniform(0.2, MAX_FAULT_S), 1)
+    endpoint.faults += ["shed"] * rng.randint(1, MAX_CONSECUTIVE_FAULTS)
+    await anyio.sleep(rng.uniform(PAUSE_S, MAX_FAULT_S))
+    endpoint.pause_s = None
+
+
+@FAULT_INJECTORS.register("store_restored")
+async def _restore_store(testbed: Testbed, rng: random.Random) -> None:
+    store = testbed.harness.store
+    copied = store.copy()
+    await anyio.sleep(rng.uniform(0, 2 * MAX_FAULT_S))
+    with testbed.recording_fault(*testbed.gateways):
+        store.down = True
+        await anyio.sleep(rng.uniform(0, MAX_FAULT_S / 2))
+        await testbed.restore_store(copied, rng.uniform(0, PAUSE_S))
+        store.down = False
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -14,7 +14,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
 
-    from soak.types import ConfigurationChange, RequestResult, SentRequest
+    from soak.types import (
+        ConfigurationChange,
+        EndpointRecords,
+        RequestResult,
+        SentRequest,
+    )
     from standins.users_platform.endpoint import Crash
 
 # Every gateway must apply a configuration within this time of its acknowledgement.
@@ -27,6 +32,12 @@
 # Sound requests must be served at least at this fraction of the usual rate.
 MIN_SERVED_FRACTION = 0.5
 MIN_SOUND_REQUESTS = 20
+# An endpoint bears one and a half times its limit in a window, and 5 requests more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_SLACK = 5
+# The first request after an endpoint has begun to say that it leaves may be a late one.
+MAX_LEAVING_ARRIVALS = 1
 # Statuses that state that the request has not run.
 NOT_RUN_STATUSES = frozenset(
     {
@@ -46,6 +57,7 @@
     changes: Sequence[ConfigurationChange],
     stream: bytes,
     crashes: Sequence[Crash] = (),
+    records: EndpointRecords | None = None,
 ) -> list[Violation]:
     """Check all invariants and return the violations.
 
@@ -53,13 +65,58 @@
     `stream` is the complete body that every streamed response must have.
     """
     counts = Counter(run_ids)
-    return [
+    violations = [
         violation
         for name in INVARIANT_CHECKS
         for violation in INVARIANT_CHECKS[name](
             results, counts, changes, stream, crashes
         )
     ]
+    if records is not None:
+        by_id = {each.sent.request_id: each.sent for each in results}
+        violations += _check_statements(records, by_id)
+        violations += _check_tokens(records)
+    return violations
+
+
+def _check_statements(
+    records: EndpointRecords, sent_by_id: dict[str, SentRequest]
+) -> Iterator[Violation]:
+    """Check that gateways without a fault keep to what endpoints say of themselves."""
+    for period in records.periods:
+        known_at = period.began_at + STABLE_S
+        times = [
+            each.at
+            for each in records.arrivals
+            if each.endpoint == period.endpoint
+            and known_at < each.at <= period.ended_at
+            and (sent := sent_by_id.get(each.request_id)) is not None
+            and sent.sent_at > max(known_at, sent.fault_free_since + STABLE_S)
+        ]
+        if period.kind == "leaving" and len(times) > MAX_LEAVING_ARRIVALS:
+            yield Violation("leaving", period.endpoint, f"{len(times)} arrivals")
+        allowed = LIMIT_TOLERANCE * period.limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (sum(at <= t < at + LIMIT_WINDOW_S for t in times) for at in times),
+            default=0,
+        )
+        if period.kind == "limit" and most > allowed:
+            detail = f"{most} arrivals, {allowed:.0f} allowed"
+            yield Violation("limit", period.endpoint, detail)
+
+
+def _check_tokens(records: EndpointRecords) -> Iterator[Violation]:
+    """Check that fencing tokens don't go back, and that each is of one holder."""
+    highest = 0
+    holders_by_token: dict[int, str] = {}
+    for order in sorted(records.orders, key=lambda each: each.at):
+        if order.token < highest:
+            detail = f"token {order.token} after {highest}"
+            yield Violation("orders", order.holder, detail)
+        highest = max(highest, order.token)
+        first = holders_by_token.setdefault(order.token, order.holder)
+        if first != order.holder:
+            yield Violation("orders", order.holder, f"has the token of {first}")
 
 
 @INVARIANT_CHECKS.register("once")
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -62,6 +62,7 @@
                 testbed.changes,
                 EXPECTED_STREAM,
                 testbed.crashes,
+                testbed.endpoint_records(),
             )
             if violations and log_folder is not None:
                 _save_logs(testbed, log_folder / str(seed))
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -13,7 +13,13 @@
 import anyio.to_thread
 
 from soak.proxy import EndpointFront, Fault, Proxy
-from soak.types import ConfigurationChange
+from soak.types import (
+    Arrival,
+    ConfigurationChange,
+    EndpointRecords,
+    ReceivedOrder,
+    StatementPeriod,
+)
 from standins.fleet import Fleet
 from standins.users_platform.endpoint_listener import run_endpoint
 from standins.users_platform.harness import MODEL, GatewayHarness, configuration
@@ -21,10 +27,12 @@
 from standins.users_platform.processes import start_gateway
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import AsyncIterator, Iterator
     from pathlib import Path
 
-    from standins.users_platform.endpoint import Crash
+    from standins.users_platform.endpoint import Crash, EndpointStandIn
+    from standins.users_platform.store import StoreCopy
 
 ROUTE_TIMEOUT_MS = 6000
 STREAM_EVENT_COUNT = 40
@@ -45,6 +53,9 @@
         self.ports_by_endpoint: dict[str, int] = {}
         self.changes: list[ConfigurationChange] = []
         self.unexpected_exits: list[str] = []
+        self.statement_periods: list[StatementPeriod] = []
+        # The endpoints that leave at the moment, by their entries or by their answers.
+        self.leaving_endpoints: set[str] = set()
         self.weights_version = 1
         self._restart_locks_by_gateway: dict[str, anyio.Lock] = {}
         self._log_offsets_by_gateway: dict[str, int] = {}
@@ -56,6 +67,39 @@
         """Return the crashes of all endpoints."""
         return [crash for each in self.harness.endpoints() for crash in each.crashes]
 
+    def endpoint_records(self) -> EndpointRecords:
+        """Return what the endpoints have said and received."""
+        endpoints = self.harness.endpoints()
+        return EndpointRecords(
+            tuple(self.statement_periods),
+            tuple(
+                Arrival(each.name, request_id, at)
+                for each in endpoints
+                for at, request_id in zip(each.arrivals, each.arrival_ids, strict=True)
+            ),
+            tuple(
+                ReceivedOrder(at, order["Holder"], order["FencingToken"])
+                for each in endpoints
+                for at, order in zip(each.order_times, each.orders, strict=True)
+            ),
+        )
+
+    async def restore_store(self, copied: StoreCopy, wait_s: float) -> None:
+        """Let the store come back from a copy, and its writers write again."""
+        store = self.harness.store
+        written = {
+            (kind, name): store.spec(kind, name)
+            for kind in ("config", "versions", "servers")
+            for name in store.objects_by_kind.get(kind, {})
+        }
+        store.restore(copied)
+        await anyio.sleep(wait_s)
+        for (kind, name), spec in written.items():
+            # Something newer may have been written meanwhile.
+            age = "born" if kind == "servers" else "Version"
+            if (store.spec(kind, name) or spec)[age] <= spec[age]:
+                store.put(kind, name, spec)
+
     @property
     def gateways(self) -> tuple[str, ...]:
         """Return the names of all gateways."""
@@ -142,13 +186,17 @@
         value = {"Model": MODEL, "Version": self.weights_version}
         self.harness.store.put("versions", MODEL, value)
 
-    def publish_endpoint(
-        self, name: str, state: str = "ready", born_offset_ms: int = 0
-    ) -> None:
-        """Write an endpoint's store entry; an offset of `born` marks a restart."""
+    def choose_leaver(self, rng: random.Random) -> EndpointStandIn | None:
+        """Return an endpoint that isn't leaving, or None if all are."""
+        endpoints = self.harness.endpoints()
+        staying = [e for e in endpoints if e.name not in self.leaving_endpoints]
+        return rng.choice(staying) if staying else None
+
+    def publish_endpoint(self, name: str, state: str = "ready") -> None:
+        """Write an endpoint's store entry."""
         endpoint = next(e for e in self.harness.endpoints() if e.name == name)
         entry = endpoint.entry(self.ports_by_endpoint[name])
-        entry |= {"State": state, "born": entry["born"] + born_offset_ms}
+        entry["State"] = state
         self.harness.store.put("servers", name, entry)
 
 
@@ -196,6 +244,8 @@
         for proxy in each.values():
             proxy.fault = Fault.NONE
     testbed.harness.store.down = False
+    for each in testbed.harness.endpoints():
+        each.limit_per_s, each.pause_s, each.is_leaving = None, None, False
     testbed.harness.deadly_parts.clear()
     for endpoint in testbed.harness.endpoints():
         endpoint.faults.clear()
--- a/soak/types.py
+++ b/soak/types.py
@@ -42,6 +42,47 @@
     acked_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class StatementPeriod:
+    """Hold what an endpoint said of itself in its answers, and for how long.
+
+    `kind` is "limit" or "leaving".
+    """
+
+    kind: str
+    endpoint: str
+    began_at: float
+    ended_at: float
+    limit_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold the arrival of a request at an endpoint."""
+
+    endpoint: str
+    request_id: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """Hold an order that an endpoint has accepted."""
+
+    at: float
+    holder: str
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointRecords:
+    """Hold what endpoints have said and received."""
+
+    periods: tuple[StatementPeriod, ...] = ()
+    arrivals: tuple[Arrival, ...] = ()
+    orders: tuple[ReceivedOrder, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     """Hold a violated invariant, the request or process concerned, and details."""
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -122,6 +122,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     arrivals: list[float] = field(default_factory=list)
+    arrival_ids: list[str] = field(default_factory=list)
     # Whether a refusal is sent once more before the next answer on its connection,
     # with the id of its request or without ("named", "unnamed").
     repeats_refusals: str = ""
@@ -218,6 +219,7 @@
     ) -> None:
         """Run a request, or refuse it before it starts."""
         self.arrivals.append(time.monotonic())
+        self.arrival_ids.append(headers.get(REQUEST_ID.decode(), ""))
         stale = self._stale_refusals.pop(connection, b"")
         if stale:
             await connection._channel.send(stale)
--- a/tests/test_soak/test_invariants.py
+++ b/tests/test_soak/test_invariants.py
@@ -9,7 +9,15 @@
 from parameterized import parameterized
 
 from soak.invariants import find_violations
-from soak.types import ConfigurationChange, RequestResult, SentRequest
+from soak.types import (
+    Arrival,
+    ConfigurationChange,
+    EndpointRecords,
+    ReceivedOrder,
+    RequestResult,
+    SentRequest,
+    StatementPeriod,
+)
 from standins.users_platform.endpoint import Crash
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -166,3 +174,49 @@
         run_ids = [r.sent.request_id for r in results if r.status != 503]
         violations = find_violations(results, run_ids, CHANGES, STREAM, crashed)
         self.assertEqual([each.invariant for each in violations], expected)
+
+
+class EndpointRecordTests(unittest.TestCase):
+    # Arrivals at an endpoint that said something of itself from 0 to 20.
+    @parameterized.expand(
+        [
+            ("limit_kept", "limit", [6.0 + n / 4 for n in range(17)], []),
+            ("limit_passed", "limit", [6.0 + n / 10 for n in range(19)], ["limit"]),
+            ("limit_not_known_yet", "limit", [0.1 + n / 10 for n in range(19)], []),
+            ("late_request", "leaving", [6.0], []),
+            ("leaving_ignored", "leaving", [6.0, 7.0], ["leaving"]),
+        ]
+    )
+    def test_statements_of_endpoints_are_checked(
+        self, _name: str, kind: str, times: list[float], expected: list[str]
+    ) -> None:
+        results = [
+            replace(each, sent=replace(each.sent, request_id=f"r{n}", sent_at=at))
+            for n, at in enumerate(times)
+            for each in [make_result("look", 502, b"")]
+        ]
+        records = EndpointRecords(
+            (StatementPeriod(kind, "e", 0.0, 20.0, 2.0),),
+            tuple(Arrival("e", f"r{n}", at) for n, at in enumerate(times)),
+        )
+        violations = find_violations(results, [], CHANGES, STREAM, (), records)
+        found = [e.invariant for e in violations if e.invariant != "in force"]
+        self.assertEqual(found, expected)
+
+    @parameterized.expand(
+        [
+            ("in_turn", [("a", 1), ("a", 1), ("b", 2)], []),
+            ("goes_back", [("a", 2), ("b", 1)], ["orders"]),
+            ("of_two_holders", [("a", 2), ("b", 2)], ["orders"]),
+        ]
+    )
+    def test_tokens_are_checked(
+        self, _name: str, orders: list[tuple[str, int]], expected: list[str]
+    ) -> None:
+        received = tuple(
+            ReceivedOrder(float(at), holder, token)
+            for at, (holder, token) in enumerate(orders)
+        )
+        records = EndpointRecords(orders=received)
+        violations = find_violations([], [], CHANGES, STREAM, (), records)
+        self.assertEqual([each.invariant for each in violations], expected)
