Keep valid answers of other kinds out of the soak's faults

The reply is the endpoint's own and complete, so passing it on is right. It and the 404 are unusual answers now, which the soak doesn't draw.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -470,14 +470,14 @@
     await endpoint.reply(connection, run, 500)
 
 
-@FAULTS.register("missing")
+@UNUSUAL_ANSWERS.register("missing")
 async def _answer_not_found(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
 ) -> None:
     await endpoint.reply(connection, run, 404)
 
 
-@FAULTS.register("plain")
+@UNUSUAL_ANSWERS.register("plain")
 async def _answer_without_events(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
 ) -> None:
