--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -147,7 +147,8 @@
         try:
             while (message := await read_message(reader)) is not None:
                 await self.answer(message, writer)
-                await writer.drain()
+                if not writer.is_closing():
+                    await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         finally:
