--- a/src/agatehoist/fleet/view.py
+++ b/src/agatehoist/fleet/view.py
@@ -81,10 +81,14 @@
         self._removed_at_by_name.pop(endpoint.name, None)
         self.by_name[endpoint.name] = endpoint
 
-    def remove(self, name: str, now: float) -> None:
-        """Remove an entry, at once or when the grace period after an outage ends."""
-        if name in self.by_name:
-            self._removed_at_by_name.setdefault(name, max(now, self._grace_ends_at))
+    def remove(self, name: str, now: float) -> float:
+        """Remove an entry, at once or when the grace period after an outage ends.
+
+        Returns until when the endpoint is used.
+        """
+        if name not in self.by_name:
+            return now
+        return self._removed_at_by_name.setdefault(name, max(now, self._grace_ends_at))
 
     def serving(self, service: str, now: float) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service that may get new work."""
--- a/src/agatehoist/gateway/endpoint_change.py
+++ b/src/agatehoist/gateway/endpoint_change.py
@@ -130,7 +130,9 @@
         logger.info(
             "order given",
             endpoint=endpoint.lifetime,
+            model=order.model,
             weights=order.version,
+            holder=order.holder,
             token=order.token,
             order_count=order.expected_order_count,
             status=int(status),
--- a/src/agatehoist/gateway/plan_lease.py
+++ b/src/agatehoist/gateway/plan_lease.py
@@ -69,8 +69,9 @@
         )
         if now < times.write_at:
             return False
+        plan = self._new_plan(seen, changing)
         async with self._write_lock:
-            if not await self._write(self._new_plan(seen, changing), seen):
+            if not await self._write(plan, seen):
                 return False
         # If this node acquires its own plan again, it still has to wait for the orders
         # of the previous holder.
@@ -79,6 +80,7 @@
             "plan taken over",
             model=self._model,
             before=seen.plan.holder if seen else "",
+            token=plan.token,
             revision=str(seen.revision) if seen else "",
             order_in_s=round(max(0, times.order_at - now), 2),
         )
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from contextlib import suppress
 from dataclasses import replace
@@ -313,9 +314,21 @@
         if limit_per_s is not None:
             step += f", limit {limit_per_s}/s"
         if dispatch.weights_version:
-            step += f", cache {dispatch.salt}"
+            step += f", cache {dispatch.salt}{self._weights_age_text(dispatch)}"
         self._add_step(step)
 
+    def _weights_age_text(self, dispatch: Dispatch) -> str:
+        """Tell for how long the weights of an endpoint have been replaced, if so."""
+        prompt, weights = self._request.envelope.prompt, self._state.weights
+        version = dispatch.weights_version
+        if prompt is None or version >= weights.target(prompt.model):
+            return ""
+        now = self._now()
+        replaced_at = weights.outdated_since(prompt.model, version, now)
+        if math.isinf(replaced_at):
+            return ", weights replaced before the start"
+        return f", weights replaced {now - replaced_at:.1f} s ago"
+
     def _start_attempt(
         self,
         dispatch: Dispatch,
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -178,9 +178,13 @@
         )
 
     def _remove(self, state: GatewayState, value: StoredValue) -> None:
-        state.fleet.remove(value.name, state.clock.now())
+        now = state.clock.now()
+        used_until = state.fleet.remove(value.name, now)
         logger.info(
-            "endpoint removed", endpoint=value.name, revision=str(value.revision)
+            "endpoint removed",
+            endpoint=value.name,
+            revision=str(value.revision),
+            used_for_s=round(used_until - now, 2),
         )
 
 
