Let one node order the weights of all models

An endpoint that doesn't check tokens carries both out, so a late order can undo a newer one.

Cause: the plan, its lease, its token and the turn between holders were kept for a model; the rule is for an endpoint, whichever model an order is for. Gateways raced for each plan, and each winner ordered the same endpoints.

Change: OrderLease, one for the fleet, as one more object of the kind of plans that earlier releases read and ignore. Its holder takes over the plans of all models before its first order, with a token above all of theirs, and waits for the holder of each of them. It is written when the holder changes and before a plan is created, so a roll-out of one model costs one write more per holder. The orders are released once no model of a stopping node is in a roll-out.

Why it works: two nodes of this release compete for one object by compare and set; a holder that was replaced can't renew a plan, as the next one has written it. Nodes of earlier releases compete for plans only, and find them held.

--- a/src/agatehoist/gateway/overview.py
+++ b/src/agatehoist/gateway/overview.py
@@ -11,7 +11,7 @@
 from agatehoist.gateway.nodes import NODE_KIND
 from agatehoist.gateway.plans import PLAN_KIND, read_plan
 from agatehoist.routing.types import RoutingTable
-from agatehoist.weights.types import Plan, TargetWeights
+from agatehoist.weights.types import ORDERS_PLAN, Plan, TargetWeights
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -69,7 +69,10 @@
     yield f"nodes          {' '.join(overview.nodes) or 'none'}"
     for plan in overview.plans:
         state = "released" if plan.released else f"held by {plan.holder}"
-        yield f"plan           {plan.model} to {plan.target}, {state}"
+        if plan.model == ORDERS_PLAN:
+            yield f"weights orders {state}"
+        else:
+            yield f"plan           {plan.model} to {plan.target}, {state}"
     for each in overview.targets:
         yield f"weights        {each.model} {each.version}"
     for endpoint in overview.endpoints:
--- a/src/agatehoist/gateway/plan_lease.py
+++ b/src/agatehoist/gateway/plan_lease.py
@@ -7,21 +7,14 @@
 
 import anyio
 
-from agatehoist.gateway.plans import PLAN_KIND, write_plan
 from agatehoist.observability.logs import get_logger
-from agatehoist.storage.errors import ConflictError, PlatformError
-from agatehoist.weights.types import Plan, SeenPlan, first_token
-from agatehoist.weights.waves import (
-    LEASE_S,
-    TAKEOVER_SILENCE_S,
-    Continuity,
-    takeover_times,
-)
+from agatehoist.weights.types import Plan
 
 if TYPE_CHECKING:
     from agatehoist.gateway.model_endpoints import ModelEndpoints
+    from agatehoist.gateway.order_lease import OrderLease
     from agatehoist.gateway.state import GatewayState
-    from agatehoist.storage.objects import StoredValue
+    from agatehoist.weights.types import SeenPlan
 
 logger = get_logger("weights")
 
@@ -29,60 +22,55 @@
 class PlanLease:
     """Hold the right to write the stored `Plan` of a model and to send orders for it.
 
-    Times are in epoch seconds.
+    Only the holder of the fleet's `OrderLease` has it. Times are in epoch seconds.
     """
 
-    def __init__(self, state: GatewayState, endpoints: ModelEndpoints) -> None:
-        self.held: SeenPlan | None = None
-        self.orders_allowed_at = 0.0
-        self.written_at = 0.0
-        self._lease_valid_until = 0.0
-        self._last_written_order: tuple[int, int] | None = None
-        self._last_order_at = 0.0
+    def __init__(
+        self, state: GatewayState, endpoints: ModelEndpoints, orders: OrderLease
+    ) -> None:
         self._state = state
         self._endpoints = endpoints
         self._model = endpoints.model
+        self._orders = orders
+        self._stored_plan = orders.plan(self._model)
         self._write_lock = anyio.Lock()
 
-    def holds(self, seen: SeenPlan | None) -> bool:
-        """Return whether no other node is known to have written the plan since."""
-        if self.held is None or seen is None:
-            return False
-        return seen.revision <= self.held.revision
+    @property
+    def held(self) -> SeenPlan | None:
+        """Return the plan as last written, or None if it isn't held."""
+        return self._stored_plan.held
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether no other node is known to have become the holder."""
+        return self._stored_plan.is_held and self._orders.is_held
+
+    @property
+    def written_at(self) -> float:
+        """Return when the plan was last written."""
+        return self._stored_plan.written_at
 
     async def take_over(
-        self,
-        seen: SeenPlan | None,
-        outdated_since: float,
-        changing: tuple[str, ...] = (),
+        self, outdated_since: float, changing: tuple[str, ...] = ()
     ) -> bool:
-        """Acquire the plan unless another node renews it; return whether it worked."""
-        now = self._state.clock.now()
-        settings = self._state.settings
-        times = takeover_times(
-            settings.node,
-            seen,
-            now,
-            settings.order_turn_s,
-            outdated_since,
-            self._continuity(),
-        )
-        if now < times.write_at:
+        """Acquire the plan unless another node has the turn; return whether it worked.
+
+        If this node isn't the holder of the orders, it first becomes that.
+        """
+        if not await self._orders.acquire(outdated_since):
             return False
-        plan = self._new_plan(seen, changing)
+        before = self._stored_plan.stored
+        plan = self._new_plan(before, changing)
         async with self._write_lock:
-            if not await self._write(plan, seen):
+            if not await self._orders.claim(plan):
                 return False
-        # If this node acquires its own plan again, it still has to wait for the orders
-        # of the previous holder.
-        self.orders_allowed_at = max(self.orders_allowed_at, times.order_at)
+        self._state.active_requests.consider_moves()
         logger.info(
             "plan taken over",
             model=self._model,
-            before=seen.plan.holder if seen else "",
-            token=plan.token,
-            revision=str(seen.revision) if seen else "",
-            order_in_s=round(max(0, times.order_at - now), 2),
+            before=before.plan.holder if before else "",
+            token=self._orders.token,
+            revision=str(before.revision) if before else "",
         )
         return True
 
@@ -93,97 +81,51 @@
 
     async def authorise_order(self, changing: tuple[str, ...]) -> Plan | None:
         """Wait until orders are allowed; return the plan, None if the lease is lost."""
-        await anyio.sleep(max(0.0, self.orders_allowed_at - self._state.clock.now()))
+        await anyio.sleep(self._orders_wait_s())
         async with self._write_lock:
             if self.held is None:
                 return None
-            if self._state.clock.now() >= self._lease_valid_until:
+            if self._state.clock.now() >= self._stored_plan.valid_until:
                 await self._write_changes({"changing": changing})
-        if self.held is None or self._state.clock.now() >= self._lease_valid_until:
+        if self.held is None or not self.is_held:
             return None
-        self._last_order_at = self._state.clock.now()
-        return self.held.plan
-
-    async def release(self) -> None:
-        """Release the plan, so that another node can acquire it at once."""
-        if self.held is None:
-            return
-        # The previous holder may have sent orders up to `order_turn_s` before this node
-        # was allowed to.
-        previous_orders_end_at = (
-            self.orders_allowed_at - self._state.settings.order_turn_s
-        )
-        idle_s = self._state.clock.now() - max(
-            self._last_order_at, previous_orders_end_at
-        )
-        await self.update_plan(changing=(), released=True, idle_s=idle_s)
-        self.held = None
-
-    def _continuity(self) -> Continuity:
-        """Return what is known of the last holder if the store has lost its plan."""
-        weights = self._state.weights
-        known = weights.plans_by_model.get(self._model)
-        own_until = 0.0
-        if known is not None and known.plan.order == self._last_written_order:
-            # Others take over only a plan that hasn't been written for so long.
-            own_until = self.written_at + TAKEOVER_SILENCE_S
-        listed_at = weights.plans_listed_at if weights.plans_era else None
-        return Continuity(listed_at, own_until)
+        if self._state.clock.now() >= self._stored_plan.valid_until:
+            return None
+        # Another turn may have begun meanwhile.
+        if self._orders_wait_s() > 0:
+            return None
+        self._orders.note_order()
+        return replace(self.held.plan, token=self._orders.token)
+
+    def _orders_wait_s(self) -> float:
+        return max(0.0, self._orders.orders_allowed_at - self._state.clock.now())
 
     def _new_plan(self, seen: SeenPlan | None, changing: tuple[str, ...]) -> Plan:
-        node, weights = self._state.settings.node, self._state.weights
-        known = weights.plans_by_model.get(self._model)
-        era = seen.revision.era if seen is not None else weights.plans_era
-        plans = [each.plan for each in (seen, known) if each is not None]
-        token, beat = first_token(era), 1
-        if plans:
-            last = max(plans, key=lambda each: each.order)
-            token = max(token, last.token + (last.holder != node))
-            beat = last.beat + 1
+        era = seen.revision.era if seen is not None else self._state.weights.plans_era
         return Plan(
-            self._model, node, token, self._endpoints.target, beat, changing, era=era
+            self._model,
+            self._state.settings.node,
+            self._orders.token,
+            self._endpoints.target,
+            self._stored_plan.next_beat(),
+            changing,
+            era=era,
         )
 
     async def _write_changes(self, changes: dict[str, Any]) -> bool:
-        if self.held is None:
+        if self.held is None or not self.is_held:
             return False
         plan = self.held.plan
         changed = self._endpoints.lifetimes_with_version(
             changes.get("target", plan.target)
         )
-        changes = {"changed": changed, "beat": plan.beat + 1, **changes}
-        return await self._write(replace(plan, **changes), self.held)
-
-    async def _write(self, plan: Plan, seen: SeenPlan | None) -> bool:
-        """Write a plan with compare-and-set; return whether it was written."""
-        sent_at = self._state.clock.now()
-        try:
-            value = await self._put(plan, seen)
-        except ConflictError as error:
-            logger.info(
-                "plan held by another node", model=self._model, reason=str(error)
-            )
-            self.held = None
+        changes = {
+            "changed": changed,
+            "beat": plan.beat + 1,
+            "token": self._orders.token,
+            **changes,
+        }
+        if not await self._stored_plan.write(replace(plan, **changes), self.held):
             return False
-        except PlatformError as error:
-            logger.warning("plan not written", model=self._model, reason=str(error))
-            self.held = None
-            return False
-        self.held = SeenPlan(plan, value.revision, self._state.clock.now())
-        if self.held.is_copy:
-            # Another era began before the write; nobody can tell whose plan it is.
-            self.held = None
-            return False
-        self._lease_valid_until = sent_at + LEASE_S
-        self.written_at = sent_at
-        self._last_written_order = None if plan.released else plan.order
-        self._state.record_plan(self.held)
         self._state.active_requests.consider_moves()
         return True
-
-    async def _put(self, plan: Plan, seen: SeenPlan | None) -> StoredValue:
-        store = self._state.store
-        spec = write_plan(plan)
-        if seen is None:
-            return await store.create(PLAN_KIND, self._model, spec)
-        return await store.replace(PLAN_KIND, self._model, spec, seen.revision)
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -249,19 +249,34 @@
 
     def put(self, state: GatewayState, value: StoredValue) -> None:
         """Apply one object."""
-        try:
-            plan = read_plan(value.spec)
-        except AgatehoistError as error:
-            logger.error("invalid plan ignored", name=value.name, reason=str(error))
-            return
-        state.record_plan(SeenPlan(plan, value.revision, state.clock.now()))
+        record_stored_plan(state, value)
 
     def replace(self, state: GatewayState, listing: Listing) -> None:
         """Apply a whole list; a plan that isn't on it any more has been lost."""
-        models = [each.name for each in listing.values]
-        now = state.clock.now()
-        state.weights.note_plans_listed(models, listing.revision.era, now)
-        super().replace(state, listing)
+        record_listed_plans(state, listing)
+
+
+def record_listed_plans(state: GatewayState, listing: Listing) -> None:
+    """Record all stored plans; one that isn't on the list any more has been lost."""
+    models = [each.name for each in listing.values]
+    state.weights.note_plans_listed(models, listing.revision, state.clock.now())
+    for value in listing.values:
+        with one_object(PLAN_KIND, value.name):
+            record_stored_plan(state, value)
+
+
+def record_stored_plan(state: GatewayState, value: StoredValue) -> None:
+    """Record a plan as read from the store; one that can't be parsed is ignored."""
+    try:
+        plan = read_plan(value.spec)
+    except AgatehoistError as error:
+        logger.error("invalid plan ignored", name=value.name, reason=str(error))
+        return
+    if plan.model != value.name:
+        reason = f"it names the model {plan.model}"
+        logger.error("invalid plan ignored", name=value.name, reason=reason)
+        return
+    state.record_plan(SeenPlan(plan, value.revision, state.clock.now()))
 
 
 def _read_endpoint(state: GatewayState, value: StoredValue) -> Endpoint | None:
--- a/src/agatehoist/gateway/weights_rollout.py
+++ b/src/agatehoist/gateway/weights_rollout.py
@@ -9,8 +9,10 @@
 from agatehoist.core.wakeup import Wakeup
 from agatehoist.gateway.endpoint_change import REPORT_POLL_S, EndpointChange
 from agatehoist.gateway.model_endpoints import ModelEndpoints
+from agatehoist.gateway.order_lease import OrderLease
 from agatehoist.gateway.plan_lease import PlanLease
 from agatehoist.observability.logs import get_logger
+from agatehoist.weights.types import ORDERS_PLAN
 from agatehoist.weights.waves import RENEWAL_INTERVAL_S, next_wave
 
 if TYPE_CHECKING:
@@ -41,11 +43,12 @@
 async def roll_out_weights(state: GatewayState) -> None:
     """Roll out target weights to the endpoints of all models until cancelled."""
     rollouts_by_model: dict[str, ModelRollout] = {}
+    orders = OrderLease(state)
     async with anyio.create_task_group() as task_group:
         while True:
             for model in state.weights.targets_by_model:
-                if model not in rollouts_by_model:
-                    rollouts_by_model[model] = ModelRollout(state, model)
+                if model not in rollouts_by_model and model != ORDERS_PLAN:
+                    rollouts_by_model[model] = ModelRollout(state, model, orders)
                     task_group.start_soon(rollouts_by_model[model].run)
             await state.rollout_wakeup.wait(IDLE_CHECK_INTERVAL_S)
             for rollout in rollouts_by_model.values():
@@ -55,10 +58,11 @@
 class ModelRollout:
     """Roll out the target weights of one model to its endpoints."""
 
-    def __init__(self, state: GatewayState, model: str) -> None:
+    def __init__(self, state: GatewayState, model: str, orders: OrderLease) -> None:
         self._state = state
         self._endpoints = ModelEndpoints(state, model)
-        self._lease = PlanLease(state, self._endpoints)
+        self._orders = orders
+        self._lease = PlanLease(state, self._endpoints, orders)
         self._model = model
         self._wakeup = Wakeup()
         self._wakeup.set()
@@ -86,35 +90,43 @@
                 held = self._lease.held
                 if held is not None and held.plan.changing:
                     await self._write_completion()
-                if self._state.leaving:
-                    # Without the plan, changes in progress send no further orders.
-                    await self._lease.release()
-                self._state.models_in_rollout.discard(self._model)
+                await self._end_roll_out()
+
+    async def _end_roll_out(self) -> None:
+        """Record the end; the last one of a stopping node releases the orders."""
+        in_rollout = self._state.models_in_rollout
+        in_rollout.discard(self._model)
+        if self._state.leaving and not in_rollout:
+            # The process ends only when no model is left.
+            in_rollout.add(self._model)
+            # Without the plans, changes in progress send no further orders.
+            await self._orders.release()
+            in_rollout.discard(self._model)
 
     def _may_continue(self) -> bool:
-        """Return whether to go on; a stopping node does if it holds the plan.
+        """Return whether to go on; a stopping node does if it holds the orders.
 
         It goes on until `PLAN_RELEASE_MARGIN_S` before its stop deadline. If each node
-        released its plan at once, a rolling restart of all nodes would stall roll-outs.
+        released them at once, a rolling restart of all nodes would stall roll-outs.
         """
         if not self._state.leaving:
             return True
         left_s = self._state.stops_at - self._state.clock.now()
-        return self._lease.held is not None and left_s > PLAN_RELEASE_MARGIN_S
+        return self._orders.is_held and left_s > PLAN_RELEASE_MARGIN_S
 
     async def _step(self) -> None:
         """Take over the plan, or start the next wave, or renew the plan, or wait."""
-        seen = self._state.weights.stored_plans_by_model.get(self._model)
         lease = self._lease
         self._state.models_in_rollout.add(self._model)
-        if not lease.holds(seen):
+        if not lease.is_held:
             changing = self._changing_lifetimes_in_service()
-            if not await lease.take_over(seen, self._outdated_since, changing):
+            if not await lease.take_over(self._outdated_since, changing):
                 await anyio.sleep(WRITE_RETRY_S)
             return
         # The first wave begins before orders are allowed, so that runs have moved to
         # other endpoints when the first order is sent.
-        wait_s = lease.orders_allowed_at - RUN_MOVE_LEAD_S - self._state.clock.now()
+        allowed_at = self._orders.orders_allowed_at
+        wait_s = allowed_at - RUN_MOVE_LEAD_S - self._state.clock.now()
         if wait_s > 0:
             await anyio.sleep(min(WRITE_RETRY_S, wait_s))
             return
--- a/src/agatehoist/weights/types.py
+++ b/src/agatehoist/weights/types.py
@@ -7,6 +7,8 @@
 from agatehoist.storage.revisions import Revision
 
 TOKENS_PER_ERA = 2**20
+# Name of the plan whose holder orders the weights of all models; no model has it.
+ORDERS_PLAN = "agatehoist-orders"
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +28,8 @@
     renewed plan differs from the one before. If `released` is set, another node may
     take the plan over at once. `idle_s` is the time in seconds between the holder's
     last order and the write. `era` is that of the store in which it was written.
+
+    The plan `ORDERS_PLAN` is of no model: its holder orders the weights of all models.
     """
 
     model: str
--- a/src/agatehoist/weights/view.py
+++ b/src/agatehoist/weights/view.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable
 
     from agatehoist.fleet.types import Endpoint
+    from agatehoist.storage.revisions import Revision
     from agatehoist.weights.types import SeenPlan
 
 # A longer change of weights counts as failed, and its endpoint gets new work again.
@@ -101,15 +102,18 @@
             and target_time.observed_here_at > since
         )
 
-    def note_plans_listed(self, models: Iterable[str], era: int, now: float) -> None:
-        """Record for which models the store has plans, as of a list."""
+    def note_plans_listed(
+        self, models: Iterable[str], revision: Revision, now: float
+    ) -> None:
+        """Record for which models the store has plans, as of a list's revision."""
+        listed = frozenset(models)
         self.stored_plans_by_model = {
-            model: self.stored_plans_by_model[model]
-            for model in models
-            if model in self.stored_plans_by_model
+            model: seen
+            for model, seen in self.stored_plans_by_model.items()
+            if model in listed or seen.revision > revision
         }
-        if era != self.plans_era:
-            self.plans_era, self.plans_listed_at = era, now
+        if revision.era != self.plans_era:
+            self.plans_era, self.plans_listed_at = revision.era, now
 
     def accept_plan(self, seen: SeenPlan) -> bool:
         """Record the stored plan; return whether it is newer than the known one.
--- a/src/agatehoist/weights/waves.py
+++ b/src/agatehoist/weights/waves.py
@@ -90,6 +90,14 @@
     return _times_after_silence(seen.seen_at, now, min_order_gap_s, outdated_since)
 
 
+def latest_times(times: Iterable[TakeoverTimes]) -> TakeoverTimes:
+    """Return from when all of several plans may be taken over, and orders sent."""
+    known = tuple(times)
+    return TakeoverTimes(
+        max(each.write_at for each in known), max(each.order_at for each in known)
+    )
+
+
 def _unsure_since(seen: SeenPlan | None, continuity: Continuity) -> float | None:
     """Return since when the last holder may be one whose plan was lost, or None."""
     if seen is None:
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -151,6 +151,8 @@
     service: str
     model: str = ""
     version: int = 1
+    # Models besides `model`, whose weights change without an effect on runs.
+    versions_by_other_model: dict[str, int] = field(default_factory=dict)
     event_count: int = 5
     faults: list[str] = field(default_factory=list)
     runs: list[ReceivedRequest] = field(default_factory=list)
@@ -244,7 +246,6 @@
 
     def entry(self, port: int) -> dict[str, Any]:
         """Return the object that the endpoint writes to the store about itself."""
-        models = [{"Name": self.model, "Version": self.version}] if self.model else []
         return {
             "Service": self.service,
             "Address": f"{HOST}:{port}",
@@ -253,7 +254,7 @@
             "Slots": 8,
             "State": "ready",
             "ColdLeftMs": 0,
-            "Models": models,
+            "Models": self._models(),
             "SeqNo": len(self.orders),
             "born": self.started_ms,
         }
@@ -469,10 +470,19 @@
             return False
         return int(expected) != self.version
 
+    def _models(self) -> list[dict[str, Any]]:
+        if not self.model:
+            return []
+        versions = {self.model: self.version, **self.versions_by_other_model}
+        return [
+            {"Name": model, "Version": version, "Adapters": []}
+            for model, version in versions.items()
+        ]
+
     def _report(self) -> dict[str, Any]:
         return {
             "Stage": "colocated",
-            "Models": [{"Name": self.model, "Version": self.version, "Adapters": []}],
+            "Models": self._models(),
             "Busy": self.busy,
             "SeqNo": len(self.orders),
             "Queued": 0,
@@ -518,6 +528,11 @@
         await self._load(order)
 
     async def _load(self, order: dict[str, Any]) -> None:
+        if order["Model"] in self.versions_by_other_model:
+            await anyio.sleep(WEIGHTS_LOAD_S)
+            self.versions_by_other_model[order["Model"]] = order["Version"]
+            self.busy = False
+            return
         if order["Mode"] == "truncate":
             self._reset_runs()
         while self.active:  # noqa: ASYNC110
--- a/standins/users_platform/harness.py
+++ b/standins/users_platform/harness.py
@@ -58,7 +58,9 @@
     }
 
 
-def configuration(version: int = 3, **fields: Any) -> dict[str, Any]:
+def configuration(
+    version: int = 3, models: tuple[str, ...] = (MODEL,), **fields: Any
+) -> dict[str, Any]:
     """Return a configuration in the operators' format."""
     return {
         "Version": version,
@@ -76,7 +78,7 @@
                     "Slots": 8,
                     "KvCapacity": 90_000,
                     "Moves": True,
-                    "Models": [{"Name": MODEL}],
+                    "Models": [{"Name": model} for model in models],
                 },
             },
             {"Name": APPLICATION},
@@ -114,13 +116,17 @@
 class GatewayHarness:
     """Hold a gateway's state and port, and the stand-ins that it works with."""
 
-    def __init__(self, engine_count: int = 3) -> None:
+    def __init__(
+        self, engine_count: int = 3, models: tuple[str, ...] = (MODEL,)
+    ) -> None:
         self.store = StoreStandIn()
-        self.store.put("config", "main", configuration())
+        self.store.put("config", "main", configuration(models=models))
         self.engines = [
             EndpointStandIn(f"engine-{index}", ENGINES, MODEL)
             for index in range(engine_count)
         ]
+        for engine in self.engines:
+            engine.versions_by_other_model = dict.fromkeys(models[1:], 1)
         self.deadly_parts: set[str] = set()
         # A deadly part crashes any engine.
         for engine in self.engines:
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -235,15 +235,25 @@
         view = WeightsView()
         newest = Plan("m", "you", 3, 6, 10, changing=("e1",), era=1)
         view.accept_plan(SeenPlan(newest, Revision(1, 60), 1.0))
-        view.note_plans_listed(["m"], 2, 2.0)
+        view.note_plans_listed(["m"], Revision(2, 0), 2.0)
         copied = copied_plan("me", 2.0)
         self.assertFalse(view.accept_plan(copied))
         self.assertEqual(view.plans_by_model["m"].plan, newest)
         self.assertEqual(view.stored_plans_by_model["m"], copied)
 
-    def test_lost_plan_is_not_stored_any_more(self) -> None:
+    # The plan is of revision 0/40. A list from before doesn't show that it is gone.
+    @parameterized.expand(
+        [
+            ("newer_list", Revision(0, 41), False),
+            ("newer_era", Revision(2, 0), False),
+            ("older_list", Revision(0, 39), True),
+        ]
+    )
+    def test_plan_is_stored_until_a_newer_list_lacks_it(
+        self, _name: str, listed: Revision, is_stored: bool
+    ) -> None:
         view = WeightsView()
         view.accept_plan(seen_plan("you", 1.0))
-        view.note_plans_listed([], 2, 2.0)
-        self.assertEqual(view.stored_plans_by_model, {})
+        view.note_plans_listed([], listed, 2.0)
+        self.assertEqual("m" in view.stored_plans_by_model, is_stored)
         self.assertIn("m", view.plans_by_model)
