Keep the wait for the orders of the holder before in the stored plan

Cause: a plan whose holder is this node was taken as free to order from, and the time from which orders are allowed was kept in the memory of the process that took it over, set only after the answer to its write.

Change: each write of a plan tells for how long orders of earlier holders may still arrive (orders_wait_s, relative, as clocks differ). A process that finds a plan of its own node waits that long from its read; the newest plan of the node counts, so a holder that had waited already isn't late after a start.

Why it works: the wait is part of the write that makes a node the holder, so there is no moment at which one is stored without the other.

--- a/src/agatehoist/gateway/order_lease.py
+++ b/src/agatehoist/gateway/order_lease.py
@@ -59,6 +59,11 @@
         """Return the fencing token of this node's turn, or 0 without one."""
         return self._orders.held.plan.token if self._orders.held is not None else 0
 
+    @property
+    def wait_s(self) -> float:
+        """Return the time until this node may send orders, if it is the holder."""
+        return max(0.0, self.orders_allowed_at - self._now())
+
     def plan(self, model: str) -> StoredPlan:
         """Return the stored plan of a model."""
         if model not in self._plans_by_model:
@@ -82,9 +87,9 @@
                 before = self._orders.stored
             if self._now() < times.write_at:
                 return False
+            self._allow_orders_at(times.order_at)
             if not await self._write_orders():
                 return False
-            self._allow_orders_at(times.order_at)
             logger.info(
                 "orders taken over",
                 before=before.plan.holder if before else "",
@@ -106,12 +111,21 @@
             # after that would be missed, so this node must have held the lease still.
             if seen is None and not await self._write_orders():
                 return False
-            written = await stored_plan.write(replace(plan, token=self.token), seen)
+            written = await self.write(plan, seen)
             if seen is None and self._now() >= self._orders.valid_until:
                 stored_plan.held = None
                 return False
             return written
 
+    async def write(self, plan: Plan, seen: SeenPlan | None) -> bool:
+        """Write a model's plan in this turn; return whether it was written.
+
+        The plan tells for how long orders of earlier holders may still arrive, which a
+        process of this node that starts later can't know otherwise.
+        """
+        stamped = replace(plan, token=self.token, orders_wait_s=self.wait_s)
+        return await self.plan(plan.model).write(stamped, seen)
+
     def note_order(self) -> None:
         """Record that an order is about to be sent."""
         self._last_order_at = self._now()
@@ -141,7 +155,7 @@
             released=True,
             idle_s=idle_s,
         )
-        await stored_plan.write(released, seen)
+        await self.write(released, seen)
         stored_plan.held = None
 
     def _idle_s(self) -> float:
@@ -162,6 +176,7 @@
             0,
             self._orders.next_beat(),
             era=era,
+            orders_wait_s=self.wait_s,
         )
         return await self._orders.write(plan, seen)
 
@@ -194,14 +209,13 @@
             taken = replace(
                 seen.plan,
                 holder=self._state.settings.node,
-                token=self.token,
                 beat=stored_plan.next_beat(),
                 changing=(),
                 released=False,
                 idle_s=0.0,
                 era=seen.revision.era,
             )
-            if not await stored_plan.write(taken, seen):
+            if not await self.write(taken, seen):
                 return False
         return self.is_held
 
@@ -224,7 +238,8 @@
         )
 
     def _takeover_times(self, outdated_since: float) -> TakeoverTimes:
-        models = [ORDERS_PLAN, *(each.plan.model for each in self._plans_of_others())]
+        models = [each.plan.model for each in self._plans_of_others()]
+        models.append(self._newest_model() or ORDERS_PLAN)
         orders = self._orders.stored
         if orders is None or orders.is_copy:
             # A restored store may have lost plans too.
@@ -233,6 +248,15 @@
             self._times(model, outdated_since) for model in dict.fromkeys(models)
         )
 
+    def _newest_model(self) -> str:
+        """Return the model of the plan that this node wrote last in its turn, or ""."""
+        orders, node = self._orders.stored, self._state.settings.node
+        if orders is None or orders.plan.holder != node:
+            return ""
+        stored = self._state.weights.stored_plans_by_model.values()
+        own = [each for each in stored if each.plan.holder == node]
+        return max(own, key=lambda each: each.revision).plan.model
+
     def _times(self, model: str, outdated_since: float) -> TakeoverTimes:
         settings, weights = self._state.settings, self._state.weights
         stored_plan = self.plan(model)
--- a/src/agatehoist/gateway/plan_lease.py
+++ b/src/agatehoist/gateway/plan_lease.py
@@ -81,7 +81,7 @@
 
     async def authorise_order(self, changing: tuple[str, ...]) -> Plan | None:
         """Wait until orders are allowed; return the plan, None if the lease is lost."""
-        await anyio.sleep(self._orders_wait_s())
+        await anyio.sleep(self._orders.wait_s)
         async with self._write_lock:
             if self.held is None:
                 return None
@@ -92,14 +92,11 @@
         if self._state.clock.now() >= self._stored_plan.valid_until:
             return None
         # Another turn may have begun meanwhile.
-        if self._orders_wait_s() > 0:
+        if self._orders.wait_s > 0:
             return None
         self._orders.note_order()
         return replace(self.held.plan, token=self._orders.token)
 
-    def _orders_wait_s(self) -> float:
-        return max(0.0, self._orders.orders_allowed_at - self._state.clock.now())
-
     def _new_plan(self, seen: SeenPlan | None, changing: tuple[str, ...]) -> Plan:
         era = seen.revision.era if seen is not None else self._state.weights.plans_era
         return Plan(
@@ -119,13 +116,8 @@
         changed = self._endpoints.lifetimes_with_version(
             changes.get("target", plan.target)
         )
-        changes = {
-            "changed": changed,
-            "beat": plan.beat + 1,
-            "token": self._orders.token,
-            **changes,
-        }
-        if not await self._stored_plan.write(replace(plan, **changes), self.held):
+        changes = {"changed": changed, "beat": plan.beat + 1, **changes}
+        if not await self._orders.write(replace(plan, **changes), self.held):
             return False
         self._state.active_requests.consider_moves()
         return True
--- a/src/agatehoist/gateway/plans.py
+++ b/src/agatehoist/gateway/plans.py
@@ -31,6 +31,9 @@
         # Negative while orders of the previous holder may still arrive.
         idle_s=reader.number("idle_s", 0.0, least=-MAX_INTEGER),
         era=reader.integer("era", 0),
+        orders_wait_s=(
+            reader.number("orders_wait_s") if reader.has("orders_wait_s") else None
+        ),
     )
     raise_findings("plan", findings)
     return plan
--- a/src/agatehoist/weights/types.py
+++ b/src/agatehoist/weights/types.py
@@ -28,6 +28,8 @@
     renewed plan differs from the one before. If `released` is set, another node may
     take the plan over at once. `idle_s` is the time in seconds between the holder's
     last order and the write. `era` is that of the store in which it was written.
+    `orders_wait_s` is the time in seconds after the write in which orders of earlier
+    holders may still arrive, or None if an earlier release wrote it.
 
     The plan `ORDERS_PLAN` is of no model: its holder orders the weights of all models.
     """
@@ -42,6 +44,7 @@
     released: bool = False
     idle_s: float = 0.0
     era: int = 0
+    orders_wait_s: float | None = None
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/agatehoist/weights/waves.py
+++ b/src/agatehoist/weights/waves.py
@@ -72,20 +72,24 @@
     before orders are allowed: an earlier takeover would not make the first order any
     earlier. A restored store may have lost the last holder's plan, so what it has left
     is taken over like the plan of a holder that wrote it when it was first read.
+
+    The process that reads a plan of its own node may have started again, or may not
+    know that its write took effect, so it waits for as long as the plan says.
     """
     unsure_since = _unsure_since(seen, continuity)
     if unsure_since is not None:
         if now < continuity.own_until:
             return TakeoverTimes(now, now)
         return _times_after_silence(unsure_since, now, min_order_gap_s, outdated_since)
-    if seen is None or seen.plan.holder == node:
+    if seen is None:
         return TakeoverTimes(now, now)
-    if seen.plan.released:
-        order_at = (
-            seen.seen_at
-            + max(0.0, min_order_gap_s - seen.plan.idle_s)
-            + ORDER_TRANSIT_S
-        )
+    if seen.plan.holder == node and seen.plan.orders_wait_s is not None:
+        longest_wait_s = LEASE_S + min_order_gap_s + ORDER_TRANSIT_S
+        order_at = seen.seen_at + min(seen.plan.orders_wait_s, longest_wait_s)
+        return TakeoverTimes(now, max(now, order_at))
+    if seen.plan.holder == node or seen.plan.released:
+        idle_s = seen.plan.idle_s if seen.plan.released else 0.0
+        order_at = seen.seen_at + max(0.0, min_order_gap_s - idle_s) + ORDER_TRANSIT_S
         return TakeoverTimes(now, max(now, order_at))
     return _times_after_silence(seen.seen_at, now, min_order_gap_s, outdated_since)
 
--- a/tests/test_gateway/test_order_lease.py
+++ b/tests/test_gateway/test_order_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
@@ -28,6 +29,8 @@
 
 MODELS = (MODEL, "letters", "hymns")
 IN_FORCE_S = 8.0
+# The first order of a holder that needn't wait, with its wave and a drain.
+STARTED_ORDER_S = 1.5
 # A holder of an earlier release renews its plan at least this often.
 RENEWAL_S = 0.5
 
@@ -37,6 +40,11 @@
     world.store.put("versions", model, {"Model": model, "Version": version})
 
 
+def holder(world: GatewayHarness, model: str) -> str:
+    """Return the holder of a stored plan."""
+    return str(world.store.spec(PLAN_KIND, model)["holder"])
+
+
 def have_weights(world: GatewayHarness, version: int) -> bool:
     """Return whether all engines have a version of all models."""
     return all(
@@ -137,6 +145,66 @@
             self.assertTrue(world.store.spec(PLAN_KIND, model)["released"], model)
 
 
+class WaitTests(unittest.TestCase):
+    """Tests of the wait for the holder before, which the memory of a process loses."""
+
+    # How many answers to the writes of the takeover are lost, and whether the process
+    # that takes over is killed.
+    @parameterized.expand(
+        [
+            ("calm", 0, False),
+            ("answer_lost", 1, False),
+            ("answers_lost", 3, False),
+            ("killed", 0, True),
+            ("killed_after_a_lost_answer", 1, True),
+        ]
+    )
+    def test_next_holder_waits_for_the_orders_of_the_one_before(
+        self, _name: str, lost_answers: int, is_killed: bool
+    ) -> None:
+        world = GatewayHarness(1, MODELS)
+        released_at = 0.0
+
+        async def run() -> None:
+            nonlocal released_at
+            async with run_standins(world) as store_port, AsyncExitStack() as stack:
+                for model in (MODEL, ORDERS_PLAN):
+                    plan = Plan(model, "before", 1, 1, 1, released=True)
+                    world.store.put(PLAN_KIND, model, write_plan(plan))
+                released_at = time.monotonic()
+                async with serve_gateway(store_port, "n1", True):
+                    world.store.unanswered_writes = lost_answers
+                    name_weights(world, MODEL, 2)
+                    await until(lambda: holder(world, ORDERS_PLAN) == "n1")
+                    if not is_killed:
+                        await until(lambda: world.engines[0].version == 2)
+                if is_killed:
+                    gateway = serve_gateway(store_port, "n1", True)
+                    await stack.enter_async_context(gateway)
+                    await until(lambda: world.engines[0].version == 2)
+
+        anyio.run(run)
+        (ordered_at,) = world.engines[0].order_times
+        self.assertGreaterEqual(ordered_at, released_at + TURN_S)
+
+    def test_started_holder_that_had_waited_orders_at_once(self) -> None:
+        """Weights must not be late because their holder has started again."""
+        world = GatewayHarness(1, MODELS)
+
+        async def run() -> None:
+            async with run_standins(world) as store_port:
+                plan = Plan(ORDERS_PLAN, "n1", 1, 0, 1, orders_wait_s=3.3)
+                world.store.put(PLAN_KIND, ORDERS_PLAN, write_plan(plan))
+                plan = Plan(MODEL, "n1", 1, 1, 2, orders_wait_s=0.0)
+                world.store.put(PLAN_KIND, MODEL, write_plan(plan))
+                name_weights(world, MODEL, 2)
+                async with serve_gateway(store_port, "n1", True):
+                    with anyio.fail_after(STARTED_ORDER_S):
+                        await until(lambda: bool(world.engines[0].orders))
+
+        anyio.run(run)
+
+
 class TakeoverTests(unittest.TestCase):
     def test_plan_created_after_another_node_took_over_is_not_held(self) -> None:
         """The next holder may have looked for plans before it was created."""
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
@@ -31,6 +32,14 @@
     return SeenPlan(plan, Revision(0, 40), at)
 
 
+def own_plan(
+    at: float, orders_wait_s: float | None, released: bool = False, idle_s: float = 0.0
+) -> SeenPlan:
+    """Return a plan that a process of this node has written."""
+    seen = seen_plan("me", at, released, idle_s)
+    return replace(seen, plan=replace(seen.plan, orders_wait_s=orders_wait_s))
+
+
 def copied_plan(holder: str, at: float, released: bool = False) -> SeenPlan:
     """Return a plan that the store has from an earlier era."""
     plan = Plan("m", holder, 3, 5, 9, released=released, idle_s=60.0, era=1)
@@ -43,7 +52,14 @@
     @parameterized.expand(
         [
             ("nobody_holds", None, True, 0.0),
-            ("own_plan", seen_plan("me", NOW), True, 0.0),
+            ("own_plan", own_plan(NOW, 0.0), True, 0.0),
+            ("own_after_another", own_plan(NOW - 1.0, 2.5), True, 1.5),
+            ("own_after_a_wait", own_plan(NOW - 3.0, 2.5), True, 0.0),
+            ("own_released", own_plan(NOW, 2.5, True, 9.0), True, 2.5),
+            ("own_odd_wait", own_plan(NOW - 4.1, 1e9), True, 0.0),
+            ("own_of_earlier_release", own_plan(NOW, None), True, MIN_ORDER_GAP_S),
+            ("own_long_ago", own_plan(NOW - 9.0, None), True, 0.0),
+            ("own_released_before", own_plan(NOW, None, True, 9.0), True, 0.0),
             ("fresh_plan_of_another", seen_plan("you", NOW), False, None),
             ("long_silent", seen_plan("you", NOW - 60), True, 0.0),
             ("just_released", seen_plan("you", NOW, True, 0.0), True, MIN_ORDER_GAP_S),
