Keep endpoints that expired in an outage in followers of watchers too

A gateway that reads the store through a watcher dropped all endpoints whose entries expired in an outage at once, and refused requests until they were back, while watchers kept them for 2.5 s.

Cause: only the loop that watches the store itself began the grace period.

Change: a follower notes when no watcher answers and how its own reads fail, and each reply that it gets, in the same detector. A watcher that leaves is no outage, as another one answers.

Measured: test_follower_keeps_entries_that_expired_in_an_outage_only, row outage (2.6 s), failed on the commit before and passes; row no_outage passes on both.

--- a/src/agatehoist/gateway/store_follow.py
+++ b/src/agatehoist/gateway/store_follow.py
@@ -59,6 +59,7 @@
         while True:
             watcher = self._choose()
             if watcher is None:
+                self._state.feed.outages.note_unavailable(self._state.clock.now())
                 await self._read_store()
                 await anyio.sleep(DIRECT_READ_INTERVAL_S)
                 continue
@@ -70,6 +71,7 @@
                 self._avoided_until_by_watcher[watcher] = now + AVOID_WATCHER_S
                 continue
             self._note_source(str(watcher))
+            self._state.note_store_reply()
             self._state.feed.apply(self._state, reply.updates_by_topic)
             if reply.updates_by_topic:
                 await anyio.sleep(BATCH_DELAY_S)
@@ -127,7 +129,9 @@
                 continue
             except PlatformError as error:
                 logger.info("store not read", topic=name, reason=str(error))
+                state.feed.outages.note_failure(error, state.clock.now())
                 return
+            state.note_store_reply()
             state.feed.apply(state, {name: update})
         self._note_source("store")
 
--- a/tests/test_gateway/test_store_follow.py
+++ b/tests/test_gateway/test_store_follow.py
@@ -115,6 +115,35 @@
 
         anyio.run(run)
 
+    # How long the store is unavailable to the watcher and the follower while the entry
+    # of an engine expires, and whether the engine is still used 1.5 s after its return.
+    @parameterized.expand([("outage", 2.6, True), ("no_outage", 0.0, False)])
+    def test_follower_keeps_entries_that_expired_in_an_outage_only(
+        self, _name: str, down_s: float, is_kept: bool
+    ) -> None:
+        async def run() -> bool:
+            world = GatewayHarness()
+            async with (
+                running_gateway(world),
+                listen_on_loopback(start_watcher(world)) as port,
+                anyio.create_task_group() as task_group,
+            ):
+                store = world.state.settings.store
+                follower = await follow(world, port, task_group, store)
+                world.store.down = bool(down_s)
+                world.store.abort_watches()
+                await anyio.sleep(down_s)
+                world.store.remove("servers", "engine-0")
+                world.store.down = False
+                await anyio.sleep(1.5)
+                was_used = "engine-0" in serving(follower)
+                await anyio.sleep(2.0)
+                self.assertNotIn("engine-0", serving(follower))
+                task_group.cancel_scope.cancel()
+            return was_used
+
+        self.assertEqual(anyio.run(run), is_kept)
+
     async def _check_change(
         self, world: GatewayHarness, follower: GatewayState
     ) -> None:
