Stop using replaced weights once peers have told when they were replaced

Cause: a process that had started within the last 7 s allowed any weights where no endpoint had the required ones, whatever it knew. The slow endpoints (3) are a fault of their own.

Change: times that peers report count at once, also for a process that hasn't read the targets yet (which still takes no target from peers). A target whose age nobody has told is allowed for 3 s after the start, in which peers have reported three times, then it counts as overdue. What can't be served is refused as not run, as before.

Why it works: the age is known from whoever saw the target set; a process that knows none, and whose peers are as new as itself, no longer takes its own start for the time of the naming. It still serves at once: with endpoints that have the weights, and for 3 s without.

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -15,12 +15,16 @@
     matched_tokens,
     save_address,
 )
+from agatehoist.gateway.topics import WEIGHTS_TOPIC
 from agatehoist.gateway.types import Dispatch
 from agatehoist.limits.endpoint_permits import LEAST_URGENT
 from agatehoist.placement.policies import POLICIES
 from agatehoist.placement.types import Candidate, Offer, PlacementRequest
+from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.state import GatewayState
     from agatehoist.routing.types import Prompt, RoutedRequest
@@ -37,6 +41,10 @@
 # passed: a request may wait in the engine's queue, and a new target is noticed with a
 # delay.
 OLD_WEIGHTS_MARGIN_S = 1.0
+# Peers report since when a version has been the target once a second. A process that
+# they haven't told for so long since its start takes a version of unknown age for
+# overdue.
+UNKNOWN_AGE_USE_S = 3.0
 # A caller that comes back after a refusal states less time than the route allows.
 RETURNED_TIME_SHARE = 0.97
 DIGEST_BYTES = 16
@@ -99,7 +107,16 @@
 
     Older weights may be used only for a limited time after a new target is set.
     """
-    return state.weights.required_version(model, now - _old_weights_limit_s(state))
+    set_by = now - _old_weights_limit_s(state)
+    required = state.weights.required_version(model, set_by)
+    return max(required, _reported_version(state, model, set_by))
+
+
+def _reported_version(state: GatewayState, model: str, set_by: float) -> int:
+    """Return the version required by peers' reports, 0 once the targets are read."""
+    if state.feed.revisions_by_topic[WEIGHTS_TOPIC] != NO_REVISION:
+        return 0
+    return state.weights.reported_version(model, set_by)
 
 
 def _old_weights_limit_s(state: GatewayState) -> float:
@@ -125,18 +142,26 @@
     if prompt is None:
         return serving
     model = prompt.model
-    required = required_version(state, model, now)
-    allowed = tuple(
-        each for each in serving if state.fleet.version_of(each, model) >= required
-    )
-    if not allowed and now < state.started_at + _old_weights_limit_s(state):
-        # A process that has just started doesn't know when the target weights were set.
-        allowed = serving
+    set_by = now - _old_weights_limit_s(state)
+    allowed = _with_version(state, serving, model, required_version(state, model, now))
+    if not allowed and now < state.started_at + UNKNOWN_AGE_USE_S:
+        # A target of unknown age may have been set just now.
+        known = state.weights.known_required_version(model, set_by)
+        required = max(known, _reported_version(state, model, set_by))
+        allowed = _with_version(state, serving, model, required)
     # Endpoints that are loading weights are used only if there are no others.
     unchanging = [each for each in allowed if not state.weights.is_changing(each, now)]
     return tuple(unchanging) or allowed
 
 
+def _with_version(
+    state: GatewayState, endpoints: Iterable[Endpoint], model: str, version: int
+) -> tuple[Endpoint, ...]:
+    return tuple(
+        each for each in endpoints if state.fleet.version_of(each, model) >= version
+    )
+
+
 def urgency(request: RoutedRequest) -> int:
     """Return the priority of a request for permits; 0 is the most urgent.
 
--- a/src/agatehoist/gateway/model_endpoints.py
+++ b/src/agatehoist/gateway/model_endpoints.py
@@ -48,6 +48,10 @@
         """Return whether any endpoint has older weights than the target."""
         return any(self.version(each) < self.target for each in self.all())
 
+    def oldest_version(self) -> int:
+        """Return the oldest weights version of the endpoints, or 0."""
+        return min((self.version(each) for each in self.all()), default=0)
+
     def lifetimes_with_version(self, version: int) -> tuple[str, ...]:
         """Return the lifetimes of the endpoints with at least a weights version."""
         return tuple(
@@ -68,7 +72,7 @@
 
     def current_wave_share(self) -> float:
         """Return the share that may change at a time; it grows towards the deadline."""
-        oldest = min((self.version(each) for each in self.all()), default=0)
+        oldest = self.oldest_version()
         now = self._state.clock.now()
         since = self._state.weights.outdated_since(self.model, oldest, now)
         return wave_share(now - since, self._state.settings.weights_in_force_s)
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -1,6 +1,6 @@
 """Exchange of UDP reports between gateways: load and recent target weights.
 
-The namings in a report say how long ago its sender saw operators set target weights.
+A report says how long ago its sender saw operators set target weights.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from agatehoist.fleet.load import changed_loads
 from agatehoist.gateway.crash_evidence import send_evidence
 from agatehoist.gateway.endpoint_statements import send_notices
+from agatehoist.gateway.model_endpoints import ModelEndpoints
 from agatehoist.gateway.peer_datagrams import (
     DATAGRAM_HANDLERS,
     receive_datagrams,
@@ -29,11 +30,13 @@
     decode_report,
     encode_report,
 )
+from agatehoist.weights.view import UNKNOWN_TIME
 
 if TYPE_CHECKING:
     from agatehoist.core.address import Address
     from agatehoist.gateway.state import GatewayState
     from agatehoist.protocol.node_reports import EndpointLoad
+    from agatehoist.weights.types import TargetWeights
 
 # Changes within this time are sent in one report.
 BATCH_DELAY_S = 0.04
@@ -97,7 +100,7 @@
             sequence,
             is_full,
             loads if is_full else changed_loads(reported_loads, loads),
-            _recent_namings(state) if is_full else (),
+            target_ages(state) if is_full else (),
             state.parts.pop_unreported(MAX_READS),
         )
         reported_loads = loads
@@ -118,15 +121,29 @@
     return max(BATCH_DELAY_S, excess_bytes / MAX_BYTES_PER_S)
 
 
-def _recent_namings(state: GatewayState) -> tuple[TargetWeightsAge, ...]:
+def target_ages(state: GatewayState) -> tuple[TargetWeightsAge, ...]:
+    """Return the targets that this node saw set, as long as they may be overdue."""
     now = state.clock.now()
-    recent = state.weights.targets_seen_since(now - state.settings.weights_in_force_s)
+    recent_since = now - state.settings.weights_in_force_s
+    observed = sorted(
+        state.weights.targets_seen_since(UNKNOWN_TIME),
+        key=lambda target: target[1],
+        reverse=True,
+    )
     return tuple(
         TargetWeightsAge(weights.model, weights.version, round((now - at) * MS_PER_S))
-        for weights, at in recent
+        for weights, at in observed
+        if at > recent_since or not _is_in_force(state, weights)
     )
 
 
+def _is_in_force(state: GatewayState, weights: TargetWeights) -> bool:
+    if not state.weights.is_in_force(weights):
+        endpoints = ModelEndpoints(state, weights.model)
+        state.weights.note_in_force(weights.model, endpoints.oldest_version())
+    return state.weights.is_in_force(weights)
+
+
 @DATAGRAM_HANDLERS.register(NODE_REPORT)
 def receive_report(state: GatewayState, data: bytes, sent_after: float) -> None:
     """Take over the report of a peer.
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -46,6 +46,7 @@
 
 
 TOPICS: Registry[type[Topic]] = Registry("topic")
+WEIGHTS_TOPIC = "weights"
 
 
 @contextmanager
@@ -188,7 +189,7 @@
         )
 
 
-@TOPICS.register("weights")
+@TOPICS.register(WEIGHTS_TOPIC)
 class WeightsTopic(PerObjectTopic):
     """Track the target weights that operators set."""
 
--- a/src/agatehoist/weights/view.py
+++ b/src/agatehoist/weights/view.py
@@ -21,6 +21,8 @@
 UNKNOWN_TIME = -math.inf
 # Number of target versions per model whose times are kept.
 MAX_TARGETS = 16
+# Number of versions reported by peers that are kept until the store has named them.
+MAX_UNREAD_TARGETS = 64
 
 
 class _TargetTime:
@@ -48,6 +50,10 @@
     def __init__(self) -> None:
         self.targets_by_model: dict[str, TargetWeights] = {}
         self._target_times_by_model: dict[str, dict[int, _TargetTime]] = {}
+        # When peers observed versions that haven't been read from the store.
+        self._unread_target_times: dict[TargetWeights, float] = {}
+        # Versions that all endpoints had when they were last compared.
+        self._versions_in_force_by_model: dict[str, int] = {}
         # The newest plan of each model, which a restored store may have lost, and the
         # one that the store has.
         self.plans_by_model: dict[str, SeenPlan] = {}
@@ -71,6 +77,9 @@
         self.targets_by_model[weights.model] = weights
         times_by_version = self._target_times_by_model.setdefault(weights.model, {})
         times_by_version[weights.version] = _TargetTime(at, observed)
+        told_at = self._unread_target_times.pop(weights, None)
+        if told_at is not None:
+            times_by_version[weights.version].merge(told_at)
         for version in sorted(times_by_version)[:-MAX_TARGETS]:
             del times_by_version[version]
         return True
@@ -86,6 +95,37 @@
             times_by_version.setdefault(version, _TargetTime(seen_at, observed=False))
         if version in times_by_version:
             times_by_version[version].merge(seen_at)
+        elif version > self.target(model):
+            self._note_unread_target(TargetWeights(model, version), seen_at)
+
+    def _note_unread_target(self, weights: TargetWeights, seen_at: float) -> None:
+        times = self._unread_target_times
+        if weights in times or len(times) < MAX_UNREAD_TARGETS:
+            times[weights] = min(seen_at, times.get(weights, seen_at))
+
+    def reported_version(self, model: str, set_by: float) -> int:
+        """Return the newest version that peers saw become the target by a time, or 0.
+
+        It is for a process that hasn't read the targets: those of peers are no targets.
+        """
+        return max(
+            (
+                weights.version
+                for weights, at in self._unread_target_times.items()
+                if weights.model == model and at <= set_by
+            ),
+            default=0,
+        )
+
+    def note_in_force(self, model: str, version: int) -> None:
+        """Record that all endpoints of a model have at least a version."""
+        before = self._versions_in_force_by_model.get(model, 0)
+        self._versions_in_force_by_model[model] = max(before, version)
+
+    def is_in_force(self, weights: TargetWeights) -> bool:
+        """Return whether all endpoints are known to have a version or a newer one."""
+        in_force = self._versions_in_force_by_model.get(weights.model, 0)
+        return in_force >= weights.version
 
     def targets_seen_since(
         self, since: float
@@ -175,6 +215,16 @@
         versions = (v for v, each in times_by_version.items() if each.at <= set_by)
         return max(versions, default=0)
 
+    def known_required_version(self, model: str, set_by: float) -> int:
+        """Return the required version without those whose times aren't known."""
+        times_by_version = self._target_times_by_model.get(model, {})
+        versions = (
+            version
+            for version, each in times_by_version.items()
+            if UNKNOWN_TIME < each.at <= set_by
+        )
+        return max(versions, default=0)
+
     def is_changing(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether an endpoint is loading new weights or is about to."""
         return any(
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -9,11 +9,13 @@
 from parameterized import parameterized
 
 from agatehoist.gateway.endpoint_choice import required_version
-from agatehoist.gateway.peer_reports import record_target_times
+from agatehoist.gateway.peer_reports import record_target_times, target_ages
 from agatehoist.gateway.plans import PLAN_KIND, write_plan
+from agatehoist.gateway.topics import WEIGHTS_TOPIC
 from agatehoist.protocol.node_reports import NodeReport, TargetWeightsAge
 from agatehoist.stopping.schedule import StopSchedule
-from agatehoist.weights.types import Plan
+from agatehoist.storage.revisions import NO_REVISION
+from agatehoist.weights.types import Plan, TargetWeights
 from standins.users_platform.harness import (
     MODEL,
     GatewayHarness,
@@ -175,3 +177,78 @@
                 self.assertEqual(required_version(state, MODEL, now), required)
 
         anyio.run(run)
+
+    # How long ago the gateway has started, how long ago the target was set if a peer
+    # has told, whether the weights have been read, and the status of a request. All
+    # engines have replaced weights.
+    @parameterized.expand(
+        [
+            ("nobody_told_yet", 0.0, None, True, 200),
+            ("nobody_told_for_long", 3.1, None, True, 503),
+            ("told_it_was_lately", 0.0, 0.5, True, 200),
+            ("told_it_was_lately_then", 3.1, 4.0, True, 200),
+            ("told_it_is_overdue", 0.0, 7.5, True, 503),
+            ("not_read_and_overdue", 0.0, 7.5, False, 503),
+            ("not_read_and_lately", 3.1, 4.0, False, 200),
+            ("nothing_known", 3.1, None, False, 200),
+        ]
+    )
+    def test_started_gateway_uses_replaced_weights_only_until_they_are_overdue(
+        self,
+        _name: str,
+        started_s: float,
+        told_s: float | None,
+        are_read: bool,
+        expected: int,
+    ) -> None:
+        """Its start says nothing about the age of a target that others know."""
+        world = GatewayHarness()
+        if are_read:
+            set_target_weights(world, 2)
+
+        async def run() -> int:
+            async with running_gateway(world):
+                state = world.state
+                now = state.clock.now()
+                state.started_at = now - started_s
+                if are_read:
+                    await until(lambda: state.weights.target(MODEL) == 2)
+                else:
+                    state.feed.revisions_by_topic[WEIGHTS_TOPIC] = NO_REVISION
+                if told_s is not None:
+                    age = TargetWeightsAge(MODEL, 2, round(told_s * 1000))
+                    report = NodeReport("n2", 5, 7, True, {}, (age,))
+                    record_target_times(state, report, now)
+                return (await world.ask_prompt("/trace/1")).head.status
+
+        self.assertEqual(anyio.run(run), expected)
+        self.assertEqual(len(world.runs()), int(expected == 200))
+
+
+class ReportedAgeTests(unittest.TestCase):
+    # How long ago the target was set, the versions of the engines, and whether peers
+    # are told.
+    @parameterized.expand(
+        [
+            ("lately", 1.0, (2, 2, 2), True),
+            ("in_force", 9.0, (2, 2, 2), False),
+            ("late", 9.0, (2, 2, 1), True),
+            ("very_late", 600.0, (1, 1, 1), True),
+        ]
+    )
+    def test_peers_are_told_of_a_target_until_it_is_in_force(
+        self, _name: str, age_s: float, versions: tuple[int, ...], is_told: bool
+    ) -> None:
+        """Peers that have just started can't know how old an overdue target is."""
+        world = GatewayHarness()
+        for engine, version in zip(world.engines, versions, strict=True):
+            engine.version = version
+
+        async def run() -> list[tuple[str, int]]:
+            async with running_gateway(world):
+                state = world.state
+                target = TargetWeights(MODEL, 2)
+                state.weights.set_target(target, state.clock.now() - age_s)
+                return [(each.model, each.version) for each in target_ages(state)]
+
+        self.assertEqual(anyio.run(run), [(MODEL, 2)] if is_told else [])
--- a/tests/test_weights/test_waves.py
+++ b/tests/test_weights/test_waves.py
@@ -229,6 +229,22 @@
         self.assertEqual(view.required_version("m", 9.0), 3)
         self.assertEqual(view.required_version("other", 9.0), 0)
 
+    def test_time_told_before_a_target_is_read_counts_once_it_is(self) -> None:
+        view = WeightsView()
+        view.merge_target_time("m", 3, 5.0)
+        self.assertEqual(view.reported_version("m", 5.0), 3)
+        self.assertEqual(view.reported_version("m", 4.9), 0)
+        view.set_target(TargetWeights("m", 3), UNKNOWN_TIME, observed=False)
+        self.assertEqual(view.reported_version("m", 5.0), 0)
+        self.assertEqual(view.required_version("m", 4.9), 0)
+        self.assertEqual(view.known_required_version("m", 5.0), 3)
+
+    def test_target_of_unknown_age_is_not_known_to_be_required(self) -> None:
+        view = WeightsView()
+        view.set_target(TargetWeights("m", 3), UNKNOWN_TIME, observed=False)
+        self.assertEqual(view.required_version("m", 0.0), 3)
+        self.assertEqual(view.known_required_version("m", 9.0), 0)
+
     @parameterized.expand([(0.5, [3, 4]), (1.0, [4]), (9.0, [])])
     def test_recent_targets_are_returned(
         self, since: float, versions: list[int]
