Stop sending earlier to slow endpoints with replaced weights

By the steps of the request: wait 207 ms expected, first event after 1487 ms; the expected wait leaves out the prompt's own read, and this gateway had had no answer of that endpoint, which others knew to be slow.

Change: FirstEventTimes keeps, for each endpoint, the last waits and those that go on. A prompt begins on replaced weights only if it can be expected to, after 1.5 times the longest of these and of the estimate with its own read; the margin is between 1 and 4 s. An endpoint without three recent answers counts as being as slow as the slowest. Endpoints whose weights aren't about to be overdue are not looked at.

Calling waiting requests back at the limit: it would end answers that callers still wait for.

--- /dev/null
+++ b/src/agatehoist/fleet/first_events.py
@@ -0,0 +1,73 @@
+"""Times from the dispatch of a request to the first event of its answer."""
+
+from __future__ import annotations
+
+from collections import deque
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from agatehoist.core.identity import AttemptId
+
+# Number of measured times kept for each endpoint, and for how long they count.
+MAX_SAMPLES = 8
+SAMPLE_MAX_AGE_S = 5.0
+# With fewer recent samples, little is known of an endpoint.
+MIN_KNOWN_SAMPLES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    at: float
+    wait_s: float
+
+
+class FirstEventTimes:
+    """Track how long requests wait at each endpoint; times are in epoch seconds."""
+
+    def __init__(self) -> None:
+        self._samples_by_lifetime: dict[str, deque[_Sample]] = {}
+        self._sent_at_by_lifetime: dict[str, dict[AttemptId, float]] = {}
+
+    @contextmanager
+    def waiting(
+        self, lifetime: str, attempt: AttemptId, sent_at: float
+    ) -> Iterator[None]:
+        """Count an attempt as waiting in the context until its answer begins."""
+        self._sent_at_by_lifetime.setdefault(lifetime, {})[attempt] = sent_at
+        try:
+            yield
+        finally:
+            self._sent_at_by_lifetime.get(lifetime, {}).pop(attempt, None)
+
+    def note_first_event(self, lifetime: str, attempt: AttemptId, now: float) -> None:
+        """Record that the answer to a request has begun."""
+        sent_at = self._sent_at_by_lifetime.get(lifetime, {}).pop(attempt, None)
+        if sent_at is not None:
+            samples = self._samples_by_lifetime.setdefault(
+                lifetime, deque(maxlen=MAX_SAMPLES)
+            )
+            samples.append(_Sample(now, now - sent_at))
+
+    def slowest_s(self, lifetime: str, now: float) -> float:
+        """Return the longest recent wait, also of requests that still wait, or 0."""
+        waiting_since = self._sent_at_by_lifetime.get(lifetime, {})
+        waiting = (now - at for at in waiting_since.values())
+        measured = (each.wait_s for each in self._recent(lifetime, now))
+        return max((*waiting, *measured), default=0.0)
+
+    def is_known(self, lifetime: str, now: float) -> bool:
+        """Return whether enough answers have begun lately to judge an endpoint."""
+        return len(self._recent(lifetime, now)) >= MIN_KNOWN_SAMPLES
+
+    def forget(self, lifetime: str) -> None:
+        """Drop what is known of an endpoint that has ended."""
+        self._samples_by_lifetime.pop(lifetime, None)
+        self._sent_at_by_lifetime.pop(lifetime, None)
+
+    def _recent(self, lifetime: str, now: float) -> list[_Sample]:
+        samples = self._samples_by_lifetime.get(lifetime, ())
+        return [each for each in samples if now <= each.at + SAMPLE_MAX_AGE_S]
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Self
 
 from agatehoist.admission.rates import DecayingRatio
+from agatehoist.fleet.first_events import FirstEventTimes
 from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 8.0
 INITIAL_SLOWNESS_WEIGHT_S = 0.5
+# Comparing all endpoints for each request would be slow in a large fleet.
+SLOWEST_MAX_AGE_S = 0.1
 
 
 class _Work:
@@ -100,6 +103,9 @@
         self._on_change = on_change
         self._on_peer_change = on_peer_change
         self._slowness_by_lifetime: dict[str, DecayingRatio] = {}
+        self.first_events = FirstEventTimes()
+        self._slowest_slowness = 1.0
+        self._slowest_valid_until = 0.0
         self.started_requests = 0
 
     def snapshot(self) -> dict[bytes, EndpointLoad]:
@@ -114,6 +120,7 @@
         """Drop the work of an endpoint that has ended."""
         self._work_by_lifetime.pop(lifetime, None)
         self._slowness_by_lifetime.pop(lifetime, None)
+        self.first_events.forget(lifetime)
 
     def learn_first_token(
         self, lifetime: str, expected_s: float, measured_s: float
@@ -171,6 +178,26 @@
             + runs * STEP_TIME_S_PER_RUN
         )
 
+    def begin_wait_s(self, lifetime: str, missing_tokens: int, now: float) -> float:
+        """Return how long a prompt may wait until its answer begins, in seconds.
+
+        An endpoint of which little is known counts as being as slow as the slowest one.
+        """
+        slowness = self.slowness(lifetime)
+        read_s = self.wait_s(lifetime, now) / slowness
+        read_s += missing_tokens / DEFAULT_PREFILL_TOKENS_PER_S
+        if not self.first_events.is_known(lifetime, now):
+            slowness = max(slowness, self._slowest(now))
+        return max(slowness * read_s, self.first_events.slowest_s(lifetime, now))
+
+    def _slowest(self, now: float) -> float:
+        """Return the slowness of the slowest endpoint, as of a moment ago."""
+        if now >= self._slowest_valid_until:
+            self._slowest_valid_until = now + SLOWEST_MAX_AGE_S
+            slowness = map(self.slowness, self._slowness_by_lifetime)
+            self._slowest_slowness = max(slowness, default=1.0)
+        return self._slowest_slowness
+
     def _loads(self, lifetime: str, now: float) -> Iterator[EndpointLoad]:
         own = self._work_by_lifetime.get(lifetime)
         if own is not None:
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -149,7 +149,10 @@
         # The endpoint sends nothing before it has read the prompt.
         self._progress_at = anyio.current_time() + self._expected_first_s
         self._silent_at = self._silence_deadline()
-        with self._tracked, self.events, self._scope:
+        waiting = self._state.load.first_events.waiting(
+            self.dispatch.endpoint.lifetime, self.attempt_id, self._began_at
+        )
+        with self._tracked, waiting, self.events, self._scope:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(self._watch_silence)
                 event = await self._connect_and_exchange()
@@ -402,6 +405,9 @@
         self._first_event_at = self._state.clock.now()
         self._tracked.note_prefill_done()
         lifetime = self.dispatch.endpoint.lifetime
+        self._state.load.first_events.note_first_event(
+            lifetime, self.attempt_id, self._first_event_at
+        )
         measured_s = self._state.clock.now() - self._began_at
         self._state.load.learn_first_token(lifetime, self._assumed_first_s, measured_s)
         note_prompt_read(self._state, self._request, self.dispatch)
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -23,8 +23,6 @@
 from agatehoist.storage.revisions import NO_REVISION
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.state import GatewayState
     from agatehoist.routing.types import Prompt, RoutedRequest
@@ -41,6 +39,9 @@
 # passed: a request may wait in the engine's queue, and a new target is noticed with a
 # delay.
 OLD_WEIGHTS_MARGIN_S = 1.0
+# An endpoint at which requests wait long gets none for a longer time before.
+WAIT_MARGIN_FACTOR = 1.5
+MAX_OLD_WEIGHTS_MARGIN_S = 4.0
 # Peers report since when a version has been the target once a second. A process that
 # they haven't told for so long since its start takes a version of unknown age for
 # overdue.
@@ -142,24 +143,38 @@
     if prompt is None:
         return serving
     model = prompt.model
-    set_by = now - _old_weights_limit_s(state)
-    allowed = _with_version(state, serving, model, required_version(state, model, now))
+    allowed = tuple(each for each in serving if _may_begin(state, request, each, now))
     if not allowed and now < state.started_at + UNKNOWN_AGE_USE_S:
+        set_by = now - _old_weights_limit_s(state)
         # A target of unknown age may have been set just now.
         known = state.weights.known_required_version(model, set_by)
         required = max(known, _reported_version(state, model, set_by))
-        allowed = _with_version(state, serving, model, required)
+        allowed = tuple(
+            each for each in serving if state.fleet.version_of(each, model) >= required
+        )
     # Endpoints that are loading weights are used only if there are no others.
     unchanging = [each for each in allowed if not state.weights.is_changing(each, now)]
     return tuple(unchanging) or allowed
 
 
-def _with_version(
-    state: GatewayState, endpoints: Iterable[Endpoint], model: str, version: int
-) -> tuple[Endpoint, ...]:
-    return tuple(
-        each for each in endpoints if state.fleet.version_of(each, model) >= version
-    )
+def _may_begin(
+    state: GatewayState, request: RoutedRequest, endpoint: Endpoint, now: float
+) -> bool:
+    """Return whether a request may begin on the weights that an endpoint has.
+
+    The longer a request may wait at the endpoint, the later it may begin.
+    """
+    prompt = request.envelope.prompt
+    if prompt is None:
+        return True
+    version = state.fleet.version_of(endpoint, prompt.model)
+    most_s = MAX_OLD_WEIGHTS_MARGIN_S - OLD_WEIGHTS_MARGIN_S
+    if version >= required_version(state, prompt.model, now + most_s):
+        return True
+    missing = prompt.prompt_tokens - matched_tokens(state, request, endpoint, version)
+    wait_s = state.load.begin_wait_s(endpoint.lifetime, missing, now)
+    later_s = min(most_s, max(0.0, WAIT_MARGIN_FACTOR * wait_s - OLD_WEIGHTS_MARGIN_S))
+    return version >= required_version(state, prompt.model, now + later_s)
 
 
 def urgency(request: RoutedRequest) -> int:
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import anyio
@@ -225,6 +226,41 @@
         self.assertEqual(len(world.runs()), int(expected == 200))
 
 
+class SlowEndpointTests(unittest.TestCase):
+    # How long ago the target was set, how long another request has waited at all
+    # engines, which have replaced weights, and the status of a request.
+    @parameterized.expand(
+        [
+            ("no_wait", 5.0, 0.0, 200),
+            ("short_wait", 5.0, 1.0, 200),
+            ("long_wait", 6.0, 2.0, 503),
+            ("long_wait_in_time", 3.0, 2.0, 200),
+            ("endless_wait", 3.5, 60.0, 200),
+            ("endless_wait_in_half_of_the_time", 4.5, 60.0, 503),
+        ]
+    )
+    def test_request_that_would_begin_late_goes_to_no_slow_endpoint(
+        self, _name: str, age_s: float, wait_s: float, expected: int
+    ) -> None:
+        """A request may wait in an engine's queue until its weights are overdue."""
+        world = GatewayHarness()
+
+        async def run() -> int:
+            async with running_gateway(world), AsyncExitStack() as stack:
+                state, now = world.state, world.state.clock.now()
+                state.started_at = now - 60.0
+                state.weights.set_target(TargetWeights(MODEL, 2), now - age_s)
+                for endpoint in state.fleet.by_name.values():
+                    stack.enter_context(
+                        state.load.first_events.waiting(
+                            endpoint.lifetime, state.next_attempt_id(), now - wait_s
+                        )
+                    )
+                return (await world.ask_prompt("/trace/1")).head.status
+
+        self.assertEqual(anyio.run(run), expected)
+
+
 class ReportedAgeTests(unittest.TestCase):
     # How long ago the target was set, the versions of the engines, and whether peers
     # are told.
