Bound the bytes of all replies that a gateway holds together

What callers saw, in a report of other operators and here: endpoints that send bodies without end, in chunks, without a length or in failures, fill the memory of the gateway; fifty at once take it to 430 MB where machines have 128 MB, and all its requests end with it.

Cause: each body is cut at 8 MiB, but nothing bounds all of them (hypothesis 1). With the traceback of the error that cut it, a body also stayed in memory until the next one (2).

Change: ByteBudget counts the bodies of replies, 12 MiB together. If one doesn't fit, one of the endpoint whose bodies hold most is dropped, that which has been large and without progress for longest; bodies that state a length are dropped only if there is no other, complete ones and those of at most 64 KiB never. Its request is tried elsewhere if it may be, or gets 502 as its outcome is unknown; an endpoint whose body stated no length is suspected, as after other faults. A reply counts until its request has ended, also while its caller reads slowly. Incomplete events of streams, reports, permits and moves count too. Evictions are logged with what was held, and counted.

--- a/src/agatehoist/core/byte_budget.py
+++ b/src/agatehoist/core/byte_budget.py
@@ -1,14 +1,20 @@
-"""Limit on the bytes that a process buffers for its callers."""
+"""Limit on the bytes of all bodies that a process holds."""
 
 from __future__ import annotations
 
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from agatehoist.core.clock import ManualClock
 from agatehoist.errors import AgatehoistError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterable, Iterator
+
+    from agatehoist.core.clock import Clock
+
+# An idle time of zero must not hide how much a buffer holds.
+MIN_IDLE_S = 0.01
 
 
 class ByteBudgetExceededError(AgatehoistError):
@@ -16,37 +22,153 @@
 
 
 class ByteBudget:
-    """Limit the total size of the buffers that are counted against the budget."""
+    """Limit the total size of the buffers that are counted against the budget.
+
+    If a buffer doesn't fit, others may be evicted for it: of the group that holds most,
+    the one that has been large and without progress for longest. Buffers of at most
+    `small_bytes` always fit. Without a clock, idle times don't count.
+    """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self, limit_bytes: int, small_bytes: int = 0, clock: Clock | None = None
+    ) -> None:
         self.limit_bytes = limit_bytes
+        self.small_bytes = small_bytes
         self.held_bytes = 0
+        self._clock = clock or ManualClock()
+        self._buffers: set[BufferUsage] = set()
+
+    def open_buffer(
+        self, group: str = "", evict: Callable[[], None] | None = None
+    ) -> BufferUsage:
+        """Return the usage of a new buffer; without `evict` it is never evicted."""
+        usage = BufferUsage(self, group, evict)
+        self._buffers.add(usage)
+        return usage
 
     @contextmanager
-    def track_buffer(self) -> Iterator[BufferUsage]:
+    def track_buffer(
+        self, group: str = "", evict: Callable[[], None] | None = None
+    ) -> Iterator[BufferUsage]:
         """Yield the usage of a new buffer; its bytes return to the budget on exit."""
-        buffer_usage = BufferUsage(self)
+        usage = self.open_buffer(group, evict)
         try:
-            yield buffer_usage
+            yield usage
         finally:
-            self.held_bytes -= buffer_usage.held_bytes
+            usage.close()
+
+    def now(self) -> float:
+        """Return the current epoch time in seconds."""
+        return self._clock.now()
+
+    def make_room(self, usage: BufferUsage, count: int) -> None:
+        """Evict buffers until a buffer can grow.
+
+        Raises ByteBudgetExceededError if it is the one to be evicted.
+        """
+        if usage.held_bytes + count <= self.small_bytes:
+            return
+        while self.held_bytes + count > self.limit_bytes:
+            victim = self._choose_victim(usage)
+            if victim is usage:
+                raise ByteBudgetExceededError(
+                    f"buffered data would exceed {self.limit_bytes} bytes"
+                )
+            victim.evict()
+
+    def forget(self, usage: BufferUsage) -> None:
+        """Stop counting a buffer."""
+        self._buffers.discard(usage)
+
+    def _choose_victim(self, usage: BufferUsage) -> BufferUsage:
+        now = self.now()
+        large = [
+            each
+            for each in self._buffers
+            if each.is_evictable and each.held_bytes > self.small_bytes
+        ]
+        candidates = [*(each for each in large if each is not usage), usage]
+        # A body of unknown length may have no end.
+        unbounded = [each for each in candidates if not each.is_bounded]
+        candidates = unbounded or candidates
+        bytes_by_group = self._bytes_by_group(self._buffers)
+        largest = max(candidates, key=lambda each: bytes_by_group.get(each.group, 0))
+        return max(
+            (each for each in candidates if each.group == largest.group),
+            key=lambda each: each.held_bytes * max(MIN_IDLE_S, now - each.progress_at),
+        )
+
+    @staticmethod
+    def _bytes_by_group(buffers: Iterable[BufferUsage]) -> dict[str, int]:
+        bytes_by_group: dict[str, int] = {}
+        for each in buffers:
+            held_bytes = bytes_by_group.get(each.group, 0) + each.held_bytes
+            bytes_by_group[each.group] = held_bytes
+        return bytes_by_group
 
 
 class BufferUsage:
-    """Count the bytes of one buffer against a budget."""
+    """Count the bytes of one buffer against a budget.
+
+    `is_bounded` is set if the length of what is buffered is known.
+    """
 
-    def __init__(self, budget: ByteBudget) -> None:
+    def __init__(
+        self, budget: ByteBudget, group: str, evict: Callable[[], None] | None
+    ) -> None:
+        self.group = group
         self.held_bytes = 0
+        self.progress_at = 0.0
+        self.is_bounded = False
+        self.is_evicted = False
         self._budget = budget
+        self._evict = evict
+        self._is_closed = False
+
+    @property
+    def is_evictable(self) -> bool:
+        """Return whether the buffer may be evicted for another one."""
+        return self._evict is not None
 
     def add_bytes(self, count: int) -> None:
         """Count bytes that are added to the buffer.
 
         Raises ByteBudgetExceededError.
         """
-        if self._budget.held_bytes + count > self._budget.limit_bytes:
-            raise ByteBudgetExceededError(
-                f"buffered data would exceed {self._budget.limit_bytes} bytes"
-            )
-        self._budget.held_bytes += count
+        self._budget.make_room(self, count)
+        self.progress_at = self._budget.now()
+        if not self._is_closed:
+            self._change(count)
+
+    def set_bytes(self, count: int) -> None:
+        """Count what the buffer holds now.
+
+        Raises ByteBudgetExceededError.
+        """
+        if count > self.held_bytes:
+            self.add_bytes(count - self.held_bytes)
+        elif not self._is_closed:
+            self._change(count - self.held_bytes)
+
+    def keep(self) -> None:
+        """Never evict the buffer, as its content is complete and in use."""
+        self._evict = None
+
+    def evict(self) -> None:
+        """Return the bytes to the budget and have the buffer dropped."""
+        evict, self._evict = self._evict, None
+        self.is_evicted = True
+        self.close()
+        if evict is not None:
+            evict()
+
+    def close(self) -> None:
+        """Return the bytes to the budget."""
+        if not self._is_closed:
+            self._change(-self.held_bytes)
+            self._is_closed = True
+            self._budget.forget(self)
+
+    def _change(self, count: int) -> None:
         self.held_bytes += count
+        self._budget.held_bytes += count
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -19,6 +19,7 @@
     StreamEnded,
     Written,
 )
+from agatehoist.core.byte_budget import ByteBudgetExceededError
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.fleet.silence import TOLERATED_SILENCE_S
 from agatehoist.gateway.crash_evidence import (
@@ -32,11 +33,18 @@
 from agatehoist.gateway.endpoint_permits import earliest_start
 from agatehoist.gateway.endpoint_statements import note_statement
 from agatehoist.gateway.prompt_cache import note_prompt_read
-from agatehoist.http1.errors import ConnectionFailedError, InvalidReplyError
+from agatehoist.http1.errors import (
+    ConnectionFailedError,
+    InvalidReplyError,
+    ReplyEvictedError,
+)
 from agatehoist.http1.event_stream import EventSplitter
 from agatehoist.http1.types import Reply
 from agatehoist.observability.logs import get_logger
-from agatehoist.observability.metrics import UNEXPECTED_WEIGHTS_TOTAL
+from agatehoist.observability.metrics import (
+    EVICTED_REPLIES_TOTAL,
+    UNEXPECTED_WEIGHTS_TOTAL,
+)
 from agatehoist.refusals.kinds import (
     EndpointFailed,
     InternalFault,
@@ -48,6 +56,7 @@
     from anyio.streams.memory import MemoryObjectSendStream
 
     from agatehoist.attempts.types import Event
+    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.core.identity import AttemptId
     from agatehoist.gateway.request_traits import RequestTraits
     from agatehoist.gateway.state import GatewayState
@@ -133,6 +142,9 @@
         self._withheld_event: Event | None = None
         self._expected_first_s = slowness * self._assumed_first_s
         self._scope = anyio.CancelScope()
+        self._usages: list[BufferUsage] = []
+        self._is_request_over = False
+        self._has_ended = False
         # Event loop times, set when the attempt runs.
         self._progress_at = math.inf
         self._silent_at = math.inf
@@ -144,6 +156,14 @@
 
     async def run(self) -> None:
         """Run the attempt until it ends, not beyond the deadline of its request."""
+        try:
+            await self._run()
+        finally:
+            self._has_ended = True
+            if self._is_request_over:
+                self._close_usages()
+
+    async def _run(self) -> None:
         left_s = self._request.deadline - self._state.clock.now()
         self._scope.deadline = anyio.current_time() + left_s
         # The endpoint sends nothing before it has read the prompt.
@@ -246,6 +266,10 @@
             return NotWritten(self.attempt_id, str(error))
         try:
             event = await self._exchange(connection)
+        except ReplyEvictedError as error:
+            connection.close()
+            self._note_eviction(str(error))
+            return self._refused_event(OutcomeUnknown.refuse(str(error)))
         except (ConnectionFailedError, InvalidReplyError) as error:
             connection.close()
             now = self._state.clock.now()
@@ -264,6 +288,21 @@
         suspects.note_answer(endpoint.name)
         return event
 
+    def _note_eviction(self, reason: str) -> None:
+        EVICTED_REPLIES_TOTAL.inc({})
+        endpoint, usage = self.dispatch.endpoint, self._usages[-1]
+        logger.warning(
+            "reply evicted",
+            request=self._request_id,
+            endpoint=endpoint.lifetime,
+            reason=reason,
+            has_length=usage.is_bounded,
+            held_bytes=self._state.pool.budget.held_bytes,
+        )
+        # A reply that states its length may be sound, and large beside endless ones.
+        if not usage.is_bounded:
+            self._state.suspect(endpoint, reason)
+
     def _suspect_crash(self, now: float) -> None:
         endpoint, envelope = self.dispatch.endpoint, self._request.envelope
         crash = suspected_crash(
@@ -295,7 +334,7 @@
         for _ in range(MAX_STALE_REPLIES):
             if self._is_answer(connection, reply_head):
                 break
-            await connection.read_body(MAX_REPLY_BYTES)
+            await connection.skip_body(MAX_REPLY_BYTES)
             connection.skip_reply(head, body)
             reply_head = await connection.read_head()
         return await self._read_answer(connection, reply_head)
@@ -323,7 +362,8 @@
             await self._pass_stream_events(connection, head)
             event: Event = StreamEnded(self.attempt_id, Ending(self._next_event_index))
         else:
-            body = await connection.read_body(MAX_REPLY_BYTES)
+            usage = self._open_usage(connection, head)
+            body = await self._read_body(connection, usage)
             event = self._reply_event(Reply(head, body))
             now = self._state.clock.now()
             if head.status < HTTPStatus.MULTIPLE_CHOICES:
@@ -336,6 +376,35 @@
         )
         return event
 
+    def _open_usage(self, connection: ClientConnection, head: ReplyHead) -> BufferUsage:
+        """Return the usage of a body, whose bytes count until the request has ended."""
+        lifetime = self.dispatch.endpoint.lifetime
+        usage = self._state.pool.budget.open_buffer(lifetime, connection.abort)
+        usage.is_bounded = head.has_length
+        self._usages.append(usage)
+        return usage
+
+    async def _read_body(
+        self, connection: ClientConnection, usage: BufferUsage
+    ) -> bytes:
+        try:
+            body = await connection.read_body(MAX_REPLY_BYTES, usage)
+        except BaseException:
+            usage.close()
+            raise
+        usage.keep()
+        return body
+
+    def note_request_ended(self) -> None:
+        """Stop counting the bytes of replies, which nobody holds any more."""
+        self._is_request_over = True
+        if self._has_ended:
+            self._close_usages()
+
+    def _close_usages(self) -> None:
+        for usage in self._usages:
+            usage.close()
+
     def _reply_event(self, reply: Reply) -> Event:
         if self._state.platform.is_not_executed(reply.head):
             retry_at = self._rejected_retry_at()
@@ -360,12 +429,35 @@
         self, connection: ClientConnection, head: ReplyHead
     ) -> None:
         splitter = EventSplitter(last_event_id=self.dispatch.last_event_id)
+        usage = self._open_usage(connection, head)
+        # The length of a stream doesn't bound that of an event.
+        usage.is_bounded = False
+        try:
+            await self._read_events(connection, head, splitter, usage)
+        except ByteBudgetExceededError as error:
+            raise ReplyEvictedError(str(error)) from error
+        except ConnectionFailedError as error:
+            if not usage.is_evicted:
+                raise
+            raise ReplyEvictedError("event evicted") from error
+        finally:
+            usage.close()
+
+    async def _read_events(
+        self,
+        connection: ClientConnection,
+        head: ReplyHead,
+        splitter: EventSplitter,
+        usage: BufferUsage,
+    ) -> None:
         is_first = True
         is_empty = True
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
             is_empty = False
-            if stream_events := splitter.feed(data):
+            stream_events = splitter.feed(data)
+            usage.set_bytes(splitter.remainder_bytes)
+            if stream_events:
                 self._answered_events += sum(
                     not each.is_comment for each in stream_events
                 )
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -191,6 +191,9 @@
                     "request failed", request=self._request.envelope.request_id
                 )
                 await self._refuse_after_fault()
+            finally:
+                for attempt in self._attempts_by_id.values():
+                    attempt.note_request_ended()
         self._record_end()
 
     async def _carry_out_all(self) -> None:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -11,6 +11,7 @@
 from agatehoist.attempts.suspicion import SuspicionTable
 from agatehoist.cache.endpoint_parts import EndpointParts
 from agatehoist.cache.saved_parts import SavedParts
+from agatehoist.core.byte_budget import ByteBudget
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlightCounter
 from agatehoist.core.wakeup import Wakeup
@@ -67,10 +68,19 @@
 # More news is dropped; crashes, quarantines and notices are repeated as they stand.
 MAX_PENDING_EVIDENCE = 128
 MAX_PENDING_NOTICES = 256
+# Of all bodies that come from one side, from callers or from endpoints.
+MAX_BODY_BYTES = 12 * 1024 * 1024
+# Smaller bodies are read beside any others.
+SMALL_BODY_BYTES = 64 * 1024
 # Endpoints count retries on arrival, slightly later than this node sends them.
 RETRY_WINDOW_MARGIN_S = 0.5
 
 
+def body_budget(clock: Clock) -> ByteBudget:
+    """Return a budget for the bodies that come from one side."""
+    return ByteBudget(MAX_BODY_BYTES, SMALL_BODY_BYTES, clock)
+
+
 class GatewayState:
     """Hold the known fleet, the counters and the connections of a gateway."""
 
@@ -124,7 +134,8 @@
         self.permit_homes = PermitHomes()
         # For callers that are refused because all endpoints are at their limits.
         self.return_times_by_service: dict[str, ReturnTimes] = {}
-        self.pool = ConnectionPool(clock)
+        # The bodies of callers' requests don't count against those of replies.
+        self.pool = ConnectionPool(clock, body_budget(clock))
         self._last_contact_at_by_lifetime: dict[str, float] = {}
         self.in_flight = InFlightCounter()
         self.active_requests = ActiveRequests()
--- a/src/agatehoist/http1/client.py
+++ b/src/agatehoist/http1/client.py
@@ -6,14 +6,17 @@
 
 import h11
 
+from agatehoist.core.byte_budget import ByteBudgetExceededError
 from agatehoist.http1.errors import (
     ConnectionFailedError,
     InvalidReplyError,
     InvalidRequestError,
+    ReplyEvictedError,
 )
 from agatehoist.http1.types import ReplyHead
 
 if TYPE_CHECKING:
+    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.types import RequestHead
 
@@ -71,19 +74,51 @@
             return bytes(event.data)
         return None
 
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Return the complete body.
+    async def read_body(
+        self, max_bytes: int, usage: BufferUsage | None = None
+    ) -> bytes:
+        """Return the complete body, whose bytes are counted as they arrive.
 
-        Raises ConnectionFailedError and InvalidReplyError.
+        Raises ConnectionFailedError, InvalidReplyError and ReplyEvictedError.
         """
         body = bytearray()
+        try:
+            while (data := await self.read_data()) is not None:
+                if len(body) + len(data) > max_bytes:
+                    raise self._too_long_error(max_bytes)
+                if usage is not None:
+                    usage.add_bytes(len(data))
+                body += data
+            return bytes(body)
+        except ByteBudgetExceededError as error:
+            raise ReplyEvictedError(f"{self._channel.peer}: {error}") from error
+        except ConnectionFailedError as error:
+            if usage is None or not usage.is_evicted:
+                raise
+            raise ReplyEvictedError(f"{self._channel.peer}: evicted") from error
+        finally:
+            # The traceback of an error would keep it in memory.
+            body.clear()
+
+    async def skip_body(self, max_bytes: int) -> None:
+        """Read the body to its end and drop it.
+
+        Raises ConnectionFailedError and InvalidReplyError.
+        """
+        skipped = 0
         while (data := await self.read_data()) is not None:
-            body += data
-            if len(body) > max_bytes:
-                raise InvalidReplyError(
-                    f"{self._channel.peer}: body exceeds {max_bytes} bytes"
-                )
-        return bytes(body)
+            skipped += len(data)
+            if skipped > max_bytes:
+                raise self._too_long_error(max_bytes)
+
+    def abort(self) -> None:
+        """Reset the connection, which ends a read in progress."""
+        self._channel.abort()
+
+    def _too_long_error(self, max_bytes: int) -> InvalidReplyError:
+        return InvalidReplyError(
+            f"{self._channel.peer}: body exceeds {max_bytes} bytes"
+        )
 
     def skip_reply(self, head: RequestHead, body: bytes) -> None:
         """Prepare to read another reply; the last one answered an earlier request.
--- a/src/agatehoist/http1/errors.py
+++ b/src/agatehoist/http1/errors.py
@@ -21,6 +21,10 @@
     """Report data from a peer that is not a valid reply to the request."""
 
 
+class ReplyEvictedError(AgatehoistError):
+    """Report a reply that was dropped as the process holds too many bytes of bodies."""
+
+
 class BadRequestError(AgatehoistError):
     """Report a request that violates HTTP/1.1 or a limit, with the status to send."""
 
--- a/src/agatehoist/http1/event_stream.py
+++ b/src/agatehoist/http1/event_stream.py
@@ -13,7 +13,7 @@
 # Length of the longest match of END_OF_EVENT.
 MAX_END_BYTES = 4
 MAX_EVENT_BYTES = 256 * 1024
-# Of all events of a stream, which are kept until it ends.
+# Of all events of a stream.
 MAX_STREAM_BYTES = 32 * 1024 * 1024
 MAX_STREAM_EVENTS = 100_000
 MAX_STREAM_COMMENTS = 10_000
@@ -58,6 +58,11 @@
         """Return the received bytes of an incomplete event."""
         return bytes(self._remainder)
 
+    @property
+    def remainder_bytes(self) -> int:
+        """Return the number of received bytes of an incomplete event."""
+        return len(self._remainder)
+
     def feed(self, data: bytes) -> tuple[StreamEvent, ...]:
         """Add bytes and return the events that they complete.
 
--- a/src/agatehoist/http1/pool.py
+++ b/src/agatehoist/http1/pool.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from agatehoist.core.byte_budget import ByteBudget
 from agatehoist.http1.channel import connect
 from agatehoist.http1.client import ClientConnection
 from agatehoist.http1.errors import ConnectionFailedError
@@ -25,6 +26,8 @@
 CONNECT_TIMEOUT_S = 0.25
 # How long a connection is kept if the peer states no keep-alive timeout.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
+# Of the replies that are read at the same time, unless a budget is given.
+DEFAULT_BUFFERED_BYTES = 32 * 1024 * 1024
 # A peer measures its timeout with its own clock and may close a little earlier.
 IDLE_MARGIN_S = 0.5
 
@@ -36,7 +39,8 @@
     aren't used after its restart.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, budget: ByteBudget | None = None) -> None:
+        self.budget = budget or ByteBudget(DEFAULT_BUFFERED_BYTES)
         self._clock = clock
         self._idle_by_peer: dict[str, deque[ClientConnection]] = {}
 
@@ -71,13 +75,17 @@
         idle_limit_s returns the keep-alive timeout that a reply states, or None. On a
         fresh connection no second copy of an earlier reply can arrive.
 
-        Raises ConnectionFailedError, InvalidRequestError and InvalidReplyError.
+        Raises ConnectionFailedError, InvalidRequestError, InvalidReplyError and
+        ReplyEvictedError.
         """
         connection = await self.acquire(peer_key, address.host, address.port, fresh)
         try:
             await connection.send(head, body)
             reply_head = await connection.read_head()
-            reply = Reply(reply_head, await connection.read_body(max_bytes))
+            with self.budget.track_buffer(peer_key, connection.abort) as usage:
+                usage.is_bounded = reply_head.has_length
+                reply_body = await connection.read_body(max_bytes, usage)
+            reply = Reply(reply_head, reply_body)
         except BaseException:
             connection.close()
             raise
--- a/src/agatehoist/http1/types.py
+++ b/src/agatehoist/http1/types.py
@@ -46,6 +46,11 @@
         framing = (b"content-length", b"transfer-encoding")
         return any(each in framing for each, _ in self.headers)
 
+    @property
+    def has_length(self) -> bool:
+        """Return whether the length of the body is stated."""
+        return self.value(b"content-length") is not None
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -53,6 +53,10 @@
 QUARANTINES_TOTAL = Counter(
     "agatehoist_quarantines_total", "Changes to the quarantined prompt parts."
 )
+# Replies dropped as the process held too many bytes of replies.
+EVICTED_REPLIES_TOTAL = Counter(
+    "agatehoist_evicted_replies_total", "Replies dropped for lack of room."
+)
 # Replies that state other weights than the request expected.
 UNEXPECTED_WEIGHTS_TOTAL = Counter(
     "agatehoist_unexpected_weights_total", "Replies made on other weights."
@@ -75,6 +79,7 @@
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
     "ENDPOINT_STATEMENTS_TOTAL",
+    "EVICTED_REPLIES_TOTAL",
     "EXCHANGES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -23,6 +23,7 @@
     ConnectionFailedError,
     InvalidReplyError,
     InvalidRequestError,
+    ReplyEvictedError,
 )
 from agatehoist.http1.pool import ConnectionPool
 from agatehoist.http1.types import Reply, ReplyHead, RequestHead
@@ -393,7 +394,7 @@
             if self._clock.now() < sent_at + MIN_HELD_S:
                 raise PlatformUnavailableError(f"{call_text}: {error}") from error
             raise CallCutError(f"{call_text}: {error}") from error
-        except (InvalidReplyError, InvalidRequestError) as error:
+        except (InvalidReplyError, InvalidRequestError, ReplyEvictedError) as error:
             raise PlatformUnavailableError(f"{call_text}: {error}") from error
         finally:
             # storage.client has Purpose values and other outcomes in these labels.
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -48,6 +48,7 @@
 # Time from the start of a deadly run to the crash.
 PREFILL_S = 0.05
 DOWN_S = 0.5
+LARGE_ANSWER_BYTES = 3_000_000
 LATE_S = 2.5
 
 FAULTS: Registry[Callable[..., Awaitable[None]]] = Registry("fault of an endpoint")
@@ -588,6 +589,14 @@
     await endpoint.reply(connection, run, 404)
 
 
+@UNUSUAL_ANSWERS.register("large")
+async def _answer_at_length(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    headers = endpoint.answer_headers(run)
+    await connection.send_reply(200, headers, b"y" * LARGE_ANSWER_BYTES)
+
+
 @UNUSUAL_ANSWERS.register("late")
 async def _answer_late(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
@@ -754,6 +763,16 @@
     await _send_without_end(connection, b"1000\r\n" + b"y" * 4096 + b"\r\n")
 
 
+@FAULTS.register("endless_events")
+async def _endless_events(
+    endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
+) -> None:
+    await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
+    events = b"id: 1\ndata: " + b"y" * 400 + b"\n\n"
+    chunk = f"{10 * len(events):x}".encode() + b"\r\n" + 10 * events + b"\r\n"
+    await _send_without_end(connection, chunk)
+
+
 def _raw_body(endpoint: EndpointStandIn, run: ReceivedRequest) -> bytes:
     """Return the body of a complete answer."""
     if not endpoint.model:
