Bound the bodies of callers together, and look at the head before a large one

What callers saw: 40 callers whose bodies of 3.9 MB stop short took a gateway to 183 MB, also with a key that nobody has, and stayed for as long as they liked.

Cause: a body was read whole before its request was looked at, without a bound for all bodies or on the time that one may stand still.

Change: before more than 64 KiB of a body are read, the request must have a route and a key; it is refused at once otherwise, and the connection closes, as the body isn't read. A body that makes no progress for the idle timeout gets 408. Large replies are sent without being copied. Inner servers take bodies of 64 KiB.

--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -10,13 +10,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from agatehoist.core.byte_budget import ByteBudget
     from agatehoist.http1.server import ServerConnection
 
 
 class CallerConnections:
     """Hold the connections of callers, so that a stopping process can end them."""
 
-    def __init__(self) -> None:
+    def __init__(self, body_budget: ByteBudget) -> None:
+        # Of the large bodies of callers' requests.
+        self.body_budget = body_budget
         self.waiting: set[ServerConnection] = set()
         self._connections: set[ServerConnection] = set()
         self._open = InFlightCounter()
--- a/src/agatehoist/gateway/ingress.py
+++ b/src/agatehoist/gateway/ingress.py
@@ -6,22 +6,27 @@
 
 import anyio
 
+from agatehoist.core.byte_budget import ByteBudgetExceededError
 from agatehoist.core.work import Run
 from agatehoist.gateway.request_driver import RequestDriver
 from agatehoist.gateway.unanswered_requests import record_if_unanswered
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
 from agatehoist.http1.server import ServerConnection
+from agatehoist.http1.types import Request
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import OUTCOMES_TOTAL, REFUSALS_TOTAL
 from agatehoist.refusals import RequestRefusedError
-from agatehoist.refusals.kinds import NotConfigured, internal_fault
+from agatehoist.refusals.kinds import NotConfigured, RouterBusy, internal_fault
 from agatehoist.routing.resolution import resolve
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.gateway.state import GatewayState
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.event_stream import StreamEvent
-    from agatehoist.http1.types import Headers, Reply, ReplyHead, Request
+    from agatehoist.http1.types import Headers, Reply, ReplyHead, RequestHead
     from agatehoist.refusals.types import Refusal
     from agatehoist.routing.types import RoutedRequest
 
@@ -30,15 +35,22 @@
 CLOSE_HEADERS: Headers = ((b"connection", b"close"),)
 # A starting process has usually read its configuration after this time.
 CONFIGURATION_RETRY_AFTER_S = 0.3
+# Bodies that are being received or served have made room after this time.
+BUDGET_RETRY_AFTER_S = 1.0
 
 
 class HttpReplyWriter:
     """Write the reply to one request to its connection."""
 
     def __init__(
-        self, state: GatewayState, connection: ServerConnection, request_id: str | None
+        self,
+        state: GatewayState,
+        connection: ServerConnection,
+        request_id: str | None,
+        closes: bool = False,
     ) -> None:
         self._state = state
+        self._closes = closes
         self._connection = connection
         self._request_id = request_id
 
@@ -76,6 +88,8 @@
         await self._connection.send_reply(reply.head.status, headers, reply.body)
 
     def _headers(self, headers: Headers) -> Headers:
+        if self._closes:
+            return (*headers, *CLOSE_HEADERS)
         # A pipelined request is answered too, and then the connection is closed.
         if not self._state.leaving or self._connection.has_input():
             return headers
@@ -91,7 +105,9 @@
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
         state = self._state
-        connection = ServerConnection(channel, state.clock, state.limits)
+        connection = ServerConnection(
+            channel, state.clock, state.limits, self._admit_body
+        )
         with state.caller_connections.track(connection):
             await self._serve_all(connection)
 
@@ -113,6 +129,40 @@
                 pass
         except BadRequestError as error:
             await self._reject(connection, error)
+        except ByteBudgetExceededError as error:
+            retry_at = self._state.clock.now() + BUDGET_RETRY_AFTER_S
+            refusal = RouterBusy.refuse(str(error), retry_at).refusal
+            await self._refuse_unread(connection, refusal)
+        except RequestRefusedError as error:
+            await self._refuse_unread(connection, error.refusal)
+
+    def _admit_body(
+        self, head: RequestHead, received_at: float, evict: Callable[[], None]
+    ) -> BufferUsage:
+        """Return the usage for a large body, counted for the caller's organisation.
+
+        Raises RequestRefusedError if the request would be refused anyway.
+        """
+        routed = self._route(Request(head, b"", received_at))
+        organisation = routed.organisation.name if routed.organisation else ""
+        return self._state.caller_connections.body_budget.open_buffer(
+            organisation, evict
+        )
+
+    async def _refuse_unread(
+        self, connection: ServerConnection, refusal: Refusal
+    ) -> None:
+        """Refuse a request whose body hasn't been read, and close the connection."""
+        logger.info(
+            "request refused unread",
+            peer=connection.peer,
+            code=refusal.code,
+            detail=refusal.detail,
+            held_bytes=self._state.caller_connections.body_budget.held_bytes,
+        )
+        writer = HttpReplyWriter(self._state, connection, None, closes=True)
+        await writer.refuse(refusal)
+        await connection.close_after_reply()
 
     async def _serve_next(self, connection: ServerConnection) -> bool:
         state = self._state
--- a/src/agatehoist/gateway/request_loop.py
+++ b/src/agatehoist/gateway/request_loop.py
@@ -19,6 +19,9 @@
 
 logger = get_logger("gateway")
 
+# The requests of nodes and of the platform have small bodies.
+INNER_LIMITS = ConnectionLimits(max_body_bytes=64 * 1024)
+
 
 async def serve_requests(
     state: GatewayState,
@@ -27,7 +30,7 @@
 ) -> None:
     """Serve the requests of a connection until it ends."""
     # The configured limits are those of callers.
-    connection = ServerConnection(channel, state.clock, ConnectionLimits)
+    connection = ServerConnection(channel, state.clock, lambda: INNER_LIMITS)
     try:
         while request := await connection.next_request(lambda: None):
             reply = await _answer(request, answer)
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -142,7 +142,7 @@
         self.leaving = False
         self.stop = StopState()
         self.models_in_rollout: set[str] = set()
-        self.caller_connections = CallerConnections()
+        self.caller_connections = CallerConnections(body_budget(clock))
         self.rng = random.Random()
         self.incarnation = new_incarnation()
         self.rollout_wakeup = Wakeup()
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 import h11
 
+from agatehoist.core.byte_budget import ByteBudgetExceededError
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
 from agatehoist.http1.types import Request, RequestHead
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.core.clock import Clock
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.types import ConnectionLimits, Headers
@@ -26,15 +28,38 @@
 VERSION_NOT_SUPPORTED = 505
 # Limit on the bytes of pipelined requests buffered while one request is served.
 MAX_READ_AHEAD_BYTES = 64 * 1024
+# Larger bodies are read only once their request has been admitted.
+MAX_UNADMITTED_BODY_BYTES = 64 * 1024
+# Larger bodies are sent without being copied.
+MAX_COPIED_BODY_BYTES = 64 * 1024
+
+
+class Admission(Protocol):
+    """Decide on a request with a large body before the body is read."""
+
+    def __call__(
+        self, head: RequestHead, received_at: float, evict: Callable[[], None]
+    ) -> BufferUsage:
+        """Return the usage against which the body counts.
+
+        Raises RequestRefusedError.
+        """
 
 
 class ServerConnection:
     """Read requests one at a time and write their replies."""
 
     def __init__(
-        self, channel: Channel, clock: Clock, limits: Callable[[], ConnectionLimits]
+        self,
+        channel: Channel,
+        clock: Clock,
+        limits: Callable[[], ConnectionLimits],
+        admit: Admission | None = None,
     ) -> None:
         self._channel = channel
+        self._admit = admit
+        # Counts the bytes of a large body until the next request.
+        self._body_usage: BufferUsage | None = None
         self._clock = clock
         self._limits = limits
         # Whether the last request read has got a complete reply.
@@ -57,7 +82,8 @@
 
         Calls on_begin when the first bytes or the end of the stream have arrived.
 
-        Raises BadRequestError and ConnectionFailedError.
+        Raises BadRequestError, ByteBudgetExceededError, ConnectionFailedError and
+        RequestRefusedError.
         """
         await self._wait_for_input()
         if self.is_idle():
@@ -67,6 +93,8 @@
         if not self._has_ended_reading:
             with anyio.CancelScope() as self._read_scope:
                 return await self._read_request()
+        if self._body_usage is not None and self._body_usage.is_evicted:
+            raise ByteBudgetExceededError("the body was evicted for others")
         raise BadRequestError(SERVICE_UNAVAILABLE, "the server is stopping")
 
     def end_reading(self) -> None:
@@ -86,7 +114,7 @@
         if head is None:
             return None
         received_at = self._clock.now()
-        body = await self._read_body(head)
+        body = await self._read_body(head, received_at)
         self.has_replied = False
         return Request(head, body, received_at)
 
@@ -134,9 +162,14 @@
             self._encode(h11.Response(status_code=status, headers=headers_with_length))
         ]
         if body and self._method != b"HEAD":
-            parts.append(self._encode(h11.Data(data=body)))
+            # With a length, the body is sent as it is.
+            self._http.send_with_data_passthrough(h11.Data(data=body))
+            parts.append(body)
         parts.append(self._encode(h11.EndOfMessage()))
-        await self._send(b"".join(parts))
+        if len(body) <= MAX_COPIED_BODY_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            await self._send(part)
         self.has_replied = True
 
     async def end(self) -> None:
@@ -158,6 +191,7 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._release_body()
         return True
 
     def has_input(self) -> bool:
@@ -176,10 +210,12 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._release_body()
         self._channel.close()
 
     def abort(self) -> None:
         """Reset the connection, so that a partial reply doesn't look complete."""
+        self._release_body()
         self._channel.abort()
 
     async def _send(self, data: bytes) -> None:
@@ -235,28 +271,67 @@
             else:
                 return None
 
-    async def _read_body(self, head: RequestHead) -> bytes:
+    def _release_body(self) -> None:
+        if self._body_usage is not None:
+            self._body_usage.close()
+
+    async def _read_body(self, head: RequestHead, received_at: float) -> bytes:
         limit = self._limits().max_body_bytes
-        for length in head.values(b"content-length"):
-            if int(length) > limit:
-                raise BadRequestError(CONTENT_TOO_LARGE, f"body exceeds {limit} bytes")
-        if self._http.they_are_waiting_for_100_continue:
-            continue_reply = h11.InformationalResponse(status_code=100, headers=[])
-            await self._send(self._encode(continue_reply))
+        await self._begin_body(head, received_at, limit)
         body = bytearray()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._channel.receive())
+                await self._receive_body()
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limit:
+                if len(body) + len(event.data) > limit:
                     raise BadRequestError(
                         CONTENT_TOO_LARGE, f"body exceeds {limit} bytes"
                     )
+                if len(body) + len(event.data) > MAX_UNADMITTED_BODY_BYTES:
+                    self._count_body(head, received_at, len(body), len(event.data))
+                body += event.data
             else:
+                if self._body_usage is not None:
+                    self._body_usage.keep()
                 return bytes(body)
 
+    async def _begin_body(
+        self, head: RequestHead, received_at: float, limit: int
+    ) -> None:
+        lengths = [int(length) for length in head.values(b"content-length")]
+        length = max(lengths, default=0)
+        if length > limit:
+            raise BadRequestError(CONTENT_TOO_LARGE, f"body exceeds {limit} bytes")
+        self._body_usage = None
+        if length > MAX_UNADMITTED_BODY_BYTES:
+            self._admit_body(head, received_at)
+        if self._http.they_are_waiting_for_100_continue:
+            continue_reply = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(self._encode(continue_reply))
+
+    async def _receive_body(self) -> None:
+        try:
+            with anyio.fail_after(self._idle_timeout_s()):
+                self._http.receive_data(await self._channel.receive())
+        except TimeoutError as error:
+            raise BadRequestError(
+                REQUEST_TIMEOUT, "body not received in time"
+            ) from error
+
+    def _admit_body(self, head: RequestHead, received_at: float) -> None:
+        if self._admit is not None:
+            self._body_usage = self._admit(head, received_at, self._read_scope.cancel)
+            self._body_usage.is_bounded = bool(head.values(b"content-length"))
+
+    def _count_body(
+        self, head: RequestHead, received_at: float, before: int, count: int
+    ) -> None:
+        if self._body_usage is None:
+            self._admit_body(head, received_at)
+        if self._body_usage is not None:
+            self._body_usage.set_bytes(before + count)
+
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
             return self._http.next_event()
