Keep no events that a gateway has passed on

What callers would see: a stream without end, of sound events, is cut at 32 MiB or 100,000 events, and until then all of them stayed in the state machine; some streams at once fill the memory.

Cause: the machine keeps all pieces of an answer, which routers need to continue it behind its text; a gateway needs the id of the last event and their number.

Change: RetryRules.keeps_pieces, false in the gateway.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -73,6 +73,9 @@
 # nodes know of it after this time, so a new search for offers takes it into account.
 OFFER_VALID_S = 0.2
 
+# Stands for a delivered piece whose content isn't needed any more.
+DELIVERED_PIECE = ""
+
 EVENT_HANDLERS: Registry[Callable[..., Any]] = Registry("attempt event")
 
 
@@ -118,8 +121,8 @@
 
         `first` is the index of the first piece to read.
         """
-        # Placeholders for the pieces that the other router has delivered.
-        self.pieces = [""] * first
+        # The other router has delivered these.
+        self.pieces = [DELIVERED_PIECE] * first
         self.target = target
         self._dispatch_count = 1
         self._may_have_run.add(target.attempt_id)
@@ -257,6 +260,9 @@
         if event.goes_on:
             self._is_replacing = False
         self.pieces.extend(new)
+        if not self.rules.keeps_pieces:
+            delivered = len(self.pieces) - 1 - max(0, received - 1)
+            self.pieces[max(0, received - 1) : -1] = [DELIVERED_PIECE] * delivered
         self._resumes = 0
         self._resuming = False
         cancelled = self._cancel_others(event.attempt_id)
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -42,6 +42,9 @@
 
     If `overlapping`, an attempt whose endpoint is silent goes on beside its replacement
     and the first reply counts; otherwise it ends as soon as the replacement is sent.
+
+    Unless the rules say `keeps_pieces`, of the pieces that were delivered only the last
+    one is kept, and their number.
     """
 
     idempotent: bool
@@ -53,6 +56,7 @@
     max_offer_searches: int = 6
     cancellable: bool = False
     overlapping: bool = False
+    keeps_pieces: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -524,4 +524,6 @@
         max_offer_searches=MAX_PLACEMENTS,
         cancellable=request.envelope.prompt is not None,
         overlapping=is_call,
+        # An answer goes on behind the id of its last event.
+        keeps_pieces=False,
     )
--- a/tests/test_attempts/test_moves.py
+++ b/tests/test_attempts/test_moves.py
@@ -62,6 +62,29 @@
     return machine
 
 
+class DeliveredPieceTests(unittest.TestCase):
+    # Whether the pieces are kept, and what is left of them after three reports.
+    @parameterized.expand(
+        [("kept", True, ["v", "w", "x", "y", "z"]), ("dropped", False, ["z"])]
+    )
+    def test_pieces_that_are_not_needed_again_are_not_kept(
+        self, _name: str, keeps_pieces: bool, left: list[str]
+    ) -> None:
+        """A stream without end would fill the memory of the process."""
+        rules = RetryRules(True, 9.0, keeps_pieces=keeps_pieces)
+        machine = RequestMachine(rules, RetryBudget(), lambda: FIRST, random.Random(1))
+        machine.start(0.0)
+        machine.handle(Offered((offer("a"),)), 0.0)
+        delivered: list[str] = []
+        for first, pieces in ((0, ("v", "w")), (2, ("x",)), (3, ("y", "z"))):
+            (deliver,) = machine.handle(PiecesArrived(FIRST, first, pieces), 0.1)
+            assert isinstance(deliver, Deliver)
+            delivered += deliver.pieces
+        self.assertEqual(delivered, ["v", "w", "x", "y", "z"])
+        self.assertEqual(len(machine.pieces), 5)
+        self.assertEqual([each for each in machine.pieces if each], left)
+
+
 class MovedRunTests(unittest.TestCase):
     @parameterized.expand([(False,), (True,)])
     def test_answer_continues_after_the_move(self, idempotent: bool) -> None:
