Bound what routers and sidecars hold of bodies and events

A sidecar read replies of up to 7 MiB and events of up to 4 MiB for each slot of its endpoint, a router buffered 256 MiB of callers' bodies, twice what its machine has, and one organisation could use all of it.

Change: 12 MiB for the replies and for the incomplete events of an endpoint, 16 MiB for the callers' bodies of a router, where the organisation that holds most gives way; small ones always fit.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -9,6 +9,7 @@
 
 import httpx
 
+from agatehoist.core.byte_budget import ByteBudget, ByteBudgetExceededError
 from agatehoist.core.json_text import read_json
 from agatehoist.core.numbers import checked_integer
 from agatehoist.core.tls import tls_context
@@ -35,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
+    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.core.work import CompletionWork, Continuation
 
 CONNECT_TIMEOUT_S = 1.0
@@ -46,6 +48,9 @@
 ERROR_TIMEOUT_S = 1.0
 # The last event lists the blocks of the prompt.
 MAX_EVENT_BYTES = 4 * 1024 * 1024
+# Of the events of all streams that are being read; smaller ones always fit.
+MAX_BUFFERED_BYTES = 12 * 1024 * 1024
+SMALL_EVENT_BYTES = 64 * 1024
 EVENT_PREFIX = "data: "
 END_MARKER = "[DONE]"
 INCARNATION_HEADER = "x-engine-incarnation"
@@ -74,6 +79,7 @@
     """Run completions on one engine."""
 
     def __init__(self, url: str) -> None:
+        self._budget = ByteBudget(MAX_BUFFERED_BYTES, SMALL_EVENT_BYTES)
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         self._http = httpx.AsyncClient(
             base_url=url,
@@ -134,13 +140,19 @@
                 if response.is_error:
                     raise await _error_for_response(response)
                 _check_identity(response, expected_status)
-                async for event in _read_events(response):
-                    yield event
+                with self._budget.track_buffer() as usage:
+                    async for event in _read_events(response, usage):
+                        yield event
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointNotReachedError(
                 f"could not connect to the engine: {error!r}"
             ) from error
-        except (httpx.HTTPError, InvalidReplyError, *INVALID_EVENT_ERRORS) as error:
+        except (
+            httpx.HTTPError,
+            InvalidReplyError,
+            ByteBudgetExceededError,
+            *INVALID_EVENT_ERRORS,
+        ) as error:
             raise EndpointFailedError(
                 f"completion request to the engine failed: {error!r}"
             ) from error
@@ -192,13 +204,14 @@
 
 
 async def _read_events(
-    response: httpx.Response,
+    response: httpx.Response, buffer_usage: BufferUsage
 ) -> AsyncIterator[EngineTokens | EngineEnd]:
     finish_reason = ""
     usage: dict[str, Any] | None = None
     splitter = EventSplitter(MAX_EVENT_BYTES)
     async for data in response.aiter_raw():
         stream_events = splitter.feed(data)
+        buffer_usage.set_bytes(splitter.remainder_bytes)
         payloads = (each for event in stream_events for each in _payloads(event.data))
         events = [read_json(each.encode()) for each in payloads]
         # Each event with a text counts as one token.
--- a/src/agatehoist/endpoints/service.py
+++ b/src/agatehoist/endpoints/service.py
@@ -6,6 +6,8 @@
 
 import httpx
 
+from agatehoist.core.byte_budget import ByteBudget
+from agatehoist.core.clock import SystemClock
 from agatehoist.core.tls import tls_context
 from agatehoist.endpoints.errors import EndpointFailedError, EndpointNotReachedError
 from agatehoist.endpoints.kinds import ENDPOINT_KINDS
@@ -22,6 +24,9 @@
 CALL_TIMEOUT_S = 60.0
 # A reply and its headers must fit into one frame of the inner protocol.
 MAX_REPLY_BYTES = 7 * 1024 * 1024
+# Of all replies that are being read; smaller ones are read beside any others.
+MAX_BUFFERED_BYTES = 12 * 1024 * 1024
+SMALL_REPLY_BYTES = 64 * 1024
 
 # content-length is no hop-by-hop header, but httpx sets it for requests, and the router
 # for replies.
@@ -35,6 +40,7 @@
     """Run calls on one service."""
 
     def __init__(self, url: str) -> None:
+        self._budget = ByteBudget(MAX_BUFFERED_BYTES, SMALL_REPLY_BYTES, SystemClock())
         timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         self._http = httpx.AsyncClient(
             base_url=url,
@@ -64,6 +70,7 @@
                 work.path,
                 MAX_REPLY_BYTES,
                 CALL_TIMEOUT_S,
+                self._budget,
                 headers=drop_hop_by_hop_headers(work.headers_by_name),
                 content=work.body,
             )
--- a/src/agatehoist/frontend/access.py
+++ b/src/agatehoist/frontend/access.py
@@ -74,18 +74,24 @@
     return key
 
 
-async def read_body(state: RouterState, request: Request) -> bytes:
+async def read_body(
+    state: RouterState, request: Request, organisation: str = ""
+) -> bytes:
     """Read the body within the limits on its size and time.
 
-    Raises RequestRefusedError if it is too large, takes too long or exceeds the
-    budget of buffered bytes.
+    Raises RequestRefusedError if it is too large, takes too long, or doesn't fit into
+    the budget of buffered bytes beside those of other organisations.
     """
+    scope = anyio.CancelScope()
+    budget = state.body_budget
     try:
         with (
             anyio.fail_after(BODY_TIMEOUT_S),
-            state.body_budget.track_buffer() as reservation,
+            budget.track_buffer(organisation, scope.cancel) as reservation,
+            scope,
         ):
             return await _read_chunks(request, reservation)
+        raise ByteBudgetExceededError("the body was evicted for others")
     except TimeoutError:
         detail = f"body did not arrive within {BODY_TIMEOUT_S:g} s"
         raise BodyTimeout.refuse(detail) from None
--- a/src/agatehoist/frontend/app.py
+++ b/src/agatehoist/frontend/app.py
@@ -129,7 +129,7 @@
     async def complete(self, request: Request) -> Response:
         """Return a completion, as JSON or as a stream, or resume one."""
         organisation = authenticate(self._state, request)
-        body = await read_body(self._state, request)
+        body = await read_body(self._state, request, organisation)
         require_ready_and_below_limit(self._state)
         parsed = parse_completion(
             request.url.path,
@@ -156,7 +156,7 @@
     async def call(self, request: Request) -> Response:
         """Run a service call and return its answer."""
         organisation = authenticate(self._state, request)
-        body = await read_body(self._state, request)
+        body = await read_body(self._state, request, organisation)
         require_ready_and_below_limit(self._state)
         parsed = self._parse_call(request, organisation, body)
         with (
--- a/src/agatehoist/http1/exchange.py
+++ b/src/agatehoist/http1/exchange.py
@@ -7,11 +7,14 @@
 import anyio
 import httpx
 
+from agatehoist.core.byte_budget import ByteBudget, ByteBudgetExceededError
 from agatehoist.http1.types import Reply, ReplyHead
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
 
+    from agatehoist.core.byte_budget import BufferUsage
+
 # Limits hold for the bytes on the wire, and the end of compressed data isn't checked.
 UNENCODED: Mapping[str, str] = {"accept-encoding": "identity"}
 # Replies of endpoints don't name their requests, so a second copy of a reply would be
@@ -25,20 +28,34 @@
     path: str,
     max_bytes: int,
     timeout_s: float,
+    budget: ByteBudget | None = None,
     **options: Any,
 ) -> Reply:
     """Send a request and return the complete reply; its body isn't decoded.
 
+    While it is read, the body counts against the budget, and may be evicted.
+
     Raises httpx.HTTPError.
     """
     request = http.build_request(method, path, **options)
+    scope = anyio.CancelScope()
+    budget = budget or ByteBudget(max_bytes)
     try:
-        with anyio.fail_after(timeout_s):
+        with (
+            anyio.fail_after(timeout_s),
+            budget.track_buffer(evict=scope.cancel) as usage,
+            scope,
+        ):
             response = await http.send(request, stream=True)
+            usage.is_bounded = "content-length" in response.headers
             try:
-                return Reply(_head(response), await _read_body(response, max_bytes))
+                body = await _read_body(response, max_bytes, usage)
+                return Reply(_head(response), body)
             finally:
                 await response.aclose()
+        raise httpx.RemoteProtocolError(
+            f"{method} {path}: evicted for other replies", request=request
+        )
     except TimeoutError as error:
         raise httpx.ReadTimeout(
             f"{method} {path}: no complete reply within {timeout_s} s", request=request
@@ -94,13 +111,22 @@
             raise _too_long(response, f"line exceeds {max_bytes} bytes")
 
 
-async def _read_body(response: httpx.Response, max_bytes: int) -> bytes:
+async def _read_body(
+    response: httpx.Response, max_bytes: int, usage: BufferUsage
+) -> bytes:
     body = bytearray()
-    async for data in response.aiter_raw():
-        body += data
-        if len(body) > max_bytes:
-            raise _too_long(response, f"body exceeds {max_bytes} bytes")
-    return bytes(body)
+    try:
+        async for data in response.aiter_raw():
+            if len(body) + len(data) > max_bytes:
+                raise _too_long(response, f"body exceeds {max_bytes} bytes")
+            usage.add_bytes(len(data))
+            body += data
+        return bytes(body)
+    except ByteBudgetExceededError as error:
+        raise _too_long(response, str(error)) from error
+    finally:
+        # The traceback of an error would keep it in memory.
+        body.clear()
 
 
 def _head(response: httpx.Response) -> ReplyHead:
--- a/src/agatehoist/router/state.py
+++ b/src/agatehoist/router/state.py
@@ -33,7 +33,9 @@
     from agatehoist.settings.types import RouterSettings
     from agatehoist.storage.client import PlatformClient
 
-MAX_BUFFERED_BODY_BYTES = 256 * 1024 * 1024
+MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
+# Smaller bodies are read beside any others.
+SMALL_BODY_BYTES = 64 * 1024
 
 
 class RouterState:
@@ -63,7 +65,7 @@
         self.leaving = False
         self.key_index = KeyIndex(FleetConfiguration())
         self.in_flight = InFlightCounter()
-        self.body_budget = ByteBudget(MAX_BUFFERED_BODY_BYTES)
+        self.body_budget = ByteBudget(MAX_BUFFERED_BODY_BYTES, SMALL_BODY_BYTES, clock)
         self.retry_budget = RetryBudget()
         self.suspects = SuspicionTable()
         self.limiter = RateLimiter()
