Continue a run that no other endpoint takes where it was stopped

The crashed endpoint has the fewest runs and was chosen once its suspicion of 1 s was over; the status of the answer to a move was not read, so 503, which tells that nothing was copied, counted as a copy; and after the refused connection nothing else was tried, though the source keeps the run.

Change: a run that wasn't copied goes on at its source, and the destination gets no other run for a second, doubling. One that was copied, but that the destination says it didn't run (refused connection, 503, 421), goes on at its source too, which the retry budget counts; RunMoved names that fallback, and the machine decides. Endpoints that have failed and not answered since are the last choice.

Why it works: the protocol lets the same request continue at the endpoint that stopped it, with the same handle; nothing has run elsewhere by then.

In test_run_moves 5 rows failed before: no room, crash and other weights for streams that run once, a crash for one that may be resumed, and the choice of a destination that had failed. The stand-in keeps the memory of a run that it has stopped, as the protocol says.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from agatehoist.attempts.budget import next_retry_at
@@ -103,6 +104,8 @@
         self._offers: list[Offer] = []
         self._offered_at = 0.0
         self._may_have_run: set[AttemptId] = set()
+        # The move after which the current attempt continues a run, if there is one.
+        self._move: RunMoved | None = None
         self._dispatch_count = 0
         self._search_count = 0
         self._resumes = 0
@@ -221,10 +224,25 @@
         # attempt: _may_have_run keeps the id of the attempt before the move and doesn't
         # get the id of the attempt that continues the run.
         cancelled = self._cancel_others(event.attempt_id)
-        self.target = self._next_target(event.offer)
+        return (*cancelled, self._continue_run(event))
+
+    def _continue_run(self, move: RunMoved) -> ContinueRun:
+        self.target = self._next_target(move.offer)
+        self._move = replace(move, attempt_id=self.target.attempt_id)
         pieces = tuple(self.pieces)
-        moved = ContinueRun(self.target, event.offer, pieces, event.run_name)
-        return (*cancelled, moved)
+        return ContinueRun(self.target, move.offer, pieces, move.run_name)
+
+    def _continue_at_source(
+        self, attempt_id: AttemptId, refusal: Refusal
+    ) -> ContinueRun | None:
+        """Continue a run where it was stopped, if its new endpoint didn't run it."""
+        move, self._move = self._move, None
+        if move is None or move.attempt_id != attempt_id or move.fallback is None:
+            return None
+        # The endpoint counts the request as a retry.
+        if refusal.run is not Run.NO or not self._budget.try_spend():
+            return None
+        return self._continue_run(replace(move, offer=move.fallback, fallback=None))
 
     @EVENT_HANDLERS.register(DeadlinePassed)
     def _on_deadline_passed(self, _event: DeadlinePassed, now: float) -> Decisions:
@@ -353,6 +371,8 @@
         self._refusal = refusal
         if self.target is not None:
             return ()
+        if (continued := self._continue_at_source(attempt_id, refusal)) is not None:
+            return (continued,)
         if not self.may_retry:
             return self._refuse(refusal, now)
         if self._has_all_tokens():
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -191,12 +191,14 @@
     """Report that a run was stopped and can continue at the endpoint of an offer.
 
     A run is the generation of one answer at an endpoint. The endpoint of the offer gets
-    `run_name`, by which it finds the run to continue.
+    `run_name`, by which it finds the run to continue. If it says that it didn't, the
+    run goes on at the endpoint of `fallback`, which has kept it too.
     """
 
     attempt_id: AttemptId
     offer: Offer
     run_name: str
+    fallback: Offer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,7 +272,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ContinueRun:
-    """Continue a moved run at another endpoint, after `pieces` (gateways only)."""
+    """Continue a run that was stopped, after `pieces` (gateways only)."""
 
     target: Target
     offer: Offer
--- a/src/agatehoist/gateway/active_requests.py
+++ b/src/agatehoist/gateway/active_requests.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Protocol
 
+from agatehoist.attempts.suspicion import SuspicionTable
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -30,6 +32,8 @@
 
     def __init__(self) -> None:
         self._requests: set[ActiveRequest] = set()
+        # Endpoints to which runs couldn't be copied.
+        self.failed_copies = SuspicionTable()
 
     @contextmanager
     def track(self, request: ActiveRequest) -> Iterator[None]:
--- a/src/agatehoist/gateway/endpoint_calls.py
+++ b/src/agatehoist/gateway/endpoint_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,17 @@
 MAX_REPLY_BYTES = 256 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class StoppedRun:
+    """Name a run that was stopped, and tell whether its copy is at the destination.
+
+    The endpoint that ran it can continue it in any case.
+    """
+
+    name: str
+    is_copied: bool
+
+
 class CallFailedError(AgatehoistError):
     """Report a call without a valid reply; an order may have taken effect."""
 
@@ -64,15 +76,17 @@
     request_id: str,
     destination: Endpoint,
     timeout_s: float = MOVE_TIMEOUT_S,
-) -> str:
-    """Stop a run and copy its KV cache; return the name to continue it, or "".
+) -> StoppedRun | None:
+    """Stop a run and copy its KV cache; return None if the run goes on.
 
     Raises CallFailedError, after which the run may have been stopped.
     """
     head, body = state.platform.move_request(source, request_id, destination)
     # The reply doesn't say which run it names.
     reply = await _call(state, source, head, body, True, timeout_s)
-    return state.platform.read_move_reply(source, reply)
+    name = state.platform.read_move_reply(source, reply)
+    is_copied = reply.head.status == HTTPStatus.OK
+    return StoppedRun(name, is_copied) if name else None
 
 
 async def _call(
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -110,8 +110,8 @@
             state.rng,
         )
         self._attempts_by_id: dict[AttemptId, Attempt] = {}
-        # The endpoint to which the run moves or has moved.
-        self._destination: Endpoint | None = None
+        # The endpoints between which the run moves or has moved.
+        self._endpoints_of_move: dict[str, Endpoint] = {}
         self._search = OfferSearch(state, request)
         self._steps = self._search.steps
         # The endpoints that have got this request, also to continue a moved run.
@@ -149,7 +149,9 @@
             destination = move_if_needed(
                 self._state, self._request, attempt, self._machine.may_retry
             )
-            self._destination = destination or self._destination
+            if destination is not None:
+                between = (attempt.dispatch.endpoint, destination)
+                self._endpoints_of_move = {each.name: each for each in between}
 
     def withdraw_if_quarantined(self) -> None:
         """Take the request back from its endpoints or line if it is quarantined.
@@ -370,8 +372,8 @@
     async def _continue(self, decision: ContinueRun) -> Event | None:
         endpoint = self._state.fleet.by_name.get(decision.offer.candidate.host)
         if endpoint is None and not self._machine.may_retry:
-            # Only the endpoint that has the copy of the run can continue it.
-            endpoint = self._destination
+            # Only the endpoints that have the run in memory can continue it.
+            endpoint = self._endpoints_of_move.get(decision.offer.candidate.host)
         if endpoint is None:
             no_endpoint = NoEndpoint.refuse(
                 "the endpoint of a moved run has gone"
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -92,6 +92,7 @@
         if each.lifetime != source.lifetime
         and not state.weights.is_changing(each, now)
         and not state.suspects.is_suspected(each.name, now)
+        and not state.active_requests.failed_copies.is_suspected(each.name, now)
         and held_back_until(state, each, MOVE_PRIORITY) is None
         and state.fleet.version_of(each, prompt.model) == version
     ]
@@ -100,6 +101,8 @@
         # An endpoint in another data centre counts as if it had one more run. One with
         # a limit may give no permit.
         key=lambda each: (
+            # An endpoint that has crashed has no runs, and is listed for a while.
+            state.suspects.has_failed(each.name),
             is_limited(state, each),
             state.load.runs(each.lifetime, now)
             + (each.data_centre != source.data_centre),
@@ -134,21 +137,34 @@
         logger.info("run not moved", request=request_id, reason="no permit")
         await attempt.cancel_move()
         return
+    stopped = None
     try:
-        continuation_name = await move_run(
-            state, source, request_id, destination, timeout_s
-        )
+        stopped = await move_run(state, source, request_id, destination, timeout_s)
     except CallFailedError as error:
         logger.info("run not moved", request=request_id, reason=str(error))
-        continuation_name = ""
-    if not continuation_name:
+    if stopped is None:
         await attempt.cancel_move()
         return
-    identity = EndpointIdentity(
-        destination.name, destination.lifetime, str(attempt.dispatch.weights_version)
-    )
-    candidate = Candidate(destination.name, destination.data_centre)
-    moved = RunMoved(
-        attempt.attempt_id, Offer(candidate, identity, 0, 0.0), continuation_name
-    )
+    version = attempt.dispatch.weights_version
+    offer, fallback = _offer(destination, version), _offer(source, version)
+    if not stopped.is_copied:
+        logger.info(
+            "run not copied, goes on where it was",
+            request=request_id,
+            endpoint=source.lifetime,
+            destination=destination.lifetime,
+        )
+        state.active_requests.failed_copies.note_failure(
+            destination.name, state.clock.now()
+        )
+        moved = RunMoved(attempt.attempt_id, fallback, stopped.name)
+    else:
+        state.active_requests.failed_copies.note_answer(destination.name)
+        moved = RunMoved(attempt.attempt_id, offer, stopped.name, fallback)
     await attempt.send_event(moved)
+
+
+def _offer(endpoint: Endpoint, version: int) -> Offer:
+    identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
+    candidate = Candidate(endpoint.name, endpoint.data_centre)
+    return Offer(candidate, identity, 0, 0.0)
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -504,6 +504,8 @@
         self.stopped.add(request_id)
         self._stopping.add(request_id)
         handle = f"copy-of-{request_id}"
+        # The source keeps the memory of the run.
+        self._made_under_by_copy[f"{self.address}/{handle}"] = made_under
         if receive is not None:
             await receive(f"{self.address}/{handle}", made_under)
         status = 200 if receive else 503
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -25,6 +25,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from standins.users_platform.endpoint import EndpointStandIn
 
 EVENT_COUNT = 60
@@ -68,6 +70,21 @@
     return b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in numbers)
 
 
+def refuse_copies(world: GatewayHarness, endpoint: EndpointStandIn) -> None:
+    """Let an endpoint have no room for the copy of a run."""
+    world.kv_network.receivers_by_address.pop(endpoint.address, None)
+
+
+def crash(_world: GatewayHarness, endpoint: EndpointStandIn) -> None:
+    """Let an endpoint crash."""
+    endpoint.crash()
+
+
+def change_weights(_world: GatewayHarness, endpoint: EndpointStandIn) -> None:
+    """Let an endpoint change its weights before the gateway knows it."""
+    endpoint.version = 2
+
+
 class MovingTests(unittest.TestCase):
     # Engines have version 1; the run that moves is stopped at the endpoint it leaves.
     @parameterized.expand([("in_force", 1, {"r1"}), ("replaced_long_ago", 2, set())])
@@ -209,3 +226,67 @@
         anyio.run(run)
         self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
         self.assertEqual(world.runs(), ["r1"])
+
+    # What happens to the destinations as the run is stopped. The stream of the first
+    # path may not be resumed elsewhere.
+    @parameterized.expand(
+        [
+            (f"{name}_{path}", fail, f"/{path}/1")
+            for name, fail in (
+                ("no_room", refuse_copies),
+                ("crashed", crash),
+                ("other_weights", change_weights),
+            )
+            for path in ("credit", "trace")
+        ]
+    )
+    def test_run_that_no_other_endpoint_takes_goes_on_where_it_was(
+        self,
+        _name: str,
+        fail: Callable[[GatewayHarness, EndpointStandIn], None],
+        path: str,
+    ) -> None:
+        """A stopped run must not be lost: its source keeps it in memory."""
+        world = GatewayHarness()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+        bodies: list[bytes] = []
+
+        def fail_others(source: EndpointStandIn) -> None:
+            for each in world.engines:
+                if each is not source:
+                    fail(world, each)
+
+        async def run() -> None:
+            async with running_gateway(world):
+                for each in world.engines:
+                    each.on_move = partial(fail_others, each)
+                source, body = await drain_while_running(world, path)
+                bodies.append(body)
+                self.assertTrue(source.continued_runs or path == "/trace/1")
+
+        anyio.run(run)
+        self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
+
+    def test_run_does_not_move_to_an_endpoint_that_has_not_answered_since_it_failed(
+        self,
+    ) -> None:
+        """A crashed endpoint has the fewest runs, and is listed for a while."""
+        world = GatewayHarness()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+
+        async def run() -> None:
+            async with running_gateway(world):
+                # The next request with this prompt goes to the same endpoint.
+                await world.ask_prompt("/trace/1", x_agatehoist_request_id="r0")
+                others = [each for each in world.engines if not each.runs]
+                endpoints = [world.state.fleet.by_name[each.name] for each in others]
+                # The suspicion is over, but nobody has heard of the endpoint since.
+                long_ago = world.state.clock.now() - 60.0
+                world.state.suspects.note_failure(others[0].name, long_ago)
+                world.state.load.track(endpoints[1].lifetime, 0)
+                await drain_while_running(world, "/credit/1")
+                self.assertEqual(len(others[1].continued_runs), 1)
+
+        anyio.run(run)
