Renew the watches as soon as calls of the store begin to fail

Cause: a watch that reaches the store just before the path breaks waits on it until its end, 10 s. The other topics fail, but are answered through a peer, so no topic is lost and nothing renews the watches.

Change: the client tells when calls that were answered begin to fail, and the watches are renewed then. A rejection for the rate limit doesn't count.

Measured: test_watch_on_a_dead_path_is_renewed_as_soon_as_other_calls_fail failed on the commit before and passes.

--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -98,8 +98,7 @@
         self.started_at = clock.now()
         self.platform = platform
         self.store = store
-        store.relays = self.peers
-        store.on_new_era = self._note_new_era
+        self._connect_store(store)
         self._task_group = task_group
         # The configuration in force, None until one has been read.
         self.table: RoutingTable | None = None
@@ -236,6 +235,16 @@
         for retry_budget in self._retry_budgets_by_service.values():
             retry_budget.set_slack(self._retry_slack())
 
+    def _connect_store(self, store: ObjectStore) -> None:
+        """Let the store ask peers, and tell what it learns of itself."""
+        store.relays = self.peers
+        store.on_new_era = self._note_new_era
+        store.on_failing = self._note_store_failing
+
+    def _note_store_failing(self) -> None:
+        # Topics that are read through a peer wouldn't notice it.
+        self.feed.renew_watches()
+
     def _note_new_era(self) -> None:
         """Read everything again, as the store has come back from an older copy."""
         self.feed.renew_watches()
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -191,6 +191,8 @@
         self._rng = random.Random()
         self.relays: Callable[[], Iterable[Address]] = tuple
         self.on_new_era: Callable[[], None] = lambda: None
+        # Called when calls that were answered begin to fail.
+        self.on_failing: Callable[[], None] = lambda: None
 
     @property
     def is_failing(self) -> bool:
@@ -319,6 +321,9 @@
             )
         except PlatformUnavailableError as error:
             rate_limited = isinstance(error, RateLimitedError)
+            if not rate_limited and not self.is_failing:
+                logger.info("store calls begin to fail", reason=str(error))
+                self.on_failing()
             relay = self._choose_relay(
                 RATE_LIMITED_RELAY_AFTER_S if rate_limited else RELAY_AFTER_S
             )
--- a/src/agatehoist/storage/objects.py
+++ b/src/agatehoist/storage/objects.py
@@ -57,6 +57,8 @@
     relays: Callable[[], Iterable[Address]]
     # Called when the store has come back from an older copy.
     on_new_era: Callable[[], None]
+    # Called when calls that were answered begin to fail.
+    on_failing: Callable[[], None]
 
     @property
     def is_failing(self) -> bool:
--- a/tests/test_gateway/test_store_relay.py
+++ b/tests/test_gateway/test_store_relay.py
@@ -14,11 +14,12 @@
 from agatehoist.core.clock import SystemClock
 from agatehoist.gateway.plans import PLAN_KIND
 from agatehoist.gateway.store_relay import Relay
+from agatehoist.gateway.topics import TOPICS
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.server import ServerConnection
 from agatehoist.platform.store import RELAY_AFTER_S, PlatformStore
 from agatehoist.storage.errors import PlatformUnavailableError
-from standins.users_platform.harness import GatewayHarness, running_gateway
+from standins.users_platform.harness import GatewayHarness, running_gateway, until
 from standins.users_platform.loopback import HOST, listen_on_loopback
 
 if TYPE_CHECKING:
@@ -94,6 +95,35 @@
 
         self.assertEqual(anyio.run(run), [True] * 3)
 
+    def test_watch_on_a_dead_path_is_renewed_as_soon_as_other_calls_fail(self) -> None:
+        """Topics that are answered through a peer are never lost."""
+        world, peer = GatewayHarness(), GatewayHarness()
+        peer.store = world.store
+
+        async def run() -> bool:
+            async with (
+                running_gateway(peer),
+                running_gateway(world),
+                listen_on_loopback(Relay(peer.state).serve) as relay_port,
+                listen_on_loopback(_never_answer) as mute_port,
+            ):
+                peer.state.set_nodes(frozenset({Address(HOST, 1)}))
+                topics = len(list(TOPICS))
+                await until(lambda: world.store.pending_watches == 2 * topics)
+                # From now on nothing reaches this gateway directly.
+                world.store.silence_watches(PLAN_KIND)
+                store, feed = world.state.store, world.state.feed
+                store.relays = lambda: [Address(HOST, relay_port)]
+                store.set_address(HOST, mute_port)
+                with suppress(PlatformUnavailableError):
+                    await store.list("config")
+                stored = world.store.put(PLAN_KIND, "plan", {})
+                await anyio.sleep(KNOWN_WITHIN_S)
+                revision = stored["Metadata"]["Revision"]
+                return feed.revisions_by_topic["plans"].number >= revision
+
+        self.assertTrue(anyio.run(run))
+
     def test_read_is_relayed_though_the_peer_closes_a_kept_connection(self) -> None:
         world = GatewayHarness()
 
