Let the soak name weights of two models, and check the turns of holders

Cause: the soak checked tokens only, and its engines had one model, so orders of two holders to one engine within LeaseMs would have passed.

Change: engines have a second model, each naming names both; orders of two holders to an endpoint must be 3 s apart, unless a fault held one back. The stand-in's endless events are no fault that the soak draws.

--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -8,6 +8,7 @@
 from standins.users_platform.harness import (
     APPLICATION,
     ENGINES,
+    MODEL,
     configuration,
     route,
 )
@@ -16,6 +17,8 @@
     import random
     from collections.abc import Callable
 
+# Models that all engines have; requests are for the first one.
+MODELS = (MODEL, "letters")
 # Routes that all configurations have, and those that some have.
 ROUTES = ("look", "find", "post", "trace", "credit")
 PASSING_ROUTES = ("errand", "tale")
@@ -35,7 +38,7 @@
 
 def sound_configuration(version: int) -> dict[str, Any]:
     """Return a configuration with a path prefix of its own for the lookup route."""
-    document = configuration(version)
+    document = configuration(version, MODELS)
     document["Routes"][0]["PathPrefix"] = f"/look-{version}/"
     # A route whose path stays the same.
     document["Routes"].append(route("find", "idempotent", APPLICATION))
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -15,10 +15,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from soak.types import EndedRun, RequestResult, SoakRecord
+    from soak.types import EndedRun, ReceivedOrder, RequestResult, SoakRecord
 
 # Every gateway must apply a configuration within this time of its acknowledgement.
 IN_FORCE_LIMIT_S = 2.0
+# Orders of two holders to an endpoint are at least so far apart, LeaseMs.
+ORDER_TURN_S = 3.0
 # An endpoint bears one and a half times its limit in a window, and 5 requests more.
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERANCE = 1.5
@@ -92,6 +94,34 @@
             yield Violation("orders", order.holder, f"has the token of {first}")
 
 
+@INVARIANT_CHECKS.register("turns")
+def _check_turns(record: SoakRecord) -> Iterator[Violation]:
+    """Check that an endpoint gets orders of two holders only well apart.
+
+    An order may be held back by a fault of its path, or of the process that sent it.
+    """
+    last_by_endpoint: dict[str, ReceivedOrder] = {}
+    endpoints, gateways = record.endpoints, record.gateways
+    for order in sorted(endpoints.orders, key=lambda each: each.at):
+        last = last_by_endpoint.get(order.endpoint)
+        last_by_endpoint[order.endpoint] = order
+        if not order.endpoint or last is None or last.holder == order.holder:
+            continue
+        gap_s = order.at - last.at
+        held_back = any(
+            each.subject in (order.endpoint, last.holder)
+            and each.overlaps(last.at - ORDER_TURN_S, last.at)
+            for each in (
+                *endpoints.path_faults,
+                *endpoints.silences,
+                *gateways.suspensions,
+            )
+        )
+        if gap_s < ORDER_TURN_S and not held_back:
+            detail = f"{order.endpoint} {gap_s:.2f} s after {last.holder}"
+            yield Violation("turns", order.holder, detail)
+
+
 @INVARIANT_CHECKS.register("once")
 def _check_at_most_once(record: SoakRecord) -> Iterator[Violation]:
     run_counts = Counter(record.run_ids)
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -110,8 +110,9 @@
         if not await _is_served(testbed, callers, gateway, route)
     ]
     for engine in testbed.harness.engines:
-        if engine.version != testbed.weights_version:
-            detail = f"weights {engine.version}, not {testbed.weights_version}"
+        versions = {engine.version, *engine.versions_by_other_model.values()}
+        if versions != {testbed.weights_version}:
+            detail = f"weights {versions}, not {testbed.weights_version}"
             unrecovered.append(Violation("weights", engine.name, detail))
     return unrecovered
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -13,7 +13,7 @@
 import anyio.to_thread
 
 from agatehoist.core.units import MS_PER_S
-from soak.configurations import changed_configuration, sound_configuration
+from soak.configurations import MODELS, changed_configuration, sound_configuration
 from soak.proxy import EndpointFront, Fault, Proxy
 from soak.types import (
     Arrival,
@@ -30,7 +30,7 @@
 from standins.fleet import Fleet
 from standins.users_platform.endpoint import RequestIdentity
 from standins.users_platform.endpoint_listener import run_endpoint
-from standins.users_platform.harness import MODEL, GatewayHarness
+from standins.users_platform.harness import GatewayHarness
 from standins.users_platform.loopback import listen_on_loopback
 from standins.users_platform.processes import start_gateway
 from standins.users_platform.store import RawJson
@@ -118,7 +118,7 @@
                 for at, request_id in zip(each.arrivals, each.arrival_ids, strict=True)
             ),
             tuple(
-                ReceivedOrder(at, order["Holder"], order["FencingToken"])
+                ReceivedOrder(at, order["Holder"], order["FencingToken"], each.name)
                 for each in endpoints
                 for at, order in zip(each.order_times, each.orders, strict=True)
             ),
@@ -265,10 +265,11 @@
         self.harness.deadly_requests.discard(_identity(request))
 
     def publish_weights(self) -> None:
-        """Write a newer weights version for the engines to load."""
+        """Write a newer version of each model for the engines to load."""
         self.weights_version += 1
-        value = {"Model": MODEL, "Version": self.weights_version}
-        self.harness.store.put("versions", MODEL, value)
+        for model in MODELS:
+            value = {"Model": model, "Version": self.weights_version}
+            self.harness.store.put("versions", model, value)
 
     def choose_leaver(self, rng: random.Random) -> EndpointStandIn | None:
         """Return an endpoint that isn't leaving, or None if all are."""
@@ -306,7 +307,7 @@
 @asynccontextmanager
 async def run_testbed(folder: Path, gateways: int) -> AsyncIterator[Testbed]:
     """Run the gateways, proxies and stand-ins while the context lasts."""
-    testbed = Testbed(GatewayHarness(), Fleet(folder))
+    testbed = Testbed(GatewayHarness(models=MODELS), Fleet(folder))
     harness = testbed.harness
     async with AsyncExitStack() as stack:
         for endpoint in harness.endpoints():
--- a/soak/types.py
+++ b/soak/types.py
@@ -123,6 +123,7 @@
     at: float
     holder: str
     token: int
+    endpoint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -765,7 +765,7 @@
     await _send_without_end(connection, b"1000\r\n" + b"y" * 4096 + b"\r\n")
 
 
-@FAULTS.register("endless_events")
+@UNUSUAL_ANSWERS.register("endless_events")
 async def _endless_events(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
 ) -> None:
--- a/tests/test_soak/test_invariants.py
+++ b/tests/test_soak/test_invariants.py
@@ -233,6 +233,34 @@
         violations = find_violations(SoakRecord([], [], CHANGES, STREAM, (), records))
         self.assertEqual([each.invariant for each in violations], expected)
 
+    # When the second of two holders orders the same endpoint or another one, and a time
+    # in which the first holder was suspended.
+    @parameterized.expand(
+        [
+            ("far_apart", "e", 13.0, (0.0, 0.1), []),
+            ("too_near", "e", 12.9, (0.0, 0.1), ["turns"]),
+            ("other_endpoint", "f", 11.0, (0.0, 0.1), []),
+            ("held_back", "e", 12.9, (9.0, 9.9), []),
+        ]
+    )
+    def test_turns_of_holders_are_checked(
+        self,
+        _name: str,
+        endpoint: str,
+        at: float,
+        suspended: tuple[float, float],
+        expected: list[str],
+    ) -> None:
+        orders = (
+            ReceivedOrder(10.0, "a", 1, "e"),
+            ReceivedOrder(at, "b", 2, endpoint),
+        )
+        gateways = GatewayRecords(suspensions=(Period("a", *suspended),))
+        record = SoakRecord(
+            [], [], CHANGES, STREAM, (), EndpointRecords(orders=orders), gateways
+        )
+        self.assertEqual([e.invariant for e in find_violations(record)], expected)
+
 
 def make_deadly(request_id: str, sent_at: float, gateway: str = "g") -> RequestResult:
     """Return the result of a deadly request."""
