Take calls over the rate limit for no outage of the store

Cause: the same as of the cut watch, found by reading: a store that rejects the calls of one machine as too many (429) serves meanwhile, and entries that go then have left. After half a second of such calls, removed endpoints were used for 2.5 s.

Change: the detector leaves them out.

Measured: row over_the_rate_limit of test_outages failed before.

--- a/src/agatehoist/storage/outages.py
+++ b/src/agatehoist/storage/outages.py
@@ -10,6 +10,7 @@
     CallCutError,
     CallTimedOutError,
     PlatformError,
+    RateLimitedError,
 )
 
 # The store answers the next read within this time if it only closed a watch.
@@ -34,6 +35,9 @@
 
     def note_failure(self, error: PlatformError, now: float) -> None:
         """Record a read that failed on all paths to the store."""
+        if isinstance(error, RateLimitedError):
+            # The store serves, and only not this call.
+            return
         self.note_unavailable(now)
         assert self._first_failure_at is not None
         if (
--- a/tests/test_storage/test_outages.py
+++ b/tests/test_storage/test_outages.py
@@ -10,6 +10,7 @@
     CallCutError,
     CallTimedOutError,
     PlatformUnavailableError,
+    RateLimitedError,
 )
 from agatehoist.storage.outages import (
     OUTAGE_GRACE_S,
@@ -18,6 +19,7 @@
 )
 
 CUT, SILENT = CallCutError("cut"), CallTimedOutError("silent")
+LIMITED = RateLimitedError("too many calls")
 REFUSED = PlatformUnavailableError("refused")
 
 
@@ -33,6 +35,7 @@
             ("refused_for_long", [(7.0, REFUSED), (9.9, REFUSED)], OUTAGE_GRACE_S),
             ("cut_then_refused", [(7.0, CUT), (9.9, REFUSED)], OUTAGE_GRACE_S),
             ("cut_on_and_on", [(7 + n / 5, CUT) for n in range(15)], OUTAGE_GRACE_S),
+            ("over_the_rate_limit", [(5.0, LIMITED), (9.9, LIMITED)], 0.0),
             ("one_silent_watch", [(9.9, SILENT)], SILENCE_GRACE_S),
             ("silent_for_long", [(7.0, SILENT), (9.0, SILENT)], OUTAGE_GRACE_S),
         ]
