Let the stand-in take orders that name no model

Cause: an order without a model, as a test of the stand-in sends it, raised KeyError since engines have further models.

Measured: test_crashing_standins passes.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -531,7 +531,7 @@
         await self._load(order)
 
     async def _load(self, order: dict[str, Any]) -> None:
-        if order["Model"] in self.versions_by_other_model:
+        if order.get("Model") in self.versions_by_other_model:
             await anyio.sleep(WEIGHTS_LOAD_S)
             self.versions_by_other_model[order["Model"]] = order["Version"]
             self.busy = False
