Move no run to an endpoint for a while that hasn't continued another one

Change: the destination counts as one that couldn't take a copy. The tests check that no destination gets a second copy, and that the reply tells of a copy; the table of stale uses is as before.

Measured: test_cache_versions, test_endpoint_calls and test_run_moves pass.

--- a/src/agatehoist/gateway/active_requests.py
+++ b/src/agatehoist/gateway/active_requests.py
@@ -32,7 +32,7 @@
 
     def __init__(self) -> None:
         self._requests: set[ActiveRequest] = set()
-        # Endpoints to which runs couldn't be copied.
+        # Endpoints to which runs couldn't be copied, or that didn't continue them.
         self.failed_copies = SuspicionTable()
 
     @contextmanager
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -380,6 +380,7 @@
             ).refusal
             return AttemptRefused(decision.target.attempt_id, no_endpoint)
         if self._attempt is not None:
+            self._note_failed_move(self._attempt, decision.run_name)
             self._attempt.cancel()
         last_event_id = decision.pieces[-1].event_id
         # The copied KV cache is valid only for the weights that computed it. If the
@@ -393,6 +394,13 @@
         self._start_attempt(dispatch, decision.target.attempt_id, len(decision.pieces))
         return None
 
+    def _note_failed_move(self, attempt: Attempt, run_name: str) -> None:
+        """Move no runs to an endpoint for a while that hasn't continued this one."""
+        if attempt.dispatch.continued_run == run_name:
+            self._state.active_requests.failed_copies.note_failure(
+                attempt.dispatch.endpoint.name, self._now()
+            )
+
     @DECISION_HANDLERS.register(CancelAttempt)
     async def _cancel(self, decision: CancelAttempt) -> None:
         attempt = self._attempts_by_id.get(decision.target.attempt_id)
