Wait for a large body until the deadline of its request, and not a pause

What callers saw: a caller that pauses in a small body for longer than the idle timeout got 408 where it was served before.

Cause: gave each body the idle timeout. The memory needs no time limit, as a body that stands still is the first to be dropped, and small ones don't count.

Change: a large body may arrive until the deadline of its request, after which it can't be served; a small one as long as before.

--- a/src/agatehoist/gateway/ingress.py
+++ b/src/agatehoist/gateway/ingress.py
@@ -11,7 +11,7 @@
 from agatehoist.gateway.request_driver import RequestDriver
 from agatehoist.gateway.unanswered_requests import record_if_unanswered
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
-from agatehoist.http1.server import ServerConnection
+from agatehoist.http1.server import AdmittedBody, ServerConnection
 from agatehoist.http1.types import Request
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import OUTCOMES_TOTAL, REFUSALS_TOTAL
@@ -22,7 +22,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.gateway.state import GatewayState
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.event_stream import StreamEvent
@@ -138,16 +137,15 @@
 
     def _admit_body(
         self, head: RequestHead, received_at: float, evict: Callable[[], None]
-    ) -> BufferUsage:
-        """Return the usage for a large body, counted for the caller's organisation.
+    ) -> AdmittedBody:
+        """Count a large body for the organisation of its caller.
 
         Raises RequestRefusedError if the request would be refused anyway.
         """
         routed = self._route(Request(head, b"", received_at))
         organisation = routed.organisation.name if routed.organisation else ""
-        return self._state.caller_connections.body_budget.open_buffer(
-            organisation, evict
-        )
+        budget = self._state.caller_connections.body_budget
+        return AdmittedBody(budget.open_buffer(organisation, evict), routed.deadline)
 
     async def _refuse_unread(
         self, connection: ServerConnection, refusal: Refusal
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
 import h11
 
-from agatehoist.core.byte_budget import ByteBudgetExceededError
+from agatehoist.core.byte_budget import BufferUsage, ByteBudgetExceededError
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
 from agatehoist.http1.types import Request, RequestHead
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.core.clock import Clock
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.types import ConnectionLimits, Headers
@@ -34,13 +35,24 @@
 MAX_COPIED_BODY_BYTES = 64 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class AdmittedBody:
+    """Hold the usage against which a large body counts, and until when it may arrive.
+
+    The deadline is in epoch seconds.
+    """
+
+    usage: BufferUsage
+    deadline: float
+
+
 class Admission(Protocol):
     """Decide on a request with a large body before the body is read."""
 
     def __call__(
         self, head: RequestHead, received_at: float, evict: Callable[[], None]
-    ) -> BufferUsage:
-        """Return the usage against which the body counts.
+    ) -> AdmittedBody:
+        """Return the terms on which the body is read.
 
         Raises RequestRefusedError.
         """
@@ -60,6 +72,7 @@
         self._admit = admit
         # Counts the bytes of a large body until the next request.
         self._body_usage: BufferUsage | None = None
+        self._body_deadline = math.inf
         self._clock = clock
         self._limits = limits
         # Whether the last request read has got a complete reply.
@@ -303,7 +316,7 @@
         length = max(lengths, default=0)
         if length > limit:
             raise BadRequestError(CONTENT_TOO_LARGE, f"body exceeds {limit} bytes")
-        self._body_usage = None
+        self._body_usage, self._body_deadline = None, math.inf
         if length > MAX_UNADMITTED_BODY_BYTES:
             self._admit_body(head, received_at)
         if self._http.they_are_waiting_for_100_continue:
@@ -312,7 +325,7 @@
 
     async def _receive_body(self) -> None:
         try:
-            with anyio.fail_after(self._idle_timeout_s()):
+            with anyio.fail_after(self._body_deadline - self._clock.now()):
                 self._http.receive_data(await self._channel.receive())
         except TimeoutError as error:
             raise BadRequestError(
@@ -321,8 +334,9 @@
 
     def _admit_body(self, head: RequestHead, received_at: float) -> None:
         if self._admit is not None:
-            self._body_usage = self._admit(head, received_at, self._read_scope.cancel)
-            self._body_usage.is_bounded = bool(head.values(b"content-length"))
+            admitted = self._admit(head, received_at, self._read_scope.cancel)
+            self._body_usage, self._body_deadline = admitted.usage, admitted.deadline
+            admitted.usage.is_bounded = bool(head.values(b"content-length"))
 
     def _count_body(
         self, head: RequestHead, received_at: float, before: int, count: int
