--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -144,7 +144,7 @@
         self._scope = anyio.CancelScope()
         self._usages: list[BufferUsage] = []
         self._is_request_over = False
-        self._has_ended = False
+        self.has_ended = False
         # Event loop times, set when the attempt runs.
         self._progress_at = math.inf
         self._silent_at = math.inf
@@ -159,7 +159,7 @@
         try:
             await self._run()
         finally:
-            self._has_ended = True
+            self.has_ended = True
             if self._is_request_over:
                 self._close_usages()
 
@@ -398,7 +398,7 @@
     def note_request_ended(self) -> None:
         """Stop counting the bytes of replies, which nobody holds any more."""
         self._is_request_over = True
-        if self._has_ended:
+        if self.has_ended:
             self._close_usages()
 
     def _close_usages(self) -> None:
--- a/src/agatehoist/gateway/ingress.py
+++ b/src/agatehoist/gateway/ingress.py
@@ -175,7 +175,7 @@
         request_id = state.platform.request_id(request.head)
         with (
             state.in_flight.track(),
-            record_if_unanswered(connection, request, request_id),
+            record_if_unanswered(connection, request, request_id, state.clock),
         ):
             await self._answer(connection, request, request_id)
         if connection.prepare_next_request():
--- a/src/agatehoist/gateway/unanswered_requests.py
+++ b/src/agatehoist/gateway/unanswered_requests.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from agatehoist.core.units import MS_PER_S
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import UNANSWERED_REQUESTS_TOTAL
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from agatehoist.core.clock import Clock
     from agatehoist.http1.server import ServerConnection
     from agatehoist.http1.types import Request
 
@@ -29,11 +31,15 @@
 
 @contextmanager
 def record_if_unanswered(
-    connection: ServerConnection, request: Request, request_id: str | None
+    connection: ServerConnection,
+    request: Request,
+    request_id: str | None,
+    clock: Clock,
 ) -> Iterator[None]:
     """Record how a request ends if its connection has not got a complete reply."""
     cause = BROKEN_OFF
     detail = ""
+    read_at = clock.now()
     try:
         yield
     except anyio.get_cancelled_exc_class():
@@ -49,7 +55,8 @@
         if connection.has_caller_left:
             cause = CALLER_GONE
         if not connection.has_replied:
-            _record(connection, request, request_id, cause, detail)
+            open_s = clock.now() - read_at
+            _record(connection, request, request_id, cause, detail, open_s)
 
 
 def _record(
@@ -58,6 +65,7 @@
     request_id: str | None,
     cause: str,
     detail: str,
+    open_s: float,
 ) -> None:
     UNANSWERED_REQUESTS_TOTAL.inc({"cause": cause})
     # The callers' own leaving is no fault.
@@ -68,6 +76,9 @@
         cause=cause,
         detail=detail,
         reply_started=not connection.can_start_reply(),
+        # Since the request was read whole, which may be long after its head.
+        open_ms=round(open_s * MS_PER_S),
+        discarded_bytes=connection.discarded_bytes,
         peer=connection.peer,
         target=request.head.target[:MAX_LOGGED_TARGET_BYTES],
     )
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 import socket
 import struct
+import termios
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +47,8 @@
         self._sock = sock
         self.peer = peer
         self.closed = False
+        # Bytes that were sent but not acknowledged when the connection was aborted.
+        self.discarded_bytes = 0
         self._receives_in_a_row = 0
 
     async def receive(self) -> bytes:
@@ -117,6 +121,7 @@
         """Reset the connection; undelivered data is discarded."""
         if self.closed:
             return
+        self.discarded_bytes = _unacknowledged_bytes(self._sock)
         # If the peer has closed the connection already, closing it here is enough.
         with suppress(OSError):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -138,6 +143,15 @@
         return ConnectionFailedError(f"{action} {self.peer}: {error.strerror}")
 
 
+def _unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many sent bytes the peer hasn't acknowledged, 0 if unknown."""
+    try:
+        counted = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        return 0
+    return int(struct.unpack("i", counted)[0])
+
+
 async def connect(host: str, port: int) -> Channel:
     """Open a connection.
 
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -90,6 +90,11 @@
         """Return the address of the caller."""
         return self._channel.peer
 
+    @property
+    def discarded_bytes(self) -> int:
+        """Return how many bytes of replies the caller hadn't got at an abort."""
+        return self._channel.discarded_bytes
+
     async def next_request(self, on_begin: Callable[[], None]) -> Request | None:
         """Return the next request, or None if the caller closes or is idle too long.
 
--- a/tests/test_gateway/test_unanswered_requests.py
+++ b/tests/test_gateway/test_unanswered_requests.py
@@ -12,6 +12,7 @@
 
 from agatehoist.attempts.machine import RequestMachine
 from agatehoist.core.registry import Registry
+from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.load import Load
 from agatehoist.gateway import request_driver
 from agatehoist.gateway.ingress import HttpReplyWriter
@@ -20,7 +21,12 @@
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.pool import ConnectionPool
 from agatehoist.platform.adapter import UsersPlatform
-from standins.users_platform.harness import GatewayHarness, running_gateway, until
+from standins.users_platform.harness import (
+    TIMEOUT_S,
+    GatewayHarness,
+    running_gateway,
+    until,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -88,6 +94,8 @@
             anyio.run(run)
         lines = [each for each in logs if each["event"] == "request unanswered"]
         self.assertEqual([(e["request"], e["cause"]) for e in lines], [("r1", cause)])
+        self.assertLess(lines[0]["open_ms"], TIMEOUT_S * MS_PER_S)
+        self.assertEqual(lines[0]["discarded_bytes"], 0)
 
     def test_answered_and_refused_requests_leave_no_such_line(self) -> None:
         world = GatewayHarness()
--- a/tests/test_http1/test_channel.py
+++ b/tests/test_http1/test_channel.py
@@ -19,6 +19,9 @@
 
 # Each time the bytes are there before they are read.
 RECEIVES = 40
+# More than the sockets of both sides hold, and time to fill them.
+MORE_THAN_BUFFERS = 64 * 1024 * 1024
+FILL_S = 0.2
 
 
 class ReceiveTests(unittest.TestCase):
@@ -54,6 +57,29 @@
         self.assertGreaterEqual(anyio.run(run), RECEIVES // 2 - 1)
 
 
+class AbortTests(unittest.TestCase):
+    # Whether the peer has kept up with what was sent.
+    @parameterized.expand([("slow_peer", False), ("peer_that_reads", True)])
+    def test_abort_does_not_hide_what_it_keeps_from_the_peer(
+        self, _name: str, reads: bool
+    ) -> None:
+        async def run() -> int:
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                peer = socket.create_connection(server.getsockname())
+                own, _ = server.accept()
+            own.setblocking(False)
+            channel = Channel(own, "peer")
+            with peer:
+                with anyio.move_on_after(FILL_S):
+                    await channel.send(b"x" * (1 if reads else MORE_THAN_BUFFERS))
+                if reads:
+                    peer.recv(1)
+                channel.abort()
+            return channel.discarded_bytes
+
+        self.assertEqual(anyio.run(run) == 0, reads)
+
+
 class ConnectTests(unittest.TestCase):
     @parameterized.expand(
         [
