Take no stream late in a stop that may outlast it

Cause: from +3 s on a request was taken if the answers before it, by mean and deviations, would have ended in time. They don't bound the answer itself: an engine may have slowed down, an answer may be longer than those before. A call that doesn't end still gets a final answer; a stream that has begun can't.

Change: the schedule has last_stream_at, 2.5 s after the begin or 0.3 of the grace. From then on a stream is taken only if its deadline comes before the final answers; else it is refused as not run, and another gateway can serve it. The half second before idle connections are closed allows for a stop that begins later than its signal.

--- a/src/agatehoist/stopping/admission.py
+++ b/src/agatehoist/stopping/admission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from agatehoist.refusals.kinds import Leaving
@@ -33,9 +34,7 @@
     """Return the refusal of a request that can't be expected to end before a stop."""
     if schedule is None:
         return None
-    is_early = now < schedule.closes_idle_at
-    deviations = LIKELY_DEVIATIONS if is_early else SURE_DEVIATIONS
-    ends_at = now + expected_duration_s(request, durations, deviations)
+    ends_at = _expected_end(request, durations, schedule, now)
     # At its deadline the caller gets a final answer in any case.
     if min(ends_at, request.deadline) <= schedule.answers_at:
         return None
@@ -43,6 +42,22 @@
     return Leaving.refuse(detail, now + RETRY_DELAY_S).refusal
 
 
+def _expected_end(
+    request: RoutedRequest,
+    durations: UsualDurations,
+    schedule: StopSchedule,
+    now: float,
+) -> float:
+    """Return when an answer is expected to end, in epoch seconds."""
+    if request.route.kind is RouteKind.STREAM and now >= schedule.last_stream_at:
+        # Unlike a call, a stream that has begun can't get another final answer, and the
+        # durations of others don't bound its own.
+        return math.inf
+    is_early = now < schedule.closes_idle_at
+    deviations = LIKELY_DEVIATIONS if is_early else SURE_DEVIATIONS
+    return now + expected_duration_s(request, durations, deviations)
+
+
 def expected_duration_s(
     request: RoutedRequest, durations: UsualDurations, deviations: float
 ) -> float:
--- a/src/agatehoist/stopping/schedule.py
+++ b/src/agatehoist/stopping/schedule.py
@@ -8,6 +8,10 @@
 # failures; callers routed before that may still send on the connections they hold.
 IDLE_CLOSE_DELAY_S = 3.0
 MAX_IDLE_CLOSE_SHARE = 0.4
+# A caller that is refused after this time reaches another process. The rest of the time
+# until idle connections are closed allows for a stop that begins late.
+LAST_STREAM_DELAY_S = 2.5
+MAX_LAST_STREAM_SHARE = 0.3
 # The last replies are written and the process ends within these times; a short grace
 # period leaves less.
 ANSWER_MARGIN_S = 0.9
@@ -20,11 +24,13 @@
 class StopSchedule:
     """Hold the times of a stop, in epoch seconds.
 
-    From `closes_idle_at` on, idle connections are closed and no more are accepted.
-    Requests that are still open at `answers_at` get their final answers, and what is
-    open at `stops_at` is aborted.
+    From `last_stream_at` on, no stream is taken that may be cut. From `closes_idle_at`
+    on, idle connections are closed and no more are accepted. Requests that are still
+    open at `answers_at` get their final answers, and what is open at `stops_at` is
+    aborted.
     """
 
+    last_stream_at: float
     closes_idle_at: float
     answers_at: float
     stops_at: float
@@ -34,6 +40,7 @@
     """Return the times of a stop that began at an epoch time and must end in time."""
     ends_at = began_at + grace_s
     return StopSchedule(
+        began_at + min(LAST_STREAM_DELAY_S, MAX_LAST_STREAM_SHARE * grace_s),
         began_at + min(IDLE_CLOSE_DELAY_S, MAX_IDLE_CLOSE_SHARE * grace_s),
         ends_at - min(ANSWER_MARGIN_S, MAX_ANSWER_MARGIN_SHARE * grace_s),
         ends_at - min(STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * grace_s),
--- a/tests/test_gateway/callers.py
+++ b/tests/test_gateway/callers.py
@@ -63,6 +63,16 @@
     return received
 
 
+async def read_piece(sock: socket.socket) -> bytes:
+    """Return what a gateway sends next, nothing at the end.
+
+    Raises ConnectionResetError if it resets the connection.
+    """
+    with anyio.fail_after(READ_TIMEOUT_S):
+        await anyio.wait_readable(sock)
+        return sock.recv(RECEIVE_BYTES)
+
+
 async def read_to_end(sock: socket.socket) -> bytes:
     """Return all that a gateway sends until it closes the connection.
 
--- a/tests/test_gateway/test_late_in_the_grace.py
+++ b/tests/test_gateway/test_late_in_the_grace.py
@@ -11,6 +11,7 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.core.units import MS_PER_S
 from agatehoist.gateway.drain import drain
 from agatehoist.gateway.ingress import HttpReplyWriter
 from agatehoist.stopping.durations import MIN_SAMPLES
@@ -20,11 +21,14 @@
     until,
 )
 from tests.test_gateway.callers import (
+    HEADERS,
     POST_REQUEST,
+    PROMPT_HEADERS,
     PROMPT_REQUEST,
     REQUEST,
     STREAM_END,
     connect_as_caller,
+    read_piece,
     read_to_end,
     read_until,
     send_later,
@@ -35,6 +39,13 @@
     from agatehoist.http1.event_stream import StreamEvent
 
 GRACE_S = 2.0
+# A deadline of this share of the grace ends before the final answers.
+NEAR_DEADLINE_SHARE = 0.8
+CHUNKED_HEAD = (
+    b"POST /credit/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+    + HEADERS
+    + PROMPT_HEADERS
+)
 # After this time a request waits in line or its stream has begun.
 STARTED_S = 0.2
 # A stream of so many events goes on when the stop begins.
@@ -145,6 +156,54 @@
             self.assertEqual(anyio.run(run).count(b"data:"), 5)
 
 
+class LateStreamTests(unittest.TestCase):
+    # When the last bytes of a chunked body arrive, as a share of the grace, whether the
+    # caller's deadline comes before the final answers, and the status.
+    @parameterized.expand(
+        [
+            ("before_idle_connections_close", 0.35, False, 503),
+            ("after_idle_connections_close", 0.45, False, 503),
+            ("near_the_end", 0.8, False, 503),
+            ("with_a_near_deadline", 0.45, True, 200),
+        ]
+    )
+    def test_stream_that_may_outlast_the_stop_is_refused_unrun_after_its_begin(
+        self, _name: str, share: float, has_near_deadline: bool, status: int
+    ) -> None:
+        world = open_harness()
+        deadline = b"X-Agatehoist-Deadline-Ms: %d\r\n" % (
+            (NEAR_DEADLINE_SHARE if has_near_deadline else 10) * GRACE_S * MS_PER_S
+        )
+
+        async def run() -> bytes:
+            async with running_gateway(world), anyio.create_task_group() as task_group:
+                for _ in range(MIN_SAMPLES):
+                    await world.ask_prompt("/credit/1")
+                for engine in world.engines:
+                    # Answers have just become longer than those before.
+                    engine.event_count = 100_000
+                world.state.settings = replace(
+                    world.state.settings, stop_grace_s=GRACE_S
+                )
+                sock = connect_as_caller(world.port)
+                sock.send(CHUNKED_HEAD + deadline + b"\r\n5\r\nhel")
+                await until(lambda: not world.state.caller_connections.waiting)
+                task_group.start_soon(
+                    send_later, sock, b"lo\r\n0\r\n\r\n", share * GRACE_S
+                )
+                await drain(world.state, lambda: None)
+            received = b""
+            with sock, suppress(ConnectionResetError):
+                while data := await read_piece(sock):
+                    received += data
+            return received
+
+        received = anyio.run(run)
+        self.assertTrue(received.startswith(b"HTTP/1.1 %d" % status), received)
+        late_runs = sum(len(each.runs) for each in world.engines) - MIN_SAMPLES
+        self.assertEqual(late_runs, int(status == 200))
+
+
 class LateRequestTests(unittest.TestCase):
     # How long a call takes, what a caller sends before the stop and, so many seconds
     # after its begin, later, the status of the last answer and the runs of the call.
--- a/tests/test_stopping/test_schedule.py
+++ b/tests/test_stopping/test_schedule.py
@@ -21,6 +21,7 @@
         schedule = stop_schedule(BEGAN_AT, grace_s)
         times = (
             BEGAN_AT,
+            schedule.last_stream_at,
             schedule.closes_idle_at,
             BEGAN_AT + LAST_PART * grace_s,
             schedule.answers_at,
@@ -31,6 +32,7 @@
 
     def test_a_long_grace_leaves_fixed_times_at_its_begin_and_end(self) -> None:
         schedule = stop_schedule(BEGAN_AT, 60.0)
+        self.assertEqual(schedule.last_stream_at, BEGAN_AT + 2.5)
         self.assertEqual(schedule.closes_idle_at, BEGAN_AT + 3.0)
         self.assertAlmostEqual(schedule.answers_at, BEGAN_AT + 59.1)
         self.assertAlmostEqual(schedule.stops_at, BEGAN_AT + 59.3)
