Count the times of a stop from its signal

What callers saw: beside load a stop begins when the event loop comes to it.

Cause: the signal was read in the next turn of the event loop, and the schedule began there. Python runs a handler of its own in the middle of a turn.

Change: stop_signals tells when the first signal arrived, drain counts from it, and 'leaving' logs late_ms. A schedule that has passed its first border no longer raises in sleep.

--- a/src/agatehoist/core/signals.py
+++ b/src/agatehoist/core/signals.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import signal
+import time
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -10,22 +12,45 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from types import FrameType
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class StopSignal:
+    """Tell when the first signal to stop arrived, in event loop time."""
+
+    def __init__(self) -> None:
+        self._arrived = anyio.Event()
+        self._arrived_at = math.inf
+
+    async def wait(self) -> float:
+        """Wait for the signal and return when it arrived."""
+        await self._arrived.wait()
+        return self._arrived_at
+
+    async def _receive(self) -> None:
+        with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            for each in STOP_SIGNALS:
+                # The receiver gets its signals by the wakeup descriptor, in the next
+                # turn of the event loop; a handler runs in the middle of one.
+                signal.signal(each, self._note_arrival)
+                signal.siginterrupt(each, False)
+            async for _ in signals:
+                self._arrived.set()
+
+    def _note_arrival(self, _number: int, _frame: FrameType | None) -> None:
+        self._arrived_at = min(self._arrived_at, time.monotonic())
 
 
 @asynccontextmanager
-async def stop_signals() -> AsyncIterator[anyio.Event]:
-    """Yield an event that is set on SIGTERM or SIGINT.
+async def stop_signals() -> AsyncIterator[StopSignal]:
+    """Yield what tells of a SIGTERM or SIGINT.
 
     Later signals are ignored, so they don't interrupt the graceful shutdown.
     """
-    stop = anyio.Event()
+    stop = StopSignal()
     async with anyio.create_task_group() as task_group:
-        task_group.start_soon(_receive_signals, stop)
+        task_group.start_soon(stop._receive)
         yield stop
         task_group.cancel_scope.cancel()
-
-
-async def _receive_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stop.set()
--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -99,8 +99,8 @@
             front=str(settings.front),
             store=str(settings.store),
         )
-        await stop.wait()
-        await drain(state, accepting.cancel)
+        signalled_at = await stop.wait()
+        await drain(state, accepting.cancel, signalled_at)
         task_group.cancel_scope.cancel()
     logger.info("stopped")
 
--- a/src/agatehoist/gateway/drain.py
+++ b/src/agatehoist/gateway/drain.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.lowlevel
 
+from agatehoist.core.units import MS_PER_S
 from agatehoist.observability.logs import get_logger
 from agatehoist.stopping.schedule import stop_schedule
 
@@ -21,18 +22,26 @@
 ROLLOUT_END_POLL_S = 0.1
 
 
-async def drain(state: GatewayState, stop_accepting: Callable[[], None]) -> None:
+async def drain(
+    state: GatewayState, stop_accepting: Callable[[], None], signalled_at: float
+) -> None:
     """Finish the requests and roll-outs in progress, within the stop grace period.
 
-    Requests that don't end in time get a final answer.
+    The period began at `signalled_at`, in event loop time. Requests that don't end in
+    time get a final answer.
     """
-    logger.info("leaving", in_flight=state.in_flight.count)
     now, began_at = state.clock.now(), anyio.current_time()
-    schedule = stop_schedule(now, state.settings.stop_grace_s)
+    late_s = began_at - signalled_at
+    logger.info(
+        "leaving",
+        in_flight=state.in_flight.count,
+        late_ms=round(late_s * MS_PER_S),
+    )
+    schedule = stop_schedule(now - late_s, state.settings.stop_grace_s)
     state.leaving = True
     state.stop.schedule = schedule
     state.rollout_wakeup.set()
-    await anyio.sleep(schedule.closes_idle_at - now)
+    await anyio.sleep_until(began_at + schedule.closes_idle_at - now)
     # When all nodes of a data centre stop together, the platform still routes callers
     # here; they try another node only if this one refuses the connection.
     stop_accepting()
--- a/tests/test_gateway/test_connection_ends.py
+++ b/tests/test_gateway/test_connection_ends.py
@@ -72,7 +72,9 @@
                 await until(lambda: bool(world.state.caller_connections.waiting))
                 with mock.patch.object(schedule, "IDLE_CLOSE_DELAY_S", 0.0):
                     task_group.start_soon(send_later, sock, later, LATER_S)
-                    await drain(world.state, lambda: sock.send(first))
+                    await drain(
+                        world.state, lambda: sock.send(first), anyio.current_time()
+                    )
             # The process has ended.
             with sock:
                 return await read_to_end(sock)
@@ -129,7 +131,7 @@
                     mock.patch.object(schedule, "IDLE_CLOSE_DELAY_S", 0.0),
                     anyio.fail_after(PROMPT_END_S),
                 ):
-                    await drain(world.state, lambda: None)
+                    await drain(world.state, lambda: None, anyio.current_time())
 
         anyio.run(run)
 
--- a/tests/test_gateway/test_late_in_the_grace.py
+++ b/tests/test_gateway/test_late_in_the_grace.py
@@ -114,7 +114,7 @@
                 await until(lambda: len(world.runs()) == runs)
                 await anyio.sleep(STARTED_S)
                 with anyio.fail_after(GRACE_S):
-                    await drain(world.state, lambda: None)
+                    await drain(world.state, lambda: None, anyio.current_time())
             # The process has ended.
             received = b""
             with sock, suppress(ConnectionResetError):
@@ -156,6 +156,31 @@
             self.assertEqual(anyio.run(run).count(b"data:"), 5)
 
 
+class LateStopTests(unittest.TestCase):
+    # How long after its signal the stop begins.
+    @parameterized.expand([("in_time", 0.0), ("late", 0.6), ("very_late", 1.5)])
+    def test_stop_that_begins_late_ends_within_the_grace_of_its_signal(
+        self, _name: str, late_s: float
+    ) -> None:
+        world = open_harness()
+        for each in world.engines:
+            each.event_count = 100_000
+
+        async def run() -> None:
+            async with running_gateway(world):
+                world.state.settings = replace(
+                    world.state.settings, stop_grace_s=GRACE_S
+                )
+                with connect_as_caller(world.port) as sock:
+                    sock.send(PROMPT_REQUEST)
+                    await until(lambda: bool(world.runs()))
+                    now = anyio.current_time()
+                    with anyio.fail_after(GRACE_S - late_s):
+                        await drain(world.state, lambda: None, now - late_s)
+
+        anyio.run(run)
+
+
 class LateStreamTests(unittest.TestCase):
     # When the last bytes of a chunked body arrive, as a share of the grace, whether the
     # caller's deadline comes before the final answers, and the status.
@@ -191,7 +216,7 @@
                 task_group.start_soon(
                     send_later, sock, b"lo\r\n0\r\n\r\n", share * GRACE_S
                 )
-                await drain(world.state, lambda: None)
+                await drain(world.state, lambda: None, anyio.current_time())
             received = b""
             with sock, suppress(ConnectionResetError):
                 while data := await read_piece(sock):
@@ -250,7 +275,7 @@
                 await until(lambda: not world.state.caller_connections.waiting)
                 await anyio.sleep(STARTED_S)
                 task_group.start_soon(send_later, sock, later, at_s)
-                await drain(world.state, lambda: None)
+                await drain(world.state, lambda: None, anyio.current_time())
             with sock:
                 return await read_to_end(sock)
 
