Pass on what the sockets hold of an answer at the end of a stop

Cause: at the end of the grace a request took what lay in its buffer of 16 events and was aborted, though the rest of the answer lay in the socket of the endpoint.

Change: while its attempt has data that wasn't passed on, a request waits for the next event, at most until half of the time from the final answers to the end. A stream whose engine is still at work is cut at once, as before, so that stops don't last longer.

Measured: the new row in_a_socket fails without the change (connection reset by peer) and passes with it; the old row held its answer in the buffer only since its stand-in yielded to the event loop, which a send doesn't.

--- a/src/agatehoist/gateway/active_requests.py
+++ b/src/agatehoist/gateway/active_requests.py
@@ -20,7 +20,7 @@
     def withdraw_if_quarantined(self) -> None:
         """Take the request back from its endpoint if it is quarantined."""
 
-    def end_for_stop(self) -> None:
+    def end_for_stop(self, last_events_until: float) -> None:
         """Give the caller its final answer now, as the process stops."""
 
 
@@ -49,10 +49,13 @@
         for request in tuple(self._requests):
             request.consider_move()
 
-    def end_for_stop(self) -> None:
-        """End each request with a final answer that says whether it has run."""
+    def end_for_stop(self, last_events_until: float) -> None:
+        """End each request with a final answer that says whether it has run.
+
+        Answers that have arrived are passed on until an event loop time.
+        """
         for request in tuple(self._requests):
-            request.end_for_stop()
+            request.end_for_stop(last_events_until)
 
     def withdraw_quarantined(self) -> None:
         """Take back unanswered requests that have just been quarantined."""
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -145,6 +145,8 @@
         self._usages: list[BufferUsage] = []
         self._is_request_over = False
         self.has_ended = False
+        self._connection: ClientConnection | None = None
+        self._is_answer_whole = False
         # Event loop times, set when the attempt runs.
         self._progress_at = math.inf
         self._silent_at = math.inf
@@ -324,6 +326,7 @@
     async def _exchange(self, connection: ClientConnection) -> Event:
         platform = self._state.platform
         body = self._request.envelope.body
+        self._connection = connection
         head = platform.dispatched_head(
             self._request, self.dispatch, self._state.clock.now()
         )
@@ -370,6 +373,8 @@
                 note_answer_begun(self._state, self._traits, now)
             if self._is_outcome(head):
                 note_answer_ended(self._state, self._traits, now)
+        self._is_answer_whole = True
+        self._connection = None
         limit_s = platform.idle_limit_s(head)
         self._state.pool.return_connection(
             self.dispatch.endpoint.lifetime, connection, limit_s
@@ -395,6 +400,15 @@
         usage.keep()
         return body
 
+    @property
+    def has_unread_answer(self) -> bool:
+        """Return whether data has arrived that the request hasn't got yet."""
+        if self.has_ended:
+            return False
+        if self._is_passing_on or self._is_answer_whole:
+            return True
+        return self._connection is not None and not self._connection.is_idle()
+
     def note_request_ended(self) -> None:
         """Stop counting the bytes of replies, which nobody holds any more."""
         self._is_request_over = True
--- a/src/agatehoist/gateway/drain.py
+++ b/src/agatehoist/gateway/drain.py
@@ -52,7 +52,9 @@
         await _wait_until_done(state)
         return
     logger.warning("stop grace period ended", in_flight=state.in_flight.count)
-    state.active_requests.end_for_stop()
+    # Half of the time is left for the final answers themselves.
+    last_events_until = (schedule.answers_at + schedule.stops_at) / 2
+    state.active_requests.end_for_stop(began_at + last_events_until - now)
     state.caller_connections.end_reading()
     with anyio.CancelScope(deadline=began_at + schedule.stops_at - now):
         await _wait_until_done(state)
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -123,6 +123,8 @@
         self._outcome = "caller gone"
         # Why the request ends before its answer, if it does.
         self._interruption: CallerDisconnected | ProcessStopping | None = None
+        # In event loop time, once the process stops.
+        self._last_events_until = math.inf
         self._wait_scope = anyio.CancelScope()
         self._sender, self._events = anyio.create_memory_object_stream[Any](
             MAX_BUFFERED_EVENTS
@@ -132,9 +134,13 @@
         """Record that the caller has closed its connection."""
         self._interrupt(CallerDisconnected())
 
-    def end_for_stop(self) -> None:
-        """Give the caller its final answer now, as the process stops."""
+    def end_for_stop(self, last_events_until: float) -> None:
+        """Give the caller its final answer now, as the process stops.
+
+        What the sockets hold of an answer is passed on until an event loop time.
+        """
         if self._interruption is None:
+            self._last_events_until = last_events_until
             self._interrupt(ProcessStopping())
 
     def _interrupt(self, reason: CallerDisconnected | ProcessStopping) -> None:
@@ -471,11 +477,13 @@
 
     async def _next_event(self) -> Event:
         if self._interruption is not None:
-            return self._last_event(self._interruption)
+            return await self._last_event(self._interruption)
         left_s = max(0, self._request.deadline - self._now())
         with anyio.move_on_after(left_s) as self._wait_scope:
             return self._noted(await self._events.receive())
-        return self._interruption or DeadlinePassed()
+        if self._interruption is not None:
+            return await self._last_event(self._interruption)
+        return DeadlinePassed()
 
     def _noted(self, event: Event) -> Event:
         if isinstance(event, AttemptRefused):
@@ -484,11 +492,18 @@
             self._steps.append(event.detail)
         return event
 
-    def _last_event(self, interruption: CallerDisconnected | ProcessStopping) -> Event:
+    async def _last_event(
+        self, interruption: CallerDisconnected | ProcessStopping
+    ) -> Event:
         """Return what has arrived already, if the caller still reads."""
-        if isinstance(interruption, ProcessStopping):
-            with suppress(anyio.WouldBlock):
-                return self._noted(self._events.receive_nowait())
+        if not isinstance(interruption, ProcessStopping):
+            return interruption
+        with suppress(anyio.WouldBlock):
+            return self._noted(self._events.receive_nowait())
+        if self._attempt is not None and self._attempt.has_unread_answer:
+            left_s = self._last_events_until - anyio.current_time()
+            with anyio.move_on_after(left_s):
+                return self._noted(await self._events.receive())
         return interruption
 
     def _last_shared_part(self) -> str:
--- a/tests/test_gateway/test_late_in_the_grace.py
+++ b/tests/test_gateway/test_late_in_the_grace.py
@@ -129,15 +129,22 @@
         else:
             self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
-    def test_answer_that_is_ready_at_the_end_of_the_grace_is_delivered(self) -> None:
+    # How many events the answer has: a few are buffered, the rest lies in a socket.
+    @parameterized.expand([("buffered", 5), ("in_a_socket", 100)])
+    def test_answer_that_is_ready_at_the_end_of_the_grace_is_delivered(
+        self, _name: str, event_count: int
+    ) -> None:
         world = GatewayHarness()
+        for each in world.engines:
+            each.event_count = event_count
         caller_reads = anyio.Event()
         send = HttpReplyWriter.send
 
         async def send_later(
             writer: HttpReplyWriter, events: tuple[StreamEvent, ...]
         ) -> None:
-            await caller_reads.wait()
+            if not caller_reads.is_set():
+                await caller_reads.wait()
             await send(writer, events)
 
         async def run() -> bytes:
@@ -145,15 +152,17 @@
                 with connect_as_caller(world.port) as sock:
                     sock.send(PROMPT_REQUEST)
                     await until(lambda: bool(world.runs()))
-                    # The attempt has read the whole answer.
-                    await until(lambda: not world.state.load.snapshot())
+                    await until(lambda: any(each.run_ends for each in world.engines))
+                    await anyio.sleep(STARTED_S)
                     world.state.leaving = True
-                    world.state.active_requests.end_for_stop()
+                    world.state.active_requests.end_for_stop(
+                        anyio.current_time() + STARTED_S
+                    )
                     caller_reads.set()
                     return await read_until(sock, STREAM_END)
 
         with mock.patch.object(HttpReplyWriter, "send", send_later):
-            self.assertEqual(anyio.run(run).count(b"data:"), 5)
+            self.assertEqual(anyio.run(run).count(b"data:"), event_count)
 
 
 class LateStopTests(unittest.TestCase):
