Check with a process that a late stream of a stop has not run

The row stream_late of CALLS_IN_THE_GRACE: the last byte of a run-once stream comes 3.5 s after the SIGTERM.

--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -45,6 +45,7 @@
 from standins.users_platform.store import StoreStandIn
 from tests.test_gateway.callers import (
     POST_REQUEST,
+    PROMPT_HEADERS,
     PROMPT_REQUEST,
     connect_as_caller,
     read_to_end,
@@ -66,6 +67,9 @@
 STOP_LIMIT_S = 8.0
 POLL_S = 0.05
 CALL_S = 1.5
+STREAM_REQUEST = POST_REQUEST.replace(b"/post/", b"/credit/").replace(
+    b"\r\n\r\n", b"\r\n" + PROMPT_HEADERS + b"\r\n"
+)
 # What a caller sends at the begin of the grace period and, so many seconds after it,
 # later, and the status of its answer.
 CALLS_IN_THE_GRACE = (
@@ -74,6 +78,7 @@
     ("last_byte_in_time", POST_REQUEST[:-1], POST_REQUEST[-1:], 3.5, 200),
     ("last_byte_late", POST_REQUEST[:-1], POST_REQUEST[-1:], 6.3, 503),
     ("last_byte_missing", POST_REQUEST[:-1], b"", 0.0, 503),
+    ("stream_late", STREAM_REQUEST[:-1], STREAM_REQUEST[-1:], 3.5, 503),
     ("sent_to_a_silent_endpoint", PROMPT_REQUEST, b"", 0.0, 502),
 )
 SIGHUPS = 20
