Let runs that began since the report finish before new weights

What callers saw: a stream that had just begun was reset as its engine got an order for new weights, also one that can't be resumed.

Cause: an engine's report without runs allowed the order that resets its runs. A report is some hundred ms old, so a run that has begun since, or was under way, isn't in it.

Change: an engine without reported runs gets the order that lets runs finish; one that has none is as fast with it. The stand-in describes its runs in its reports.

Measured: CutRunTests row begun_since_the_report fails without the change (reset 0.6 s after the begin, with an order of cuts_runs=True) and passes with it.

--- a/src/agatehoist/gateway/endpoint_change.py
+++ b/src/agatehoist/gateway/endpoint_change.py
@@ -103,7 +103,8 @@
         while True:
             waited_s = self._state.clock.now() - began_at
             if not report.runs:
-                return True
+                # Runs that have begun since the report finish.
+                return False
             if not report.non_resumable_runs and waited_s > INTERRUPT_AFTER_S:
                 return True
             if waited_s > MAX_DRAIN_S:
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -30,6 +30,8 @@
 REQUEST_ID = b"x-agatehoist-request-id"
 STAMP = b"x-agatehoist-server-stamp"
 ORGANISATION = "x-agatehoist-tenant-id"
+PRIORITY = "x-agatehoist-request-priority"
+DEFAULT_PRIORITY = "5"
 STREAM = (b"content-type", b"text/event-stream")
 CHUNKED = (b"transfer-encoding", b"chunked")
 RETRY_AFTER = b"retry-after"
@@ -172,6 +174,8 @@
     stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
+    # Whether its reports are as of a time before its runs began.
+    reports_no_runs: bool = False
     checks_version: bool = True
     deadly_parts: set[str] = field(default_factory=set)
     deadly_requests: set[RequestIdentity] = field(default_factory=set)
@@ -197,6 +201,7 @@
     _weights_changes: int = 0
     _made_under_by_copy: dict[str, int] = field(default_factory=dict)
     _version_by_run: dict[str, int] = field(default_factory=dict)
+    _priority_by_run: dict[str, int] = field(default_factory=dict)
     _stale_refusals: dict[ServerConnection, bytes] = field(default_factory=dict)
 
     async def serve(self, channel: Channel) -> None:
@@ -334,6 +339,8 @@
         # A run that was moved away may be tried here again.
         self._stopping.discard(run.request_id)
         self.active += 1
+        priority = headers.get(PRIORITY, DEFAULT_PRIORITY)
+        self._priority_by_run[request_id] = int(priority)
         ending = Ending.BROKEN_OFF
         try:
             with anyio.CancelScope() as scope:
@@ -355,6 +362,7 @@
             self.run_ends.append(end)
             self._run_scopes.discard(scope)
             self._version_by_run.pop(run.request_id, None)
+            self._priority_by_run.pop(run.request_id, None)
             self.active -= 1
 
     async def _answer_run(
@@ -480,6 +488,10 @@
             for model, version in versions.items()
         ]
 
+    def _described_runs(self) -> list[list[Any]]:
+        # Of the tokens in memory and the events made, no use is made.
+        return [[name, 0, 0, each] for name, each in self._priority_by_run.items()]
+
     def _report(self) -> dict[str, Any]:
         return {
             "Stage": "colocated",
@@ -487,8 +499,8 @@
             "Busy": self.busy,
             "SeqNo": len(self.orders),
             "Queued": 0,
-            "Running": self.active,
-            "Runs": [],
+            "Running": 0 if self.reports_no_runs else self.active,
+            "Runs": [] if self.reports_no_runs else self._described_runs(),
         }
 
     async def _move_run(
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -23,12 +23,16 @@
     running_gateway,
     until,
 )
+from tests.test_gateway.callers import slow_configuration
 
 if TYPE_CHECKING:
     from standins.users_platform.endpoint import EndpointStandIn
 
 # Allows for orders without a reply, which are retried after the call timeout.
 ROLL_OUT_S = 10.0
+# An answer has begun after this time and goes on while the weights change.
+BEGUN_S = 0.1
+LONG_STREAM_EVENTS = 300
 
 
 def set_target_weights(world: GatewayHarness, version: int) -> None:
@@ -36,6 +40,12 @@
     world.store.put("versions", MODEL, {"Model": MODEL, "Version": version})
 
 
+async def set_target_weights_later(world: GatewayHarness, version: int) -> None:
+    """Set the target version once an answer has begun."""
+    await anyio.sleep(BEGUN_S)
+    set_target_weights(world, version)
+
+
 async def wait_for_weights(engines: list[EndpointStandIn], version: int) -> None:
     """Wait until all engines have a version."""
     with anyio.fail_after(ROLL_OUT_S):
@@ -135,6 +145,41 @@
         self.assertEqual(statuses, [200] * 40)
 
 
+class CutRunTests(unittest.TestCase):
+    # The faults that the first attempts meet. The routes allow one and two attempts.
+    @parameterized.expand(
+        [
+            ("begun_since_the_report", "/credit/1", [], True),
+        ]
+    )
+    def test_order_for_new_weights_cuts_no_run_that_cannot_go_on(
+        self, _name: str, path: str, first_faults: list[str], is_report_old: bool
+    ) -> None:
+        world = GatewayHarness()
+        changed = slow_configuration()
+        for each in changed["Routes"]:
+            if each["Name"] == "trace":
+                each["MaxAttempts"] = 2
+        changed["Services"][0]["Engine"]["Moves"] = False
+        world.store.put("config", "main", changed)
+        for each in world.engines:
+            each.event_count = LONG_STREAM_EVENTS
+            each.reports_no_runs = is_report_old
+
+        async def run() -> bytes:
+            async with running_gateway(world, rolls_out_weights=True):
+                faults = list(first_faults)
+                for each in world.engines:
+                    each.faults = faults
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(set_target_weights_later, world, 2)
+                    reply = await world.ask_prompt(path)
+                    task_group.cancel_scope.cancel()
+                return reply.body
+
+        self.assertEqual(anyio.run(run).count(b"data:"), LONG_STREAM_EVENTS)
+
+
 class StartTests(unittest.TestCase):
     # The time at which the listed weights were set is unknown, so older ones are used
     # only if no engine has the listed ones.
