Call a run interruptible only while an attempt is left

Cause: a run was told to its engine as interruptible if its route is resumable. Once its attempts were used up, by a crash or a move that failed, nothing could resume it.

Change: a dispatch is interruptible only if another attempt may follow it; else the order lets the run finish, as it does for streams that can't be resumed.

Measured: CutRunTests row without_an_attempt_left fails without the change (reset, order with cuts_runs=True) and passes with it; test_run_moves, test_order_lease, test_cache_versions and test_requests pass. Beside a load average of 18 one row of test_cache_versions (fetch_holder_listed_engines) failed once before this commit and passed in 4 reruns.

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -96,7 +96,6 @@
         weights_version=version,
         salt=cache_salt_for(request, version),
         priority=_priority(request),
-        interruptible=request.route.resumable,
         cache_fetch_address=fetch_address(state, request, endpoint, version),
         cache_save_address=save_address(state, request, endpoint, version),
         last_event_id=last_event_id,
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -302,6 +302,7 @@
         if decision.pieces:
             last_event_id = decision.pieces[-1].event_id
         dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
+        dispatch = replace(dispatch, interruptible=self._machine.may_retry)
         self._search.tried_lifetimes.append(endpoint.lifetime)
         if decision.replaced is not None:
             self._add_step(f"{decision.replaced.host} silent, trying another")
@@ -395,7 +396,11 @@
         dispatch = make_dispatch(
             self._state, self._request, endpoint, last_event_id, version
         )
-        dispatch = replace(dispatch, continued_run=decision.run_name)
+        dispatch = replace(
+            dispatch,
+            continued_run=decision.run_name,
+            interruptible=self._machine.may_retry,
+        )
         self._record_step("moved", dispatch)
         self._start_attempt(dispatch, decision.target.attempt_id, len(decision.pieces))
         return None
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -150,6 +150,7 @@
     @parameterized.expand(
         [
             ("begun_since_the_report", "/credit/1", [], True),
+            ("without_an_attempt_left", "/trace/1", ["reset"], False),
         ]
     )
     def test_order_for_new_weights_cuts_no_run_that_cannot_go_on(
