Keep the connection of a caller that reads nothing for a while

What callers saw: a status and a part of a stream, then a reset, once they had read nothing for about 3 s and their receive window was full. While the process ran, it logged 'caller gone' and withdrew the run.

Cause: TCP_USER_TIMEOUT of 2 s. The kernel counts a full window as it counts a peer that has vanished, though the peer acknowledges each probe.

Change: connections that this process accepts get 30 s. Those that it opens keep 2 s, by which an endpoint that has vanished is found. A caller that vanishes with its power is found after up to 30 s instead of 2; its requests end at their deadlines as before.

Measured: both rows of test_slow_callers fail before (connection reset by peer) and pass.

--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -30,6 +30,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
+# The kernel counts a full receive window like a peer that has vanished, also after this
+# process has ended. A caller may read nothing for longer than the time above.
+UNREAD_TIMEOUT_MS = 30_000
 # A peer that has got the last reply closes the connection within this time.
 LINGER_S = 1.0
 MAX_DISCARDED_BYTES = 8 * 1024 * 1024
@@ -186,7 +189,9 @@
     return sock
 
 
-def configure_socket(sock: socket.socket) -> None:
+def configure_socket(
+    sock: socket.socket, unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS
+) -> None:
     """Make the kernel send data at once and end the connection if the peer vanishes."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -194,7 +199,7 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_timeout_ms)
 
 
 async def accept_forever(
@@ -214,6 +219,6 @@
             await anyio.sleep(ACCEPT_RETRY_DELAY_S)
             continue
         sock.setblocking(False)
-        configure_socket(sock)
+        configure_socket(sock, UNREAD_TIMEOUT_MS)
         peer = f"{address[0]}:{address[1]}"
         task_group.start_soon(serve, Channel(sock, peer))
--- /dev/null
+++ b/tests/test_gateway/test_slow_callers.py
@@ -0,0 +1,73 @@
+"""Tests of callers that read nothing for a while."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from dataclasses import replace
+
+import anyio
+from parameterized import parameterized
+
+from agatehoist.gateway.drain import drain
+from standins.users_platform.harness import GatewayHarness, running_gateway, until
+from standins.users_platform.loopback import HOST
+from tests.test_gateway.callers import (
+    PROMPT_REQUEST,
+    STREAM_END,
+    read_piece,
+    slow_configuration,
+)
+
+# Longer than a peer that has vanished is waited for.
+PAUSE_S = 3.5
+GRACE_S = 2.0
+# The kernel doubles it; the streams are longer.
+RECEIVE_BUFFER_BYTES = 1024
+EVENT_COUNT = 400
+
+
+def connect_with_a_small_window(port: int) -> socket.socket:
+    """Return a socket that is connected to a gateway and holds little unread data."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.connect((HOST, port))
+    sock.setblocking(False)
+    return sock
+
+
+class PausingCallerTests(unittest.TestCase):
+    @parameterized.expand([("while_it_is_open", False), ("after_a_stop", True)])
+    def test_stream_to_a_caller_that_pauses_is_not_cut(
+        self, _name: str, stops: bool
+    ) -> None:
+        world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+
+        async def run() -> bytes:
+            async with running_gateway(world):
+                settings = replace(world.state.settings, stop_grace_s=GRACE_S)
+                world.state.settings = settings
+                sock = connect_with_a_small_window(world.port)
+                sock.send(PROMPT_REQUEST)
+                await until(lambda: any(each.run_ends for each in world.engines))
+                if not stops:
+                    await anyio.sleep(PAUSE_S)
+                    return await read_stream(sock)
+                await drain(world.state, lambda: None, anyio.current_time())
+            # The process has ended.
+            await anyio.sleep(PAUSE_S)
+            return await read_stream(sock)
+
+        self.assertTrue(anyio.run(run).endswith(STREAM_END))
+
+
+async def read_stream(sock: socket.socket) -> bytes:
+    """Return what arrives until a stream or its connection ends."""
+    received = b""
+    with sock:
+        while not received.endswith(STREAM_END) and (data := await read_piece(sock)):
+            received += data
+    return received
