Pass on the answers that have arrived when a stop has stood still

What callers saw: a process that stood still, or had no processor time, from before its final answers until after their end reset streams whose engine had finished long before. What lay in its sockets was dropped.

Cause: the times for the last events and for the final answers were those of the schedule, which had passed when the process went on, so both ended at once. Requests without a begun answer got theirs, since that takes no turn of the event loop.

Change: a stop whose final answers begin late by more than half of their time gives them half of it, at most as much beyond its usual end as they take. A stop that didn't stand still ends when it did.

Measured: the new row answer_in_a_socket of LateStopTests fails before (connection reset by peer) and passes; its three other rows pass before as well, and are kept.

--- a/src/agatehoist/gateway/drain.py
+++ b/src/agatehoist/gateway/drain.py
@@ -52,11 +52,13 @@
         await _wait_until_done(state)
         return
     logger.warning("stop grace period ended", in_flight=state.in_flight.count)
+    answered_at = anyio.current_time()
+    stops_at = schedule.stops_at_after(now + answered_at - began_at)
+    stops_at += began_at - now
     # Half of the time is left for the final answers themselves.
-    last_events_until = (schedule.answers_at + schedule.stops_at) / 2
-    state.active_requests.end_for_stop(began_at + last_events_until - now)
+    state.active_requests.end_for_stop((answered_at + stops_at) / 2)
     state.caller_connections.end_reading()
-    with anyio.CancelScope(deadline=began_at + schedule.stops_at - now):
+    with anyio.CancelScope(deadline=stops_at):
         await _wait_until_done(state)
         return
     logger.warning("connections cut", open=state.caller_connections.open_count)
--- a/src/agatehoist/stopping/schedule.py
+++ b/src/agatehoist/stopping/schedule.py
@@ -35,6 +35,16 @@
     answers_at: float
     stops_at: float
 
+    def stops_at_after(self, answered_at: float) -> float:
+        """Return when a process stops that began its final answers at an epoch time.
+
+        One that stood still until then gets half of their time, in the margin of the
+        grace period.
+        """
+        answers_s = self.stops_at - self.answers_at
+        late_stops_at = min(answered_at + answers_s / 2, self.stops_at + answers_s)
+        return max(self.stops_at, late_stops_at)
+
 
 def stop_schedule(began_at: float, grace_s: float) -> StopSchedule:
     """Return the times of a stop that began at an epoch time and must end in time."""
--- a/tests/test_gateway/test_late_in_the_grace.py
+++ b/tests/test_gateway/test_late_in_the_grace.py
@@ -39,6 +39,11 @@
     from agatehoist.http1.event_stream import StreamEvent
 
 GRACE_S = 2.0
+# A process has got its signal so long ago that by now it should have ended.
+LONGER_GRACE_S = 4.0
+STOOD_STILL_S = 3.7
+# An engine has sent its whole answer after this time.
+ANSWERED_S = 1.2
 # A deadline of this share of the grace ends before the final answers.
 NEAR_DEADLINE_SHARE = 0.8
 CHUNKED_HEAD = (
@@ -189,6 +194,57 @@
 
         anyio.run(run)
 
+    # What a caller has sent when the process goes on, whether the engines have room and
+    # the status that the caller gets.
+    @parameterized.expand(
+        [
+            ("waiting_in_line", PROMPT_REQUEST, False, 503),
+            ("sent_and_not_repeatable", POST_REQUEST, True, 502),
+            ("partly_read", POST_REQUEST[:-1], True, 503),
+            ("answer_in_a_socket", PROMPT_REQUEST, True, 200),
+        ]
+    )
+    def test_process_that_stood_still_beyond_its_end_still_answers(
+        self, _name: str, sent: bytes, has_room: bool, status: int
+    ) -> None:
+        world = open_harness()
+        for each in world.engines:
+            each.event_count = EVENTS_OF_A_LONG_STREAM
+        caller_reads = anyio.Event()
+        send = HttpReplyWriter.send
+
+        async def send_later(
+            writer: HttpReplyWriter, events: tuple[StreamEvent, ...]
+        ) -> None:
+            if not caller_reads.is_set():
+                await caller_reads.wait()
+            await send(writer, events)
+
+        async def run() -> bytes:
+            async with running_gateway(world):
+                world.state.settings = replace(
+                    world.state.settings, stop_grace_s=LONGER_GRACE_S
+                )
+                if not has_room:
+                    fill_engines(world)
+                sock = connect_as_caller(world.port)
+                sock.send(sent)
+                await until(lambda: not world.state.caller_connections.waiting)
+                await anyio.sleep(ANSWERED_S)
+                caller_reads.set()
+                signalled_at = anyio.current_time() - STOOD_STILL_S
+                with anyio.fail_after(LONGER_GRACE_S - STOOD_STILL_S):
+                    await drain(world.state, lambda: None, signalled_at)
+            # The process has ended.
+            with sock:
+                return await read_to_end(sock)
+
+        with mock.patch.object(HttpReplyWriter, "send", send_later):
+            received = anyio.run(run)
+        self.assertTrue(received.startswith(b"HTTP/1.1 %d" % status), received)
+        if status == 200:
+            self.assertTrue(received.endswith(STREAM_END))
+
 
 class LateStreamTests(unittest.TestCase):
     # When the last bytes of a chunked body arrive, as a share of the grace, whether the
--- a/tests/test_stopping/test_schedule.py
+++ b/tests/test_stopping/test_schedule.py
@@ -36,3 +36,19 @@
         self.assertEqual(schedule.closes_idle_at, BEGAN_AT + 3.0)
         self.assertAlmostEqual(schedule.answers_at, BEGAN_AT + 59.1)
         self.assertAlmostEqual(schedule.stops_at, BEGAN_AT + 59.3)
+
+    # When the final answers begin, and the end of the process, in a grace of 60 s.
+    @parameterized.expand(
+        [
+            ("in_time", 59.1, 59.3),
+            ("a_little_late", 59.19, 59.3),
+            ("late", 59.25, 59.35),
+            ("after_the_end", 59.35, 59.45),
+            ("near_the_end_of_the_grace", 59.9, 59.5),
+        ]
+    )
+    def test_only_a_process_that_stood_still_takes_longer_for_its_answers(
+        self, _name: str, answered_s: float, stops_s: float
+    ) -> None:
+        stops_at = stop_schedule(BEGAN_AT, 60.0).stops_at_after(BEGAN_AT + answered_s)
+        self.assertAlmostEqual(stops_at, BEGAN_AT + stops_s)
