Stop a run for a move only once its copy is where it goes on

The state of the run was taken from the order to move it: it was stopped first, then copied. What happened then, a destination without room or with other weights, a source that changed its weights as soon as it had no runs, a lost reply, retries used up by others, left a stopped run that nobody could continue.

Copy the run while it goes on (kv-move without Last). Stop it only then, if the destination can still continue it, gives a permit, and a retry is left for the destination and one for the source. A run that has failed, or whose stop isn't answered, is continued from the first copy. A copy that isn't used is freed, and a retry that isn't used is given back. The stand-in engines copy in two steps; their hooks of a move are called in the second one, as before.

On the code before, 4 of the 5 cases of test_run_that_may_not_be_resumed_ survives_a_move_that_fails end with a reset (the fifth needs the first copy), as does test_copy_that_is_not_used_is_freed; the 4 cases of test_stopped_run_goes_on_at_its_source_without_another_retry fail.

--- a/src/agatehoist/attempts/budget.py
+++ b/src/agatehoist/attempts/budget.py
@@ -32,6 +32,9 @@
     def try_spend(self) -> bool:
         """Take one retry from the budget; return False if none is left."""
 
+    def give_back(self) -> None:
+        """Return a retry that was taken and isn't needed."""
+
 
 class RetryBudget:
     """Allow a number of retries per request, and save unused ones up to a maximum.
@@ -65,6 +68,10 @@
         self._saved_retries -= 1
         return True
 
+    def give_back(self) -> None:
+        """Return a retry that was taken and isn't needed."""
+        self._saved_retries = min(self._max_saved_retries, self._saved_retries + 1)
+
 
 class WindowBudget:
     """Allow retries in any window up to a ratio of its requests plus a fixed slack.
@@ -115,6 +122,12 @@
         self._retries_at.append(self._clock.now())
         return True
 
+    def give_back(self) -> None:
+        """Return a retry that was taken and isn't needed."""
+        # Without the oldest, the others count at least as long as they should.
+        if self._retries_at:
+            self._retries_at.popleft()
+
     def _discard_expired(self) -> None:
         oldest = self._clock.now() - self._window_s
         for times in (self._requests_at, self._retries_at):
--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -236,14 +236,20 @@
         self, attempt_id: AttemptId, refusal: Refusal
     ) -> ContinueRun | None:
         """Continue a run where it was stopped, if its new endpoint didn't run it."""
-        move, self._move = self._move, None
+        move = self._move
         if move is None or move.attempt_id != attempt_id or move.fallback is None:
             return None
-        # The endpoint counts the request as a retry.
-        if refusal.run is not Run.NO or not self._budget.try_spend():
+        if refusal.run is not Run.NO:
+            self._end_move()
             return None
         return self._continue_run(replace(move, offer=move.fallback, fallback=None))
 
+    def _end_move(self) -> None:
+        """Give back the retry for the fallback of a move that doesn't need it."""
+        move, self._move = self._move, None
+        if move is not None and move.fallback is not None:
+            self._budget.give_back()
+
     @EVENT_HANDLERS.register(DeadlinePassed)
     def _on_deadline_passed(self, _event: DeadlinePassed, now: float) -> Decisions:
         kind = AnswerTimeout if self._may_have_run else DeadlineExceeded
@@ -277,6 +283,8 @@
             return (Drop(EventFault.LATE), *cancelled)
         if event.goes_on:
             self._is_replacing = False
+        if self._move is not None and self._move.attempt_id == event.attempt_id:
+            self._end_move()
         self.pieces.extend(new)
         if not self.rules.keeps_pieces:
             delivered = len(self.pieces) - 1 - max(0, received - 1)
@@ -297,6 +305,7 @@
             refused = self._refuse(broken.refusal, now)
             return (Drop(EventFault.MALFORMED), *cancelled, *refused)
         self.ended = True
+        self._end_move()
         return (*self._cancel_others(event.attempt_id), Finish(event.ending))
 
     @EVENT_HANDLERS.register(ReplyArrived)
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -192,7 +192,8 @@
 
     A run is the generation of one answer at an endpoint. The endpoint of the offer gets
     `run_name`, by which it finds the run to continue. If it says that it didn't, the
-    run goes on at the endpoint of `fallback`, which has kept it too.
+    run goes on at the endpoint of `fallback`, which has kept it too. A retry has been
+    taken from the budget for each of the two.
     """
 
     attempt_id: AttemptId
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -79,9 +79,9 @@
 # A request sent on a reused connection to an endpoint that has vanished may have run,
 # so an endpoint that has been silent for longer gets a new connection.
 MAX_SILENCE_FOR_REUSE_S = 0.4
-# A move asks for a permit and then calls the endpoint; one without an outcome by this
-# time has failed.
-MAX_MOVE_S = MOVE_TIMEOUT_S + 0.5
+# A move copies the run, asks for a permit and stops the run; one without an outcome by
+# this time has failed.
+MAX_MOVE_S = 2 * MOVE_TIMEOUT_S + 0.5
 # An endpoint that crashes over a prompt does so as it begins to answer; a few events
 # may still arrive.
 ANSWER_PROOF_EVENTS = 5
@@ -120,7 +120,10 @@
         self._traits = traits
         self.attempt_id = attempt_id
         self.events = events
+        # While its run is copied, and stopped in the end, to go on elsewhere.
         self.is_moving = False
+        self.is_stopping = False
+        self._failed_in_move = anyio.Event()
         # Set if the connection was lost before the answer was complete.
         self.suspected_crash: Crash | None = None
         self._is_replacement = is_replacement
@@ -184,6 +187,7 @@
                 # An endpoint aborts its reply when it stops a run that is to be moved;
                 # the failure is passed on only if the move fails too.
                 self._withheld_event = event
+                self._failed_in_move.set()
                 await anyio.sleep(MAX_MOVE_S)
             await self.send_event(event)
 
@@ -205,7 +209,7 @@
         failed = isinstance(event, AttemptRefused | NotWritten)
         # Failures during a weights change or a move don't count against the endpoint.
         if failed and (
-            self.is_moving or self._state.weights.is_changing(endpoint, now)
+            self.is_stopping or self._state.weights.is_changing(endpoint, now)
         ):
             return
         self._state.health.record_outcome(endpoint.lifetime, failed, now)
@@ -220,7 +224,7 @@
                 self._note_progress()
             if anyio.current_time() < self._silent_at:
                 continue
-            if not self.is_moving:
+            if not self.is_stopping:
                 self._note_silence()
                 await self.send_event(EndpointSilent(self.attempt_id))
             self._silent_at = anyio.current_time() + SILENCE_REPORT_INTERVAL_S
@@ -277,7 +281,7 @@
             now = self._state.clock.now()
             if not self._state.weights.is_changing(endpoint, now):
                 self._state.suspect(endpoint, str(error))
-            if not self.is_moving:
+            if not self.is_stopping:
                 self._suspect_crash(now)
             return self._refused_event(OutcomeUnknown.refuse(str(error)))
         except Exception as error:
@@ -552,9 +556,15 @@
         left_s = self._request.deadline - self._state.clock.now()
         return self._progress_at + silence_timeout_s(self._request.route, left_s)
 
+    async def has_failed_in_move(self, within_s: float = 0.0) -> bool:
+        """Wait for a failure that is withheld for the move; return whether it came."""
+        with anyio.move_on_after(within_s):
+            await self._failed_in_move.wait()
+        return self._failed_in_move.is_set()
+
     async def cancel_move(self) -> None:
         """End a failed move and pass on the failure withheld for it, if any."""
-        self.is_moving = False
+        self.is_moving = self.is_stopping = False
         if self._withheld_event is not None:
             await self.send_event(self._withheld_event)
 
--- a/src/agatehoist/gateway/endpoint_calls.py
+++ b/src/agatehoist/gateway/endpoint_calls.py
@@ -70,6 +70,22 @@
         raise CallFailedError(f"{endpoint.name}: {error}") from error
 
 
+async def copy_run(
+    state: GatewayState, source: Endpoint, request_id: str, destination: Endpoint
+) -> str:
+    """Copy the KV cache of a run, which goes on, and return the name of the copy.
+
+    Raises CallFailedError, also if the destination can't take the copy.
+    """
+    head, body = state.platform.move_request(source, request_id, destination, False)
+    # The reply doesn't say which run it names.
+    reply = await _call(state, source, head, body, True, MOVE_TIMEOUT_S)
+    name = state.platform.read_move_reply(source, reply)
+    if reply.head.status != HTTPStatus.OK or not name:
+        raise CallFailedError(f"{source.name} answered {reply.head.status}")
+    return name
+
+
 async def move_run(
     state: GatewayState,
     source: Endpoint,
@@ -77,11 +93,11 @@
     destination: Endpoint,
     timeout_s: float = MOVE_TIMEOUT_S,
 ) -> StoppedRun | None:
-    """Stop a run and copy its KV cache; return None if the run goes on.
+    """Stop a run and copy the rest of its KV cache; return None if the run goes on.
 
     Raises CallFailedError, after which the run may have been stopped.
     """
-    head, body = state.platform.move_request(source, request_id, destination)
+    head, body = state.platform.move_request(source, request_id, destination, True)
     # The reply doesn't say which run it names.
     reply = await _call(state, source, head, body, True, timeout_s)
     name = state.platform.read_move_reply(source, reply)
@@ -89,6 +105,15 @@
     return StoppedRun(name, is_copied) if name else None
 
 
+async def free_copy(state: GatewayState, destination: Endpoint, name: str) -> None:
+    """Drop the copy of a run that isn't needed, which holds a slot.
+
+    Raises CallFailedError.
+    """
+    head = state.platform.free_copy_head(destination, name)
+    await _call(state, destination, head, b"", True)
+
+
 async def _call(
     state: GatewayState,
     endpoint: Endpoint,
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -11,6 +11,8 @@
     CALL_TIMEOUT_S,
     MOVE_TIMEOUT_S,
     CallFailedError,
+    copy_run,
+    free_copy,
     move_run,
 )
 from agatehoist.gateway.endpoint_choice import required_version
@@ -36,6 +38,8 @@
 # Runs move this long after their endpoint began to change its weights; those that end
 # before needn't move.
 MOVE_DELAY_S = 0.25
+# The stream of a run that was stopped ends within this time.
+STOPPED_WITHIN_S = 0.3
 # Priority for permits: a run that doesn't move may be cut.
 MOVE_PRIORITY = 0
 
@@ -46,47 +50,65 @@
     """Start to move a run whose endpoint is leaving or about to change weights.
 
     Returns the destination of a move that has started. If another run may follow, it
-    begins earlier than a slow move ends.
+    begins earlier than a slow stop of this one ends.
     """
     if attempt.is_moving or not _must_move(state, attempt.dispatch.endpoint):
         return None
     destination = find_destination(state, request, attempt)
     if destination is None:
         return None
-    # The destination counts the continued run as a retry.
     retry_budget = state.retry_budget(request.service)
-    if not retry_budget.try_spend(RESERVED_BUDGET_SHARE):
+    if not retry_budget.has_retry(RESERVED_BUDGET_SHARE):
         return None
     attempt.is_moving = True
-    may_retry = may_retry and retry_budget.has_retry()
-    timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
-    state.spawn(_move, state, request, attempt, destination, timeout_s)
+    state.spawn(_move, state, request, attempt, destination, may_retry)
     return destination
 
 
 def find_destination(
     state: GatewayState, request: RoutedRequest, attempt: Attempt
 ) -> Endpoint | None:
-    """Return the least loaded endpoint that can continue a run, or None.
+    """Return the least loaded endpoint that can continue a run, or None."""
+    now = state.clock.now()
+    source = attempt.dispatch.endpoint
+    return min(
+        _possible_destinations(state, request, attempt),
+        # An endpoint in another data centre counts as if it had one more run. One with
+        # a limit may give no permit.
+        key=lambda each: (
+            # An endpoint that has crashed has no runs, and is listed for a while.
+            state.suspects.has_failed(each.name),
+            is_limited(state, each),
+            state.load.runs(each.lifetime, now)
+            + (each.data_centre != source.data_centre),
+        ),
+        default=None,
+    )
+
+
+def _possible_destinations(
+    state: GatewayState, request: RoutedRequest, attempt: Attempt
+) -> list[Endpoint]:
+    """Return the endpoints that can continue a run.
 
-    It must have the same weights, since KV cache is valid only for the weights that
-    computed it, and they must not be overdue for replacement: no run may begin on
+    They must have the same weights, since KV cache is valid only for the weights that
+    computed it, and those must not be overdue for replacement: no run may begin on
     overdue weights, including a moved one.
     """
     prompt = request.envelope.prompt
     service = state.table.services_by_name.get(request.service) if state.table else None
     if prompt is None or service is None:
-        return None
+        return []
     if service.engines is None or not service.engines.move_runs:
-        return None
+        return []
     now = state.clock.now()
     version = attempt.dispatch.weights_version
     if version == UNKNOWN_VERSION:
-        return None
+        return []
     if version < required_version(state, prompt.model, now):
-        return None
+        return []
     source = attempt.dispatch.endpoint
-    possible = [
+    return [
         each
         for each in state.fleet.serving(request.service, now)
         if each.lifetime != source.lifetime
@@ -96,19 +118,6 @@
         and held_back_until(state, each, MOVE_PRIORITY) is None
         and state.fleet.version_of(each, prompt.model) == version
     ]
-    return min(
-        possible,
-        # An endpoint in another data centre counts as if it had one more run. One with
-        # a limit may give no permit.
-        key=lambda each: (
-            # An endpoint that has crashed has no runs, and is listed for a while.
-            state.suspects.has_failed(each.name),
-            is_limited(state, each),
-            state.load.runs(each.lifetime, now)
-            + (each.data_centre != source.data_centre),
-        ),
-        default=None,
-    )
 
 
 def _must_move(state: GatewayState, endpoint: Endpoint) -> bool:
@@ -129,39 +138,105 @@
     request: RoutedRequest,
     attempt: Attempt,
     destination: Endpoint,
-    timeout_s: float,
+    may_retry: bool,
 ) -> None:
-    source = attempt.dispatch.endpoint
-    request_id = request.envelope.request_id
-    if not await acquire_permit(state, destination, MOVE_PRIORITY):
-        logger.info("run not moved", request=request_id, reason="no permit")
-        await attempt.cancel_move()
-        return
-    stopped = None
+    """Copy a run while it goes on, then stop it and continue it at the destination."""
+    source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
+    failed_copies = state.active_requests.failed_copies
     try:
-        stopped = await move_run(state, source, request_id, destination, timeout_s)
+        name = await copy_run(state, source, request_id, destination)
     except CallFailedError as error:
-        logger.info("run not moved", request=request_id, reason=str(error))
-    if stopped is None:
+        logger.info("run not copied", request=request_id, reason=str(error))
+        failed_copies.note_failure(destination.name, state.clock.now())
         await attempt.cancel_move()
         return
+    reason = await _reason_to_stay(state, request, attempt, destination, may_retry)
+    moved = None
+    if reason:
+        logger.info("run not moved", request=request_id, reason=reason)
+    else:
+        moved = await _stop(state, request, attempt, destination, name, may_retry)
+    if moved is not None:
+        await attempt.send_event(moved)
+        return
+    await attempt.cancel_move()
+    try:
+        await free_copy(state, destination, name)
+    except CallFailedError as error:
+        logger.info("copy not freed", request=request_id, reason=str(error))
+
+
+async def _reason_to_stay(
+    state: GatewayState,
+    request: RoutedRequest,
+    attempt: Attempt,
+    destination: Endpoint,
+    may_retry: bool,
+) -> str:
+    """Return why a copied run isn't to be stopped, or take what its move needs.
+
+    That is a permit of the destination and two retries: it counts the continued run as
+    one, and so does the source if the run goes on there after all.
+    """
+    if attempt.has_ended:
+        return "the run has ended"
+    if may_retry and await attempt.has_failed_in_move():
+        return "the run has failed"
+    if destination not in _possible_destinations(state, request, attempt):
+        return "the destination has changed"
+    if not await acquire_permit(state, destination, MOVE_PRIORITY):
+        return "no permit"
+    retry_budget = state.retry_budget(request.service)
+    if not retry_budget.try_spend(RESERVED_BUDGET_SHARE):
+        return "no retry left"
+    if not retry_budget.try_spend():
+        retry_budget.give_back()
+        return "no retry left to go on at the source"
+    return ""
+
+
+async def _stop(
+    state: GatewayState,
+    request: RoutedRequest,
+    attempt: Attempt,
+    destination: Endpoint,
+    name: str,
+    may_retry: bool,
+) -> RunMoved | None:
+    """Stop a copied run; return where it can be continued, or None if it goes on."""
+    source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
+    attempt.is_stopping = True
+    stopped = None
+    # A run that has failed meanwhile is continued by the copy that was made before.
+    if not await attempt.has_failed_in_move():
+        timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
+        try:
+            stopped = await move_run(state, source, request_id, destination, timeout_s)
+        except CallFailedError as error:
+            logger.info("run stopped without an answer", reason=str(error))
     version = attempt.dispatch.weights_version
     offer, fallback = _offer(destination, version), _offer(source, version)
-    if not stopped.is_copied:
-        logger.info(
-            "run not copied, goes on where it was",
-            request=request_id,
-            endpoint=source.lifetime,
-            destination=destination.lifetime,
-        )
-        state.active_requests.failed_copies.note_failure(
-            destination.name, state.clock.now()
-        )
-        moved = RunMoved(attempt.attempt_id, fallback, stopped.name)
-    else:
-        state.active_requests.failed_copies.note_answer(destination.name)
-        moved = RunMoved(attempt.attempt_id, offer, stopped.name, fallback)
-    await attempt.send_event(moved)
+    retry_budget = state.retry_budget(request.service)
+    failed_copies = state.active_requests.failed_copies
+    if stopped is None:
+        if not may_retry and await attempt.has_failed_in_move(STOPPED_WITHIN_S):
+            return RunMoved(attempt.attempt_id, offer, name, fallback)
+        failed_copies.note_failure(destination.name, state.clock.now())
+        retry_budget.give_back()
+        retry_budget.give_back()
+        return None
+    if stopped.is_copied:
+        failed_copies.note_answer(destination.name)
+        return RunMoved(attempt.attempt_id, offer, stopped.name, fallback)
+    logger.info(
+        "run not copied, goes on where it was",
+        request=request_id,
+        endpoint=source.lifetime,
+        destination=destination.lifetime,
+    )
+    failed_copies.note_failure(destination.name, state.clock.now())
+    retry_budget.give_back()
+    return RunMoved(attempt.attempt_id, fallback, stopped.name)
 
 
 def _offer(endpoint: Endpoint, version: int) -> Offer:
--- a/src/agatehoist/gateway/types.py
+++ b/src/agatehoist/gateway/types.py
@@ -137,12 +137,19 @@
         """Parse an engine's report."""
 
     def move_request(
-        self, source: Endpoint, request_id: str, destination: Endpoint
+        self,
+        source: Endpoint,
+        request_id: str,
+        destination: Endpoint,
+        stops_run: bool,
     ) -> tuple[RequestHead, bytes]:
-        """Return the request that stops a run and copies its KV cache."""
+        """Return the request that copies the KV cache of a run, or also stops it."""
 
     def read_move_reply(self, source: Endpoint, reply: Reply) -> str:
-        """Return the name with which a stopped run can be continued, or ""."""
+        """Return the name with which a run can be continued, or ""."""
+
+    def free_copy_head(self, destination: Endpoint, name: str) -> RequestHead:
+        """Return the head of the request that drops the copy of a run."""
 
     def order_request(
         self, endpoint: Endpoint, order: WeightsOrder
--- a/src/agatehoist/platform/adapter.py
+++ b/src/agatehoist/platform/adapter.py
@@ -38,6 +38,7 @@
     read_report = staticmethod(engines.read_report)
     move_request = staticmethod(engines.move_request)
     read_move_reply = staticmethod(engines.read_move_reply)
+    free_copy_head = staticmethod(engines.free_copy_head)
     order_request = staticmethod(engines.order_request)
 
     def is_ready_check(self, head: RequestHead) -> bool:
--- a/src/agatehoist/platform/engines.py
+++ b/src/agatehoist/platform/engines.py
@@ -83,25 +83,25 @@
 
 
 def move_request(
-    source: Endpoint, request_id: str, destination: Endpoint
+    source: Endpoint, request_id: str, destination: Endpoint, stops_run: bool
 ) -> tuple[RequestHead, bytes]:
-    """Return the request that stops a run and copies its KV cache."""
+    """Return the request that copies the KV cache of a run, or also stops it."""
     body = json.dumps(
         {
             "Id": request_id,
             "To": f"{destination.host}:{destination.port}",
-            "Last": True,
+            "Last": stops_run,
         }
     ).encode()
     return RequestHead(b"POST", names.MOVE_TARGET, _json_headers(source, body)), body
 
 
 def read_move_reply(source: Endpoint, reply: Reply) -> str:
-    """Return HOST:PORT/HANDLE, from which a stopped run is continued, or ""."""
+    """Return HOST:PORT/HANDLE, from which a run can be continued, or ""."""
     try:
         value = read_json(reply.body)
     except InvalidJsonError:
-        # A reply without a JSON body means that the run was not stopped.
+        # A reply without a JSON body means that nothing was copied or stopped.
         return ""
     handle = value.get("handle") if isinstance(value, dict) else None
     text = str(handle) if isinstance(handle, str | int) else ""
@@ -110,6 +110,12 @@
     return f"{source.host}:{source.port}/{text}"
 
 
+def free_copy_head(destination: Endpoint, name: str) -> RequestHead:
+    """Return the head of the request that drops the copy of a run at an endpoint."""
+    handle = name.partition("/")[2].encode()
+    return RequestHead(b"DELETE", names.COPY_TARGET + handle, _headers(destination))
+
+
 def _json_headers(endpoint: Endpoint, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
     return (
         *_headers(endpoint),
--- a/src/agatehoist/platform/names.py
+++ b/src/agatehoist/platform/names.py
@@ -9,6 +9,7 @@
 REPORT_TARGET = b"/agatehoist/report"
 ORDER_TARGET = b"/agatehoist/order"
 MOVE_TARGET = b"/agatehoist/kv-move"
+COPY_TARGET = b"/agatehoist/kv-handle/"
 
 # The store counts its eras, each of which begins when it comes back from an older copy.
 STORE_ERA = b"store-era"
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -33,6 +33,7 @@
 STREAM = (b"content-type", b"text/event-stream")
 CHUNKED = (b"transfer-encoding", b"chunked")
 RETRY_AFTER = b"retry-after"
+COPY_TARGET = b"/agatehoist/kv-handle/"
 NOT_EXECUTED = ((b"x-agatehoist-not-executed", b"1"),)
 EVENT_INTERVAL_S = 0.01
 WEIGHTS_LOAD_S = 0.05
@@ -138,7 +139,10 @@
     it starts. rejections names why requests were refused without a run.
 
     on_request is called before a request is checked, on_move before a run is stopped.
-    before_copy and after_copy are called at the destination of a moved run.
+    before_copy and after_copy are called at the destination of a run that was stopped
+    to be moved, before_first_copy at that of one that goes on meanwhile. move_faults
+    are those of calls that stop a run: "lost" resets the connection in place of a
+    reply. freed has the handles of copies that were given up.
 
     All answers state limit_per_s, if it is set, and whether the endpoint is_leaving;
     refusals also state pause_s. Arrivals are those of all requests, run or refused.
@@ -169,6 +173,9 @@
     on_request: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     before_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     after_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    before_first_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    move_faults: list[str] = field(default_factory=list)
+    freed: list[str] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
@@ -270,6 +277,9 @@
             await connection.send_reply(421, _echoed_id(headers), b"")
         elif request.head.target == b"/agatehoist/kv-move":
             await self._move_run(connection, json.loads(request.body))
+        elif request.head.target.startswith(COPY_TARGET):
+            handle = request.head.target.removeprefix(COPY_TARGET).decode()
+            await self._free_copy(connection, handle)
         elif request.head.target == b"/agatehoist/order":
             await self._handle_order(connection, json.loads(request.body))
         else:
@@ -404,10 +414,11 @@
         for scope in tuple(self._run_scopes):
             scope.cancel()
 
-    async def _receive_copy(self, name: str, made_under: int) -> None:
-        await self.before_copy()
+    async def _receive_copy(self, name: str, made_under: int, is_last: bool) -> None:
+        await (self.before_copy() if is_last else self.before_first_copy())
         self._made_under_by_copy[name] = made_under
-        await self.after_copy()
+        if is_last:
+            await self.after_copy()
 
     async def reply(
         self, connection: ServerConnection, run: ReceivedRequest, status: int
@@ -494,22 +505,39 @@
     async def _move_run(
         self, connection: ServerConnection, move: dict[str, Any]
     ) -> None:
-        self.on_move()
+        is_last = bool(move.get("Last"))
+        if is_last:
+            self.on_move()
         request_id = move["Id"]
         made_under = self._version_by_run.get(request_id)
         receive = self.kv_network.receivers_by_address.get(move["To"])
         if made_under is None:
             await connection.send_reply(404, (), b"")
             return
-        self.stopped.add(request_id)
-        self._stopping.add(request_id)
         handle = f"copy-of-{request_id}"
-        # The source keeps the memory of the run.
-        self._made_under_by_copy[f"{self.address}/{handle}"] = made_under
+        name = f"{self.address}/{handle}"
+        if is_last:
+            self.stopped.add(request_id)
+            self._stopping.add(request_id)
+            # The source keeps the memory of the run.
+            self._made_under_by_copy[name] = made_under
         if receive is not None:
-            await receive(f"{self.address}/{handle}", made_under)
-        status = 200 if receive else 503
-        await _send_json(connection, status, {"handle": handle, "Created": 1})
+            await receive(name, made_under, is_last)
+        fault = self.move_faults.pop(0) if is_last and self.move_faults else ""
+        if fault == "lost":
+            connection.abort()
+        elif receive is not None or is_last:
+            status = 503 if receive is None else 200
+            await _send_json(connection, status, {"handle": handle, "Created": 1})
+        else:
+            await connection.send_reply(503, (), b"")
+
+    async def _free_copy(self, connection: ServerConnection, handle: str) -> None:
+        for name in tuple(self._made_under_by_copy):
+            if name.endswith(f"/{handle}"):
+                del self._made_under_by_copy[name]
+                self.freed.append(handle)
+        await connection.send_reply(200, (), b"")
 
     async def _handle_order(
         self, connection: ServerConnection, order: dict[str, Any]
--- a/standins/users_platform/kv_cache.py
+++ b/standins/users_platform/kv_cache.py
@@ -56,13 +56,13 @@
 class KvNetwork:
     """Connect the caches of engines and KV stores by address, HOST:PORT.
 
-    A receiver takes the copy of a moved run: its name, HOST:PORT/HANDLE of the source,
-    and the version that made it.
+    A receiver takes the copy of a run: its name, HOST:PORT/HANDLE of the source, the
+    version that made it, and whether the run was stopped.
     """
 
     parts_by_address: dict[str, PartMemory] = field(default_factory=dict)
-    receivers_by_address: dict[str, Callable[[str, int], Awaitable[None]]] = field(
-        default_factory=dict
+    receivers_by_address: dict[str, Callable[[str, int, bool], Awaitable[None]]] = (
+        field(default_factory=dict)
     )
     stale_uses: list[StaleUse] = field(default_factory=list)
 
--- a/tests/test_attempts/test_moves.py
+++ b/tests/test_attempts/test_moves.py
@@ -32,8 +32,11 @@
 from agatehoist.refusals.kinds import NotStarted, OutcomeUnknown
 
 if TYPE_CHECKING:
+    from agatehoist.attempts.types import Event
     from agatehoist.refusals.types import RequestRefusedError
 
+NOT_RUN = NotStarted.refuse("other weights").refusal
+MAY_HAVE_RUN = OutcomeUnknown.refuse("reset").refusal
 FIRST, SECOND, THIRD = AttemptId("g", 1), AttemptId("g", 2), AttemptId("g", 3)
 
 
@@ -135,6 +138,40 @@
         self.assertEqual((submit.offer, submit.pieces), (offer("d"), ("x", "y")))
 
 
+class FallbackTests(unittest.TestCase):
+    # What the destination does, whether the run goes on at its source, and how many of
+    # the two retries that were taken for the move are left at the end.
+    @parameterized.expand(
+        [
+            ("refuses", AttemptRefused(SECOND, NOT_RUN), True, 0),
+            ("breaks_off", AttemptRefused(SECOND, MAY_HAVE_RUN), False, 1),
+            ("goes_on", PiecesArrived(SECOND, 2, ("z",)), False, 1),
+            ("ends", StreamEnded(SECOND, Ending(2)), False, 1),
+        ]
+    )
+    def test_stopped_run_goes_on_at_its_source_without_another_retry(
+        self, _name: str, event: Event, goes_on_at_source: bool, left: int
+    ) -> None:
+        """A run that was stopped for a move must not be lost for want of a retry."""
+        budget = RetryBudget(max_saved_retries=2)
+        numbers = itertools.count(1)
+        machine = RequestMachine(
+            RetryRules(False, 9.0, max_runs=1),
+            budget,
+            lambda: AttemptId("g", next(numbers)),
+            random.Random(1),
+        )
+        machine.start(0.0)
+        machine.handle(Offered((offer("a"),)), 0.0)
+        machine.handle(PiecesArrived(FIRST, 0, ("x", "y")), 0.1)
+        self.assertTrue(budget.try_spend() and budget.try_spend())
+        machine.handle(RunMoved(FIRST, offer("c"), "a/7", offer("a")), 0.2)
+        decisions = machine.handle(event, 0.3)
+        goes_on = [each for each in decisions if isinstance(each, ContinueRun)]
+        self.assertEqual(len(goes_on), int(goes_on_at_source))
+        self.assertEqual(sum(budget.try_spend() for _ in range(3)), left)
+
+
 class OfferTests(unittest.TestCase):
     @parameterized.expand([("fresh", 0.1, False), ("old", 0.3, True)])
     def test_old_offers_are_replaced_by_new_ones(
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -85,6 +85,67 @@
     endpoint.version = 2
 
 
+def change_at_the_stop(world: GatewayHarness, source: EndpointStandIn) -> None:
+    """Let an endpoint change its weights once the run has been stopped."""
+    source.on_move = partial(change_weights, world, source)
+
+
+def refuse_and_change(world: GatewayHarness, source: EndpointStandIn) -> None:
+    """Leave no room for a copy, while the source waits to change its weights."""
+    change_at_the_stop(world, source)
+    for each in world.engines:
+        if each is not source:
+            refuse_copies(world, each)
+
+
+def change_both(world: GatewayHarness, source: EndpointStandIn) -> None:
+    """Let the destination change its weights while it takes the copy."""
+    change_at_the_stop(world, source)
+    for each in world.engines:
+        if each is not source:
+            each.before_first_copy = each.before_copy = partial(
+                change_known_weights, world, each
+            )
+
+
+async def change_known_weights(
+    world: GatewayHarness, endpoint: EndpointStandIn
+) -> None:
+    """Change the weights of an endpoint as the gateway learns of it."""
+    endpoint.version = 2
+    known = world.state.fleet.by_name[endpoint.name]
+    world.state.fleet.note_version(known, MODEL, 2)
+
+
+def lose_reply(_world: GatewayHarness, source: EndpointStandIn) -> None:
+    """Let the source stop the run without a reply."""
+    source.move_faults.append("lost")
+
+
+def reset_while_copying(world: GatewayHarness, destination: EndpointStandIn) -> None:
+    """Let the source change its weights, and reset its runs, during the copy."""
+
+    async def reset() -> None:
+        (source,) = (each for each in world.engines if each.active)
+        source.change_weights(2)
+
+    destination.before_first_copy = reset
+
+
+def spend_retries(world: GatewayHarness, source: EndpointStandIn) -> None:
+    """Let others use up the retries, and the destination refuse the run."""
+
+    def spend() -> None:
+        budget = world.state.retry_budget(source.service)
+        while budget.try_spend():
+            pass
+        for each in world.engines:
+            if each is not source:
+                change_weights(world, each)
+
+    source.on_move = spend
+
+
 class MovingTests(unittest.TestCase):
     # Engines have version 1; the run that moves is stopped at the endpoint it leaves.
     @parameterized.expand([("in_force", 1, {"r1"}), ("replaced_long_ago", 2, set())])
@@ -290,3 +351,54 @@
                 self.assertEqual(len(others[1].continued_runs), 1)
 
         anyio.run(run)
+
+    # What happens as the run moves, and whether it is continued elsewhere.
+    @parameterized.expand(
+        [
+            ("no_room_and_source_changes", refuse_and_change, False),
+            ("both_change", change_both, False),
+            ("reply_lost", lose_reply, True),
+            ("reset_while_copying", reset_while_copying, True),
+            ("retries_used_up", spend_retries, False),
+        ]
+    )
+    def test_run_that_may_not_be_resumed_survives_a_move_that_fails(
+        self,
+        _name: str,
+        fail: Callable[[GatewayHarness, EndpointStandIn], None],
+        is_moved: bool,
+    ) -> None:
+        """A run may be stopped only while it can be continued."""
+        world = GatewayHarness()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+        bodies: list[bytes] = []
+
+        async def run() -> None:
+            async with running_gateway(world):
+                for each in world.engines:
+                    fail(world, each)
+                source, body = await drain_while_running(world, "/credit/1")
+                bodies.append(body)
+                others = [each for each in world.engines if each is not source]
+                moved = any(each.continued_runs for each in others)
+                self.assertEqual(moved, is_moved)
+
+        anyio.run(run)
+        self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
+
+    def test_copy_that_is_not_used_is_freed(self) -> None:
+        """It would hold a slot of its endpoint."""
+        world = GatewayHarness()
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+
+        async def run() -> None:
+            async with running_gateway(world):
+                for each in world.engines:
+                    change_both(world, each)
+                await drain_while_running(world, "/credit/1")
+                freed = [handle for each in world.engines for handle in each.freed]
+                self.assertIn("copy-of-r1", freed)
+
+        anyio.run(run)
