Stop no run for a move that the stop of its gateway may cut

Callers saw a stream that had begun end with a reset at the end of the grace, although its endpoint would have ended it in time: the endpoint was leaving, the run was stopped there to be moved, and the gateway's own stop came before it went on. The move looked at the endpoint alone. Such a run isn't at work at any endpoint when it is cut, so its loss isn't that of a stream that was too long.

Begin no move, and stop no run, that may last beyond the final answers.

--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -60,11 +60,21 @@
     retry_budget = state.retry_budget(request.service)
     if not retry_budget.has_retry(RESERVED_BUDGET_SHARE):
         return None
+    if _may_be_cut(state, MOVE_TIMEOUT_S):
+        return None
     attempt.is_moving = True
     state.spawn(_move, state, request, attempt, destination, may_retry)
     return destination
 
 
+def _may_be_cut(state: GatewayState, takes_s: float) -> bool:
+    """Return whether this process may stop before a run is continued elsewhere."""
+    schedule = state.stop.schedule
+    if schedule is None:
+        return False
+    return state.clock.now() + takes_s > schedule.answers_at
+
+
 def find_destination(
     state: GatewayState, request: RoutedRequest, attempt: Attempt
 ) -> Endpoint | None:
@@ -186,6 +196,8 @@
         return "the destination has changed"
     if not await acquire_permit(state, destination, MOVE_PRIORITY):
         return "no permit"
+    if _may_be_cut(state, CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S):
+        return "the process stops"
     retry_budget = state.retry_budget(request.service)
     if not retry_budget.try_spend(RESERVED_BUDGET_SHARE):
         return "no retry left"
--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -11,6 +11,7 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.gateway.drain import drain
 from agatehoist.gateway.plans import write_plan
 from agatehoist.storage.objects import Changes, ObjectChange, StoredValue
 from agatehoist.storage.revisions import Revision
@@ -27,9 +28,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agatehoist.http1.types import Reply
     from standins.users_platform.endpoint import EndpointStandIn
 
 EVENT_COUNT = 60
+EVENTS_IN_A_STOP = 100
 OUTAGE_S = 9.0
 
 
@@ -387,6 +390,43 @@
         anyio.run(run)
         self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
 
+    # The grace of the stop, of which an eighth is left for what is cut, how long after
+    # its begin the endpoint leaves, and whether the run, of one second, moves.
+    @parameterized.expand([("in_time", 8.0, 0.0, True), ("late", 2.0, 0.6, False)])
+    def test_run_is_not_stopped_for_a_move_that_the_stop_of_its_gateway_cuts(
+        self, _name: str, grace_s: float, leaves_after_s: float, is_moved: bool
+    ) -> None:
+        """Its endpoint may end it in time, or must be at work when it is cut."""
+        world = GatewayHarness()
+        fields = {"TimeoutMs": 6000}
+        routes = [{**each, **fields} for each in configuration()["Routes"]]
+        world.store.put("config", "main", configuration(Routes=routes))
+        for each in world.engines:
+            each.event_count = EVENTS_IN_A_STOP
+            if not is_moved:
+                each.before_copy = partial(anyio.sleep, SILENCE_S)
+        replies: list[Reply] = []
+
+        async def ask() -> None:
+            replies.append(await world.ask_prompt("/credit/1"))
+
+        async def run() -> None:
+            async with running_gateway(world), anyio.create_task_group() as task_group:
+                state = world.state
+                state.settings = replace(state.settings, stop_grace_s=grace_s)
+                task_group.start_soon(ask)
+                await until(lambda: any(each.active for each in world.engines))
+                (source,) = (each for each in world.engines if each.active)
+                await anyio.sleep(0.1)
+                task_group.start_soon(drain, state, int, anyio.current_time())
+                await anyio.sleep(leaves_after_s)
+                world.list_endpoint(source, State="draining")
+                await until(lambda: bool(replies))
+                self.assertEqual(source.stopped, {"r1"} if is_moved else set())
+
+        anyio.run(run)
+        self.assertEqual(replies[0].body, stream_of(EVENTS_IN_A_STOP))
+
     def test_copy_that_is_not_used_is_freed(self) -> None:
         """It would hold a slot of its endpoint."""
         world = GatewayHarness()
