Take runs back that still wait when their weights expire

What callers saw: a stream began on version 1 later than VersionMs after version 2 was acknowledged. It had been sent in time, 8.6 s after it, and waited for 1.4 s in the queue of a slow engine that other gateways filled.

Cause: the start of a request was bounded by an estimate alone, made as it was sent.

Change: an attempt at a stream looks at its weights until its first event, and closes its connection half a second before they are overdue. The machine then tries another endpoint, if the stream may be resumed, or tells the caller that the outcome is unknown: an engine may have begun in that moment. The time is the same that the dispatch uses, with what peers tell of a target's age. The stand-in engine drops a request whose caller leaves its queue, as engines do.

Ruled out: a shorter X-Agatehoist-Deadline-Ms, with which the engine itself would refuse what still waits, also cuts the runs that began in time. X-Agatehoist-Expect-Version doesn't bound the start, as the engine has the expected weights. A wider margin costs service on all engines.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -29,7 +29,7 @@
 )
 from agatehoist.gateway.crashes import check_crash
 from agatehoist.gateway.endpoint_calls import MOVE_TIMEOUT_S
-from agatehoist.gateway.endpoint_choice import urgency
+from agatehoist.gateway.endpoint_choice import latest_start, urgency
 from agatehoist.gateway.endpoint_permits import earliest_start
 from agatehoist.gateway.endpoint_statements import note_statement
 from agatehoist.gateway.prompt_cache import note_prompt_read
@@ -44,6 +44,7 @@
 from agatehoist.observability.metrics import (
     EVICTED_REPLIES_TOTAL,
     UNEXPECTED_WEIGHTS_TOTAL,
+    WITHDRAWN_FOR_WEIGHTS_TOTAL,
 )
 from agatehoist.refusals.kinds import (
     EndpointFailed,
@@ -51,6 +52,7 @@
     NotStarted,
     OutcomeUnknown,
 )
+from agatehoist.routing.types import RouteKind
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
@@ -93,6 +95,8 @@
 MIN_SILENCE_TIMEOUT_S = 0.4
 # A silence that goes on is reported again, as another endpoint may have room by then.
 SILENCE_REPORT_INTERVAL_S = 0.5
+# Peers correct the time at which a target was set.
+WEIGHTS_CHECK_INTERVAL_S = 0.25
 # A process that wakes up later than this was suspended or had no processor time.
 MAX_WAKEUP_DELAY_S = 0.25
 
@@ -177,6 +181,7 @@
         with self._tracked, waiting, self.events, self._scope:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(self._watch_silence)
+                task_group.start_soon(self._watch_weights)
                 event = await self._connect_and_exchange()
                 task_group.cancel_scope.cancel()
             self._note_health(event)
@@ -225,6 +230,34 @@
                 await self.send_event(EndpointSilent(self.attempt_id))
             self._silent_at = anyio.current_time() + SILENCE_REPORT_INTERVAL_S
 
+    async def _watch_weights(self) -> None:
+        """Take a run back that hasn't begun when its weights are nearly overdue.
+
+        Only a stream shows that its run has begun, and a moved run has begun before.
+        """
+        prompt, dispatch = self._request.envelope.prompt, self.dispatch
+        if self._request.route.kind is not RouteKind.STREAM or prompt is None:
+            return
+        if not dispatch.weights_version or dispatch.continued_run:
+            return
+        while True:
+            version = dispatch.weights_version
+            start_by = latest_start(self._state, prompt.model, version)
+            left_s = start_by - self._state.clock.now()
+            if not math.isinf(self._first_event_at):
+                return
+            if left_s <= 0:
+                break
+            await anyio.sleep(min(left_s, WEIGHTS_CHECK_INTERVAL_S))
+        name = dispatch.endpoint.name
+        WITHDRAWN_FOR_WEIGHTS_TOTAL.inc({})
+        await self.send_event(
+            self._refused_event(
+                OutcomeUnknown.refuse(f"{name} hasn't begun before its weights expire")
+            )
+        )
+        self.cancel()
+
     def _is_late(self, due_at: float) -> bool:
         return anyio.current_time() > due_at + MAX_WAKEUP_DELAY_S
 
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -42,6 +42,9 @@
 # An endpoint at which requests wait long gets none for a longer time before.
 WAIT_MARGIN_FACTOR = 1.5
 MAX_OLD_WEIGHTS_MARGIN_S = 4.0
+# Runs that still wait in an engine are taken back so long before it: gateways notice a
+# new target with a delay, and the engine the closed connection.
+WITHDRAWAL_MARGIN_S = 0.5
 # Peers report since when a version has been the target once a second. A process that
 # they haven't told for so long since its start takes a version of unknown age for
 # overdue.
@@ -120,6 +123,17 @@
     return state.weights.reported_version(model, set_by)
 
 
+def latest_start(state: GatewayState, model: str, version: int) -> float:
+    """Return until when a run that was sent may begin on a weights version."""
+    weights, limit_s = state.weights, _old_weights_limit_s(state)
+    unknown_at = state.started_at + UNKNOWN_AGE_USE_S - limit_s
+    replaced_at = weights.replaced_at(model, version, unknown_at)
+    if state.feed.revisions_by_topic[WEIGHTS_TOPIC] == NO_REVISION:
+        reported_at = weights.reported_replaced_at(model, version)
+        replaced_at = min(replaced_at, reported_at)
+    return replaced_at + limit_s + OLD_WEIGHTS_MARGIN_S - WITHDRAWAL_MARGIN_S
+
+
 def _old_weights_limit_s(state: GatewayState) -> float:
     return state.settings.weights_in_force_s - OLD_WEIGHTS_MARGIN_S
 
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -61,6 +61,10 @@
 UNEXPECTED_WEIGHTS_TOTAL = Counter(
     "agatehoist_unexpected_weights_total", "Replies made on other weights."
 )
+# Runs taken back as they might have begun on overdue weights.
+WITHDRAWN_FOR_WEIGHTS_TOTAL = Counter(
+    "agatehoist_withdrawn_for_weights_total", "Runs taken back from old weights."
+)
 CONFIGURATION_REVISION = Gauge(
     "agatehoist_configuration_revision", "Revision in force."
 )
@@ -96,4 +100,5 @@
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
     "UNEXPECTED_WEIGHTS_TOTAL",
+    "WITHDRAWN_FOR_WEIGHTS_TOTAL",
 ]
--- a/src/agatehoist/weights/view.py
+++ b/src/agatehoist/weights/view.py
@@ -117,6 +117,32 @@
             default=0,
         )
 
+    def replaced_at(self, model: str, version: int, unknown_at: float) -> float:
+        """Return when a newer version than one was first the target, or infinity.
+
+        A version of which the time isn't known counts as set at `unknown_at`.
+        """
+        times_by_version = self._target_times_by_model.get(model, {})
+        return min(
+            (
+                unknown_at if each.at == UNKNOWN_TIME else each.at
+                for newer, each in times_by_version.items()
+                if newer > version
+            ),
+            default=math.inf,
+        )
+
+    def reported_replaced_at(self, model: str, version: int) -> float:
+        """Return when peers first saw a newer version, not read here, or infinity."""
+        return min(
+            (
+                at
+                for weights, at in self._unread_target_times.items()
+                if weights.model == model and weights.version > version
+            ),
+            default=math.inf,
+        )
+
     def note_in_force(self, model: str, version: int) -> None:
         """Record that all endpoints of a model have at least a version."""
         before = self._versions_in_force_by_model.get(model, 0)
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -135,7 +135,8 @@
     run_ends has an entry for each run that has ended, also for continued ones.
     stopped holds the ids of requests whose run was moved away. busy is set from the
     acceptance of an order until its weights are loaded. A request waits queue_s before
-    it starts. rejections names why requests were refused without a run.
+    it starts, and is dropped if its caller leaves meanwhile. rejections names why
+    requests were refused without a run.
 
     on_request is called before a request is checked, on_move before a run is stopped.
     before_copy and after_copy are called at the destination of a moved run.
@@ -292,7 +293,10 @@
             return
         weights_changes = self._weights_changes
         if self.queue_s:
-            await anyio.sleep(self.queue_s)
+            with anyio.move_on_after(self.queue_s):
+                await connection.wait_closed()
+                self.rejections.append("caller gone")
+                return
         has_prompt = "x-agatehoist-model-name" in headers
         if has_prompt and (self.busy or self._weights_changes != weights_changes):
             await self._reject(connection, headers, "weights change")
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
@@ -9,7 +10,7 @@
 import anyio
 from parameterized import parameterized
 
-from agatehoist.gateway.endpoint_choice import required_version
+from agatehoist.gateway.endpoint_choice import latest_start, required_version
 from agatehoist.gateway.peer_reports import record_target_times, target_ages
 from agatehoist.gateway.plans import PLAN_KIND, write_plan
 from agatehoist.gateway.topics import WEIGHTS_TOPIC
@@ -20,6 +21,7 @@
 from standins.users_platform.harness import (
     MODEL,
     GatewayHarness,
+    configuration,
     running_gateway,
     until,
 )
@@ -263,6 +265,84 @@
         self.assertEqual(anyio.run(run), expected)
 
 
+class WaitingRunTests(unittest.TestCase):
+    # The path, how long ago the target was set as the request is sent, how long it
+    # waits in the queue of its engine, and its status. All engines have replaced
+    # weights, and no other request tells how long it waits there.
+    @parameterized.expand(
+        [
+            ("resumable_in_time", "/trace/1", 5.5, 0.5, 200),
+            ("resumable_late", "/trace/1", 5.5, 2.8, 502),
+            ("run_once_in_time", "/credit/1", 5.5, 0.5, 200),
+            ("run_once_late", "/credit/1", 5.5, 2.8, 502),
+        ]
+    )
+    def test_run_that_waits_until_its_weights_are_overdue_never_begins(
+        self, _name: str, path: str, age_s: float, queue_s: float, expected: int
+    ) -> None:
+        """Others fill the engine's queue, so no estimate covers the wait."""
+        world = GatewayHarness()
+        routes = [{**each, "TimeoutMs": 5000} for each in configuration()["Routes"]]
+        world.store.put("config", "main", configuration(Routes=routes))
+        for each in world.engines:
+            each.queue_s = queue_s
+
+        async def run() -> int:
+            async with running_gateway(world):
+                state, now = world.state, world.state.clock.now()
+                state.started_at = now - 60.0
+                state.weights.set_target(TargetWeights(MODEL, 2), now - age_s)
+                status = (await world.ask_prompt(path)).head.status
+                await until(lambda: not state.in_flight.count)
+                await anyio.sleep(queue_s)
+                return status
+
+        self.assertEqual(anyio.run(run), expected)
+        self.assertEqual(len(world.runs()), int(expected == 200))
+
+    # How long ago the gateway has started and the target was set, as far as known from
+    # the store and from a peer, and for how long a run may still begin.
+    @parameterized.expand(
+        [
+            ("no_target", 60.0, None, None, math.inf),
+            ("seen", 60.0, 5.0, None, 2.5),
+            ("seen_earlier_by_a_peer", 60.0, 5.0, 5.2, 2.3),
+            ("unknown_age", 1.0, math.inf, None, 2.5),
+            ("unknown_age_told", 1.0, math.inf, 6.0, 1.5),
+            ("not_read_but_told", 1.0, None, 6.0, 1.5),
+        ]
+    )
+    def test_sent_run_may_begin_until_the_weights_are_nearly_overdue(
+        self,
+        _name: str,
+        started_s: float,
+        read_s: float | None,
+        told_s: float | None,
+        expected_s: float,
+    ) -> None:
+        """A process that doesn't know the age of a target mustn't wait for ever."""
+        world = GatewayHarness()
+
+        async def run() -> float:
+            async with running_gateway(world):
+                state = world.state
+                now = state.clock.now()
+                state.started_at = now - started_s
+                if read_s is None:
+                    state.feed.revisions_by_topic[WEIGHTS_TOPIC] = NO_REVISION
+                else:
+                    is_seen = not math.isinf(read_s)
+                    target = TargetWeights(MODEL, 2)
+                    state.weights.set_target(target, now - read_s, is_seen)
+                if told_s is not None:
+                    age = TargetWeightsAge(MODEL, 2, round(told_s * 1000))
+                    report = NodeReport("n2", 5, 7, True, {}, (age,))
+                    record_target_times(state, report, now)
+                return latest_start(state, MODEL, 1) - now
+
+        self.assertAlmostEqual(anyio.run(run), expected_s, places=3)
+
+
 class ReportedAgeTests(unittest.TestCase):
     # How long ago the target was set, the versions of the engines, and whether peers
     # are told.
