Let stops of the soak meet long streams, bodies in pieces and slow readers

One stream in 16 now has 100 to 899 events on the routes of the short ones, bodies come in chunks and in pieces of which the last is late, some callers read slowly into a small buffer, and some keep a connection open after its last answer until the gateway ends it. New faults: slow_engines, stops_that_overlap (1 to 2.5 s apart, twice in a row, with a second SIGTERM and a SIGHUP during a drain), and planned_work (them beside series of changes of configuration and weights, hangups and endpoints that leave). Streams have a timeout of their own, longer than the grace.

Two invariants count from the SIGTERM as it is sent: 'lost in a stop' takes the bounds of the users' rule (passed on, or 200 ms after the last byte; excused if the endpoint broke off, the timeout was reached, or the endpoint was at work in the last sixth of the grace on a request sent within 3 s), 'stops in time' those of the grace. Three rows of the old tables expect them beside 'answered', which is stricter than before.

--- a/soak/answer_invariants.py
+++ b/soak/answer_invariants.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from soak.configurations import AT_MOST_ONCE_ROUTES
+from soak.configurations import AT_MOST_ONCE_ROUTES, STREAMED_ROUTES
 from soak.invariants import INVARIANT_CHECKS
-from soak.types import EndedRun, Violation
+from soak.types import GRACE_S, EndedRun, Violation
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -17,9 +16,8 @@
 
 # A request whose connection ends sooner after its last byte may not have been read.
 LOSS_SLACK_S = 0.2
-# The grace of a planned stop, the time from its begin in which requests still come, and
-# from which an answer that takes so long may be broken off.
-GRACE_S = 8.0
+# The time from the begin of a stop in which requests still come, and from which an
+# answer that takes so long may be broken off.
 LATE_REQUESTS_S = 3.0
 BREAK_OFF_S = GRACE_S * 5 / 6
 # Faults of the stand-ins after which the answer goes on.
@@ -39,11 +37,11 @@
             yield Violation("answered", request_id, f"as {each.answered_id}")
         if each.complete or each.has_left or not each.sent_whole:
             continue
-        if not _was_read(record, each) and request_id not in arrived_ids:
+        if not was_read(record, each) and request_id not in arrived_ids:
             continue
         broken_off = each.status == HTTPStatus.OK and (
-            _is_broken_off(record, each, runs_by_id[request_id])
-            or _has_timed_out(record, each)
+            is_broken_off(record, each, runs_by_id[request_id])
+            or has_timed_out(record, each)
             or _outlasts_stop(record, each)
         )
         if not broken_off and not _is_killed(record, each):
@@ -68,8 +66,8 @@
         ]
         if (
             any(run.endpoint in silent for run in runs)
-            and not _is_broken_off(record, each, runs)
-            and not _has_timed_out(record, each)
+            and not is_broken_off(record, each, runs)
+            and not has_timed_out(record, each)
             and not _outlasts_stop(record, each)
             and not _is_killed(record, each)
         ):
@@ -77,7 +75,7 @@
             yield Violation("silence", each.sent.request_id, detail)
 
 
-def _is_broken_off(
+def is_broken_off(
     record: SoakRecord, result: RequestResult, runs: Sequence[EndedRun]
 ) -> bool:
     """Return whether an endpoint or its path broke off a run of a request."""
@@ -95,7 +93,7 @@
     return bool(has_fault) or run.end.ending.is_of_endpoint
 
 
-def _was_read(record: SoakRecord, result: RequestResult) -> bool:
+def was_read(record: SoakRecord, result: RequestResult) -> bool:
     """Return whether a running gateway has had the time to read a request."""
     sent = result.sent
     resumed_at = max(
@@ -110,9 +108,13 @@
     return result.ended_at - resumed_at > LOSS_SLACK_S
 
 
-def _has_timed_out(record: SoakRecord, result: RequestResult) -> bool:
+def has_timed_out(record: SoakRecord, result: RequestResult) -> bool:
     """Return whether a request lasted for the shortest timeout of its route."""
-    timeout_s = min((each.timeout_s for each in record.changes), default=math.inf)
+    is_stream = result.sent.route in STREAMED_ROUTES
+    timeout_s = min(
+        (each.stream_timeout_s if is_stream else each.timeout_s)
+        for each in record.changes
+    )
     return result.ended_at - min(result.began_at, result.sent.sent_at) >= timeout_s
 
 
--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -22,10 +22,13 @@
 # Routes that all configurations have, and those that some have.
 ROUTES = ("look", "find", "post", "trace", "credit")
 PASSING_ROUTES = ("errand", "tale")
+GET_ROUTES = frozenset({"look", "find"})
 STREAMED_ROUTES = frozenset({"trace", "credit", "tale"})
 # Requests on these routes must run at most once.
 AT_MOST_ONCE_ROUTES = frozenset({"post", "credit"})
 ROUTE_TIMEOUT_MS = 6000
+# Longer than the grace, so that long streams last to its end.
+STREAM_TIMEOUT_MS = 15_000
 # An organisation that some configurations don't have.
 GUESTS = "guests"
 GUESTS_KEY = "key-of-the-guests"
@@ -42,11 +45,18 @@
     document["Routes"][0]["PathPrefix"] = f"/look-{version}/"
     # A route whose path stays the same.
     document["Routes"].append(route("find", "idempotent", APPLICATION))
-    for each in document["Routes"]:
-        each["TimeoutMs"] = ROUTE_TIMEOUT_MS
+    _set_timeouts(document, ROUTE_TIMEOUT_MS, STREAM_TIMEOUT_MS)
     return document
 
 
+def _set_timeouts(
+    document: dict[str, Any], timeout_ms: int, stream_timeout_ms: int
+) -> None:
+    for each in document["Routes"]:
+        is_stream = each["Name"] in STREAMED_ROUTES
+        each["TimeoutMs"] = stream_timeout_ms if is_stream else timeout_ms
+
+
 def changed_configuration(version: int, rng: random.Random) -> dict[str, Any]:
     """Return a configuration with some changes, each of which requests may meet."""
     document = sound_configuration(version)
@@ -58,9 +68,9 @@
 
 @CONFIGURATION_CHANGES.register("timeouts")
 def _change_timeouts(document: dict[str, Any], rng: random.Random) -> None:
-    timeout_ms = rng.choice((4000, 5000, 8000))
-    for each in document["Routes"]:
-        each["TimeoutMs"] = timeout_ms
+    _set_timeouts(
+        document, rng.choice((4000, 5000, 8000)), rng.choice((10_000, 12_000, 20_000))
+    )
 
 
 @CONFIGURATION_CHANGES.register("limits")
@@ -89,7 +99,7 @@
             "tale",
             "stream",
             ENGINES,
-            TimeoutMs=ROUTE_TIMEOUT_MS,
+            TimeoutMs=STREAM_TIMEOUT_MS,
             Resumable=rng.random() < 0.5,
             MaxAttempts=rng.randint(1, 2),
         ),
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -12,8 +12,8 @@
 from soak.odd_entries import make_odd_entry
 from soak.proxy import Fault
 from soak.traffic import PROMPT_COUNT
-from soak.types import DeadlyRequest, StatementPeriod
-from standins.users_platform.endpoint import FAULTS
+from soak.types import GRACE_S, DeadlyRequest, LaterSignal, StatementPeriod
+from standins.users_platform.endpoint import EVENT_INTERVAL_S, FAULTS
 from standins.users_platform.store import RawJson
 
 if TYPE_CHECKING:
@@ -35,6 +35,18 @@
 # Share of the deadly requests whose engines crash after some events.
 STREAMED_CRASH_SHARE = 0.25
 MIN_SILENCE_S, MAX_SILENCE_S = 0.8, 1.5
+# Between the stops of gateways in turn.
+STOP_INTERVALS_S = 1.0, 2.5
+SLOWDOWNS = 1.5, 4.0
+# What may go on beside stops that overlap.
+PLANNED_WORK = (
+    "configuration_series",
+    "endpoint_leaves",
+    "endpoint_leaves_by_answer",
+    "hangup",
+    "slow_engines",
+    "weights",
+)
 # Long enough for all gateways to know what an endpoint says, and for what follows.
 MIN_STATED_S = 5.0
 
@@ -60,6 +72,56 @@
             await anyio.sleep(down_s)
 
 
+@FAULT_INJECTORS.register("stops_that_overlap")
+async def _stop_gateways_that_overlap(testbed: Testbed, rng: random.Random) -> None:
+    gateways = rng.sample(testbed.gateways, rng.randint(1, len(testbed.gateways)))
+    for _ in range(2):
+        async with anyio.create_task_group() as task_group:
+            for each in gateways:
+                task_group.start_soon(_stop_with_later_signals, testbed, rng, each)
+                await anyio.sleep(rng.uniform(*STOP_INTERVALS_S))
+
+
+async def _stop_with_later_signals(
+    testbed: Testbed, rng: random.Random, gateway: str
+) -> None:
+    later = tuple(
+        LaterSignal(each, rng.uniform(0, GRACE_S))
+        for each in rng.sample((signal.SIGTERM, signal.SIGHUP), rng.randint(0, 2))
+    )
+    with testbed.recording_fault(gateway):
+        down_s = rng.uniform(0, PAUSE_S)
+        await testbed.restart(gateway, signal.SIGTERM, down_s, later_signals=later)
+
+
+@FAULT_INJECTORS.register("planned_work")
+async def _overlap_planned_work(testbed: Testbed, rng: random.Random) -> None:
+    async with anyio.create_task_group() as task_group:
+        for each in rng.sample(PLANNED_WORK, rng.randint(1, len(PLANNED_WORK))):
+            task_group.start_soon(_repeat, each, testbed, rng)
+        await _stop_gateways_that_overlap(testbed, rng)
+        task_group.cancel_scope.cancel()
+
+
+async def _repeat(name: str, testbed: Testbed, rng: random.Random) -> None:
+    while True:
+        # A gateway that is told to stop must end, and an endpoint must come back.
+        with anyio.CancelScope(shield=True):
+            await FAULT_INJECTORS[name](testbed, rng)
+        await anyio.sleep(rng.uniform(0, MAX_FAULT_S))
+
+
+@FAULT_INJECTORS.register("slow_engines")
+async def _slow_engines_down(testbed: Testbed, rng: random.Random) -> None:
+    engines = testbed.harness.engines
+    slowed = rng.sample(engines, rng.randint(1, len(engines)))
+    for each in slowed:
+        each.event_interval_s = EVENT_INTERVAL_S * rng.uniform(*SLOWDOWNS)
+    await anyio.sleep(rng.uniform(PAUSE_S, MAX_FAULT_S))
+    for each in slowed:
+        each.event_interval_s = EVENT_INTERVAL_S
+
+
 @FAULT_INJECTORS.register("stop_beside_hung_requests")
 async def _stop_beside_hung_requests(testbed: Testbed, rng: random.Random) -> None:
     # Requests without an answer keep the process up, so that others come late.
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -148,14 +148,15 @@
 def _check_bodies(record: SoakRecord) -> Iterator[Violation]:
     runs_by_id = record.runs_by_id()
     for each in record.results:
-        if each.status != HTTPStatus.OK or _is_body_correct(each, record.stream):
+        if each.status != HTTPStatus.OK or _is_body_correct(record, each):
             continue
         if not any(map(_ended_by_crash, runs_by_id[each.sent.request_id])):
             yield Violation("whole", each.sent.request_id, f"{each.body!r:.200}")
 
 
-def _is_body_correct(result: RequestResult, stream: bytes) -> bool:
+def _is_body_correct(record: SoakRecord, result: RequestResult) -> bool:
     if result.sent.route in STREAMED_ROUTES:
+        stream = record.stream_of(result.sent)
         return (
             result.body == stream if result.complete else stream.startswith(result.body)
         )
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -24,7 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-CALLER_COUNT = 12
+# At least so many, and one for each gateway.
+MIN_CALLER_COUNT = 12
 SLOW_CALLER_COUNT = 4
 CONCURRENT_FAULTS = 3
 PAUSE_S = 1.0
@@ -50,7 +51,7 @@
             await until(lambda: all(map(testbed.has_started, testbed.gateways)))
             callers = Callers(testbed, rng)
             async with anyio.create_task_group() as task_group:
-                for _ in range(CALLER_COUNT):
+                for _ in range(max(MIN_CALLER_COUNT, gateways)):
                     task_group.start_soon(callers.run)
                 for _ in range(SLOW_CALLER_COUNT):
                     task_group.start_soon(callers.run_slowly)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -7,15 +7,21 @@
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from signal import SIGTERM, Signals
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.to_thread
 
 from agatehoist.core.units import MS_PER_S
-from soak.configurations import MODELS, changed_configuration, sound_configuration
+from soak.configurations import (
+    MODELS,
+    STREAMED_ROUTES,
+    changed_configuration,
+    sound_configuration,
+)
 from soak.proxy import EndpointFront, Fault, Proxy
 from soak.types import (
+    USUAL_EVENT_COUNT,
     Arrival,
     ConfigurationChange,
     DeadlyRequest,
@@ -28,7 +34,7 @@
     StatementPeriod,
 )
 from standins.fleet import Fleet
-from standins.users_platform.endpoint import RequestIdentity
+from standins.users_platform.endpoint import EVENT_INTERVAL_S, RequestIdentity
 from standins.users_platform.endpoint_listener import run_endpoint
 from standins.users_platform.harness import GatewayHarness
 from standins.users_platform.loopback import listen_on_loopback
@@ -39,14 +45,16 @@
     import random
     from collections.abc import AsyncIterator, Iterator, Sequence
     from pathlib import Path
+    from subprocess import Popen
 
-    from soak.types import RequestResult
+    from soak.types import LaterSignal, RequestResult
     from standins.users_platform.endpoint import Crash, EndpointStandIn
     from standins.users_platform.store import StoreCopy
 
-STREAM_EVENT_COUNT = 40
+# Streams that last up to the grace of a stop and longer.
+LONG_EVENT_COUNTS = range(100, 900)
 EXPECTED_STREAM = b"".join(
-    f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, STREAM_EVENT_COUNT + 1)
+    f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, LONG_EVENT_COUNTS.stop)
 )
 # The organisation of the callers.
 ORGANISATION = "crew"
@@ -207,17 +215,28 @@
             process.send_signal(signal_number)
 
     async def restart(
-        self, gateway: str, signal_number: Signals, down_s: float, signal_count: int = 1
+        self,
+        gateway: str,
+        signal_number: Signals,
+        down_s: float,
+        signal_count: int = 1,
+        later_signals: Sequence[LaterSignal] = (),
     ) -> None:
         """Stop a gateway with signals, record an unexpected exit, then restart it."""
         async with self._restart_locks_by_gateway.setdefault(gateway, anyio.Lock()):
             process = self.fleet.processes_by_name.pop(gateway)
             # Until the program has installed its handler, SIGTERM kills the process.
             is_planned = signal_number is SIGTERM and self.has_started(gateway)
-            with self.recording(self.stops if is_planned else self.kills, gateway):
-                for _ in range(signal_count):
-                    process.send_signal(signal_number)
-                status = await anyio.to_thread.run_sync(process.wait, STOP_TIMEOUT_S)
+            began_at = time.monotonic()
+            for _ in range(signal_count):
+                process.send_signal(signal_number)
+            async with anyio.create_task_group() as task_group:
+                for each in later_signals:
+                    task_group.start_soon(_send_later, process, each)
+                status, ended_at = await anyio.to_thread.run_sync(_wait, process)
+                task_group.cancel_scope.cancel()
+            ended = Period(gateway, began_at, ended_at)
+            (self.stops if is_planned else self.kills).append(ended)
             expected = 0 if is_planned else -signal_number
             if status != expected:
                 self.unexpected_exits.append(
@@ -251,8 +270,9 @@
             changed_configuration(version, rng) if rng else sound_configuration(version)
         )
         self.harness.store.put("config", "main", document)
-        timeout_s = min(each["TimeoutMs"] for each in document["Routes"]) / MS_PER_S
-        self.changes.append(ConfigurationChange(version, time.monotonic(), timeout_s))
+        now = time.monotonic()
+        timeouts_s = (_shortest_timeout_s(document, flag) for flag in (False, True))
+        self.changes.append(ConfigurationChange(version, now, *timeouts_s))
 
     def add_deadly_request(self, request: DeadlyRequest) -> None:
         """Let a request crash endpoints, and callers send it."""
@@ -300,18 +320,48 @@
             self.leaving_endpoints.discard(endpoint.name)
 
 
+def stream_path(route: str, event_count: int) -> str:
+    """Return the path of a stream that has so many events."""
+    return f"/{route}/{event_count}-events"
+
+
+def _shortest_timeout_s(document: dict[str, Any], is_stream: bool) -> float:
+    timeouts_ms = (
+        each["TimeoutMs"]
+        for each in document["Routes"]
+        if (each["Name"] in STREAMED_ROUTES) == is_stream
+    )
+    return float(min(timeouts_ms) / MS_PER_S)
+
+
 def _identity(request: DeadlyRequest) -> RequestIdentity:
     return RequestIdentity(request.method, request.path, ORGANISATION, request.body)
 
 
+async def _send_later(process: Popen[bytes], later: LaterSignal) -> None:
+    await anyio.sleep(later.after_s)
+    process.send_signal(later.number)
+
+
+def _wait(process: Popen[bytes]) -> tuple[int, float]:
+    """Wait for the end of a process; return its exit status and the time."""
+    return process.wait(STOP_TIMEOUT_S), time.monotonic()
+
+
 @asynccontextmanager
 async def run_testbed(folder: Path, gateways: int) -> AsyncIterator[Testbed]:
     """Run the gateways, proxies and stand-ins while the context lasts."""
     testbed = Testbed(GatewayHarness(models=MODELS), Fleet(folder))
     harness = testbed.harness
+    event_counts = {
+        stream_path(route, count): count
+        for route in STREAMED_ROUTES
+        for count in LONG_EVENT_COUNTS
+    }
     async with AsyncExitStack() as stack:
         for endpoint in harness.endpoints():
-            endpoint.event_count = STREAM_EVENT_COUNT
+            endpoint.event_count = USUAL_EVENT_COUNT
+            endpoint.event_counts_by_target = event_counts
             name = endpoint.name
             proxy = Proxy()
             front = EndpointFront(proxy, endpoint)
@@ -351,6 +401,7 @@
     testbed.harness.store.down = False
     for each in testbed.harness.endpoints():
         each.limit_per_s, each.pause_s, each.is_leaving = None, None, False
+        each.event_interval_s = EVENT_INTERVAL_S
         each.faults.clear()
     testbed.harness.deadly_parts.clear()
     testbed.change_configuration()
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -13,13 +15,21 @@
 from agatehoist.http1.client import ClientConnection
 from agatehoist.http1.errors import ConnectionFailedError, InvalidReplyError
 from agatehoist.http1.types import RequestHead
+from soak.answer_invariants import LATE_REQUESTS_S
 from soak.configurations import (
+    GET_ROUTES,
     GUESTS_KEY,
     PASSING_ROUTES,
     ROUTES,
     STREAMED_ROUTES,
 )
-from soak.types import DeadlyRequest, RequestResult, SentRequest
+from soak.testbed import LONG_EVENT_COUNTS, stream_path
+from soak.types import (
+    USUAL_EVENT_COUNT,
+    DeadlyRequest,
+    RequestResult,
+    SentRequest,
+)
 from standins.users_platform.harness import API_KEY, MODEL
 from standins.users_platform.loopback import HOST
 
@@ -37,6 +47,20 @@
 # Longest time between the first and the last bytes of a slow request. A gateway that
 # stops at the first ones stops for almost as long.
 MAX_SLOW_S = 7.8
+# Shares of the callers that read slowly, and the longest pause between two reads.
+SLOW_READER_SHARE = 0.15
+MAX_READ_PAUSE_S = 0.3
+# The smallest receive buffer that the kernel allows.
+SLOW_READER_BUFFER_BYTES = 1
+# Longest time that a caller keeps a connection open after its last answer.
+MAX_KEPT_S = 10.0
+KEPT_SHARE = 0.5
+HEAD_END = b"\r\n\r\n"
+# Shares of the requests whose bodies come in chunks, of those sent in pieces, and of
+# the streams that are long.
+CHUNKED_SHARE = 0.4
+PIECES_SHARE = 0.1
+LONG_SHARE = 0.06
 PROMPT_COUNT = 6
 # Share of the requests on routes that some configurations don't have.
 PASSING_SHARE = 0.1
@@ -47,20 +71,24 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerConnection:
-    """Hold a connection to a gateway and the time at which it was opened."""
+    """Hold a connection to a gateway and the time at which it was opened.
+
+    Its caller pauses for up to read_pause_s before each read.
+    """
 
     http: ClientConnection
     channel: Channel
     gateway: str
     opened_at: float
+    read_pause_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class PlannedRequest:
     """Hold what a caller is about to send.
 
-    The body is sent slow_s after the head. With a leaves_after_s, the caller gives up
-    after that time.
+    The last piece of the body is sent slow_s after the head, the others at any time
+    before. With a leaves_after_s, the caller gives up after that time.
     """
 
     route: str
@@ -68,16 +96,41 @@
     deadly_request: DeadlyRequest | None = None
     slow_s: float = 0.0
     leaves_after_s: float | None = None
+    event_count: int = USUAL_EVENT_COUNT
+    is_chunked: bool = False
 
 
-async def open_connection(testbed: Testbed, gateway: str) -> CallerConnection:
-    """Open a connection to a gateway.
+async def open_connection(
+    testbed: Testbed, gateway: str, read_pause_s: float = 0.0
+) -> CallerConnection:
+    """Open a connection to a gateway, with a small buffer for a slow reader.
 
     Raises ConnectionFailedError.
     """
     opened_at = time.monotonic()
     channel = await connect(HOST, testbed.fleet.ports_by_name[gateway])
-    return CallerConnection(ClientConnection(channel), channel, gateway, opened_at)
+    if read_pause_s:
+        channel._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES
+        )
+    return CallerConnection(
+        ClientConnection(channel), channel, gateway, opened_at, read_pause_s
+    )
+
+
+def _pieces(data: bytes, body: bytes, planned: PlannedRequest) -> list[bytes]:
+    """Return the head of an encoded request, and each part of its body apart."""
+    head = data[: data.index(HEAD_END) + len(HEAD_END)]
+    middle = len(body) // 2
+    if not planned.is_chunked:
+        return [head, body[:middle], body[middle:]]
+    chunks = (
+        part
+        for data in (body[:middle], body[middle:])
+        if data
+        for part in (b"%x\r\n" % len(data), data, b"\r\n")
+    )
+    return [head, *chunks, b"0\r\n", b"\r\n"]
 
 
 class Callers:
@@ -93,8 +146,10 @@
         """Send requests in sequence; open a new connection when one can't be reused."""
         while True:
             gateway = self._rng.choice(self._testbed.gateways)
+            is_slow = self._rng.random() < SLOW_READER_SHARE
+            pause_s = self._rng.uniform(0, MAX_READ_PAUSE_S) if is_slow else 0.0
             try:
-                connection = await open_connection(self._testbed, gateway)
+                connection = await open_connection(self._testbed, gateway, pause_s)
             except ConnectionFailedError:
                 await anyio.sleep(PAUSE_S)
                 continue
@@ -118,9 +173,13 @@
             route = self._rng.choice(("post", "trace", "credit"))
             slow_s = self._rng.uniform(0, MAX_SLOW_S)
             try:
-                await self.send_request(
-                    connection, PlannedRequest(route, slow_s=slow_s)
+                planned = PlannedRequest(
+                    route,
+                    slow_s=slow_s,
+                    event_count=self._event_count(route),
+                    is_chunked=self._rng.random() < CHUNKED_SHARE,
                 )
+                await self.send_request(connection, planned)
             finally:
                 connection.http.close()
 
@@ -140,10 +199,10 @@
         try:
             with scope:
                 data = connection.http._encode_request(head, body)
-                if planned.slow_s:
-                    await connection.channel.send(data.removesuffix(body))
-                    await anyio.sleep(planned.slow_s)
-                    data = body
+                if planned.slow_s or planned.is_chunked:
+                    data = await self._send_pieces(
+                        connection, planned.slow_s, *_pieces(data, body, planned)
+                    )
                 sent = self._sent(request_id, planned, path_version, connection.gateway)
                 await connection.channel.send(data)
                 sent_whole = True
@@ -152,6 +211,7 @@
                 answered_id = reply_head.value(REQUEST_ID) or b""
                 while (data := await connection.http.read_data()) is not None:
                     received += data
+                    await anyio.sleep(self._rng.uniform(0, connection.read_pause_s))
                 complete = True
             has_left = scope.cancelled_caught and planned.leaves_after_s is not None
         except (ConnectionFailedError, InvalidReplyError):
@@ -174,8 +234,28 @@
                     began_at,
                 )
             )
+        if complete and reply_head.value(b"connection") == b"close":
+            await self._keep_open(connection)
         return complete and connection.http.prepare_next_request()
 
+    async def _send_pieces(
+        self, connection: CallerConnection, within_s: float, *pieces: bytes
+    ) -> bytes:
+        """Send all pieces but the last, each apart, and return that one."""
+        times_s = sorted(self._rng.uniform(0, within_s) for _ in pieces[2:])
+        last_s = 0.0
+        for data, at_s in zip(pieces[:-1], (*times_s, within_s), strict=True):
+            await connection.channel.send(data)
+            await anyio.sleep(at_s - last_s)
+            last_s = at_s
+        return pieces[-1]
+
+    async def _keep_open(self, connection: CallerConnection) -> None:
+        """Wait for the gateway's end of a connection, for some."""
+        if self._rng.random() < KEPT_SHARE:
+            with suppress(ConnectionFailedError), anyio.move_on_after(MAX_KEPT_S):
+                await connection.channel.receive()
+
     def _plan(self) -> PlannedRequest:
         rng, testbed = self._rng, self._testbed
         leaves_after_s = rng.uniform(0, 0.5) if rng.random() < ABANDONED_SHARE else None
@@ -186,7 +266,21 @@
         part = rng.choice(parts) if parts and rng.random() < DEADLY_SHARE else ""
         is_passing = rng.random() < PASSING_SHARE
         route = rng.choice(PASSING_ROUTES if is_passing else ROUTES)
-        return PlannedRequest(route, part, leaves_after_s=leaves_after_s)
+        has_body = route not in GET_ROUTES
+        is_slow = has_body and rng.random() < PIECES_SHARE
+        return PlannedRequest(
+            route,
+            part,
+            slow_s=rng.uniform(0, LATE_REQUESTS_S) if is_slow else 0.0,
+            leaves_after_s=leaves_after_s,
+            event_count=self._event_count(route),
+            is_chunked=has_body and rng.random() < CHUNKED_SHARE,
+        )
+
+    def _event_count(self, route: str) -> int:
+        if route in STREAMED_ROUTES and self._rng.random() < LONG_SHARE:
+            return self._rng.choice(LONG_EVENT_COUNTS)
+        return USUAL_EVENT_COUNT
 
     def _pause_s(self) -> float:
         is_long = self._rng.random() < LONG_PAUSE_SHARE
@@ -204,6 +298,7 @@
             self._testbed.fault_free_since(gateway),
             planned.deadly_part,
             planned.deadly_request.name if planned.deadly_request else "",
+            planned.event_count,
         )
 
     def _build_request(
@@ -211,7 +306,9 @@
     ) -> tuple[RequestHead, bytes]:
         route, deadly = planned.route, planned.deadly_request
         path = f"/look-{path_version}/x" if route == "look" else f"/{route}/x"
-        method = "GET" if route in ("look", "find") else "POST"
+        if planned.event_count != USUAL_EVENT_COUNT:
+            path = stream_path(route, planned.event_count)
+        method = "GET" if route in GET_ROUTES else "POST"
         body = b"" if method == "GET" else f'{{"id": "{request_id}"}}'.encode()
         prompt = self._rng.randrange(PROMPT_COUNT)
         if deadly is not None:
@@ -221,8 +318,11 @@
             "host": "a.example",
             "api-key": GUESTS_KEY if route in PASSING_ROUTES else API_KEY,
             REQUEST_ID.decode(): request_id,
-            "content-length": str(len(body)),
         }
+        if planned.is_chunked:
+            headers["transfer-encoding"] = "chunked"
+        else:
+            headers["content-length"] = str(len(body))
         if route in STREAMED_ROUTES:
             parts = [f"a{prompt}:100", f"b{prompt}:30"]
             if planned.deadly_part:
--- a/soak/types.py
+++ b/soak/types.py
@@ -6,9 +6,15 @@
 from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
+from signal import Signals
 
 from standins.users_platform.endpoint import Crash, RunEnd
 
+# The grace of a planned stop.
+GRACE_S = 8.0
+USUAL_EVENT_COUNT = 40
+EVENT_END = b"\n\n"
+
 
 @dataclass(frozen=True, slots=True)
 class DeadlyRequest:
@@ -33,7 +39,7 @@
     reached the store without a fault since `fault_free_since`; that is infinite while
     the gateway has a fault. `deadly_part` is the part of its prompt that crashes
     engines, if there is one, and `deadly_request` the name of the deadly request of
-    which it is a repetition.
+    which it is a repetition. Its stream, if it is for one, has `event_count` events.
     """
 
     request_id: str
@@ -44,6 +50,7 @@
     fault_free_since: float
     deadly_part: str = ""
     deadly_request: str = ""
+    event_count: int = USUAL_EVENT_COUNT
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,12 +79,13 @@
 class ConfigurationChange:
     """Hold a configuration's path version and the time of its acknowledgement.
 
-    `timeout_s` is that of all routes.
+    `timeout_s` is that of all routes but those of streams.
     """
 
     path_version: int
     acked_at: float
     timeout_s: float = math.inf
+    stream_timeout_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +101,14 @@
         return self.began_at <= ended_at and began_at <= self.ended_at
 
 
+@dataclass(frozen=True, slots=True)
+class LaterSignal:
+    """Hold a signal to a process that has already been told to stop."""
+
+    number: Signals
+    after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StatementPeriod:
     """Hold what an endpoint said of itself in its answers, and for how long.
@@ -167,7 +183,7 @@
     """Hold what was observed while a seed ran.
 
     `run_ids` has a request's id once for each time that an endpoint ran it;
-    `stream` is the complete body that every streamed response must have.
+    `stream` is the complete body of the longest stream; others are its beginning.
     """
 
     results: Sequence[RequestResult]
@@ -185,6 +201,11 @@
             by_id[each.end.request_id].append(each)
         return by_id
 
+    def stream_of(self, sent: SentRequest) -> bytes:
+        """Return the complete body that the stream of a request must have."""
+        events = self.stream.split(EVENT_END)[:-1]
+        return b"".join(each + EVENT_END for each in events[: sent.event_count])
+
 
 @dataclass(frozen=True, slots=True)
 class Violation:
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -155,6 +155,9 @@
     # Models besides `model`, whose weights change without an effect on runs.
     versions_by_other_model: dict[str, int] = field(default_factory=dict)
     event_count: int = 5
+    # Of streams that aren't as long as the others.
+    event_counts_by_target: dict[str, int] = field(default_factory=dict)
+    event_interval_s: float = EVENT_INTERVAL_S
     faults: list[str] = field(default_factory=list)
     runs: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -438,14 +441,18 @@
         """Send count events, or all; return False if the run was moved meanwhile."""
         first = int(run.headers_by_name.get("last-event-id", "0"))
         await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
-        until = self.event_count if count is None else first + count
+        until = self.event_count_of(run) if count is None else first + count
         for number in range(first + 1, until + 1):
             if run.request_id in self._stopping:
                 return False
             await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
-            await anyio.sleep(EVENT_INTERVAL_S)
+            await anyio.sleep(self.event_interval_s)
         return True
 
+    def event_count_of(self, run: ReceivedRequest) -> int:
+        """Return how many events the whole answer to a request has."""
+        return self.event_counts_by_target.get(run.target, self.event_count)
+
     def answer_headers(self, run: ReceivedRequest) -> tuple[tuple[bytes, bytes], ...]:
         """Return the headers that name the request, the endpoint and its weights."""
         identity_headers = (
@@ -656,8 +663,9 @@
 ) -> None:
     await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
     first = int(run.headers_by_name.get("last-event-id", "0"))
-    for number in range(first + 1, endpoint.event_count + 1):
-        if number == endpoint.event_count:
+    event_count = endpoint.event_count_of(run)
+    for number in range(first + 1, event_count + 1):
+        if number == event_count:
             await anyio.sleep(STALL_S)
         await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
     await connection.end()
@@ -780,7 +788,7 @@
     if not endpoint.model:
         return f"{run.request_id} by {endpoint.name}".encode()
     first = int(run.headers_by_name.get("last-event-id", "0"))
-    numbers = range(first + 1, endpoint.event_count + 1)
+    numbers = range(first + 1, endpoint.event_count_of(run) + 1)
     return b"".join(f"id: {each}\ndata: t{each}\n\n".encode() for each in numbers)
 
 
--- a/tests/test_soak/test_invariants.py
+++ b/tests/test_soak/test_invariants.py
@@ -46,6 +46,12 @@
     return RequestResult(sent, status, body, complete, sent_at + 0.1)
 
 
+def make_stream_of(event_count: int, body: bytes) -> RequestResult:
+    """Return the result of a stream that should have so many events."""
+    result = make_result("trace", body=body)
+    return replace(result, sent=replace(result.sent, event_count=event_count))
+
+
 class InvariantTests(unittest.TestCase):
     @parameterized.expand(
         [
@@ -66,6 +72,8 @@
                 [],
             ),
             ("ended_early", make_result("trace", body=STREAM[:15]), 1, ["whole"]),
+            ("short_stream", make_stream_of(1, STREAM[:15]), 1, []),
+            ("too_many_events", make_stream_of(1, STREAM), 1, ["whole"]),
             (
                 "gap",
                 make_result("trace", body=STREAM[15:], complete=False),
@@ -442,7 +450,7 @@
                 replace(UNANSWERED, ended_at=13.0),
                 EndpointRecords(arrivals=ARRIVED),
                 GatewayRecords(stops=(Period("g", 4.9, 13.0),)),
-                ["answered"],
+                ["answered", "stops in time"],
             ),
             (
                 "endpoint_failed_before_the_answer",
@@ -573,14 +581,14 @@
                 replace(BROKEN_STREAM, ended_at=9.9),
                 EndpointRecords(arrivals=ARRIVED),
                 GatewayRecords(stops=(Period("g", 1.9, 9.8),)),
-                ["answered"],
+                ["answered", "lost in a stop"],
             ),
             (
                 "stream_cut_early_in_the_grace",
                 BROKEN_STREAM,
                 EndpointRecords(arrivals=ARRIVED),
                 GatewayRecords(stops=(Period("g", 2.0, 9.8),)),
-                ["answered"],
+                ["answered", "lost in a stop"],
             ),
             (
                 "other_body_without_length_of_an_endpoint_that_crashed",
@@ -638,7 +646,9 @@
         gateways: GatewayRecords,
         expected: list[str],
     ) -> None:
-        changes = [replace(each, timeout_s=6.0) for each in CHANGES]
+        changes = [
+            replace(each, timeout_s=6.0, stream_timeout_s=6.0) for each in CHANGES
+        ]
         record = SoakRecord([result], ["r1"], changes, STREAM, (), endpoints, gateways)
         violations = find_violations(record)
         self.assertEqual([each.invariant for each in violations], expected)
@@ -727,7 +737,9 @@
             ended_runs=(run,),
             silences=(Period(silent, 4.0, silent_until),),
         )
-        changes = [replace(each, timeout_s=6.0) for each in CHANGES]
+        changes = [
+            replace(each, timeout_s=6.0, stream_timeout_s=6.0) for each in CHANGES
+        ]
         record = SoakRecord([result], ["r1"], changes, STREAM, (), endpoints)
         violations = find_violations(record)
         self.assertEqual([each.invariant for each in violations], expected)
