Ignore signals until a process that has been told to stop is gone

Cause: the receivers of signals give the default actions back when they end, and the interpreter still takes a while to end, seconds on a busy machine.

Change: both receivers ignore their signals once they have ended.

--- a/src/agatehoist/gateway/settings_reload.py
+++ b/src/agatehoist/gateway/settings_reload.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from agatehoist.core.signals import ignore_signals
 from agatehoist.errors import AgatehoistError
 from agatehoist.observability.logs import get_logger
 
@@ -42,9 +43,12 @@
 async def _reload_on_signal(
     state: GatewayState, path: Path, load: Callable[[Path], GatewaySettings]
 ) -> None:
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            _reload(state, path, load)
+    try:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                _reload(state, path, load)
+    finally:
+        ignore_signals(signal.SIGHUP)
 
 
 def _reload(
--- a/tests/test_core/test_signals.py
+++ b/tests/test_core/test_signals.py
@@ -11,13 +11,18 @@
 import anyio.lowlevel
 from parameterized import parameterized
 
-from agatehoist.core.signals import stop_signals
+from agatehoist.core.signals import STOP_SIGNALS, stop_signals
 
 BUSY_S = 0.4
 TOLERANCE_S = 0.1
 
 
 class StopSignalTests(unittest.TestCase):
+    def setUp(self) -> None:
+        # They are ignored after a stop.
+        for each in STOP_SIGNALS:
+            self.addCleanup(signal.signal, each, signal.getsignal(each))
+
     # The signals and how long the turn lasts in which each arrives.
     @parameterized.expand(
         [
--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -77,6 +77,7 @@
     ("sent_to_a_silent_endpoint", PROMPT_REQUEST, b"", 0.0, 502),
 )
 SIGHUPS = 20
+SIGNAL_INTERVAL_S = 0.002
 
 
 @dataclass(frozen=True, slots=True)
@@ -437,6 +438,22 @@
 
 
 class SignalTests(unittest.TestCase):
+    @parameterized.expand([("sighup", signal.SIGHUP), ("sigterm", signal.SIGTERM)])
+    def test_signals_until_the_process_is_gone_do_not_break_off_its_stop(
+        self, _name: str, number: signal.Signals
+    ) -> None:
+        async def run() -> None:
+            async with gateway_process() as gateway:
+                await gateway.wait_for_readiness()
+                process = gateway.fleet.processes_by_name[NAME]
+                process.send_signal(signal.SIGTERM)
+                while process.poll() is None:  # noqa: ASYNC110
+                    process.send_signal(number)
+                    await anyio.sleep(SIGNAL_INTERVAL_S)
+                self.assertEqual(process.returncode, 0, gateway.fleet.log(NAME))
+
+        anyio.run(run)
+
     def test_sighup_during_start_is_survived(self) -> None:
         async def run() -> None:
             async with gateway_process() as gateway:
