--- a/tests/test_gateway/test_slow_callers.py
+++ b/tests/test_gateway/test_slow_callers.py
@@ -16,6 +16,7 @@
     PROMPT_REQUEST,
     STREAM_END,
     read_piece,
+    read_until,
     slow_configuration,
 )
 
@@ -25,6 +26,8 @@
 # The kernel doubles it; the streams are longer.
 RECEIVE_BUFFER_BYTES = 1024
 EVENT_COUNT = 400
+LONG_EVENT_COUNT = 1000
+EVENT_INTERVAL_S = 0.002
 
 
 def connect_with_a_small_window(port: int) -> socket.socket:
@@ -64,6 +67,27 @@
         self.assertTrue(anyio.run(run).endswith(STREAM_END))
 
 
+class SlowCallerTests(unittest.TestCase):
+    # How long the caller reads nothing, while its buffer is full.
+    @parameterized.expand([("short_pause", 1.0), ("long_pause", 6.0)])
+    def test_answer_is_not_cut_while_a_live_caller_reads_nothing(
+        self, _name: str, pause_s: float
+    ) -> None:
+        world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
+        for each in world.engines:
+            each.event_count, each.event_interval_s = LONG_EVENT_COUNT, EVENT_INTERVAL_S
+
+        async def run() -> bytes:
+            async with running_gateway(world):
+                with connect_with_a_small_window(world.port) as sock:
+                    sock.send(PROMPT_REQUEST)
+                    await anyio.sleep(pause_s)
+                    return await read_until(sock, STREAM_END)
+
+        self.assertEqual(anyio.run(run).count(b"data:"), LONG_EVENT_COUNT)
+
+
 async def read_stream(sock: socket.socket) -> bytes:
     """Return what arrives until a stream or its connection ends."""
     received = b""
