--- a/tests/test_gateway/test_run_moves.py
+++ b/tests/test_gateway/test_run_moves.py
@@ -24,6 +24,7 @@
     running_gateway,
     until,
 )
+from tests.test_gateway.callers import slow_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -373,6 +374,7 @@
     ) -> None:
         """A run may be stopped only while it can be continued."""
         world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
         for each in world.engines:
             each.event_count = EVENT_COUNT
         bodies: list[bytes] = []
@@ -430,6 +432,7 @@
     def test_copy_that_is_not_used_is_freed(self) -> None:
         """It would hold a slot of its endpoint."""
         world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
         for each in world.engines:
             each.event_count = EVENT_COUNT
 
