Skip the empty lines that some callers send behind a body

What callers saw: a caller that ends a body with an empty line more than due got its answer, then an answer of 400 that it hadn't asked for, and the end of its connection; a client that keeps the connection takes it for the answer to its next request.

Cause: the parser refuses an empty line in place of a request line. RFC 9112, 2.2, asks a server to ignore it.

Change: line ends before a request are dropped. A connection that has sent only these as idle ones are closed in a stop is closed too, so the stop isn't held up by it.

Measured: the four rows of EmptyLineTests fail before (one 200, then 400) and pass; the row empty_line of the drain without requests fails without the second part of the change (not ended within 1 s) and passes.

--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -49,8 +49,7 @@
         """Close the idle connections, and later ones as soon as they are idle."""
         self._closes_idle = True
         for connection in tuple(self.waiting):
-            if connection.is_idle():
-                connection.close()
+            connection.close_when_idle()
 
     def end_reading(self) -> None:
         """Refuse the requests that haven't been read whole."""
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -83,6 +83,7 @@
         self._http = _make_parser(self._max_header_bytes)
         self._longest_idle_timeout_s = limits().idle_timeout_s
         self._has_ended_reading = False
+        self._closes_when_idle = False
         self._read_scope = anyio.CancelScope()
 
     @property
@@ -209,6 +210,7 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._skip_empty_lines()
         self._release_body()
         return True
 
@@ -231,6 +233,12 @@
         self._release_body()
         self._channel.close()
 
+    def close_when_idle(self) -> None:
+        """Close the connection, unless a part of a request has arrived."""
+        self._closes_when_idle = True
+        if self.is_idle():
+            self.close()
+
     def abort(self) -> None:
         """Reset the connection, so that a partial reply doesn't look complete."""
         self._release_body()
@@ -258,15 +266,27 @@
                 return
             with anyio.move_on_after(left_s):
                 self._http.receive_data(await self._channel.receive())
+                self._skip_empty_lines()
+            if self._closes_when_idle and self.is_idle():
+                return
+
+    def _skip_empty_lines(self) -> None:
+        """Drop the line ends that some callers send behind a body (RFC 9112, 2.2)."""
+        data, is_closed = self._http.trailing_data
+        if data.startswith((b"\r", b"\n")):
+            self._restart_parser(data.lstrip(b"\r\n"), is_closed)
 
     def _apply_header_limit(self) -> None:
         latest = self._limits().max_header_bytes
         if latest == self._max_header_bytes:
             return
-        # The parser's limit can't be changed; between requests it holds only input.
-        data, is_closed = self._http.trailing_data
         self._max_header_bytes = latest
-        self._http = _make_parser(latest)
+        self._restart_parser(*self._http.trailing_data)
+
+    def _restart_parser(self, data: bytes, is_closed: bool) -> None:
+        # The parser's limit and its input can't be changed; between requests it holds
+        # only input.
+        self._http = _make_parser(self._max_header_bytes)
         if data:
             self._http.receive_data(data)
         if is_closed:
--- a/tests/test_gateway/test_connection_ends.py
+++ b/tests/test_gateway/test_connection_ends.py
@@ -120,7 +120,9 @@
         self.assertEqual(received.count(b"HTTP/1.1 200"), 3)
         self.assertEqual(received.lower().count(b"connection: close"), 1)
 
-    def test_drain_ends_at_once_without_requests(self) -> None:
+    # What a caller sends as idle connections are closed.
+    @parameterized.expand([("idle", b""), ("empty_line", b"\r\n")])
+    def test_drain_ends_at_once_without_requests(self, _name: str, sent: bytes) -> None:
         async def run() -> None:
             world = GatewayHarness()
             async with running_gateway(world):
@@ -131,7 +133,9 @@
                     mock.patch.object(schedule, "IDLE_CLOSE_DELAY_S", 0.0),
                     anyio.fail_after(PROMPT_END_S),
                 ):
-                    await drain(world.state, lambda: None, anyio.current_time())
+                    await drain(
+                        world.state, lambda: sock.send(sent), anyio.current_time()
+                    )
 
         anyio.run(run)
 
@@ -223,3 +227,34 @@
 
         received = anyio.run(run)
         self.assertTrue(received.startswith(b"HTTP/1.1 " + status), received)
+
+
+class EmptyLineTests(unittest.TestCase):
+    # What a caller sends with its first request, while it is answered and with its
+    # second request.
+    @parameterized.expand(
+        [
+            ("with_the_request", b"\r\n", b"", b""),
+            ("during_the_answer", b"", b"\r\n", b""),
+            ("before_the_next_request", b"", b"", b"\r\n"),
+            ("in_two_pieces", b"", b"\r", b"\n\r\n"),
+        ]
+    )
+    def test_request_behind_an_empty_line_is_answered(
+        self, _name: str, with_first: bytes, meanwhile: bytes, with_second: bytes
+    ) -> None:
+        async def run() -> bytes:
+            world = GatewayHarness()
+            async with running_gateway(world):
+                with connect_as_caller(world.port) as sock:
+                    sock.send(PROMPT_REQUEST + with_first)
+                    received = await read_until(sock, b"data: t1\n")
+                    sock.send(meanwhile)
+                    received += await read_until(sock, STREAM_END)
+                    await anyio.sleep(LATER_S)
+                    sock.send(with_second + LAST_REQUEST)
+                    return received + await read_to_end(sock)
+
+        received = anyio.run(run)
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 2, received)
+        self.assertEqual(received.count(b"HTTP/1.1 "), 2, received)
