Hand answers to the kernel whole before a stop ends

What callers saw: an answer that its endpoint had finished ended early with the process, if its caller read slowly and the kernel held less than the answer (a small window, and a link with small packets, on which the kernel's buffer begins small). The gateway logged 'request unanswered', 'stopped'.

Cause: what waits in user space for room in the socket is lost with the process, while what the kernel holds is delivered after its end.

Change: as idle connections are closed, the send buffers of the others are enlarged to the largest reply, or what the machine allows (net.core.wmem_max), never made smaller. So endpoints whose callers read slowly also end their answers earlier.

--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -51,6 +51,11 @@
         for connection in tuple(self.waiting):
             connection.close_when_idle()
 
+    def enlarge_send_buffers(self) -> None:
+        """Let the kernel take the replies whole, however slowly the callers read."""
+        for connection in tuple(self._connections):
+            connection.enlarge_send_buffer()
+
     def end_reading(self) -> None:
         """Refuse the requests that haven't been read whole."""
         for connection in tuple(self._connections):
--- a/src/agatehoist/gateway/drain.py
+++ b/src/agatehoist/gateway/drain.py
@@ -48,6 +48,8 @@
     # Connections that have just been accepted begin to be served.
     await anyio.lowlevel.checkpoint()
     state.caller_connections.close_idle()
+    # No more are opened. Endpoints whose callers read slowly end their answers in time.
+    state.caller_connections.enlarge_send_buffers()
     with anyio.CancelScope(deadline=began_at + schedule.answers_at - now):
         await _wait_until_done(state)
         return
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -36,6 +36,8 @@
 # A peer that has got the last reply closes the connection within this time.
 LINGER_S = 1.0
 MAX_DISCARDED_BYTES = 8 * 1024 * 1024
+# More than the largest reply; the kernel may allow less.
+LAST_SEND_BUFFER_BYTES = 8 * 1024 * 1024
 # File descriptors run out under a flood of connections; accepting is retried until
 # some have been closed.
 ACCEPT_RETRY_DELAY_S = 0.05
@@ -120,6 +122,17 @@
                 discarded += len(data)
         self.close()
 
+    def enlarge_send_buffer(self) -> None:
+        """Let the kernel take all that is sent, so that it outlives this process."""
+        if self.closed:
+            return
+        with suppress(OSError):
+            enlarged = _largest_send_buffer_bytes()
+            # Setting it ends the kernel's own enlarging, which may have got further.
+            option = (socket.SOL_SOCKET, socket.SO_SNDBUF)
+            if self._sock.getsockopt(*option) < enlarged:
+                self._sock.setsockopt(*option, LAST_SEND_BUFFER_BYTES)
+
     def abort(self) -> None:
         """Reset the connection; undelivered data is discarded."""
         if self.closed:
@@ -155,6 +168,12 @@
     return int(struct.unpack("i", counted)[0])
 
 
+def _largest_send_buffer_bytes() -> int:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+
+
 async def connect(host: str, port: int) -> Channel:
     """Open a connection.
 
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -233,6 +233,10 @@
         self._release_body()
         self._channel.close()
 
+    def enlarge_send_buffer(self) -> None:
+        """Let the kernel take replies whole, however slowly the caller reads."""
+        self._channel.enlarge_send_buffer()
+
     def close_when_idle(self) -> None:
         """Close the connection, unless a part of a request has arrived."""
         self._closes_when_idle = True
--- a/tests/test_gateway/test_slow_callers.py
+++ b/tests/test_gateway/test_slow_callers.py
@@ -5,17 +5,22 @@
 import socket
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import anyio
 from parameterized import parameterized
 
 from agatehoist.gateway.drain import drain
+from agatehoist.http1 import channel
+from standins.users_platform import endpoint
 from standins.users_platform.harness import GatewayHarness, running_gateway, until
 from standins.users_platform.loopback import HOST
 from tests.test_gateway.callers import (
+    POST_REQUEST,
     PROMPT_REQUEST,
     STREAM_END,
     read_piece,
+    read_to_end,
     slow_configuration,
 )
 
@@ -25,6 +30,9 @@
 # The kernel doubles it; the streams are longer.
 RECEIVE_BUFFER_BYTES = 1024
 EVENT_COUNT = 400
+SEND_BUFFER_BYTES = 4096
+# More than both buffers hold.
+ANSWER_BYTES = 100_000
 
 
 def connect_with_a_small_window(port: int) -> socket.socket:
@@ -64,6 +72,49 @@
         self.assertTrue(anyio.run(run).endswith(STREAM_END))
 
 
+class SmallBufferTests(unittest.TestCase):
+    # What a caller sends and the answer of the endpoint.
+    @parameterized.expand(
+        [("reply", POST_REQUEST, "large"), ("stream", PROMPT_REQUEST, "flood")]
+    )
+    def test_answer_that_its_caller_reads_after_a_stop_is_whole(
+        self, _name: str, sent: bytes, answer: str
+    ) -> None:
+        world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
+        for each in world.endpoints():
+            each.faults = [answer]
+
+        async def run() -> bytes:
+            async with running_gateway(world):
+                settings = replace(world.state.settings, stop_grace_s=GRACE_S)
+                world.state.settings = settings
+                with mock.patch.object(channel, "configure_socket", limit_send_buffer):
+                    sock = connect_with_a_small_window(world.port)
+                    sock.send(sent)
+                    await until(lambda: bool(world.runs()))
+                await drain(world.state, lambda: None, anyio.current_time())
+            # The process has ended.
+            with sock:
+                return await read_to_end(sock)
+
+        with (
+            mock.patch.object(endpoint, "LARGE_ANSWER_BYTES", ANSWER_BYTES),
+            mock.patch.object(
+                endpoint, "FLOOD_EVENTS", ANSWER_BYTES // len(endpoint.FLOOD_DATA)
+            ),
+        ):
+            received = anyio.run(run)
+        self.assertGreater(len(received), ANSWER_BYTES)
+        if answer == "flood":
+            self.assertTrue(received.endswith(STREAM_END))
+
+
+def limit_send_buffer(sock: socket.socket, _timeout_ms: int = 0) -> None:
+    """Let the kernel hold little of what is sent, as on a link with small packets."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 async def read_stream(sock: socket.socket) -> bytes:
     """Return what arrives until a stream or its connection ends."""
     received = b""
--- a/tests/test_http1/test_channel.py
+++ b/tests/test_http1/test_channel.py
@@ -12,6 +12,7 @@
 import anyio.lowlevel
 from parameterized import parameterized
 
+from agatehoist.http1 import channel
 from agatehoist.http1.channel import RECEIVE_BYTES, Channel, connect
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.protocol.errors import ConnectionLostError
@@ -80,6 +81,21 @@
         self.assertEqual(anyio.run(run) == 0, reads)
 
 
+class SendBufferTests(unittest.TestCase):
+    # What the kernel allows at most, against a buffer of 64 KiB (it counts both twice).
+    @parameterized.expand([("less", 16, 128), ("more", 128, 256)])
+    def test_send_buffer_is_never_made_smaller(
+        self, _name: str, allowed_kib: int, size_kib: int
+    ) -> None:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 64 * 1024)
+            allowed = allowed_kib * 1024
+            with patch.object(channel, "LAST_SEND_BUFFER_BYTES", allowed):
+                Channel(sock, "peer").enlarge_send_buffer()
+            size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        self.assertEqual(size, size_kib * 1024)
+
+
 class ConnectTests(unittest.TestCase):
     @parameterized.expand(
         [
