--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -49,8 +49,12 @@
         """Close the idle connections, and later ones as soon as they are idle."""
         self._closes_idle = True
         for connection in tuple(self.waiting):
-            if connection.is_idle():
-                connection.close()
+            connection.close_when_idle()
+
+    def enlarge_send_buffers(self) -> None:
+        """Let the kernel take the replies whole, however slowly the callers read."""
+        for connection in tuple(self._connections):
+            connection.enlarge_send_buffer()
 
     def end_reading(self) -> None:
         """Refuse the requests that haven't been read whole."""
