Tell peers how long requests wait at slow endpoints

What callers saw: streams were sent to engines with replaced weights shortly before the limit and began after it, as they waited behind the requests of other gateways.

Cause: a gateway learned the wait at an engine from its own requests of the last 5 s alone. With 31 gateways before 28 engines it has about one sample an engine, with 390 before 1,200 nearly none, so its margin stayed near the least.

Ruled out: asking engines for their queue costs a probe a request; counting each engine of which little is known as the slowest one, at any gateway, would refuse at most engines in a large fleet, where nearly all are unknown.

test_request_goes_to_no_endpoint_that_peers_have_seen_slow_1_long_wait fails (200 for 503) where the handler drops what peers report.

--- a/src/agatehoist/fleet/first_events.py
+++ b/src/agatehoist/fleet/first_events.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from agatehoist.protocol.node_reports import endpoint_key
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -17,6 +19,8 @@
 SAMPLE_MAX_AGE_S = 5.0
 # With fewer recent samples, little is known of an endpoint.
 MIN_KNOWN_SAMPLES = 3
+# Peers report the waits at slow endpoints once a second; datagrams may be lost.
+PEER_WAIT_MAX_AGE_S = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +35,7 @@
     def __init__(self) -> None:
         self._samples_by_lifetime: dict[str, deque[_Sample]] = {}
         self._sent_at_by_lifetime: dict[str, dict[AttemptId, float]] = {}
+        self._peer_waits_by_key: dict[bytes, _Sample] = {}
 
     @contextmanager
     def waiting(
@@ -52,7 +57,37 @@
             )
             samples.append(_Sample(now, now - sent_at))
 
+    def note_peer_waits(self, waits_s_by_key: dict[bytes, float], now: float) -> None:
+        """Record the waits that a peer has measured, by the keys of the endpoints."""
+        recent = {
+            key: sample
+            for key, sample in self._peer_waits_by_key.items()
+            if now <= sample.at + PEER_WAIT_MAX_AGE_S
+        }
+        for key, wait_s in waits_s_by_key.items():
+            known = recent.get(key)
+            if known is None or wait_s >= known.wait_s:
+                recent[key] = _Sample(now, wait_s)
+        self._peer_waits_by_key = recent
+
+    def slow_endpoints(self, min_wait_s: float, now: float) -> dict[bytes, float]:
+        """Return the waits that this process has measured, by endpoint key."""
+        lifetimes = self._samples_by_lifetime.keys() | self._sent_at_by_lifetime.keys()
+        waits_s = {each: self._own_slowest_s(each, now) for each in lifetimes}
+        return {
+            endpoint_key(lifetime): wait_s
+            for lifetime, wait_s in waits_s.items()
+            if wait_s >= min_wait_s
+        }
+
     def slowest_s(self, lifetime: str, now: float) -> float:
+        """Return the longest recent wait that is known, also at peers, or 0."""
+        told = self._peer_waits_by_key.get(endpoint_key(lifetime))
+        is_recent = told is not None and now <= told.at + PEER_WAIT_MAX_AGE_S
+        told_s = told.wait_s if told is not None and is_recent else 0.0
+        return max(told_s, self._own_slowest_s(lifetime, now))
+
+    def _own_slowest_s(self, lifetime: str, now: float) -> float:
         """Return the longest recent wait, also of requests that still wait, or 0."""
         waiting_since = self._sent_at_by_lifetime.get(lifetime, {})
         waiting = (now - at for at in waiting_since.values())
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -23,7 +23,8 @@
     receive_datagrams,
     send_datagram,
 )
-from agatehoist.protocol.datagrams import NODE_REPORT
+from agatehoist.protocol.datagrams import FIRST_EVENT_WAITS, NODE_REPORT
+from agatehoist.protocol.first_event_waits import decode_waits, encode_waits
 from agatehoist.protocol.node_reports import (
     NodeReport,
     TargetWeightsAge,
@@ -49,6 +50,8 @@
 BYTES_PER_REQUEST = 500.0
 # IP and UDP headers.
 DATAGRAM_HEADER_BYTES = 28
+# Shorter waits don't change where a request may begin on replaced weights.
+MIN_REPORTED_WAIT_S = 0.5
 # Prompt parts in one report; more of them would leave too little space for the load.
 MAX_READS = 30
 # With more peers, reports would be older than a second under these limits.
@@ -104,12 +107,16 @@
             state.parts.pop_unreported(MAX_READS),
         )
         reported_loads = loads
-        data = encode_report(report)
+        datagrams = [encode_report(report)]
+        if is_full and (waits_s_by_key := waits_to_report(state)):
+            datagrams.append(encode_waits(waits_s_by_key))
         peers = select_peers(state.settings.inner, state.nodes)
-        for peer in peers:
-            # The next full report replaces a lost one.
-            send_datagram(sock, data, peer)
-        sent_bytes = len(peers) * (len(data) + DATAGRAM_HEADER_BYTES)
+        for data in datagrams:
+            for peer in peers:
+                # The next full report replaces a lost one.
+                send_datagram(sock, data, peer)
+        datagram_bytes = sum(len(each) + DATAGRAM_HEADER_BYTES for each in datagrams)
+        sent_bytes = len(peers) * datagram_bytes
         requests = state.load.started_requests
         await anyio.sleep(pause_after(sent_bytes, requests - requests_before))
         requests_before = requests
@@ -137,6 +144,27 @@
     )
 
 
+def waits_to_report(state: GatewayState) -> dict[bytes, float]:
+    """Return the waits at slow endpoints while any have replaced weights.
+
+    A peer knows too little of an endpoint whose queue other nodes fill.
+    """
+    targets = state.weights.targets_by_model.values()
+    if all(_is_in_force(state, each) for each in targets):
+        return {}
+    now = state.clock.now()
+    return state.load.first_events.slow_endpoints(MIN_REPORTED_WAIT_S, now)
+
+
+@DATAGRAM_HANDLERS.register(FIRST_EVENT_WAITS)
+def receive_waits(state: GatewayState, data: bytes, _sent_after: float) -> None:
+    """Take over the waits that a peer has measured.
+
+    Raises BadFrameError.
+    """
+    state.load.first_events.note_peer_waits(decode_waits(data), state.clock.now())
+
+
 def _is_in_force(state: GatewayState, weights: TargetWeights) -> bool:
     if not state.weights.is_in_force(weights):
         endpoints = ModelEndpoints(state, weights.model)
--- a/tests/test_fleet/test_first_events.py
+++ b/tests/test_fleet/test_first_events.py
@@ -11,10 +11,12 @@
 from agatehoist.fleet.first_events import (
     MAX_SAMPLES,
     MIN_KNOWN_SAMPLES,
+    PEER_WAIT_MAX_AGE_S,
     SAMPLE_MAX_AGE_S,
     FirstEventTimes,
 )
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S, Load
+from agatehoist.protocol.node_reports import endpoint_key
 
 FIRST, SECOND = AttemptId("i", 1), AttemptId("i", 2)
 
@@ -64,6 +66,35 @@
         self.assertEqual(times.slowest_s("e", 20.0), 0.0)
 
 
+class PeerWaitTests(unittest.TestCase):
+    # The waits at an endpoint that peers report, each with its time, and the longest
+    # wait that counts at second 12.
+    @parameterized.expand(
+        [
+            ("none", [], 0.4),
+            ("longer", [(11.0, 1.5)], 1.5),
+            ("shorter", [(11.0, 0.3)], 0.4),
+            ("one_peer_has_seen_it_fast", [(11.0, 1.5), (11.5, 0.6)], 1.5),
+            ("old", [(12.0 - PEER_WAIT_MAX_AGE_S - 0.1, 1.5)], 0.4),
+            ("old_and_faster_now", [(9.0, 1.5), (11.9, 0.6)], 0.6),
+        ]
+    )
+    def test_queue_that_other_gateways_fill_is_known(
+        self, _name: str, told: list[tuple[float, float]], expected: float
+    ) -> None:
+        times = FirstEventTimes()
+        for at, wait_s in told:
+            times.note_peer_waits({endpoint_key("e"): wait_s}, at)
+        with times.waiting("e", FIRST, 11.6):
+            self.assertAlmostEqual(times.slowest_s("e", 12.0), expected)
+
+    def test_peers_are_not_told_again_what_they_have_measured(self) -> None:
+        times = FirstEventTimes()
+        times.note_peer_waits({endpoint_key("e"): 3.0, endpoint_key("f"): 3.0}, 12.0)
+        with times.waiting("e", FIRST, 11.0), times.waiting("g", SECOND, 11.9):
+            self.assertEqual(times.slow_endpoints(0.5, 12.0), {endpoint_key("e"): 1.0})
+
+
 class BeginWaitTests(unittest.TestCase):
     # Answers of the endpoint that have begun lately, and how much longer than assumed
     # its own prompt may take: another endpoint takes 8 times as long.
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -11,10 +11,16 @@
 from parameterized import parameterized
 
 from agatehoist.gateway.endpoint_choice import latest_start, required_version
-from agatehoist.gateway.peer_reports import record_target_times, target_ages
+from agatehoist.gateway.peer_reports import (
+    receive_waits,
+    record_target_times,
+    target_ages,
+    waits_to_report,
+)
 from agatehoist.gateway.plans import PLAN_KIND, write_plan
 from agatehoist.gateway.topics import WEIGHTS_TOPIC
-from agatehoist.protocol.node_reports import NodeReport, TargetWeightsAge
+from agatehoist.protocol.first_event_waits import encode_waits
+from agatehoist.protocol.node_reports import NodeReport, TargetWeightsAge, endpoint_key
 from agatehoist.stopping.schedule import StopSchedule
 from agatehoist.storage.revisions import NO_REVISION
 from agatehoist.weights.types import Plan, TargetWeights
@@ -265,6 +271,69 @@
         self.assertEqual(anyio.run(run), expected)
 
 
+class PeerWaitTests(unittest.TestCase):
+    # How long ago the target was set, how long requests of another gateway have waited
+    # at the engines, which have replaced weights, and the status of a request.
+    @parameterized.expand(
+        [
+            ("no_wait", 5.0, None, 200),
+            ("long_wait", 6.0, 2.0, 503),
+            ("long_wait_in_time", 3.0, 2.0, 200),
+        ]
+    )
+    def test_request_goes_to_no_endpoint_that_peers_have_seen_slow(
+        self, _name: str, age_s: float, told_s: float | None, expected: int
+    ) -> None:
+        """With many gateways, one has no requests of its own that tell of a queue."""
+        world = GatewayHarness()
+
+        async def run() -> int:
+            async with running_gateway(world):
+                state, now = world.state, world.state.clock.now()
+                state.started_at = now - 60.0
+                state.weights.set_target(TargetWeights(MODEL, 2), now - age_s)
+                if told_s is not None:
+                    endpoints = state.fleet.by_name.values()
+                    keys = [endpoint_key(each.lifetime) for each in endpoints]
+                    waits = dict.fromkeys(keys, told_s)
+                    receive_waits(state, encode_waits(waits), now)
+                return (await world.ask_prompt("/trace/1")).head.status
+
+        self.assertEqual(anyio.run(run), expected)
+
+    # The versions of the engines, of which 2 is the target, how long a request has
+    # waited at one, and whether peers are told.
+    @parameterized.expand(
+        [
+            ("replaced", (2, 2, 1), 0.9, True),
+            ("short_wait", (2, 2, 1), 0.2, False),
+            ("in_force", (2, 2, 2), 0.9, False),
+        ]
+    )
+    def test_peers_are_told_of_waits_while_weights_are_replaced(
+        self,
+        _name: str,
+        versions: tuple[int, ...],
+        wait_s: float,
+        is_told: bool,
+    ) -> None:
+        """The reports of a node are limited, and nothing else needs the waits."""
+        world = GatewayHarness()
+        for engine, version in zip(world.engines, versions, strict=True):
+            engine.version = version
+
+        async def run() -> set[bytes]:
+            async with running_gateway(world):
+                state, now = world.state, world.state.clock.now()
+                state.weights.set_target(TargetWeights(MODEL, 2), now - 1.0)
+                times, attempt = state.load.first_events, state.next_attempt_id()
+                with times.waiting("engine-0@1", attempt, now - wait_s):
+                    return set(waits_to_report(state))
+
+        expected = {endpoint_key("engine-0@1")} if is_told else set()
+        self.assertEqual(anyio.run(run), expected)
+
+
 class WaitingRunTests(unittest.TestCase):
     # The path, how long ago the target was set as the request is sent, how long it
     # waits in the queue of its engine, and its status. All engines have replaced
--- a/tests/test_protocol/test_odd_frames.py
+++ b/tests/test_protocol/test_odd_frames.py
@@ -13,11 +13,13 @@
 from agatehoist.protocol.datagrams import (
     CRASH_EVIDENCE,
     ENDPOINT_NOTICES,
+    FIRST_EVENT_WAITS,
     MAX_DATAGRAM_BYTES,
     NODE_REPORT,
 )
 from agatehoist.protocol.endpoint_notices import decode_notices
 from agatehoist.protocol.errors import BadFrameError
+from agatehoist.protocol.first_event_waits import decode_waits
 from agatehoist.protocol.node_reports import (
     MAX_NAME_CHARACTERS,
     NodeReport,
@@ -61,6 +63,7 @@
         lambda data: decode_notices(data, NOW),
         [ENDPOINT_NOTICES, [[KEY, 2.0, True, 5]]],
     ),
+    "waits": (decode_waits, [FIRST_EVENT_WAITS, [[KEY, 700]]]),
     "permit_request": (decode_permit_request, [1, KEY, 2.0, 1]),
     "permit": (lambda data: decode_permit(data, NOW), [1, True, 5]),
     "feed_request": (decode_request, [VERSION, 0.5, {"plans": [0, 1]}]),
