--- a/soak/answer_invariants.py
+++ b/soak/answer_invariants.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from soak.types import RequestResult, SoakRecord
+    from soak.types import Period, RequestResult, SoakRecord
 
 # A request whose connection ends sooner after its last byte may not have been read.
 LOSS_SLACK_S = 0.2
@@ -20,6 +20,8 @@
 # answer that takes so long may be broken off.
 LATE_REQUESTS_S = 3.0
 BREAK_OFF_S = GRACE_S * 5 / 6
+# A stop counts for so long after its grace.
+AFTER_GRACE_S = 1.0
 # Faults of the stand-ins after which the answer goes on.
 SILENCES = frozenset(
     {"silent_before_head", "silent_before_body", "silent_between_events"}
@@ -42,7 +44,7 @@
         broken_off = each.status == HTTPStatus.OK and (
             is_broken_off(record, each, runs_by_id[request_id])
             or has_timed_out(record, each)
-            or _outlasts_stop(record, each)
+            or outlasts_stop(record, each, runs_by_id[request_id])
         )
         if not broken_off and not _is_killed(record, each):
             detail = f"status {each.status}, not complete, at {each.sent.gateway}"
@@ -68,7 +70,7 @@
             any(run.endpoint in silent for run in runs)
             and not is_broken_off(record, each, runs)
             and not has_timed_out(record, each)
-            and not _outlasts_stop(record, each)
+            and not outlasts_stop(record, each, runs)
             and not _is_killed(record, each)
         ):
             detail = f"status {each.status}, complete {each.complete}"
@@ -127,13 +129,43 @@
     )
 
 
-def _outlasts_stop(record: SoakRecord, result: RequestResult) -> bool:
-    """Return whether a request that came in time lasted to the end of the grace."""
-    return any(
-        each.subject == result.sent.gateway
-        and result.sent.sent_at <= each.began_at + LATE_REQUESTS_S
-        and each.began_at + BREAK_OFF_S
-        <= result.ended_at
-        <= each.ended_at + LOSS_SLACK_S
+def outlasts_stop(
+    record: SoakRecord, result: RequestResult, runs: Sequence[EndedRun]
+) -> bool:
+    """Return whether an endpoint was still at work near the end of the grace.
+
+    The request must have come in time.
+    """
+    stop = last_stop(record, result)
+    if stop is None:
+        return False
+    worked_until = max(
+        (_passed_on_at(record, each) for each in runs), default=result.ended_at
+    )
+    return (
+        result.sent.sent_at <= stop.began_at + LATE_REQUESTS_S
+        and min(worked_until, result.ended_at) >= stop.began_at + BREAK_OFF_S
+    )
+
+
+def last_stop(record: SoakRecord, result: RequestResult) -> Period | None:
+    """Return the stop of its gateway beside which a request ended, if there is one."""
+    stops = [
+        each
         for each in record.gateways.stops
+        if each.subject == result.sent.gateway
+        and each.began_at <= result.ended_at <= each.began_at + GRACE_S + AFTER_GRACE_S
+    ]
+    return max(stops, key=lambda each: each.began_at, default=None)
+
+
+def _passed_on_at(record: SoakRecord, run: EndedRun) -> float:
+    """Return when the end of a run left its endpoint, which may be silent then."""
+    return max(
+        (
+            each.ended_at
+            for each in record.endpoints.silences
+            if each.subject == run.endpoint and each.overlaps(run.end.at, run.end.at)
+        ),
+        default=run.end.at,
     )
--- a/soak/stop_invariants.py
+++ b/soak/stop_invariants.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from soak.answer_invariants import (
-    BREAK_OFF_S,
-    LATE_REQUESTS_S,
     has_timed_out,
     is_broken_off,
+    last_stop,
+    outlasts_stop,
     was_read,
 )
 from soak.invariants import INVARIANT_CHECKS
@@ -16,12 +16,9 @@
 from standins.users_platform.prompts import STABLE_S
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence, Set
+    from collections.abc import Iterator, Set
 
-    from soak.types import EndedRun, Period, RequestResult, SoakRecord
-
-# A stop counts for so long after its grace.
-AFTER_GRACE_S = 1.0
+    from soak.types import RequestResult, SoakRecord
 
 
 @INVARIANT_CHECKS.register("stops in time")
@@ -50,14 +47,14 @@
         request_id = each.sent.request_id
         endpoints = endpoints_by_id.get(request_id, set())
         runs = runs_by_id[request_id]
-        stop = _last_stop(record, each)
+        stop = last_stop(record, each)
         if (
             stop is not None
             and (endpoints or was_read(record, each))
             and not _is_impaired(record, each, endpoints)
             and not is_broken_off(record, each, runs)
             and not has_timed_out(record, each)
-            and not (endpoints and _is_excused(record, each, runs, stop))
+            and not (endpoints and outlasts_stop(record, each, runs))
         ):
             sent_s, ended_s = (
                 at - stop.began_at for at in (each.sent.sent_at, each.ended_at)
@@ -67,17 +64,6 @@
             yield Violation("lost in a stop", request_id, detail)
 
 
-def _last_stop(record: SoakRecord, result: RequestResult) -> Period | None:
-    """Return the stop of its gateway beside which a request ended, if there is one."""
-    stops = [
-        each
-        for each in record.gateways.stops
-        if each.subject == result.sent.gateway
-        and each.began_at <= result.ended_at <= each.began_at + GRACE_S + AFTER_GRACE_S
-    ]
-    return max(stops, key=lambda each: each.began_at, default=None)
-
-
 def _is_impaired(
     record: SoakRecord, result: RequestResult, endpoints: Set[str]
 ) -> bool:
@@ -92,31 +78,3 @@
             *(p for p in paths if p.subject in endpoints),
         )
     )
-
-
-def _is_excused(
-    record: SoakRecord, result: RequestResult, runs: Sequence[EndedRun], stop: Period
-) -> bool:
-    """Return whether an endpoint was still at work near the end of the grace.
-
-    The request must have come in time.
-    """
-    worked_until = max(
-        (_passed_on_at(record, each) for each in runs), default=result.ended_at
-    )
-    return (
-        result.sent.sent_at <= stop.began_at + LATE_REQUESTS_S
-        and min(worked_until, result.ended_at) >= stop.began_at + BREAK_OFF_S
-    )
-
-
-def _passed_on_at(record: SoakRecord, run: EndedRun) -> float:
-    """Return when the end of a run left its endpoint, which may be silent then."""
-    return max(
-        (
-            each.ended_at
-            for each in record.endpoints.silences
-            if each.subject == run.endpoint and each.overlaps(run.end.at, run.end.at)
-        ),
-        default=run.end.at,
-    )
