--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -14,6 +14,7 @@
 from soak.traffic import PROMPT_COUNT
 from soak.types import GRACE_S, DeadlyRequest, LaterSignal, StatementPeriod
 from standins.users_platform.endpoint import EVENT_INTERVAL_S, FAULTS
+from standins.users_platform.harness import until
 from standins.users_platform.store import RawJson
 
 if TYPE_CHECKING:
@@ -92,6 +93,7 @@
     with testbed.recording_fault(gateway):
         down_s = rng.uniform(0, PAUSE_S)
         await testbed.restart(gateway, signal.SIGTERM, down_s, later_signals=later)
+        await until(lambda: testbed.has_started(gateway))
 
 
 @FAULT_INJECTORS.register("planned_work")
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -98,7 +98,7 @@
 
 
 class SlowlyReadChannel(Channel):
-    """Pause before each read."""
+    """Pause after each read."""
 
     def __init__(self, sock: socket.socket, peer: str, rng: random.Random) -> None:
         super().__init__(sock, peer)
@@ -106,8 +106,10 @@
 
     async def receive(self) -> bytes:
         """Return the next bytes, some time after they came."""
+        # A connection that ends without an answer is noticed at once.
+        data = await super().receive()
         await anyio.sleep(self._rng.uniform(0, MAX_READ_PAUSE_S))
-        return await super().receive()
+        return data
 
 
 async def open_connection(testbed: Testbed, gateway: str) -> CallerConnection:
