--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -108,7 +108,8 @@
         """Return the next bytes, some time after they came."""
         # A connection that ends without an answer is noticed at once.
         data = await super().receive()
-        await anyio.sleep(self._rng.uniform(0, MAX_READ_PAUSE_S))
+        if data:
+            await anyio.sleep(self._rng.uniform(0, MAX_READ_PAUSE_S))
         return data
 
 
