Take the permit of a move before its copy, and both retries together

A permit is asked for before a copy is made, and the retries for the destination and the source are checked together, so that none is taken and given back.

--- a/src/agatehoist/attempts/budget.py
+++ b/src/agatehoist/attempts/budget.py
@@ -106,14 +106,14 @@
         self._requests_at.append(self._clock.now())
         self._discard_expired()
 
-    def has_retry(self, unspent_share: float = 0.0) -> bool:
-        """Return whether a retry would leave a share of the budget unspent."""
+    def has_retry(self, unspent_share: float = 0.0, count: int = 1) -> bool:
+        """Return whether so many retries would leave a share of the budget unspent."""
         self._discard_expired()
         slack = self._slack
         if self._clock.now() < self._full_slack_from:
             slack *= SLACK_SHARE_AT_START
         allowed = self._ratio * len(self._requests_at) + slack
-        return len(self._retries_at) + 1 <= (1 - unspent_share) * allowed
+        return len(self._retries_at) + count <= (1 - unspent_share) * allowed
 
     def try_spend(self, unspent_share: float = 0.0) -> bool:
         """Take one retry if at least `unspent_share` of the budget remains unspent."""
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -81,8 +81,8 @@
 # A request sent on a reused connection to an endpoint that has vanished may have run,
 # so an endpoint that has been silent for longer gets a new connection.
 MAX_SILENCE_FOR_REUSE_S = 0.4
-# A move copies the run, asks for a permit and stops the run; one without an outcome by
-# this time has failed.
+# A move asks for a permit, copies the run and stops it; one without an outcome by this
+# time has failed.
 MAX_MOVE_S = 2 * MOVE_TIMEOUT_S + 0.5
 # An endpoint that crashes over a prompt does so as it begins to answer; a few events
 # may still arrive.
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -25,6 +25,7 @@
 from agatehoist.placement.types import Candidate, Offer
 
 if TYPE_CHECKING:
+    from agatehoist.attempts.budget import WindowBudget
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.attempt import Attempt
     from agatehoist.gateway.state import GatewayState
@@ -58,7 +59,8 @@
     if destination is None:
         return None
     retry_budget = state.retry_budget(request.service)
-    if not retry_budget.has_retry(RESERVED_BUDGET_SHARE):
+    # They are taken when the run is stopped.
+    if not _has_retries(retry_budget):
         return None
     if _may_be_cut(state, MOVE_TIMEOUT_S):
         return None
@@ -81,8 +83,13 @@
     """Return the least loaded endpoint that can continue a run, or None."""
     now = state.clock.now()
     source = attempt.dispatch.endpoint
+    possible = (
+        each
+        for each in _possible_destinations(state, request, attempt)
+        if held_back_until(state, each, MOVE_PRIORITY) is None
+    )
     return min(
-        _possible_destinations(state, request, attempt),
+        possible,
         # An endpoint in another data centre counts as if it had one more run. One with
         # a limit may give no permit.
         key=lambda each: (
@@ -125,7 +132,6 @@
         and not state.weights.is_changing(each, now)
         and not state.suspects.is_suspected(each.name, now)
         and not state.active_requests.failed_copies.is_suspected(each.name, now)
-        and held_back_until(state, each, MOVE_PRIORITY) is None
         and state.fleet.version_of(each, prompt.model) == version
     ]
 
@@ -153,6 +159,10 @@
     """Copy a run while it goes on, then stop it and continue it at the destination."""
     source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
     failed_copies = state.active_requests.failed_copies
+    if not await acquire_permit(state, destination, MOVE_PRIORITY):
+        logger.info("run not moved", request=request_id, reason="no permit")
+        await attempt.cancel_move()
+        return
     try:
         name = await copy_run(state, source, request_id, destination)
     except CallFailedError as error:
@@ -183,10 +193,10 @@
     destination: Endpoint,
     may_retry: bool,
 ) -> str:
-    """Return why a copied run isn't to be stopped, or take what its move needs.
+    """Return why a copied run isn't to be stopped, or take the retries for its move.
 
-    That is a permit of the destination and two retries: it counts the continued run as
-    one, and so does the source if the run goes on there after all.
+    The destination counts the continued run as a retry, and so does the source if the
+    run goes on there after all.
     """
     if attempt.has_ended:
         return "the run has ended"
@@ -194,19 +204,21 @@
         return "the run has failed"
     if destination not in _possible_destinations(state, request, attempt):
         return "the destination has changed"
-    if not await acquire_permit(state, destination, MOVE_PRIORITY):
-        return "no permit"
     if _may_be_cut(state, CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S):
         return "the process stops"
-    retry_budget = state.retry_budget(request.service)
-    if not retry_budget.try_spend(RESERVED_BUDGET_SHARE):
+    budget = state.retry_budget(request.service)
+    if not _has_retries(budget):
         return "no retry left"
-    if not retry_budget.try_spend():
-        retry_budget.give_back()
-        return "no retry left to go on at the source"
+    budget.try_spend()
+    budget.try_spend()
     return ""
 
 
+def _has_retries(budget: WindowBudget) -> bool:
+    """Return whether retries are left for the destination and for the source."""
+    return budget.has_retry(RESERVED_BUDGET_SHARE) and budget.has_retry(count=2)
+
+
 async def _stop(
     state: GatewayState,
     request: RoutedRequest,
--- a/tests/test_attempts/test_window_budget.py
+++ b/tests/test_attempts/test_window_budget.py
@@ -33,6 +33,29 @@
                 self.assertLessEqual(sum(at >= since for at in retries), allowed)
         self.assertTrue(retries)
 
+    def test_retries_that_are_given_back_leave_no_window_with_too_many(self) -> None:
+        rng = random.Random(7)
+        clock = ManualClock(100.0)
+        budget = WindowBudget(clock, RATIO, SLACK, WINDOW_S, 0.0)
+        requests: list[float] = []
+        retries: list[float] = []
+        unused: list[float] = []
+        for _ in range(3000):
+            clock.advance_to(clock.now() + rng.expovariate(rng.choice([1, 20, 100])))
+            now, kind = clock.now(), rng.random()
+            if kind < 0.5:
+                budget.note_request()
+                requests.append(now)
+            elif unused and (kind < 0.6 or now > unused[0] + WINDOW_S / 2):
+                budget.give_back()
+                unused.pop()
+            elif budget.try_spend():
+                (unused if kind < 0.75 else retries).append(now)
+                since = now - WINDOW_S
+                allowed = RATIO * sum(at >= since for at in requests) + SLACK
+                self.assertLessEqual(sum(at >= since for at in retries), allowed)
+        self.assertGreater(len(retries), SLACK)
+
     def test_unspent_share_is_left(self) -> None:
         budget = WindowBudget(ManualClock(100.0), RATIO, SLACK, WINDOW_S, 0.0)
         spent = [budget.try_spend(unspent_share=0.4) for _ in range(5)]
