Keep the answers that routers have not received in a sidecar's stop

Callers saw a call or completion end as "outcome unknown" that its endpoint had carried out: the connection between router and sidecar was lost while the sidecar was stopping, and it ended as soon as the run had, or at once if the run was over. The router came back for the answer, in some tenths of a second up to seconds, and found nothing.

The end was taken from the tasks in flight, not from the state of the answers.

--- a/src/agatehoist/sidecar/answer_stream.py
+++ b/src/agatehoist/sidecar/answer_stream.py
@@ -52,6 +52,7 @@
     now = state.clock.now()
     with anyio.move_on_after(cancellation_time(prefill, now) - now):
         await execution.wait_first_token()
+    execution.is_settled = True
     execution.scope.cancel()
 
 
@@ -76,3 +77,5 @@
     await session.send(execution.final_message)
     with anyio.move_on_after(ACKNOWLEDGE_TIMEOUT_S):
         await execution.wait_acknowledged(reader)
+    # A router that goes on without an acknowledgement doesn't need the answer.
+    execution.is_settled = True
--- a/src/agatehoist/sidecar/execution.py
+++ b/src/agatehoist/sidecar/execution.py
@@ -45,6 +45,8 @@
         self.scope = anyio.CancelScope()
         self.started = False
         self.prefill: Prefill | None = None
+        # Whether its router has the whole answer, or wants no more of it.
+        self.is_settled = False
         # If no reader ever attaches, the attempt is abandoned at its deadline.
         self.abandon_at = deadline
         self.retained_until = math.inf
@@ -102,6 +104,10 @@
         """Return whether the running attempt has had no reader for too long."""
         return self.final_message is None and self.abandon_at < now
 
+    def is_awaited(self, now: float) -> bool:
+        """Return whether a router may still come back for the answer."""
+        return not self.is_settled and now < self.abandon_at
+
     def is_expired(self, now: float) -> bool:
         """Return whether the retention time of an ended answer has passed."""
         expires_at = min(self.retained_until, self.deadline + EXECUTION_RETENTION_S)
