--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -29,7 +29,7 @@
 )
 from agatehoist.gateway.crashes import check_crash
 from agatehoist.gateway.endpoint_calls import MOVE_TIMEOUT_S
-from agatehoist.gateway.endpoint_choice import urgency
+from agatehoist.gateway.endpoint_choice import latest_start, urgency
 from agatehoist.gateway.endpoint_permits import earliest_start
 from agatehoist.gateway.endpoint_statements import note_statement
 from agatehoist.gateway.prompt_cache import note_prompt_read
@@ -44,6 +44,7 @@
 from agatehoist.observability.metrics import (
     EVICTED_REPLIES_TOTAL,
     UNEXPECTED_WEIGHTS_TOTAL,
+    WITHDRAWN_FOR_WEIGHTS_TOTAL,
 )
 from agatehoist.refusals.kinds import (
     EndpointFailed,
@@ -51,6 +52,7 @@
     NotStarted,
     OutcomeUnknown,
 )
+from agatehoist.routing.types import RouteKind
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
@@ -79,9 +81,9 @@
 # A request sent on a reused connection to an endpoint that has vanished may have run,
 # so an endpoint that has been silent for longer gets a new connection.
 MAX_SILENCE_FOR_REUSE_S = 0.4
-# A move asks for a permit and then calls the endpoint; one without an outcome by this
-# time has failed.
-MAX_MOVE_S = MOVE_TIMEOUT_S + 0.5
+# A move copies the run, asks for a permit and stops the run; one without an outcome by
+# this time has failed.
+MAX_MOVE_S = 2 * MOVE_TIMEOUT_S + 0.5
 # An endpoint that crashes over a prompt does so as it begins to answer; a few events
 # may still arrive.
 ANSWER_PROOF_EVENTS = 5
@@ -93,6 +95,8 @@
 MIN_SILENCE_TIMEOUT_S = 0.4
 # A silence that goes on is reported again, as another endpoint may have room by then.
 SILENCE_REPORT_INTERVAL_S = 0.5
+# Peers correct the time at which a target was set.
+WEIGHTS_CHECK_INTERVAL_S = 0.25
 # A process that wakes up later than this was suspended or had no processor time.
 MAX_WAKEUP_DELAY_S = 0.25
 
@@ -120,7 +124,10 @@
         self._traits = traits
         self.attempt_id = attempt_id
         self.events = events
+        # While its run is copied, and stopped in the end, to go on elsewhere.
         self.is_moving = False
+        self.is_stopping = False
+        self._failed_in_move = anyio.Event()
         # Set if the connection was lost before the answer was complete.
         self.suspected_crash: Crash | None = None
         self._is_replacement = is_replacement
@@ -177,6 +184,7 @@
         with self._tracked, waiting, self.events, self._scope:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(self._watch_silence)
+                task_group.start_soon(self._watch_weights)
                 event = await self._connect_and_exchange()
                 task_group.cancel_scope.cancel()
             self._note_health(event)
@@ -184,6 +192,7 @@
                 # An endpoint aborts its reply when it stops a run that is to be moved;
                 # the failure is passed on only if the move fails too.
                 self._withheld_event = event
+                self._failed_in_move.set()
                 await anyio.sleep(MAX_MOVE_S)
             await self.send_event(event)
 
@@ -205,7 +214,7 @@
         failed = isinstance(event, AttemptRefused | NotWritten)
         # Failures during a weights change or a move don't count against the endpoint.
         if failed and (
-            self.is_moving or self._state.weights.is_changing(endpoint, now)
+            self.is_stopping or self._state.weights.is_changing(endpoint, now)
         ):
             return
         self._state.health.record_outcome(endpoint.lifetime, failed, now)
@@ -220,11 +229,39 @@
                 self._note_progress()
             if anyio.current_time() < self._silent_at:
                 continue
-            if not self.is_moving:
+            if not self.is_stopping:
                 self._note_silence()
                 await self.send_event(EndpointSilent(self.attempt_id))
             self._silent_at = anyio.current_time() + SILENCE_REPORT_INTERVAL_S
 
+    async def _watch_weights(self) -> None:
+        """Take a run back that hasn't begun when its weights are nearly overdue.
+
+        Only a stream shows that its run has begun, and a moved run has begun before.
+        """
+        prompt, dispatch = self._request.envelope.prompt, self.dispatch
+        if self._request.route.kind is not RouteKind.STREAM or prompt is None:
+            return
+        if not dispatch.weights_version or dispatch.continued_run:
+            return
+        while True:
+            version = dispatch.weights_version
+            start_by = latest_start(self._state, prompt.model, version)
+            left_s = start_by - self._state.clock.now()
+            if not math.isinf(self._first_event_at):
+                return
+            if left_s <= 0:
+                break
+            await anyio.sleep(min(left_s, WEIGHTS_CHECK_INTERVAL_S))
+        name = dispatch.endpoint.name
+        WITHDRAWN_FOR_WEIGHTS_TOTAL.inc({})
+        await self.send_event(
+            self._refused_event(
+                OutcomeUnknown.refuse(f"{name} hasn't begun before its weights expire")
+            )
+        )
+        self.cancel()
+
     def _is_late(self, due_at: float) -> bool:
         return anyio.current_time() > due_at + MAX_WAKEUP_DELAY_S
 
@@ -277,7 +314,7 @@
             now = self._state.clock.now()
             if not self._state.weights.is_changing(endpoint, now):
                 self._state.suspect(endpoint, str(error))
-            if not self.is_moving:
+            if not self.is_stopping:
                 self._suspect_crash(now)
             return self._refused_event(OutcomeUnknown.refuse(str(error)))
         except Exception as error:
@@ -552,9 +589,15 @@
         left_s = self._request.deadline - self._state.clock.now()
         return self._progress_at + silence_timeout_s(self._request.route, left_s)
 
+    async def has_failed_in_move(self, within_s: float = 0.0) -> bool:
+        """Wait for a failure that is withheld for the move; return whether it came."""
+        with anyio.move_on_after(within_s):
+            await self._failed_in_move.wait()
+        return self._failed_in_move.is_set()
+
     async def cancel_move(self) -> None:
         """End a failed move and pass on the failure withheld for it, if any."""
-        self.is_moving = False
+        self.is_moving = self.is_stopping = False
         if self._withheld_event is not None:
             await self.send_event(self._withheld_event)
 
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -30,9 +30,12 @@
 REQUEST_ID = b"x-agatehoist-request-id"
 STAMP = b"x-agatehoist-server-stamp"
 ORGANISATION = "x-agatehoist-tenant-id"
+PRIORITY = "x-agatehoist-request-priority"
+DEFAULT_PRIORITY = "5"
 STREAM = (b"content-type", b"text/event-stream")
 CHUNKED = (b"transfer-encoding", b"chunked")
 RETRY_AFTER = b"retry-after"
+COPY_TARGET = b"/agatehoist/kv-handle/"
 NOT_EXECUTED = ((b"x-agatehoist-not-executed", b"1"),)
 EVENT_INTERVAL_S = 0.01
 WEIGHTS_LOAD_S = 0.05
@@ -135,10 +138,14 @@
     run_ends has an entry for each run that has ended, also for continued ones.
     stopped holds the ids of requests whose run was moved away. busy is set from the
     acceptance of an order until its weights are loaded. A request waits queue_s before
-    it starts. rejections names why requests were refused without a run.
+    it starts, and is dropped if its caller leaves meanwhile. rejections names why
+    requests were refused without a run.
 
     on_request is called before a request is checked, on_move before a run is stopped.
-    before_copy and after_copy are called at the destination of a moved run.
+    before_copy and after_copy are called at the destination of a run that was stopped
+    to be moved, before_first_copy at that of one that goes on meanwhile. move_faults
+    are those of calls that stop a run: "lost" resets the connection in place of a
+    reply. freed has the handles of copies that were given up.
 
     All answers state limit_per_s, if it is set, and whether the endpoint is_leaving;
     refusals also state pause_s. Arrivals are those of all requests, run or refused.
@@ -155,6 +162,9 @@
     # Models besides `model`, whose weights change without an effect on runs.
     versions_by_other_model: dict[str, int] = field(default_factory=dict)
     event_count: int = 5
+    # Of streams that aren't as long as the others.
+    event_counts_by_target: dict[str, int] = field(default_factory=dict)
+    event_interval_s: float = EVENT_INTERVAL_S
     faults: list[str] = field(default_factory=list)
     runs: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -169,9 +179,14 @@
     on_request: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     before_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     after_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    before_first_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    move_faults: list[str] = field(default_factory=list)
+    freed: list[str] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
+    # Whether its reports are as of a time before its runs began.
+    reports_no_runs: bool = False
     checks_version: bool = True
     deadly_parts: set[str] = field(default_factory=set)
     deadly_requests: set[RequestIdentity] = field(default_factory=set)
@@ -197,6 +212,7 @@
     _weights_changes: int = 0
     _made_under_by_copy: dict[str, int] = field(default_factory=dict)
     _version_by_run: dict[str, int] = field(default_factory=dict)
+    _priority_by_run: dict[str, int] = field(default_factory=dict)
     _stale_refusals: dict[ServerConnection, bytes] = field(default_factory=dict)
 
     async def serve(self, channel: Channel) -> None:
@@ -270,6 +286,9 @@
             await connection.send_reply(421, _echoed_id(headers), b"")
         elif request.head.target == b"/agatehoist/kv-move":
             await self._move_run(connection, json.loads(request.body))
+        elif request.head.target.startswith(COPY_TARGET):
+            handle = request.head.target.removeprefix(COPY_TARGET).decode()
+            await self._free_copy(connection, handle)
         elif request.head.target == b"/agatehoist/order":
             await self._handle_order(connection, json.loads(request.body))
         else:
@@ -292,7 +311,10 @@
             return
         weights_changes = self._weights_changes
         if self.queue_s:
-            await anyio.sleep(self.queue_s)
+            with anyio.move_on_after(self.queue_s):
+                await connection.wait_closed()
+                self.rejections.append("caller gone")
+                return
         has_prompt = "x-agatehoist-model-name" in headers
         if has_prompt and (self.busy or self._weights_changes != weights_changes):
             await self._reject(connection, headers, "weights change")
@@ -334,6 +356,8 @@
         # A run that was moved away may be tried here again.
         self._stopping.discard(run.request_id)
         self.active += 1
+        priority = headers.get(PRIORITY, DEFAULT_PRIORITY)
+        self._priority_by_run[request_id] = int(priority)
         ending = Ending.BROKEN_OFF
         try:
             with anyio.CancelScope() as scope:
@@ -355,6 +379,7 @@
             self.run_ends.append(end)
             self._run_scopes.discard(scope)
             self._version_by_run.pop(run.request_id, None)
+            self._priority_by_run.pop(run.request_id, None)
             self.active -= 1
 
     async def _answer_run(
@@ -404,10 +429,11 @@
         for scope in tuple(self._run_scopes):
             scope.cancel()
 
-    async def _receive_copy(self, name: str, made_under: int) -> None:
-        await self.before_copy()
+    async def _receive_copy(self, name: str, made_under: int, is_last: bool) -> None:
+        await (self.before_copy() if is_last else self.before_first_copy())
         self._made_under_by_copy[name] = made_under
-        await self.after_copy()
+        if is_last:
+            await self.after_copy()
 
     async def reply(
         self, connection: ServerConnection, run: ReceivedRequest, status: int
@@ -438,14 +464,18 @@
         """Send count events, or all; return False if the run was moved meanwhile."""
         first = int(run.headers_by_name.get("last-event-id", "0"))
         await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
-        until = self.event_count if count is None else first + count
+        until = self.event_count_of(run) if count is None else first + count
         for number in range(first + 1, until + 1):
             if run.request_id in self._stopping:
                 return False
             await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
-            await anyio.sleep(EVENT_INTERVAL_S)
+            await anyio.sleep(self.event_interval_s)
         return True
 
+    def event_count_of(self, run: ReceivedRequest) -> int:
+        """Return how many events the whole answer to a request has."""
+        return self.event_counts_by_target.get(run.target, self.event_count)
+
     def answer_headers(self, run: ReceivedRequest) -> tuple[tuple[bytes, bytes], ...]:
         """Return the headers that name the request, the endpoint and its weights."""
         identity_headers = (
@@ -480,6 +510,10 @@
             for model, version in versions.items()
         ]
 
+    def _described_runs(self) -> list[list[Any]]:
+        # Of the tokens in memory and the events made, no use is made.
+        return [[name, 0, 0, each] for name, each in self._priority_by_run.items()]
+
     def _report(self) -> dict[str, Any]:
         return {
             "Stage": "colocated",
@@ -487,29 +521,46 @@
             "Busy": self.busy,
             "SeqNo": len(self.orders),
             "Queued": 0,
-            "Running": self.active,
-            "Runs": [],
+            "Running": 0 if self.reports_no_runs else self.active,
+            "Runs": [] if self.reports_no_runs else self._described_runs(),
         }
 
     async def _move_run(
         self, connection: ServerConnection, move: dict[str, Any]
     ) -> None:
-        self.on_move()
+        is_last = bool(move.get("Last"))
+        if is_last:
+            self.on_move()
         request_id = move["Id"]
         made_under = self._version_by_run.get(request_id)
         receive = self.kv_network.receivers_by_address.get(move["To"])
         if made_under is None:
             await connection.send_reply(404, (), b"")
             return
-        self.stopped.add(request_id)
-        self._stopping.add(request_id)
         handle = f"copy-of-{request_id}"
-        # The source keeps the memory of the run.
-        self._made_under_by_copy[f"{self.address}/{handle}"] = made_under
+        name = f"{self.address}/{handle}"
+        if is_last:
+            self.stopped.add(request_id)
+            self._stopping.add(request_id)
+            # The source keeps the memory of the run.
+            self._made_under_by_copy[name] = made_under
         if receive is not None:
-            await receive(f"{self.address}/{handle}", made_under)
-        status = 200 if receive else 503
-        await _send_json(connection, status, {"handle": handle, "Created": 1})
+            await receive(name, made_under, is_last)
+        fault = self.move_faults.pop(0) if is_last and self.move_faults else ""
+        if fault == "lost":
+            connection.abort()
+        elif receive is not None or is_last:
+            status = 503 if receive is None else 200
+            await _send_json(connection, status, {"handle": handle, "Created": 1})
+        else:
+            await connection.send_reply(503, (), b"")
+
+    async def _free_copy(self, connection: ServerConnection, handle: str) -> None:
+        for name in tuple(self._made_under_by_copy):
+            if name.endswith(f"/{handle}"):
+                del self._made_under_by_copy[name]
+                self.freed.append(handle)
+        await connection.send_reply(200, (), b"")
 
     async def _handle_order(
         self, connection: ServerConnection, order: dict[str, Any]
@@ -656,8 +707,9 @@
 ) -> None:
     await connection.send_head(200, (*endpoint.answer_headers(run), STREAM, CHUNKED))
     first = int(run.headers_by_name.get("last-event-id", "0"))
-    for number in range(first + 1, endpoint.event_count + 1):
-        if number == endpoint.event_count:
+    event_count = endpoint.event_count_of(run)
+    for number in range(first + 1, event_count + 1):
+        if number == event_count:
             await anyio.sleep(STALL_S)
         await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
     await connection.end()
@@ -780,7 +832,7 @@
     if not endpoint.model:
         return f"{run.request_id} by {endpoint.name}".encode()
     first = int(run.headers_by_name.get("last-event-id", "0"))
-    numbers = range(first + 1, endpoint.event_count + 1)
+    numbers = range(first + 1, endpoint.event_count_of(run) + 1)
     return b"".join(f"id: {each}\ndata: t{each}\n\n".encode() for each in numbers)
 
 
--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -45,6 +45,7 @@
 from standins.users_platform.store import StoreStandIn
 from tests.test_gateway.callers import (
     POST_REQUEST,
+    PROMPT_HEADERS,
     PROMPT_REQUEST,
     connect_as_caller,
     read_to_end,
@@ -66,6 +67,9 @@
 STOP_LIMIT_S = 8.0
 POLL_S = 0.05
 CALL_S = 1.5
+STREAM_REQUEST = POST_REQUEST.replace(b"/post/", b"/credit/").replace(
+    b"\r\n\r\n", b"\r\n" + PROMPT_HEADERS + b"\r\n"
+)
 # What a caller sends at the begin of the grace period and, so many seconds after it,
 # later, and the status of its answer.
 CALLS_IN_THE_GRACE = (
@@ -74,9 +78,11 @@
     ("last_byte_in_time", POST_REQUEST[:-1], POST_REQUEST[-1:], 3.5, 200),
     ("last_byte_late", POST_REQUEST[:-1], POST_REQUEST[-1:], 6.3, 503),
     ("last_byte_missing", POST_REQUEST[:-1], b"", 0.0, 503),
+    ("stream_late", STREAM_REQUEST[:-1], STREAM_REQUEST[-1:], 3.5, 503),
     ("sent_to_a_silent_endpoint", PROMPT_REQUEST, b"", 0.0, 502),
 )
 SIGHUPS = 20
+SIGNAL_INTERVAL_S = 0.002
 
 
 @dataclass(frozen=True, slots=True)
@@ -437,6 +443,22 @@
 
 
 class SignalTests(unittest.TestCase):
+    @parameterized.expand([("sighup", signal.SIGHUP), ("sigterm", signal.SIGTERM)])
+    def test_signals_until_the_process_is_gone_do_not_break_off_its_stop(
+        self, _name: str, number: signal.Signals
+    ) -> None:
+        async def run() -> None:
+            async with gateway_process() as gateway:
+                await gateway.wait_for_readiness()
+                process = gateway.fleet.processes_by_name[NAME]
+                process.send_signal(signal.SIGTERM)
+                while process.poll() is None:  # noqa: ASYNC110
+                    process.send_signal(number)
+                    await anyio.sleep(SIGNAL_INTERVAL_S)
+                self.assertEqual(process.returncode, 0, gateway.fleet.log(NAME))
+
+        anyio.run(run)
+
     def test_sighup_during_start_is_survived(self) -> None:
         async def run() -> None:
             async with gateway_process() as gateway:
