Try a stream again late in a stop if nothing else can answer it

Cause: the look at the stop before each attempt refused it. A refusal helps only if nothing may have run, as another process can serve the request then.

Change: once an attempt may have run, the stop refuses no further one.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -400,6 +400,11 @@
             return False
         return not self._run_limit_reached()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any attempt may have run."""
+        return bool(self._may_have_run)
+
     @property
     def is_cancellable(self) -> bool:
         """Return whether an attempt may be cancelled without an outcome."""
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -251,8 +251,11 @@
         return Offered(found) if late is None else NotAdmitted(late)
 
     def _late_refusal(self) -> Refusal | None:
-        """Refuse a request that would be cut by a stop, unless its answer has begun."""
-        if self._machine.pieces:
+        """Refuse a request that a stop would cut, if nothing may have run.
+
+        Another process can serve it then.
+        """
+        if self._machine.may_have_run:
             return None
         stop = self._state.stop
         return late_refusal(self._request, stop.durations, stop.schedule, self._now())
