Call only resumable runs interruptible

Found by the review: took the place of the route's word, so calls with a prompt that may run again counted as interruptible too, and an order could cut them. By reading; no deployment has such calls, and test_weights passes as before.

--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -305,7 +305,7 @@
         if decision.pieces:
             last_event_id = decision.pieces[-1].event_id
         dispatch = make_dispatch(self._state, self._request, endpoint, last_event_id)
-        dispatch = replace(dispatch, interruptible=self._machine.may_retry)
+        dispatch = replace(dispatch, interruptible=self._is_interruptible())
         self._search.tried_lifetimes.append(endpoint.lifetime)
         if decision.replaced is not None:
             self._add_step(f"{decision.replaced.host} silent, trying another")
@@ -314,6 +314,10 @@
         self._start_attempt(dispatch, attempt_id, len(decision.pieces), is_replacement)
         return None
 
+    def _is_interruptible(self) -> bool:
+        """Return whether the run may be stopped and resumed by another attempt."""
+        return self._request.route.resumable and self._machine.may_retry
+
     def _add_step(self, step: str) -> None:
         at_ms = round((self._now() - self._request.envelope.received_at) * MS_PER_S)
         self._steps.append(f"{at_ms} ms: {step}")
@@ -402,7 +406,7 @@
         dispatch = replace(
             dispatch,
             continued_run=decision.run_name,
-            interruptible=self._machine.may_retry,
+            interruptible=self._is_interruptible(),
         )
         self._record_step("moved", dispatch)
         self._start_attempt(dispatch, decision.target.attempt_id, len(decision.pieces))
