Take no run back whose caller has got a part of its answer

Found by the review: a stream that began with a comment was reset half a second before its weights were overdue, as only an event with data counted as its start.

Change: what has been passed on to the caller counts. A head alone doesn't, since nothing of it has been passed on and a run starts with its first token; its caller gets 502.

Measured: test_withdrawn_runs, row comment, fails without the change (reset) and passes. The review's row for a head alone isn't taken over, for the reason above.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -158,6 +158,7 @@
         self._progress_at = math.inf
         self._silent_at = math.inf
         self._is_passing_on = False
+        self._has_passed_on = False
 
     def cancel(self) -> None:
         """Close the connection, so that the endpoint stops the run."""
@@ -248,7 +249,8 @@
             version = dispatch.weights_version
             start_by = latest_start(self._state, prompt.model, version)
             left_s = start_by - self._state.clock.now()
-            if not math.isinf(self._first_event_at):
+            # The caller may have got a comment before the first event.
+            if self._has_passed_on or not math.isinf(self._first_event_at):
                 return
             if left_s <= 0:
                 break
@@ -516,7 +518,7 @@
                 if is_first and has_progressed:
                     self._note_prefill_done()
                     is_first = False
-                self._is_passing_on = True
+                self._is_passing_on = self._has_passed_on = True
                 await self.send_event(
                     PiecesArrived(
                         self.attempt_id,
