Give back what a move has taken if nobody takes its end

Found by the review: if the caller left while its run was being stopped for a move, the copy stayed at the destination, where it holds a slot, and both retries stayed spent.

Cause: the end of the move was dropped without a word once the request had ended, and the budget took away its oldest retry whatever the time of the one that came back.

Change: the copy is freed and the retries are given back then, with the time at which they were taken; one that has left its window changes nothing.

--- a/src/agatehoist/attempts/budget.py
+++ b/src/agatehoist/attempts/budget.py
@@ -32,8 +32,8 @@
     def try_spend(self) -> bool:
         """Take one retry from the budget; return False if none is left."""
 
-    def give_back(self) -> None:
-        """Return a retry that was taken and isn't needed."""
+    def give_back(self, taken_at: float) -> None:
+        """Return a retry that was taken at an epoch time and isn't needed."""
 
 
 class RetryBudget:
@@ -68,8 +68,8 @@
         self._saved_retries -= 1
         return True
 
-    def give_back(self) -> None:
-        """Return a retry that was taken and isn't needed."""
+    def give_back(self, taken_at: float) -> None:
+        """Return a retry that was taken at an epoch time and isn't needed."""
         self._saved_retries = min(self._max_saved_retries, self._saved_retries + 1)
 
 
@@ -122,8 +122,11 @@
         self._retries_at.append(self._clock.now())
         return True
 
-    def give_back(self) -> None:
-        """Return a retry that was taken and isn't needed."""
+    def give_back(self, taken_at: float) -> None:
+        """Return a retry that was taken at an epoch time and isn't needed."""
+        self._discard_expired()
+        if taken_at < self._clock.now() - self._window_s:
+            return
         # Without the oldest, the others count at least as long as they should.
         if self._retries_at:
             self._retries_at.popleft()
--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -248,7 +248,7 @@
         """Give back the retry for the fallback of a move that doesn't need it."""
         move, self._move = self._move, None
         if move is not None and move.fallback is not None:
-            self._budget.give_back()
+            self._budget.give_back(move.retries_taken_at)
 
     @EVENT_HANDLERS.register(DeadlinePassed)
     def _on_deadline_passed(self, _event: DeadlinePassed, now: float) -> Decisions:
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -193,13 +193,14 @@
     A run is the generation of one answer at an endpoint. The endpoint of the offer gets
     `run_name`, by which it finds the run to continue. If it says that it didn't, the
     run goes on at the endpoint of `fallback`, which has kept it too. A retry has been
-    taken from the budget for each of the two.
+    taken from the budget for each of the two, at an epoch time.
     """
 
     attempt_id: AttemptId
     offer: Offer
     run_name: str
     fallback: Offer | None = None
+    retries_taken_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -603,13 +603,15 @@
         if self._withheld_event is not None:
             await self.send_event(self._withheld_event)
 
-    async def send_event(self, event: Event) -> None:
-        """Pass an event to the state machine of the request, unless it has ended."""
+    async def send_event(self, event: Event) -> bool:
+        """Pass an event to the state machine; return False if the request has ended."""
         try:
             await self.events.send(event)
+            return True
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # The request has ended; the exchange goes on so that its outcome is known.
             logger.debug("event dropped, request has ended", request=self._request_id)
+            return False
 
     def _refused_event(self, error: RequestRefusedError) -> AttemptRefused:
         return AttemptRefused(self.attempt_id, error.refusal)
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -175,10 +175,19 @@
     if reason:
         logger.info("run not moved", request=request_id, reason=reason)
     else:
-        moved = await _stop(state, request, attempt, destination, name, may_retry)
+        taken_at = state.clock.now()
+        moved = await _stop(
+            state, request, attempt, destination, name, may_retry, taken_at
+        )
     if moved is not None:
-        await attempt.send_event(moved)
-        return
+        if await attempt.send_event(moved):
+            return
+        # The caller has left meanwhile.
+        retry_budget = state.retry_budget(request.service)
+        retry_budget.give_back(moved.retries_taken_at)
+        if moved.fallback is not None:
+            retry_budget.give_back(moved.retries_taken_at)
+        name = moved.run_name
     await attempt.cancel_move()
     try:
         await free_copy(state, destination, name)
@@ -226,8 +235,12 @@
     destination: Endpoint,
     name: str,
     may_retry: bool,
+    taken_at: float,
 ) -> RunMoved | None:
-    """Stop a copied run; return where it can be continued, or None if it goes on."""
+    """Stop a copied run; return where it can be continued, or None if it goes on.
+
+    The retries for it were taken at an epoch time.
+    """
     source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
     attempt.is_stopping = True
     stopped = None
@@ -244,14 +257,14 @@
     failed_copies = state.active_requests.failed_copies
     if stopped is None:
         if not may_retry and await attempt.has_failed_in_move(STOPPED_WITHIN_S):
-            return RunMoved(attempt.attempt_id, offer, name, fallback)
+            return RunMoved(attempt.attempt_id, offer, name, fallback, taken_at)
         failed_copies.note_failure(destination.name, state.clock.now())
-        retry_budget.give_back()
-        retry_budget.give_back()
+        retry_budget.give_back(taken_at)
+        retry_budget.give_back(taken_at)
         return None
     if stopped.is_copied:
         failed_copies.note_answer(destination.name)
-        return RunMoved(attempt.attempt_id, offer, stopped.name, fallback)
+        return RunMoved(attempt.attempt_id, offer, stopped.name, fallback, taken_at)
     logger.info(
         "run not copied, goes on where it was",
         request=request_id,
@@ -259,8 +272,10 @@
         destination=destination.lifetime,
     )
     failed_copies.note_failure(destination.name, state.clock.now())
-    retry_budget.give_back()
-    return RunMoved(attempt.attempt_id, fallback, stopped.name)
+    retry_budget.give_back(taken_at)
+    return RunMoved(
+        attempt.attempt_id, fallback, stopped.name, retries_taken_at=taken_at
+    )
 
 
 def _offer(endpoint: Endpoint, version: int) -> Offer:
--- a/tests/test_attempts/test_window_budget.py
+++ b/tests/test_attempts/test_window_budget.py
@@ -47,8 +47,7 @@
                 budget.note_request()
                 requests.append(now)
             elif unused and (kind < 0.6 or now > unused[0] + WINDOW_S / 2):
-                budget.give_back()
-                unused.pop()
+                budget.give_back(unused.pop())
             elif budget.try_spend():
                 (unused if kind < 0.75 else retries).append(now)
                 since = now - WINDOW_S
