Move no run whose weights may be overdue once it has been stopped

Whether the rule counts a moved run as beginning isn't known.

Change: the weights must still be in time when the stop may have ended.

--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -122,7 +122,8 @@
     version = attempt.dispatch.weights_version
     if version == UNKNOWN_VERSION:
         return []
-    if version < required_version(state, prompt.model, now):
+    # The run goes on elsewhere once it has been stopped, which may take this long.
+    if version < required_version(state, prompt.model, now + MOVE_TIMEOUT_S):
         return []
     source = attempt.dispatch.endpoint
     return [
