Cut no runs of an engine that still gets requests

Found by the review: an order that resets resumable runs also reset a run-once stream that had begun since the report, on an engine that still gets requests as all others change too.

Change: the order lets runs finish while all engines of the model are changing. A gateway that doesn't know the plan may still send to a changing engine; that is left.

Measured: test_runs_beside_orders, row begun_since_the_report, fails without the change (reset) and passes with it.

--- a/src/agatehoist/gateway/endpoint_change.py
+++ b/src/agatehoist/gateway/endpoint_change.py
@@ -106,12 +106,22 @@
                 # Runs that have begun since the report finish.
                 return False
             if not report.non_resumable_runs and waited_s > INTERRUPT_AFTER_S:
-                return True
+                return not self._gets_requests()
             if waited_s > MAX_DRAIN_S:
                 return False
             await anyio.sleep(REPORT_POLL_S)
             report = await read_report(self._state, endpoint)
 
+    def _gets_requests(self) -> bool:
+        """Return whether requests go to changing endpoints, as there are no others.
+
+        A run that isn't resumable may have begun since the report then.
+        """
+        now = self._state.clock.now()
+        return all(
+            self._state.weights.is_changing(each, now) for each in self._endpoints.all()
+        )
+
     async def _send_order(
         self, endpoint: Endpoint, order: WeightsOrder
     ) -> HTTPStatus | None:
