Send the events of stand-in streams at their times, also beside load

The caller had the end 10 to 20 ms after the engine. With a little more load the engine is still at work at +7.1 s, when the gateway ends its requests as it must: the stand-in was at fault, not the gateway.

Change: the stand-in sends each event at its due time, counted from the start of the stream. The test stays as strict: as many events, a stream that outlasts the closing of idle connections, the same limits.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -439,11 +439,14 @@
         first = int(run.headers_by_name.get("last-event-id", "0"))
         await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
         until = self.event_count if count is None else first + count
+        # Sleeps beside load add up to far more than their sum.
+        due_at = anyio.current_time()
         for number in range(first + 1, until + 1):
             if run.request_id in self._stopping:
                 return False
             await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
-            await anyio.sleep(EVENT_INTERVAL_S)
+            due_at += EVENT_INTERVAL_S
+            await anyio.sleep_until(due_at)
         return True
 
     def answer_headers(self, run: ReceivedRequest) -> tuple[tuple[bytes, bytes], ...]:
