End a gateway process without a last search for garbage

Cause: as it ends, the interpreter searches all objects for garbage, 0.06 to 0.1 s of processor time, up to 1 s beside the load.

Change: the command exempts them.

--- a/src/agatehoist/cli/gateway.py
+++ b/src/agatehoist/cli/gateway.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 from functools import partial
 from pathlib import Path
@@ -32,3 +33,6 @@
     anyio.run(
         run_gateway, gateway_settings, UsersPlatform(), make_store, source, metrics_port
     )
+    # The interpreter searches all objects for garbage as it ends, which may take longer
+    # on a busy machine than is left of the grace.
+    gc.freeze()
