End the stop of a router or sidecar though a caller reads nothing

Operators saw a router that was told to stop run on, until it was killed together with what it still answered: the HTTP server waits without end for the connection of a caller that has read nothing of its answer, and the stop waits for requests in flight. With 3,000 unread requests for metrics and no request in flight, a router still ran 40 s after SIGTERM.

Reset a connection whose caller has read nothing for 60 s, which is as long as a request may take (TCP_USER_TIMEOUT). A caller that reads slowly isn't concerned.

--- a/src/agatehoist/observability/http.py
+++ b/src/agatehoist/observability/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT
 from typing import TYPE_CHECKING
 
 import anyio
@@ -13,6 +14,7 @@
 from starlette.routing import Route
 
 from agatehoist.core.sockets import open_listening_socket
+from agatehoist.core.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -26,6 +28,8 @@
 GRACEFUL_TIMEOUT_S = 5.0
 # Also limits the time from accepting a connection to the end of the request headers.
 IDLE_TIMEOUT_S = 5.0
+# A connection whose caller has read nothing for this time is reset.
+UNREAD_TIMEOUT_S = 60.0
 MAX_HEADER_BYTES = 16 * 1024
 MAX_HTTP2_STREAMS = 100
 
@@ -59,6 +63,11 @@
     Raises ListenError if the address can't be bound.
     """
     listening_socket = open_listening_socket(address.host, address.port)
+    # The connections that it accepts inherit it. The server waits without end for
+    # callers that read nothing, also when it shuts down.
+    listening_socket.setsockopt(
+        IPPROTO_TCP, TCP_USER_TIMEOUT, round(UNREAD_TIMEOUT_S * MS_PER_S)
+    )
     shutdown = anyio.Event()
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(_serve, app, listening_socket, shutdown.wait)
