Ask an engine that states no weights which ones it has run

Callers got an answer made on weights 2 as the success of an attempt that was placed for weights 1 (KNOWN-RED.txt, test_cache_events): an engine that neither compares the expected version nor states its own was taken to run what the sidecar had last heard, up to 0.5 s before.

If an answer doesn't state its weights, the engine's status is asked when the answer begins and before it ends; if it differs from the expected one, the attempt fails as after a stated difference. An engine whose status can't be read is judged by the sidecar's status task, as before. Such engines answer later by the time of one status request.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -32,6 +32,7 @@
     read_start,
     start_exchange,
 )
+from agatehoist.observability.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -39,6 +40,8 @@
     from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.core.work import CompletionWork, Continuation
 
+logger = get_logger("sidecar")
+
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 60.0
 STATUS_TIMEOUT_S = 1.0
@@ -55,6 +58,7 @@
 END_MARKER = "[DONE]"
 INCARNATION_HEADER = "x-engine-incarnation"
 VERSION_HEADER = "x-weights-version"
+CHANGED = "the engine restarted or changed weights after the request was placed"
 # An engine that has other weights refuses the request with status 421. One that doesn't
 # know the header begins to fill its cache before the version in its reply is checked.
 EXPECTED_VERSION_HEADER = b"x-expected-weights-version"
@@ -140,8 +144,14 @@
                 if response.is_error:
                     raise await _error_for_response(response)
                 _check_identity(response, expected_status)
+                # Only its status tells what an engine without these headers runs.
+                is_stated = VERSION_HEADER in response.headers
+                if not is_stated:
+                    await self._check_status(expected_status)
                 with self._budget.track_buffer() as usage:
                     async for event in _read_events(response, usage):
+                        if isinstance(event, EngineEnd) and not is_stated:
+                            await self._check_status(expected_status)
                         yield event
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointNotReachedError(
@@ -157,6 +167,19 @@
                 f"completion request to the engine failed: {error!r}"
             ) from error
 
+    async def _check_status(self, expected_status: EndpointStatus) -> None:
+        """Check that the engine is as expected, unless it doesn't tell.
+
+        Raises EndpointFailedError.
+        """
+        try:
+            status = await self.status()
+        except EndpointNotReachedError as error:
+            logger.info("engine not checked", reason=str(error))
+            return
+        if status != expected_status:
+            raise EndpointFailedError(CHANGED)
+
 
 def _engine_body(
     work: CompletionWork, cache_salt: str, priority: int
@@ -187,9 +210,7 @@
     # An engine that doesn't send a header isn't checked.
     for header, expected in expected_by_header.items():
         if response.headers.get(header, expected) != expected:
-            raise EndpointFailedError(
-                "the engine restarted or changed weights after the request was placed"
-            )
+            raise EndpointFailedError(CHANGED)
 
 
 async def _error_for_response(response: httpx.Response) -> EndpointError:
