--- a/tests/test_whole/test_path.py
+++ b/tests/test_whole/test_path.py
@@ -196,14 +196,16 @@
 
     @parameterized.expand(
         [
-            ("router", "router-0", 1),
-            ("sidecar", "sidecar-engine-0", 1),
-            ("router_asked_twice", "router-0", 2),
-            ("sidecar_asked_twice", "sidecar-engine-0", 2),
+            ("router", ("router-0",), 1),
+            ("sidecar", ("sidecar-engine-0",), 1),
+            ("router_asked_twice", ("router-0",), 2),
+            ("sidecar_asked_twice", ("sidecar-engine-0",), 2),
+            ("both", ("router-0", "sidecar-engine-0"), 1),
+            ("both_the_other_way", ("sidecar-engine-0", "router-0"), 1),
         ]
     )
     def test_stream_in_flight_finishes_before_exit(
-        self, _name: str, name: str, signals: int
+        self, _name: str, names: tuple[str, ...], signals: int
     ) -> None:
         texts: list[str] = []
         started = threading.Event()
@@ -220,11 +222,14 @@
         self.assertTrue(started.wait(10))
         stop_requested_at = time.monotonic()
         for _ in range(signals):
-            self.fleet.processes_by_name[name].terminate()
+            for name in names:
+                self.fleet.processes_by_name[name].terminate()
             time.sleep(0.1)
-        self.assertEqual(self.fleet.wait(name), 0)
+        for name in names:
+            self.assertEqual(self.fleet.wait(name), 0)
         self.assertGreater(time.monotonic() - stop_requested_at, 0.3)
         reader.join(10)
         self.assertIn("data: [DONE]", texts)
-        self.fleet.restart(name)
-        self.fleet.wait_ready(name)
+        for name in names:
+            self.fleet.restart(name)
+            self.fleet.wait_ready(name)
