Send no run-once request shortly before its weights expire

Cause: the last requests on replaced weights went out 1 s before the limit, and what still waits is taken back half a second before it.

Change: a request that may run only once isn't sent later than 1.5 s before the limit. It is refused as not run, and its caller may come back.

test_run_once_request_is_refused_before_it_may_have_to_be_taken_back_1_run_once fails without it (200 for 503).

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -42,6 +42,9 @@
 # An endpoint at which requests wait long gets none for a longer time before.
 WAIT_MARGIN_FACTOR = 1.5
 MAX_OLD_WEIGHTS_MARGIN_S = 4.0
+# Added for a request that may run only once: its caller gets no answer if it is taken
+# back.
+RUN_ONCE_MARGIN_S = 0.5
 # Runs that still wait in an engine are taken back so long before it: gateways notice a
 # new target with a delay, and the engine the closed connection.
 WITHDRAWAL_MARGIN_S = 0.5
@@ -187,7 +190,9 @@
         return True
     missing = prompt.prompt_tokens - matched_tokens(state, request, endpoint, version)
     wait_s = state.load.begin_wait_s(endpoint.lifetime, missing, now)
-    later_s = min(most_s, max(0.0, WAIT_MARGIN_FACTOR * wait_s - OLD_WEIGHTS_MARGIN_S))
+    least_s = 0.0 if request.route.repeatable else RUN_ONCE_MARGIN_S
+    wait_margin_s = WAIT_MARGIN_FACTOR * wait_s - OLD_WEIGHTS_MARGIN_S
+    later_s = min(most_s, max(least_s, wait_margin_s))
     return version >= required_version(state, prompt.model, now + later_s)
 
 
--- a/tests/test_gateway/test_weights.py
+++ b/tests/test_gateway/test_weights.py
@@ -271,6 +271,33 @@
         self.assertEqual(anyio.run(run), expected)
 
 
+class RunOnceTests(unittest.TestCase):
+    # The path, how long ago the target was set, and the status of a request. All
+    # engines have replaced weights and answer at once.
+    @parameterized.expand(
+        [
+            ("resumable", "/trace/1", 6.6, 200),
+            ("run_once", "/credit/1", 6.6, 503),
+            ("run_once_in_time", "/credit/1", 6.0, 200),
+        ]
+    )
+    def test_run_once_request_is_refused_before_it_may_have_to_be_taken_back(
+        self, _name: str, path: str, age_s: float, expected: int
+    ) -> None:
+        """Its caller may try again after a refusal, but not once it has been sent."""
+        world = GatewayHarness()
+
+        async def run() -> int:
+            async with running_gateway(world):
+                state, now = world.state, world.state.clock.now()
+                state.started_at = now - 60.0
+                state.weights.set_target(TargetWeights(MODEL, 2), now - age_s)
+                return (await world.ask_prompt(path)).head.status
+
+        self.assertEqual(anyio.run(run), expected)
+        self.assertEqual(len(world.runs()), int(expected == 200))
+
+
 class PeerWaitTests(unittest.TestCase):
     # How long ago the target was set, how long requests of another gateway have waited
     # at the engines, which have replaced weights, and the status of a request.
