--- a/tests/test_soak/test_seed_run.py
+++ b/tests/test_soak/test_seed_run.py
@@ -20,6 +20,7 @@
 )
 
 OVERLAPPING_STOPS = ("stops_that_overlap", "slow_engines")
+PLANNED_WORK = ("planned_work", "slow_engines")
 
 
 class SeedRunTests(unittest.TestCase):
@@ -32,7 +33,8 @@
             ("deadly_request_sent_on", 1, 10.0, ("deadly_request",)),
             ("entries_not_followed_beside_an_odd_one", 8, 3.0, ("odd_entry",)),
             ("cut_at_the_end_of_the_grace", 24, 8.0, STOPS),
-            ("long_streams_in_stops_that_overlap", 5002, 2.0, OVERLAPPING_STOPS),
+            ("signals_until_the_end_of_a_stop", 5002, 2.0, OVERLAPPING_STOPS),
+            ("long_streams_taken_late_in_a_stop", 6001, 1.0, PLANNED_WORK),
         ]
     )
     def test_no_invariant_is_violated(
