--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -153,7 +153,7 @@
         self._is_request_over = False
         self.has_ended = False
         self._connection: ClientConnection | None = None
-        self._is_answer_whole = False
+        self.is_answer_whole = False
         # Event loop times, set when the attempt runs.
         self._progress_at = math.inf
         self._silent_at = math.inf
@@ -412,7 +412,7 @@
                 note_answer_begun(self._state, self._traits, now)
             if self._is_outcome(head):
                 note_answer_ended(self._state, self._traits, now)
-        self._is_answer_whole = True
+        self.is_answer_whole = True
         self._connection = None
         limit_s = platform.idle_limit_s(head)
         self._state.pool.return_connection(
@@ -444,7 +444,7 @@
         """Return whether data has arrived that the request hasn't got yet."""
         if self.has_ended:
             return False
-        if self._is_passing_on or self._is_answer_whole:
+        if self._is_passing_on or self.is_answer_whole:
             return True
         return self._connection is not None and not self._connection.is_idle()
 
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -539,8 +539,8 @@
             fleet=str(self._state.fleet.revision),
             steps=self._steps,
             outcome=self._outcome,
-            # Whether the endpoint had finished its part.
-            endpoint_done=self._attempt is not None and self._attempt.has_ended,
+            # Whether the endpoint had sent its whole answer.
+            endpoint_done=self._attempt is not None and self._attempt.is_answer_whole,
             in_flight=self._state.in_flight.count,
             # Age of the configuration in force.
             table_age_s=round(self._now() - self._state.table_loaded_at, 1),
