Read allotments, engine figures and machine limits from the configuration

Cause: nothing reads RatePerS, Burst, Unit and UncachedTokens, the bounds of allotments, Slots, Stride and KvTokenBytes of engines or the limits of the machine.

--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -20,6 +20,28 @@
     window_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class AllotmentBounds:
+    """Bound what an organisation may use beyond its allotment, over all gateways.
+
+    In any window it may use (rate * window + burst) * (1 + overage) + slack, in the
+    unit of the allotment.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """Hold what the machine allows a process; 0 stands for an unknown limit."""
+
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    link_mbps: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Hold the settings of one gateway process; times are in seconds.
@@ -41,3 +63,5 @@
     order_turn_s: float
     weights_in_force_s: float
     retries: RetryBounds
+    allotments: AllotmentBounds = AllotmentBounds()
+    machine: MachineLimits = MachineLimits()
--- a/src/agatehoist/limits/types.py
+++ b/src/agatehoist/limits/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 # How long a lease is valid.
@@ -51,6 +52,27 @@
         )
 
 
+class AllotmentUnit(enum.StrEnum):
+    """Name what an allotment counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+@dataclass(frozen=True, slots=True)
+class Allotment:
+    """Limit what an organisation may use over all gateways.
+
+    The rate is per second; it and the burst are in the unit. Where tokens count, a
+    request that states none counts as `uncounted_tokens`.
+    """
+
+    rate_per_s: float
+    burst: float
+    unit: AllotmentUnit = AllotmentUnit.REQUESTS
+    uncounted_tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRequestBody:
     """Request a lease from the home of an organisation's ceiling.
--- a/src/agatehoist/platform/documents.py
+++ b/src/agatehoist/platform/documents.py
@@ -15,6 +15,7 @@
 from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.types import Endpoint
 from agatehoist.http1.types import ConnectionLimits
+from agatehoist.limits.types import Allotment, AllotmentUnit
 from agatehoist.routing.types import (
     Engines,
     KvStore,
@@ -156,6 +157,9 @@
             engine.flag("Moves"),
             engine.integer("KvCapacity", 0),
             engine.number("LinkMbps", 0.0),
+            engine.integer("Slots", 0),
+            max(1, engine.integer("Stride", 1)),
+            engine.integer("KvTokenBytes", 0),
         )
     return Service(reader.text("Name"), engines)
 
@@ -175,12 +179,30 @@
     for each in reader.mappings("Tenants"):
         priority = each.integer("Priority") if each.has("Priority") else None
         # An isolated organisation shares no cache with others.
-        organisation = Organisation(each.text("Name"), priority, each.flag("Isolated"))
+        organisation = Organisation(
+            each.text("Name"), priority, each.flag("Isolated"), _read_allotment(each)
+        )
         for key in each.texts("ApiKeys"):
             organisations_by_key[key.encode()] = organisation
     return organisations_by_key
 
 
+def _read_allotment(reader: MappingReader) -> Allotment | None:
+    rate_per_s = reader.number("RatePerS", 0)
+    if not rate_per_s:
+        return None
+    unit = reader.text("Unit", AllotmentUnit.REQUESTS) or AllotmentUnit.REQUESTS
+    if unit not in tuple(AllotmentUnit):
+        reader.add_finding("Unit", f"unknown unit: {describe(unit)}")
+        return None
+    return Allotment(
+        rate_per_s,
+        reader.number("Burst", 0),
+        AllotmentUnit(unit),
+        reader.integer("UncachedTokens", 0),
+    )
+
+
 def _read_limits(reader: MappingReader) -> ConnectionLimits:
     if not reader.has("Limits"):
         return ConnectionLimits()
--- a/src/agatehoist/platform/settings_file.py
+++ b/src/agatehoist/platform/settings_file.py
@@ -14,7 +14,12 @@
 )
 from agatehoist.core.units import MS_PER_S
 from agatehoist.core.yaml_text import InvalidYamlError, read_yaml
-from agatehoist.gateway.settings import GatewaySettings, RetryBounds
+from agatehoist.gateway.settings import (
+    AllotmentBounds,
+    GatewaySettings,
+    MachineLimits,
+    RetryBounds,
+)
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -62,6 +67,23 @@
             slack=bounds.number("RetrySlack", 0),
             window_s=bounds.number("BudgetWindowS", 10),
         ),
+        allotments=AllotmentBounds(
+            window_s=bounds.number("QuotaWindowS", 8),
+            overage=bounds.number("QuotaOverage", 0),
+            slack=bounds.number("QuotaSlack", 0),
+        ),
+        machine=_read_machine_limits(reader),
+    )
+
+
+def _read_machine_limits(reader: MappingReader) -> MachineLimits:
+    if not reader.has("Limits"):
+        return MachineLimits()
+    limits = reader.mapping("Limits")
+    return MachineLimits(
+        limits.number("MemoryMb", 0),
+        limits.integer("MaxFds", 0),
+        limits.number("LinkMbps", 0),
     )
 
 
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from agatehoist.http1.types import ConnectionLimits, Headers
+from agatehoist.limits.types import Allotment
 
 
 class RouteKind(enum.StrEnum):
@@ -67,13 +68,18 @@
     """Describe the model engines of a service.
 
     Engines with `move_runs` can transfer the KV cache of a run to another engine.
-    `memory_tokens` is the size of an engine's KV cache, or 0 if it is unknown.
+    `memory_tokens` is the size of an engine's KV cache, or 0 if it is unknown. An
+    event of a stream has up to `stride` tokens. `token_bytes` is the size of a token
+    in the KV cache.
     """
 
     models: tuple[str, ...]
     move_runs: bool = False
     memory_tokens: int = 0
     link_mbps: float = 0.0
+    slots: int = 0
+    stride: int = 1
+    token_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,12 +109,13 @@
 class Organisation:
     """Describe an organisation; an isolated one shares no cache with others.
 
-    A priority of None leaves that of the route.
+    A priority of None leaves that of the route; an allotment of None is no limit.
     """
 
     name: str
     priority: int | None
     isolated: bool
+    allotment: Allotment | None = None
 
 
 @dataclass(frozen=True, slots=True)
