State the room at an endpoint from its load

Cause: admission and placement need one function that tells what a request meets and causes at an endpoint.

A pause counts only where streams run, and adds the step time to that of the chunks.

--- a/src/agatehoist/admission/room.py
+++ b/src/agatehoist/admission/room.py
@@ -9,6 +9,9 @@
 
 from dataclasses import dataclass
 
+# Engines with chunked prefill read up to so many prompt tokens in one step.
+CHUNK_TOKENS = 2048
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -28,13 +31,13 @@
 class EngineState:
     """Hold the measured rates of an engine and the work that all gateways have there.
 
-    A step computes one token for each run, or reads up to `chunk_tokens` of a prompt as
-    well; an event of a stream has `stride` tokens. A memory of 0 tokens is unknown.
+    A step computes one token for each run and takes `step_s`, longer while it reads
+    up to CHUNK_TOKENS of a prompt as well. An event of a stream has `stride` tokens. A
+    memory of 0 tokens is unknown.
     """
 
     prefill_tokens_per_s: float
     step_s: float
-    chunk_tokens: int
     stride: int
     memory_tokens: int
     runs: int
@@ -47,8 +50,8 @@
     """Tell what a prompt would meet, and cause, at an endpoint.
 
     The first event is expected after `wait_s` for earlier prompts and `read_s` for its
-    own. `pause_s` is the longest pause that the streams of the endpoint then have, and
-    `short_tokens` how many tokens its memory lacks.
+    own. `pause_s` is the longest pause that the streams of the endpoint then have, 0 if
+    none runs there, and `short_tokens` how many tokens its memory lacks.
     """
 
     wait_s: float
@@ -60,14 +63,29 @@
 def room_for(need: Need, engine: EngineState) -> Room:
     """Return what a prompt meets and causes at an engine."""
     rate = engine.prefill_tokens_per_s
-    wait_s = engine.unprocessed_tokens / rate + engine.runs * engine.step_s
-    read_s = need.missing_tokens / rate
+    wait_s = engine.unprocessed_tokens / rate
+    if engine.runs:
+        # A new prompt waits for the step that is under way.
+        wait_s += engine.step_s
+    return Room(
+        wait_s,
+        need.missing_tokens / rate,
+        _pause_s(need, engine),
+        _short_tokens(need, engine),
+    )
+
+
+def _pause_s(need: Need, engine: EngineState) -> float:
+    """Return the time of the event whose steps all read chunks of prompts."""
+    if not engine.runs:
+        return 0.0
     unread_tokens = engine.unprocessed_tokens + need.missing_tokens
-    # While it reads, an engine runs a chunk in each step of an event.
-    steps_tokens = min(unread_tokens, engine.stride * engine.chunk_tokens)
-    pause_s = engine.stride * engine.step_s + steps_tokens / rate
-    short_tokens = 0
-    if engine.memory_tokens:
-        held_tokens = engine.held_tokens + need.held_tokens
-        short_tokens = max(0, held_tokens - engine.memory_tokens)
-    return Room(wait_s, read_s, pause_s, short_tokens)
+    read_tokens = min(unread_tokens, engine.stride * CHUNK_TOKENS)
+    return engine.stride * engine.step_s + read_tokens / engine.prefill_tokens_per_s
+
+
+def _short_tokens(need: Need, engine: EngineState) -> int:
+    if not engine.memory_tokens:
+        return 0
+    held_tokens = engine.held_tokens + need.held_tokens
+    return max(0, held_tokens - engine.memory_tokens)
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -17,6 +17,8 @@
 # Time that each run in progress adds to a step of its engine, the computation of one
 # token for all its runs, and thereby to the wait of a new prompt.
 STEP_TIME_S_PER_RUN = 0.0005
+# Time of a whole step that reads no prompt, assumed likewise.
+DEFAULT_STEP_S = 0.006
 # A peer with work in flight reports at least once a second; a silent one is gone.
 PEER_REPORT_MAX_AGE_S = 1.5
 # A peer that is silent for longer is forgotten, with the sequence number of its last
@@ -168,6 +170,10 @@
         """Count the requests in progress on an endpoint from all known nodes."""
         return sum(each.runs for each in self._loads(lifetime, now))
 
+    def unprocessed_tokens(self, lifetime: str, now: float) -> int:
+        """Count the prompt tokens that an endpoint has yet to read."""
+        return sum(each.unprocessed_tokens for each in self._loads(lifetime, now))
+
     def wait_s(self, lifetime: str, now: float) -> float:
         """Estimate how long a new prompt waits for those ahead of it, in seconds."""
         loads = tuple(self._loads(lifetime, now))
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -81,6 +81,11 @@
     stride: int = 1
     token_bytes: int = 0
 
+    @property
+    def states_figures(self) -> bool:
+        """Return whether the room of an engine can be computed from its figures."""
+        return self.stride > 1 or self.memory_tokens > 0
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
