Measure the rates of engines and count the memory of their runs

Cause: a gateway corrected assumed rates from its own few answers, 0.2 a second of each engine in a fleet of 22, and the memory that runs hold wasn't counted. Nothing told what a prompt does to the streams that run at an engine.

Change: fleet.capacity adds up what this process and its peers have measured of the prefill rate and of the decode steps, from first events and from gaps without prefill. The sums are told to three peers a second in a datagram of a new kind, which the release before ignores, and lose half of their weight in 8 s. fleet.load counts what runs hold, those of peers by their mean size, which the datagram has too; shared parts count once. A rejection by a full engine, or a wait that its work explains, no longer counts against its health. All of this holds only for engines that state a stride and a memory; of others the estimate is as before, in the same code.

--- a/src/agatehoist/admission/rates.py
+++ b/src/agatehoist/admission/rates.py
@@ -22,6 +22,8 @@
     """
 
     def __init__(self, initial: float, initial_weight: float) -> None:
+        self._initial = initial
+        self._initial_weight = initial_weight
         self._numerator = initial * initial_weight
         self._denominator = initial_weight
         self._samples = INITIAL_SAMPLES
@@ -31,6 +33,20 @@
         """Return the current ratio."""
         return self._numerator / self._denominator
 
+    @property
+    def added(self) -> tuple[float, float]:
+        """Return the sums without the initial value, as far as it still counts."""
+        numerator = self._numerator - self._initial * self._initial_weight
+        return max(0.0, numerator), max(0.0, self._denominator - self._initial_weight)
+
+    def fade(self, keep: float) -> None:
+        """Scale the samples down, so that the ratio moves to its initial value."""
+        initial = self._initial * self._initial_weight
+        self._numerator = initial + keep * (self._numerator - initial)
+        self._denominator = self._initial_weight + keep * (
+            self._denominator - self._initial_weight
+        )
+
     def add(self, numerator: float, denominator: float) -> None:
         """Add one sample; after enough of them, the older ones are scaled down."""
         if self._samples >= DECAY_AFTER_SAMPLES:
--- a/src/agatehoist/cache/endpoint_parts.py
+++ b/src/agatehoist/cache/endpoint_parts.py
@@ -33,6 +33,10 @@
         self.limit_tokens = PARTS_MEMORY_SHARE * DEFAULT_MEMORY_TOKENS
         self._tokens = 0
 
+    @property
+    def tokens(self) -> int:
+        return self._tokens
+
     def put(self, part: bytes, tokens: int) -> None:
         self._tokens += tokens - self.tokens_by_part.pop(part, 0)
         self.tokens_by_part[part] = tokens
@@ -65,6 +69,11 @@
             tokens += part.tokens
         return tokens
 
+    def held_tokens(self, lifetime: str) -> int:
+        """Return the tokens of all parts that an endpoint is believed to have."""
+        memory = self._memories_by_endpoint.get(endpoint_key(lifetime))
+        return memory.tokens if memory is not None else 0
+
     def note_read(
         self,
         lifetime: str,
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -2,23 +2,38 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Self
 
 from agatehoist.admission.rates import DecayingRatio
+from agatehoist.fleet.capacity import (
+    DEFAULT_PREFILL_TOKENS_PER_S,
+    DEFAULT_STEP_S,
+    Capacity,
+)
 from agatehoist.fleet.first_events import FirstEventTimes
+from agatehoist.protocol.endpoint_rates import RunSizes
 from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
+
+__all__ = [
+    "DEFAULT_PREFILL_TOKENS_PER_S",
+    "DEFAULT_STEP_S",
+    "EndpointWork",
+    "FIRST_TOKEN_S",
+    "Load",
+    "NO_LOAD",
+    "PEER_REPORT_MAX_AGE_S",
+    "TrackedRequest",
+    "changed_loads",
+]
 
-# Prefill rate assumed for every engine, as the gateway measures none.
-DEFAULT_PREFILL_TOKENS_PER_S = 40_000.0
 # Time that each run in progress adds to a step of its engine, the computation of one
 # token for all its runs, and thereby to the wait of a new prompt.
 STEP_TIME_S_PER_RUN = 0.0005
-# Time of a whole step that reads no prompt, assumed likewise.
-DEFAULT_STEP_S = 0.006
 # A peer with work in flight reports at least once a second; a silent one is gone.
 PEER_REPORT_MAX_AGE_S = 1.5
 # A peer that is silent for longer is forgotten, with the sequence number of its last
@@ -27,12 +42,35 @@
 NO_LOAD = EndpointLoad(0, 0)
 # Time from the start of a run to its first token, besides the prompts read before it.
 FIRST_TOKEN_S = 0.08
-# Measured times correct the assumed rate within these bounds.
-MIN_SLOWNESS = 0.5
-MAX_SLOWNESS = 8.0
-INITIAL_SLOWNESS_WEIGHT_S = 0.5
-# Comparing all endpoints for each request would be slow in a large fleet.
-SLOWEST_MAX_AGE_S = 0.1
+# Adding up the loads of all peers for each endpoint would be slow in a large fleet.
+PEER_WORK_MAX_AGE_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointWork:
+    """Hold the work that all known processes have at an endpoint.
+
+    `own_tokens` are those that the runs hold in memory without the parts that they
+    share. `shared_tokens` are the shared parts, counted once for each run.
+    """
+
+    runs: int = 0
+    unprocessed_tokens: int = 0
+    own_tokens: int = 0
+    shared_tokens: int = 0
+
+    def plus(self, load: EndpointLoad, sizes: RunSizes) -> EndpointWork:
+        """Return the sum with a peer's work, whose runs have a mean size."""
+        return EndpointWork(
+            self.runs + load.runs,
+            self.unprocessed_tokens + load.unprocessed_tokens,
+            self.own_tokens + load.runs * sizes.own_tokens,
+            self.shared_tokens + load.runs * sizes.shared_tokens,
+        )
+
+
+NO_WORK = EndpointWork()
+NO_SIZES = RunSizes()
 
 
 class _Work:
@@ -40,12 +78,31 @@
     def __init__(self) -> None:
         self.runs = 0
         self.unprocessed_tokens = 0
+        self.own_tokens = 0
+        self.shared_tokens = 0
+        self.changes = 0
 
     @property
     def load(self) -> EndpointLoad:
         return EndpointLoad(self.runs, self.unprocessed_tokens)
 
 
+class _MeanSizes:
+    """Keep the mean size of the recent runs of this process."""
+
+    def __init__(self) -> None:
+        self._own_tokens = DecayingRatio(0.0, 0.1)
+        self._shared_tokens = DecayingRatio(0.0, 0.1)
+
+    def add(self, sizes: RunSizes) -> None:
+        self._own_tokens.add(sizes.own_tokens, 1)
+        self._shared_tokens.add(sizes.shared_tokens, 1)
+
+    @property
+    def value(self) -> RunSizes:
+        return RunSizes(round(self._own_tokens.value), round(self._shared_tokens.value))
+
+
 class TrackedRequest:
     """Count one request in the load of an endpoint from its creation to its end."""
 
@@ -53,13 +110,18 @@
         self,
         work: _Work,
         unprocessed_tokens: int,
+        sizes: RunSizes,
         on_change: Callable[[], None],
     ) -> None:
         self._work = work
+        self._sizes = sizes
         self._unprocessed_tokens = unprocessed_tokens
         self._on_change = on_change
         work.runs += 1
         work.unprocessed_tokens += unprocessed_tokens
+        work.own_tokens += sizes.own_tokens
+        work.shared_tokens += sizes.shared_tokens
+        work.changes += 1
         on_change()
 
     def __enter__(self) -> Self:
@@ -73,12 +135,16 @@
         if self._unprocessed_tokens:
             self._work.unprocessed_tokens -= self._unprocessed_tokens
             self._unprocessed_tokens = 0
+            self._work.changes += 1
             self._on_change()
 
     def end(self) -> None:
         """Stop counting the request."""
         self.note_prefill_done()
         self._work.runs -= 1
+        self._work.own_tokens -= self._sizes.own_tokens
+        self._work.shared_tokens -= self._sizes.shared_tokens
+        self._work.changes += 1
         self._on_change()
 
 
@@ -104,10 +170,12 @@
         self._peers_by_node: dict[str, PeerLoad] = {}
         self._on_change = on_change
         self._on_peer_change = on_peer_change
-        self._slowness_by_lifetime: dict[str, DecayingRatio] = {}
+        self.capacity = Capacity()
         self.first_events = FirstEventTimes()
-        self._slowest_slowness = 1.0
-        self._slowest_valid_until = 0.0
+        self._mean_sizes = _MeanSizes()
+        self._sizes_by_node: dict[str, RunSizes] = {}
+        self._peer_work_by_key: dict[bytes, EndpointWork] = {}
+        self._peer_work_at = -math.inf
         self.started_requests = 0
 
     def snapshot(self) -> dict[bytes, EndpointLoad]:
@@ -121,26 +189,9 @@
     def forget(self, lifetime: str) -> None:
         """Drop the work of an endpoint that has ended."""
         self._work_by_lifetime.pop(lifetime, None)
-        self._slowness_by_lifetime.pop(lifetime, None)
+        self.capacity.forget(lifetime)
         self.first_events.forget(lifetime)
 
-    def learn_first_token(
-        self, lifetime: str, expected_s: float, measured_s: float
-    ) -> None:
-        """Compare the time to a first token with the one expected at the dispatch."""
-        slowness = self._slowness_by_lifetime.get(lifetime)
-        if slowness is None:
-            slowness = DecayingRatio(1.0, INITIAL_SLOWNESS_WEIGHT_S)
-            self._slowness_by_lifetime[lifetime] = slowness
-        slowness.add(max(0.0, measured_s - FIRST_TOKEN_S), expected_s)
-
-    def slowness(self, lifetime: str) -> float:
-        """Return how many times as long as assumed an endpoint takes for prompts."""
-        slowness = self._slowness_by_lifetime.get(lifetime)
-        if slowness is None:
-            return 1.0
-        return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness.value))
-
     def accept_report(self, report: NodeReport, now: float) -> None:
         """Store a peer's report unless a newer one has arrived before."""
         known = self._peers_by_node.get(report.node)
@@ -158,30 +209,56 @@
         for node, peer in tuple(self._peers_by_node.items()):
             if now > peer.received_at + PEER_RETENTION_S:
                 del self._peers_by_node[node]
+                self._sizes_by_node.pop(node, None)
+        self._peer_work_at = -math.inf
         self._on_peer_change()
 
-    def track(self, lifetime: str, unprocessed_tokens: int) -> TrackedRequest:
+    def accept_run_sizes(self, node: str, sizes: RunSizes) -> None:
+        """Store the mean size of a peer's runs; that of this process holds before."""
+        if node in self._peers_by_node:
+            self._sizes_by_node[node] = sizes
+
+    @property
+    def run_sizes(self) -> RunSizes:
+        """Return the mean size of the recent runs of this process."""
+        return self._mean_sizes.value
+
+    def track(
+        self, lifetime: str, unprocessed_tokens: int, sizes: RunSizes = NO_SIZES
+    ) -> TrackedRequest:
         """Count a request, with or without a prompt, from now until it ends."""
         work = self._work_by_lifetime.setdefault(lifetime, _Work())
         self.started_requests += 1
-        return TrackedRequest(work, unprocessed_tokens, self._on_change)
+        if sizes != NO_SIZES:
+            self._mean_sizes.add(sizes)
+        return TrackedRequest(work, unprocessed_tokens, sizes, self._on_change)
+
+    def work(self, lifetime: str, now: float) -> EndpointWork:
+        """Return the work at an endpoint, with that of peers as of a moment ago."""
+        peers = self._peer_work(now).get(endpoint_key(lifetime), NO_WORK)
+        own = self._work_by_lifetime.get(lifetime)
+        if own is None:
+            return peers
+        return EndpointWork(
+            peers.runs + own.runs,
+            peers.unprocessed_tokens + own.unprocessed_tokens,
+            peers.own_tokens + own.own_tokens,
+            peers.shared_tokens + own.shared_tokens,
+        )
+
+    def own_changes(self, lifetime: str) -> int:
+        """Count the changes of the work that this process has at an endpoint."""
+        own = self._work_by_lifetime.get(lifetime)
+        return own.changes if own is not None else 0
 
     def runs(self, lifetime: str, now: float) -> int:
         """Count the requests in progress on an endpoint from all known nodes."""
-        return sum(each.runs for each in self._loads(lifetime, now))
-
-    def unprocessed_tokens(self, lifetime: str, now: float) -> int:
-        """Count the prompt tokens that an endpoint has yet to read."""
-        return sum(each.unprocessed_tokens for each in self._loads(lifetime, now))
+        return self.work(lifetime, now).runs
 
     def wait_s(self, lifetime: str, now: float) -> float:
         """Estimate how long a new prompt waits for those ahead of it, in seconds."""
-        loads = tuple(self._loads(lifetime, now))
-        unprocessed_tokens = sum(each.unprocessed_tokens for each in loads)
-        runs = sum(each.runs for each in loads)
-        return self.slowness(lifetime) * (
-            unprocessed_tokens / DEFAULT_PREFILL_TOKENS_PER_S
-            + runs * STEP_TIME_S_PER_RUN
+        return self.capacity.slowness(lifetime, now) * self._assumed_wait_s(
+            lifetime, now
         )
 
     def begin_wait_s(self, lifetime: str, missing_tokens: int, now: float) -> float:
@@ -189,30 +266,35 @@
 
         An endpoint of which little is known counts as being as slow as the slowest one.
         """
-        slowness = self.slowness(lifetime)
-        read_s = self.wait_s(lifetime, now) / slowness
-        read_s += missing_tokens / DEFAULT_PREFILL_TOKENS_PER_S
+        slowness = self.capacity.slowness(lifetime, now)
+        read_s = self.assumed_first_s(lifetime, missing_tokens, now)
         if not self.first_events.is_known(lifetime, now):
-            slowness = max(slowness, self._slowest(now))
+            slowness = max(slowness, self.capacity.slowest(now))
         return max(slowness * read_s, self.first_events.slowest_s(lifetime, now))
 
-    def _slowest(self, now: float) -> float:
-        """Return the slowness of the slowest endpoint, as of a moment ago."""
-        if now >= self._slowest_valid_until:
-            self._slowest_valid_until = now + SLOWEST_MAX_AGE_S
-            slowness = map(self.slowness, self._slowness_by_lifetime)
-            self._slowest_slowness = max(slowness, default=1.0)
-        return self._slowest_slowness
-
-    def _loads(self, lifetime: str, now: float) -> Iterator[EndpointLoad]:
-        own = self._work_by_lifetime.get(lifetime)
-        if own is not None:
-            yield own.load
-        key = endpoint_key(lifetime)
-        for peer in self._peers_by_node.values():
-            load = peer.loads_by_key.get(key)
-            if load is not None and now <= peer.received_at + PEER_REPORT_MAX_AGE_S:
-                yield load
+    def assumed_first_s(self, lifetime: str, missing_tokens: int, now: float) -> float:
+        """Return when a prompt would be read at the assumed rate, in seconds."""
+        wait_s = self._assumed_wait_s(lifetime, now)
+        return wait_s + missing_tokens / DEFAULT_PREFILL_TOKENS_PER_S
+
+    def _assumed_wait_s(self, lifetime: str, now: float) -> float:
+        work = self.work(lifetime, now)
+        wait_s = work.unprocessed_tokens / DEFAULT_PREFILL_TOKENS_PER_S
+        return wait_s + work.runs * STEP_TIME_S_PER_RUN
+
+    def _peer_work(self, now: float) -> dict[bytes, EndpointWork]:
+        if not self._peer_work_at <= now < self._peer_work_at + PEER_WORK_MAX_AGE_S:
+            own_sizes = self.run_sizes
+            work_by_key: dict[bytes, EndpointWork] = {}
+            for node, peer in self._peers_by_node.items():
+                if now > peer.received_at + PEER_REPORT_MAX_AGE_S:
+                    continue
+                sizes = self._sizes_by_node.get(node, own_sizes)
+                for key, load in peer.loads_by_key.items():
+                    work_by_key[key] = work_by_key.get(key, NO_WORK).plus(load, sizes)
+            self._peer_work_by_key = work_by_key
+            self._peer_work_at = now
+        return self._peer_work_by_key
 
 
 def changed_loads(
--- a/src/agatehoist/fleet/silence.py
+++ b/src/agatehoist/fleet/silence.py
@@ -14,6 +14,18 @@
 MAX_ENDPOINTS = 4096
 
 
+# Estimates of the work at an endpoint are off by a factor of up to this.
+WORK_MARGIN = 1.5
+
+
+def is_wait_explained(waited_s: float, expected_s: float) -> bool:
+    """Return whether the work at an endpoint explains a wait for a first event.
+
+    It answers loads in which endpoints are full: a long wait there isn't a failure.
+    """
+    return waited_s <= WORK_MARGIN * expected_s + TOLERATED_SILENCE_S
+
+
 @dataclass(frozen=True, slots=True)
 class Silence:
     """Hold the time that requests have waited in vain, up to an epoch time."""
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -20,7 +20,6 @@
     Written,
 )
 from agatehoist.core.byte_budget import ByteBudgetExceededError
-from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.fleet.silence import TOLERATED_SILENCE_S
 from agatehoist.gateway.crash_evidence import (
     note_answer_begun,
@@ -32,6 +31,7 @@
 from agatehoist.gateway.endpoint_choice import latest_start, urgency
 from agatehoist.gateway.endpoint_permits import earliest_start
 from agatehoist.gateway.endpoint_statements import note_statement
+from agatehoist.gateway.engine_measurement import EngineMeasurement
 from agatehoist.gateway.prompt_cache import note_prompt_read
 from agatehoist.http1.errors import (
     ConnectionFailedError,
@@ -134,20 +134,12 @@
         self._was_tried = was_tried
         self._next_event_index = first_event_index
         self._began_at = state.clock.now()
-        # The endpoint processes earlier prompts first.
-        load, lifetime = state.load, dispatch.endpoint.lifetime
-        slowness = load.slowness(lifetime)
-        self._assumed_first_s = (
-            load.wait_s(lifetime, self._began_at) / slowness
-            + dispatch.missing_tokens / DEFAULT_PREFILL_TOKENS_PER_S
-        )
         # Counted before the task starts, so that the next choice takes it into account.
-        self._tracked = load.track(lifetime, dispatch.missing_tokens)
+        self.measurement = EngineMeasurement(state, request, dispatch, self._began_at)
         self._first_event_at = math.inf
         self._answered_events = 0
         self._is_answer_noted = False
         self._withheld_event: Event | None = None
-        self._expected_first_s = slowness * self._assumed_first_s
         self._scope = anyio.CancelScope()
         self._usages: list[BufferUsage] = []
         self._is_request_over = False
@@ -177,12 +169,13 @@
         left_s = self._request.deadline - self._state.clock.now()
         self._scope.deadline = anyio.current_time() + left_s
         # The endpoint sends nothing before it has read the prompt.
-        self._progress_at = anyio.current_time() + self._expected_first_s
+        self._progress_at = anyio.current_time()
+        self._progress_at += self.measurement.expected_first_s
         self._silent_at = self._silence_deadline()
         waiting = self._state.load.first_events.waiting(
             self.dispatch.endpoint.lifetime, self.attempt_id, self._began_at
         )
-        with self._tracked, waiting, self.events, self._scope:
+        with self.measurement.tracked, waiting, self.events, self._scope:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(self._watch_silence)
                 task_group.start_soon(self._watch_weights)
@@ -205,6 +198,8 @@
         now = self._state.clock.now()
         if anyio.current_time() < self._progress_at + TOLERATED_SILENCE_S:
             return
+        if self.measurement.is_wait_explained(now):
+            return
         if not self._state.weights.is_changing(self.dispatch.endpoint, now):
             lifetime = self.dispatch.endpoint.lifetime
             self._state.health.record_outcome(lifetime, failed=True, now=now)
@@ -218,8 +213,16 @@
             self.is_stopping or self._state.weights.is_changing(endpoint, now)
         ):
             return
+        if failed and self._is_rejection_explained(event, now):
+            return
         self._state.health.record_outcome(endpoint.lifetime, failed, now)
 
+    def _is_rejection_explained(self, event: Event, now: float) -> bool:
+        if not isinstance(event, AttemptRefused):
+            return False
+        is_rejected = event.refusal.code == NotStarted.code
+        return is_rejected and self.measurement.is_rejection_explained(now)
+
     async def _watch_silence(self) -> None:
         """Report the silence of the endpoint to the state machine while it lasts."""
         while True:
@@ -511,13 +514,15 @@
             stream_events = splitter.feed(data)
             usage.set_bytes(splitter.remainder_bytes)
             if stream_events:
-                self._answered_events += sum(
-                    not each.is_comment for each in stream_events
-                )
-                has_progressed = not all(each.is_comment for each in stream_events)
+                answered_events = sum(not each.is_comment for each in stream_events)
+                self._answered_events += answered_events
+                has_progressed = answered_events > 0
                 if is_first and has_progressed:
                     self._note_prefill_done()
                     is_first = False
+                if has_progressed:
+                    now = self._state.clock.now()
+                    self.measurement.note_events(answered_events, now)
                 self._is_passing_on = self._has_passed_on = True
                 await self.send_event(
                     PiecesArrived(
@@ -548,13 +553,11 @@
 
     def _note_prefill_done(self) -> None:
         self._first_event_at = self._state.clock.now()
-        self._tracked.note_prefill_done()
+        self.measurement.note_first_event(self._first_event_at)
         lifetime = self.dispatch.endpoint.lifetime
         self._state.load.first_events.note_first_event(
             lifetime, self.attempt_id, self._first_event_at
         )
-        measured_s = self._state.clock.now() - self._began_at
-        self._state.load.learn_first_token(lifetime, self._assumed_first_s, measured_s)
         note_prompt_read(self._state, self._request, self.dispatch)
 
     def _is_outcome(self, head: ReplyHead) -> bool:
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -22,8 +22,18 @@
     DATAGRAM_HANDLERS,
     receive_datagrams,
     send_datagram,
+    send_to_some_peers,
+)
+from agatehoist.protocol.datagrams import (
+    ENDPOINT_RATES,
+    FIRST_EVENT_WAITS,
+    NODE_REPORT,
+)
+from agatehoist.protocol.endpoint_rates import (
+    RatesReport,
+    decode_rates,
+    encode_rates,
 )
-from agatehoist.protocol.datagrams import FIRST_EVENT_WAITS, NODE_REPORT
 from agatehoist.protocol.first_event_waits import decode_waits, encode_waits
 from agatehoist.protocol.node_reports import (
     NodeReport,
@@ -54,6 +64,9 @@
 MIN_REPORTED_WAIT_S = 0.5
 # Prompt parts in one report; more of them would leave too little space for the load.
 MAX_READS = 30
+# Peers that get the measured rates with a full report. Each report has all recent
+# samples of its sender, so that a peer needs to hear of it only every few seconds.
+RATES_PEERS = 3
 # With more peers, reports would be older than a second under these limits.
 MAX_PEERS = 31
 
@@ -117,11 +130,43 @@
                 send_datagram(sock, data, peer)
         datagram_bytes = sum(len(each) + DATAGRAM_HEADER_BYTES for each in datagrams)
         sent_bytes = len(peers) * datagram_bytes
+        if is_full:
+            sent_bytes += _send_rates(state, sock)
         requests = state.load.started_requests
         await anyio.sleep(pause_after(sent_bytes, requests - requests_before))
         requests_before = requests
 
 
+def _send_rates(state: GatewayState, sock: socket.socket) -> int:
+    """Send the measured rates to some peers; return the number of bytes sent."""
+    report = rates_to_report(state)
+    if report is None:
+        return 0
+    data = encode_rates(report)
+    send_to_some_peers(state, sock, data, RATES_PEERS)
+    return min(RATES_PEERS, len(state.nodes)) * (len(data) + DATAGRAM_HEADER_BYTES)
+
+
+def rates_to_report(state: GatewayState) -> RatesReport | None:
+    """Return what this node has measured lately, or None if that is nothing."""
+    samples_by_key = state.load.capacity.to_report(state.clock.now())
+    if not samples_by_key:
+        return None
+    return RatesReport(state.settings.node, state.load.run_sizes, samples_by_key)
+
+
+@DATAGRAM_HANDLERS.register(ENDPOINT_RATES)
+def receive_rates(state: GatewayState, data: bytes, _sent_after: float) -> None:
+    """Take over the rates that a peer has measured.
+
+    Raises BadFrameError.
+    """
+    report = decode_rates(data)
+    now = state.clock.now()
+    state.load.capacity.accept_report(report.node, report.samples_by_key, now)
+    state.load.accept_run_sizes(report.node, report.run_sizes)
+
+
 def pause_after(sent_bytes: int, new_requests: int) -> float:
     """Return how long to send nothing after a report, in seconds."""
     excess_bytes = sent_bytes - BYTES_PER_REQUEST * new_requests
--- a/src/agatehoist/protocol/datagrams.py
+++ b/src/agatehoist/protocol/datagrams.py
@@ -12,6 +12,7 @@
 ENDPOINT_NOTICES = 65
 CRASH_EVIDENCE = 66
 FIRST_EVENT_WAITS = 67
+ENDPOINT_RATES = 70
 # The first field follows the header of the array, which takes one byte.
 _KIND_INDEX = 1
 
--- a/src/agatehoist/protocol/node_reports.py
+++ b/src/agatehoist/protocol/node_reports.py
@@ -138,7 +138,7 @@
             raise ValueError(f"unexpected kind {describe(kind)}")
         node, started_ms, sequence, whole, target_ages, reads, loads = fields
         return NodeReport(
-            _checked_name(node),
+            checked_name(node),
             _checked_number(started_ms),
             _checked_number(sequence),
             whole is True,
@@ -157,7 +157,7 @@
 
 def _decode_target_age(model: Any, version: Any, age_ms: Any) -> TargetWeightsAge:
     return TargetWeightsAge(
-        _checked_name(model), _checked_number(version), _checked_number(age_ms)
+        checked_name(model), _checked_number(version), _checked_number(age_ms)
     )
 
 
@@ -174,7 +174,8 @@
     return number
 
 
-def _checked_name(value: object) -> str:
+def checked_name(value: object) -> str:
+    """Return a name from a datagram; raises ValueError if it isn't one."""
     if not isinstance(value, str) or len(value) > MAX_NAME_CHARACTERS:
         raise ValueError("a name is not a string or is too long")
     return value
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -84,7 +84,7 @@
     @property
     def states_figures(self) -> bool:
         """Return whether the room of an engine can be computed from its figures."""
-        return self.stride > 1 or self.memory_tokens > 0
+        return self.stride > 1 and self.memory_tokens > 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_fleet/test_load.py
+++ b/tests/test_fleet/test_load.py
@@ -9,9 +9,11 @@
 from agatehoist.fleet.load import (
     DEFAULT_PREFILL_TOKENS_PER_S,
     PEER_REPORT_MAX_AGE_S,
+    EndpointWork,
     Load,
     changed_loads,
 )
+from agatehoist.protocol.endpoint_rates import RunSizes
 from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
 
 NOW = 50.0
@@ -73,6 +75,34 @@
         expected = tokens / DEFAULT_PREFILL_TOKENS_PER_S
         self.assertAlmostEqual(load.wait_s("e@1", NOW), expected)
 
+    def test_memory_of_runs_counts_until_their_end(self) -> None:
+        load = Load()
+        with load.track("e@1", 2890, RunSizes(2900, 6300)) as tracked:
+            tracked.note_prefill_done()
+            work = load.work("e@1", NOW)
+            self.assertEqual((work.own_tokens, work.shared_tokens), (2900, 6300))
+        self.assertEqual(load.work("e@1", NOW), EndpointWork())
+
+    # Case, the size that the peer told of its runs, and what its three runs hold. A
+    # peer of the release before tells none.
+    @parameterized.expand(
+        [("told", RunSizes(600, 100), 1800), ("not_told", None, 3 * 2900)]
+    )
+    def test_runs_of_peers_hold_memory_too(
+        self, _name: str, told: RunSizes | None, own_tokens: int
+    ) -> None:
+        load = Load()
+        for _ in range(50):
+            load.track("other@1", 0, RunSizes(2900, 6300)).end()
+        loads = {endpoint_key("e@1"): EndpointLoad(3, 0)}
+        load.accept_report(NodeReport("peer", 1, 1, True, loads), NOW)
+        if told is not None:
+            load.accept_run_sizes("peer", told)
+        found = load.work("e@1", NOW).own_tokens
+        self.assertAlmostEqual(found, own_tokens, delta=0.02 * own_tokens)
+        later = NOW + PEER_REPORT_MAX_AGE_S + 0.1
+        self.assertEqual(load.work("e@1", later), EndpointWork())
+
     @parameterized.expand(
         [
             ("nothing", {"a": 1}, {"a": 1}, {}),
--- a/tests/test_fleet/test_silence.py
+++ b/tests/test_fleet/test_silence.py
@@ -6,7 +6,12 @@
 
 from parameterized import parameterized
 
-from agatehoist.fleet.silence import REPORTED_WITHIN_S, RETENTION_S, Silences
+from agatehoist.fleet.silence import (
+    REPORTED_WITHIN_S,
+    RETENTION_S,
+    Silences,
+    is_wait_explained,
+)
 
 NOW = 100.0
 
@@ -55,3 +60,19 @@
             silences.note_data("e")
         self.assertEqual(silences.is_silent("e", NOW + 1 + later_s), expected)
         self.assertFalse(silences.is_silent("other", NOW + 1))
+
+
+class ExplainedWaitTests(unittest.TestCase):
+    # Case, the wait and the expected one by the work at the endpoint, in seconds.
+    @parameterized.expand(
+        [
+            ("no_work", 2.0, 0.1, False),
+            ("tolerated_silence", 1.4, 0.0, True),
+            ("long_queue", 4.0, 2.0, True),
+            ("longer_than_the_queue", 5.0, 2.0, False),
+        ]
+    )
+    def test_wait_that_the_work_explains_is_no_fault(
+        self, _name: str, waited_s: float, expected_s: float, is_explained: bool
+    ) -> None:
+        self.assertEqual(is_wait_explained(waited_s, expected_s), is_explained)
