Log the longest gap of a stream as received and as passed on

Cause: three out of five late short streams are late by a gap, not by their first event, and nothing tells whether the engine, a move or the gateway caused it.

Change: `request ended` has the longest gap between events as they arrived from the endpoint, with its load then (runs, prompt tokens not read), and the longest one as passed on; the histogram agatehoist_longest_gap_seconds has both by route.

--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -36,6 +36,7 @@
 from agatehoist.core.registry import Registry
 from agatehoist.core.units import MS_PER_S
 from agatehoist.core.work import Run
+from agatehoist.fleet.stream_gaps import Gap, StreamGaps, longer_gap
 from agatehoist.gateway.attempt import Attempt
 from agatehoist.gateway.crash_evidence import (
     note_sent,
@@ -51,6 +52,7 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import (
     DROPPED_FRAMES_TOTAL,
+    LONGEST_GAP_SECONDS,
     REQUEST_SECONDS,
     RETRIES_TOTAL,
     TTFT_SECONDS,
@@ -120,6 +122,8 @@
         self._noted_waits: set[tuple[AttemptId, str]] = set()
         self._stream_started = False
         self._first_event_s = 0.0
+        # Of the events as they were passed on, between endpoints too.
+        self._passed_gaps = StreamGaps()
         self._outcome = "caller gone"
         # Why the request ends before its answer, if it does.
         self._interruption: CallerDisconnected | ProcessStopping | None = None
@@ -438,6 +442,8 @@
     async def _deliver(self, decision: Deliver) -> None:
         await self._start_stream()
         await self._writer.send(decision.pieces)
+        if not all(each.is_comment for each in decision.pieces):
+            self._passed_gaps.note(self._now())
         self.consider_move()
 
     @DECISION_HANDLERS.register(Finish)
@@ -545,8 +551,31 @@
             # Age of the configuration in force.
             table_age_s=round(self._now() - self._state.table_loaded_at, 1),
             took_ms=round(took_s * MS_PER_S),
+            **self._gap_fields(),
         )
 
+    def _gap_fields(self) -> dict[str, object]:
+        """Return the longest gaps of a stream, as received and as passed on.
+
+        They tell late events of an endpoint from those that were late here or in a
+        move.
+        """
+        if not self._stream_started:
+            return {}
+        received, passed_on = Gap(), self._passed_gaps.longest
+        for attempt in self._attempts_by_id.values():
+            received = longer_gap(received, attempt.measurement.longest_gap)
+        for stage, gap in (("received", received), ("passed_on", passed_on)):
+            labels = {"route": self._request.route.name, "stage": stage}
+            LONGEST_GAP_SECONDS.observe(labels, gap.gap_s)
+        return {
+            "gap_ms": round(received.gap_s * MS_PER_S),
+            "passed_gap_ms": round(passed_on.gap_s * MS_PER_S),
+            "gap_endpoint": received.endpoint,
+            "gap_runs": received.work.runs,
+            "gap_unread_tokens": received.work.unprocessed_tokens,
+        }
+
     def _now(self) -> float:
         return self._state.clock.now()
 
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -10,6 +10,14 @@
 TTFT_SECONDS = Histogram(
     "agatehoist_ttft_seconds", "Time to first token.", buckets=LATENCY_BUCKETS_S
 )
+# Gap objectives are some hundred milliseconds.
+GAP_BUCKETS_S = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0]
+# `stage` says whether the gap is that of the events as received or as passed on.
+LONGEST_GAP_SECONDS = Histogram(
+    "agatehoist_longest_gap_seconds",
+    "Longest time between events of a stream, by route and stage.",
+    buckets=GAP_BUCKETS_S,
+)
 REQUEST_SECONDS = Histogram(
     "agatehoist_request_seconds",
     "Time from a request's head to the end of its answer, by route and outcome.",
@@ -87,6 +95,7 @@
     "EXCHANGES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
+    "LONGEST_GAP_SECONDS",
     "OUTCOMES_TOTAL",
     "QUARANTINES_TOTAL",
     "RECOMPUTED_TOKENS",
--- a/tests/test_gateway/test_room.py
+++ b/tests/test_gateway/test_room.py
@@ -219,3 +219,22 @@
                 return state.health.is_unhealthy(endpoint.lifetime, now)
 
         self.assertEqual(anyio.run(run), is_unhealthy)
+
+
+class GapLogTests(unittest.TestCase):
+    def test_log_tells_a_late_engine_from_a_late_gateway(self) -> None:
+        """Nothing told whether an event was late when it arrived or when it left."""
+        world = measured_world()
+        world.engines[0].faults = ["silent_between_events"]
+
+        async def run() -> None:
+            async with running_gateway(world):
+                await world.ask_prompt("/credit/1", x_agatehoist_deadline_ms="4000")
+
+        with capture_logs() as lines:
+            anyio.run(run)
+        (ended,) = (each for each in lines if each["event"] == "request ended")
+        self.assertGreater(ended["gap_ms"], SILENCE_MS)
+        self.assertGreater(ended["passed_gap_ms"], SILENCE_MS)
+        self.assertEqual(ended["gap_endpoint"], world.engines[0].name)
+        self.assertEqual((ended["gap_runs"], ended["gap_unread_tokens"]), (1, 0))
