Describe room at an endpoint, and log the measured rates

Cause: operators can't see which engine is slow, and nothing tells why the rates are shared and counted as they are.

--- a/src/agatehoist/fleet/capacity.py
+++ b/src/agatehoist/fleet/capacity.py
@@ -151,6 +151,12 @@
         self._rates_by_lifetime[lifetime] = (now, rates)
         return rates
 
+    def is_measured(self, lifetime: str) -> bool:
+        """Return whether this process or a peer has told samples that are shared."""
+        measured = self._measured_by_lifetime.get(lifetime)
+        is_own = measured is not None and measured.is_shared
+        return is_own or endpoint_key(lifetime) in self._peers_by_key
+
     def slowest(self, now: float) -> float:
         """Return the slowness of the slowest endpoint, as of a moment ago."""
         if not self._slowest_at <= now < self._slowest_at + RATES_MAX_AGE_S:
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -43,6 +43,7 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import (
     EVICTED_REPLIES_TOTAL,
+    EXPLAINED_FAILURES_TOTAL,
     UNEXPECTED_WEIGHTS_TOTAL,
     WITHDRAWN_FOR_WEIGHTS_TOTAL,
 )
@@ -199,6 +200,7 @@
         if anyio.current_time() < self._progress_at + TOLERATED_SILENCE_S:
             return
         if self.measurement.is_wait_explained(now):
+            EXPLAINED_FAILURES_TOTAL.inc({"kind": "wait"})
             return
         if not self._state.weights.is_changing(self.dispatch.endpoint, now):
             lifetime = self.dispatch.endpoint.lifetime
@@ -214,6 +216,7 @@
         ):
             return
         if failed and self._is_rejection_explained(event, now):
+            EXPLAINED_FAILURES_TOTAL.inc({"kind": "rejection"})
             return
         self._state.health.record_outcome(endpoint.lifetime, failed, now)
 
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -16,24 +16,19 @@
 from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.load import changed_loads
 from agatehoist.gateway.crash_evidence import send_evidence
+from agatehoist.gateway.endpoint_rates import RatesSender
 from agatehoist.gateway.endpoint_statements import send_notices
 from agatehoist.gateway.model_endpoints import ModelEndpoints
 from agatehoist.gateway.peer_datagrams import (
     DATAGRAM_HANDLERS,
     receive_datagrams,
     send_datagram,
-    send_to_some_peers,
 )
 from agatehoist.protocol.datagrams import (
-    ENDPOINT_RATES,
+    DATAGRAM_HEADER_BYTES,
     FIRST_EVENT_WAITS,
     NODE_REPORT,
 )
-from agatehoist.protocol.endpoint_rates import (
-    RatesReport,
-    decode_rates,
-    encode_rates,
-)
 from agatehoist.protocol.first_event_waits import decode_waits, encode_waits
 from agatehoist.protocol.node_reports import (
     NodeReport,
@@ -58,15 +53,10 @@
 MAX_BYTES_PER_S = 4000.0
 # Each request allows this much more, as the load of a busy node changes more often.
 BYTES_PER_REQUEST = 500.0
-# IP and UDP headers.
-DATAGRAM_HEADER_BYTES = 28
 # Shorter waits don't change where a request may begin on replaced weights.
 MIN_REPORTED_WAIT_S = 0.5
 # Prompt parts in one report; more of them would leave too little space for the load.
 MAX_READS = 30
-# Peers that get the measured rates with a full report. Each report has all recent
-# samples of its sender, so that a peer needs to hear of it only every few seconds.
-RATES_PEERS = 3
 # With more peers, reports would be older than a second under these limits.
 MAX_PEERS = 31
 
@@ -103,6 +93,7 @@
     full_sent_at = 0.0
     reported_loads: dict[bytes, EndpointLoad] = {}
     requests_before = state.load.started_requests
+    rates_sender = RatesSender(state)
     while True:
         await state.load_changed.wait(FULL_REPORT_INTERVAL_S)
         loads = state.load.snapshot()
@@ -131,42 +122,12 @@
         datagram_bytes = sum(len(each) + DATAGRAM_HEADER_BYTES for each in datagrams)
         sent_bytes = len(peers) * datagram_bytes
         if is_full:
-            sent_bytes += _send_rates(state, sock)
+            sent_bytes += rates_sender.send(sock)
         requests = state.load.started_requests
         await anyio.sleep(pause_after(sent_bytes, requests - requests_before))
         requests_before = requests
 
 
-def _send_rates(state: GatewayState, sock: socket.socket) -> int:
-    """Send the measured rates to some peers; return the number of bytes sent."""
-    report = rates_to_report(state)
-    if report is None:
-        return 0
-    data = encode_rates(report)
-    send_to_some_peers(state, sock, data, RATES_PEERS)
-    return min(RATES_PEERS, len(state.nodes)) * (len(data) + DATAGRAM_HEADER_BYTES)
-
-
-def rates_to_report(state: GatewayState) -> RatesReport | None:
-    """Return what this node has measured lately, or None if that is nothing."""
-    samples_by_key = state.load.capacity.to_report(state.clock.now())
-    if not samples_by_key:
-        return None
-    return RatesReport(state.settings.node, state.load.run_sizes, samples_by_key)
-
-
-@DATAGRAM_HANDLERS.register(ENDPOINT_RATES)
-def receive_rates(state: GatewayState, data: bytes, _sent_after: float) -> None:
-    """Take over the rates that a peer has measured.
-
-    Raises BadFrameError.
-    """
-    report = decode_rates(data)
-    now = state.clock.now()
-    state.load.capacity.accept_report(report.node, report.samples_by_key, now)
-    state.load.accept_run_sizes(report.node, report.run_sizes)
-
-
 def pause_after(sent_bytes: int, new_requests: int) -> float:
     """Return how long to send nothing after a report, in seconds."""
     excess_bytes = sent_bytes - BYTES_PER_REQUEST * new_requests
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -58,6 +58,10 @@
 ENDPOINT_CRASHES_TOTAL = Counter(
     "agatehoist_endpoint_crashes_total", "Requests lost in a crash before an answer."
 )
+# Rejections and waits that don't count against an endpoint, as it is full.
+EXPLAINED_FAILURES_TOTAL = Counter(
+    "agatehoist_explained_failures_total", "Failures that full endpoints explain."
+)
 QUARANTINES_TOTAL = Counter(
     "agatehoist_quarantines_total", "Changes to the quarantined prompt parts."
 )
@@ -93,6 +97,7 @@
     "ENDPOINT_STATEMENTS_TOTAL",
     "EVICTED_REPLIES_TOTAL",
     "EXCHANGES_TOTAL",
+    "EXPLAINED_FAILURES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
     "LONGEST_GAP_SECONDS",
--- a/src/agatehoist/protocol/datagrams.py
+++ b/src/agatehoist/protocol/datagrams.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 MAX_DATAGRAM_BYTES = 1400
+# IP and UDP headers.
+DATAGRAM_HEADER_BYTES = 28
 # Other releases use other kinds for messages with other fields and ignore these.
 NODE_REPORT = 4
 ENDPOINT_NOTICES = 65
--- a/tests/test_gateway/test_room.py
+++ b/tests/test_gateway/test_room.py
@@ -10,8 +10,12 @@
 from structlog.testing import capture_logs
 
 from agatehoist.fleet.capacity import DEFAULT_PREFILL_TOKENS_PER_S
+from agatehoist.gateway.endpoint_rates import (
+    logged_rates,
+    rates_to_report,
+    receive_rates,
+)
 from agatehoist.gateway.engine_measurement import EngineMeasurement
-from agatehoist.gateway.peer_reports import rates_to_report, receive_rates
 from agatehoist.gateway.room import room_at
 from agatehoist.gateway.types import Dispatch
 from agatehoist.protocol.endpoint_rates import (
@@ -155,6 +159,8 @@
             report = rates_to_report(state)
             assert report is not None
             self.assertIn(endpoint_key(endpoint.lifetime), report.samples_by_key)
+            (logged,) = logged_rates(state, now + 1).values()
+            self.assertAlmostEqual(logged["tokens_per_s"], 40_000 / slowness, delta=1)
 
         in_gateway(measured_world(), check)
 
