Bound the weight of a single gap in the measured step time

The first event of a moved run counted as if its prompt had been read.

Change: a gap counts as at most three times the expected one, moved runs teach no prefill rate, and the work of peers is added up for each endpoint when it is asked for.

--- a/src/agatehoist/fleet/capacity.py
+++ b/src/agatehoist/fleet/capacity.py
@@ -34,6 +34,9 @@
 HALF_LIFE_S = 8.0
 # Adding up the samples of all peers for each request would be slow in a large fleet.
 RATES_MAX_AGE_S = 0.1
+# A longer step has read a prompt that this process doesn't know of, or its run was
+# preempted. An engine that has got slower is followed in several samples.
+MAX_STEP_RATIO = 3.0
 # Share of the answers that may take longer than the noise states.
 NOISE_QUANTILE = 0.9
 MAX_NOISE_SAMPLES = 128
@@ -131,8 +134,9 @@
         self, lifetime: str, count: int, measured_s: float, now: float
     ) -> None:
         """Add the time of steps in which the endpoint read no prompt."""
+        longest_s = MAX_STEP_RATIO * count * self.rates(lifetime, now).step_s
         measured = self._measured(lifetime, now, is_shared=True)
-        measured.step.add(measured_s, count * DEFAULT_STEP_S)
+        measured.step.add(min(measured_s, longest_s), count * DEFAULT_STEP_S)
 
     def slowness(self, lifetime: str, now: float) -> float:
         """Return how many times as long as assumed an endpoint takes for prompts."""
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Self
 
@@ -59,20 +58,17 @@
     own_tokens: int = 0
     shared_tokens: int = 0
 
-    def plus(self, load: EndpointLoad, sizes: RunSizes) -> EndpointWork:
-        """Return the sum with a peer's work, whose runs have a mean size."""
-        return EndpointWork(
-            self.runs + load.runs,
-            self.unprocessed_tokens + load.unprocessed_tokens,
-            self.own_tokens + load.runs * sizes.own_tokens,
-            self.shared_tokens + load.runs * sizes.shared_tokens,
-        )
-
 
 NO_WORK = EndpointWork()
 NO_SIZES = RunSizes()
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerWork:
+    work: EndpointWork
+    at: float
+
+
 class _Work:
     # Prompt tokens are unread until their prefill is done.
     def __init__(self) -> None:
@@ -174,8 +170,7 @@
         self.first_events = FirstEventTimes()
         self._mean_sizes = _MeanSizes()
         self._sizes_by_node: dict[str, RunSizes] = {}
-        self._peer_work_by_key: dict[bytes, EndpointWork] = {}
-        self._peer_work_at = -math.inf
+        self._peer_work_by_key: dict[bytes, _PeerWork] = {}
         self.started_requests = 0
 
     def snapshot(self) -> dict[bytes, EndpointLoad]:
@@ -210,7 +205,7 @@
             if now > peer.received_at + PEER_RETENTION_S:
                 del self._peers_by_node[node]
                 self._sizes_by_node.pop(node, None)
-        self._peer_work_at = -math.inf
+        self._peer_work_by_key.clear()
         self._on_peer_change()
 
     def accept_run_sizes(self, node: str, sizes: RunSizes) -> None:
@@ -235,7 +230,7 @@
 
     def work(self, lifetime: str, now: float) -> EndpointWork:
         """Return the work at an endpoint, with that of peers as of a moment ago."""
-        peers = self._peer_work(now).get(endpoint_key(lifetime), NO_WORK)
+        peers = self._peer_work(endpoint_key(lifetime), now)
         own = self._work_by_lifetime.get(lifetime)
         if own is None:
             return peers
@@ -282,19 +277,24 @@
         wait_s = work.unprocessed_tokens / DEFAULT_PREFILL_TOKENS_PER_S
         return wait_s + work.runs * STEP_TIME_S_PER_RUN
 
-    def _peer_work(self, now: float) -> dict[bytes, EndpointWork]:
-        if not self._peer_work_at <= now < self._peer_work_at + PEER_WORK_MAX_AGE_S:
-            own_sizes = self.run_sizes
-            work_by_key: dict[bytes, EndpointWork] = {}
-            for node, peer in self._peers_by_node.items():
-                if now > peer.received_at + PEER_REPORT_MAX_AGE_S:
-                    continue
-                sizes = self._sizes_by_node.get(node, own_sizes)
-                for key, load in peer.loads_by_key.items():
-                    work_by_key[key] = work_by_key.get(key, NO_WORK).plus(load, sizes)
-            self._peer_work_by_key = work_by_key
-            self._peer_work_at = now
-        return self._peer_work_by_key
+    def _peer_work(self, key: bytes, now: float) -> EndpointWork:
+        known = self._peer_work_by_key.get(key)
+        if known is not None and known.at <= now < known.at + PEER_WORK_MAX_AGE_S:
+            return known.work
+        runs = unprocessed_tokens = own_tokens = shared_tokens = 0
+        own_sizes = self.run_sizes
+        for node, peer in self._peers_by_node.items():
+            load = peer.loads_by_key.get(key)
+            if load is None or now > peer.received_at + PEER_REPORT_MAX_AGE_S:
+                continue
+            sizes = self._sizes_by_node.get(node, own_sizes)
+            runs += load.runs
+            unprocessed_tokens += load.unprocessed_tokens
+            own_tokens += load.runs * sizes.own_tokens
+            shared_tokens += load.runs * sizes.shared_tokens
+        work = EndpointWork(runs, unprocessed_tokens, own_tokens, shared_tokens)
+        self._peer_work_by_key[key] = _PeerWork(work, now)
+        return work
 
 
 def changed_loads(
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -170,8 +170,8 @@
         left_s = self._request.deadline - self._state.clock.now()
         self._scope.deadline = anyio.current_time() + left_s
         # The endpoint sends nothing before it has read the prompt.
-        self._progress_at = anyio.current_time()
-        self._progress_at += self.measurement.expected_first_s
+        expected_first_s = self.measurement.expected_first_s
+        self._progress_at = anyio.current_time() + expected_first_s
         self._silent_at = self._silence_deadline()
         waiting = self._state.load.first_events.waiting(
             self.dispatch.endpoint.lifetime, self.attempt_id, self._began_at
--- a/src/agatehoist/gateway/engine_measurement.py
+++ b/src/agatehoist/gateway/engine_measurement.py
@@ -39,6 +39,8 @@
         self._lifetime = dispatch.endpoint.lifetime
         self._endpoint = dispatch.endpoint
         self._missing_tokens = dispatch.missing_tokens
+        # The prompt of a continued run isn't read again.
+        self._is_continued = bool(dispatch.continued_run)
         self._began_at = began_at
         self._engines = measured_engines(state, request)
         self._gaps = StreamGaps(dispatch.endpoint.name)
@@ -77,7 +79,7 @@
                 self._lifetime, self._assumed_first_s, measured_s
             )
             return
-        if self._tokens_ahead > self._missing_tokens < MIN_QUEUED_SAMPLE_TOKENS:
+        if not self._shows_rate:
             return
         tokens = self._tokens_ahead + self._missing_tokens
         # The engine computes the tokens of the first event after it has read the
@@ -96,6 +98,14 @@
             is_shared=True,
         )
 
+    @property
+    def _shows_rate(self) -> bool:
+        """Return whether the time to the first event is that to read known tokens."""
+        if self._is_continued:
+            return False
+        is_long = self._missing_tokens >= MIN_QUEUED_SAMPLE_TOKENS
+        return is_long or self._tokens_ahead <= self._missing_tokens
+
     def note_events(self, count: int, now: float) -> None:
         """Record that events have arrived, and learn from the gap before them."""
         load = self._state.load
--- a/tests/test_fleet/test_capacity.py
+++ b/tests/test_fleet/test_capacity.py
@@ -71,6 +71,12 @@
         capacity.learn_first_event("e", 0.2, 60.0, NOW, is_shared=True)
         self.assertLessEqual(capacity.slowness("e", NOW), 8.0)
 
+    def test_preempted_run_does_not_make_the_steps_slow(self) -> None:
+        capacity = learned(1.0)
+        capacity.learn_steps("e", 4, 2.0, NOW)
+        step_s = capacity.rates("e", NOW).step_s
+        self.assertAlmostEqual(step_s / DEFAULT_STEP_S, 1, delta=0.05)
+
     def test_noise_is_exceeded_by_one_answer_in_ten(self) -> None:
         capacity = Capacity()
         for number in range(MAX_NOISE_SAMPLES):
