Let short prompts expect to wait for short ones only

Cause: the expected wait at an engine counted all prompt tokens ahead, although engines read short prompts before long ones.

Change: loads count the unread tokens of short prompts too. They are reported under a key of their own, which earlier releases take for an unknown endpoint. Waits of short prompts, what first events are compared with, and the room at an endpoint use them. The test of requests that find no room makes its backlog of short prompts, as long ones no longer hold a short one up.

--- a/src/agatehoist/admission/room.py
+++ b/src/agatehoist/admission/room.py
@@ -22,12 +22,13 @@
 
     `missing_tokens` have to be read; `held_tokens` are held in memory until the end of
     the run, in addition to what is cached already. The gap objective is that of the
-    route, 0 for none.
+    route, 0 for none. Engines read short prompts before long ones.
     """
 
     missing_tokens: int
     held_tokens: int
     gap_objective_s: float
+    is_short: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +38,8 @@
     A step computes one token for each run and takes `step_s`, longer while it reads
     up to CHUNK_TOKENS of a prompt as well. An event of a stream has `stride` tokens. A
     memory of 0 tokens is unknown, and so are 0 slots. One answer in ten takes `noise`
-    times as long as expected, or longer.
+    times as long as expected, or longer. Of the unprocessed tokens `short_tokens` are
+    those of short prompts.
     """
 
     prefill_tokens_per_s: float
@@ -49,6 +51,7 @@
     held_tokens: int
     slots: int = 0
     noise: float = 1.0
+    short_tokens: int = 0
 
     @property
     def is_full(self) -> bool:
@@ -79,8 +82,8 @@
 def room_for(need: Need, engine: EngineState) -> Room:
     """Return what a prompt meets and causes at an engine."""
     rate = engine.prefill_tokens_per_s
-    wait_s = engine.unprocessed_tokens / rate
-    wait_s += chunk_count(engine.unprocessed_tokens) * engine.step_s
+    ahead = tokens_ahead(engine.unprocessed_tokens, engine.short_tokens, need.is_short)
+    wait_s = ahead / rate + chunk_count(ahead) * engine.step_s
     read_s = need.missing_tokens / rate
     read_s += chunk_count(need.missing_tokens) * engine.step_s
     return Room(
@@ -92,6 +95,16 @@
     )
 
 
+def tokens_ahead(unprocessed_tokens: int, short_tokens: int, is_short: bool) -> int:
+    """Return the tokens that an engine reads before a new prompt.
+
+    It reads short prompts before long ones, but ends a chunk that it has begun.
+    """
+    if not is_short:
+        return unprocessed_tokens
+    return short_tokens + min(CHUNK_TOKENS, unprocessed_tokens - short_tokens)
+
+
 def chunk_count(tokens: int) -> int:
     """Return the number of steps in which an engine reads a prompt."""
     return math.ceil(tokens / CHUNK_TOKENS)
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Self
 
 from agatehoist.admission.rates import DecayingRatio
+from agatehoist.admission.room import tokens_ahead
 from agatehoist.fleet.capacity import (
     DEFAULT_PREFILL_TOKENS_PER_S,
     DEFAULT_STEP_S,
@@ -13,7 +14,12 @@
 )
 from agatehoist.fleet.first_events import FirstEventTimes
 from agatehoist.protocol.endpoint_rates import RunSizes
-from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
+from agatehoist.protocol.node_reports import (
+    EndpointLoad,
+    NodeReport,
+    endpoint_key,
+    short_prompts_key,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,12 +57,15 @@
 
     `own_tokens` are those that the runs hold in memory without the parts that they
     share. `shared_tokens` are the shared parts, counted once for each run.
+    `short_tokens` are the unprocessed tokens of short prompts, which are also part of
+    `unprocessed_tokens`.
     """
 
     runs: int = 0
     unprocessed_tokens: int = 0
     own_tokens: int = 0
     shared_tokens: int = 0
+    short_tokens: int = 0
 
 
 NO_WORK = EndpointWork()
@@ -76,6 +85,7 @@
         self.unprocessed_tokens = 0
         self.own_tokens = 0
         self.shared_tokens = 0
+        self.short_tokens = 0
         self.changes = 0
 
     @property
@@ -108,13 +118,16 @@
         unprocessed_tokens: int,
         sizes: RunSizes,
         on_change: Callable[[], None],
+        is_short: bool = False,
     ) -> None:
         self._work = work
+        self._is_short = is_short
         self._sizes = sizes
         self._unprocessed_tokens = unprocessed_tokens
         self._on_change = on_change
         work.runs += 1
         work.unprocessed_tokens += unprocessed_tokens
+        work.short_tokens += unprocessed_tokens if is_short else 0
         work.own_tokens += sizes.own_tokens
         work.shared_tokens += sizes.shared_tokens
         work.changes += 1
@@ -130,6 +143,8 @@
         """Stop counting the prompt tokens as unread."""
         if self._unprocessed_tokens:
             self._work.unprocessed_tokens -= self._unprocessed_tokens
+            if self._is_short:
+                self._work.short_tokens -= self._unprocessed_tokens
             self._unprocessed_tokens = 0
             self._work.changes += 1
             self._on_change()
@@ -175,11 +190,14 @@
 
     def snapshot(self) -> dict[bytes, EndpointLoad]:
         """Return the work in flight of this process."""
-        return {
-            endpoint_key(lifetime): work.load
-            for lifetime, work in self._work_by_lifetime.items()
-            if work.runs
-        }
+        loads_by_key = {}
+        for lifetime, work in self._work_by_lifetime.items():
+            if work.runs:
+                loads_by_key[endpoint_key(lifetime)] = work.load
+            if work.short_tokens:
+                short_load = EndpointLoad(0, work.short_tokens)
+                loads_by_key[short_prompts_key(lifetime)] = short_load
+        return loads_by_key
 
     def forget(self, lifetime: str) -> None:
         """Drop the work of an endpoint that has ended."""
@@ -219,18 +237,24 @@
         return self._mean_sizes.value
 
     def track(
-        self, lifetime: str, unprocessed_tokens: int, sizes: RunSizes = NO_SIZES
+        self,
+        lifetime: str,
+        unprocessed_tokens: int,
+        sizes: RunSizes = NO_SIZES,
+        is_short: bool = False,
     ) -> TrackedRequest:
         """Count a request, with or without a prompt, from now until it ends."""
         work = self._work_by_lifetime.setdefault(lifetime, _Work())
         self.started_requests += 1
         if sizes != NO_SIZES:
             self._mean_sizes.add(sizes)
-        return TrackedRequest(work, unprocessed_tokens, sizes, self._on_change)
+        return TrackedRequest(
+            work, unprocessed_tokens, sizes, self._on_change, is_short
+        )
 
     def work(self, lifetime: str, now: float) -> EndpointWork:
         """Return the work at an endpoint, with that of peers as of a moment ago."""
-        peers = self._peer_work(endpoint_key(lifetime), now)
+        peers = self._peer_work(lifetime, now)
         own = self._work_by_lifetime.get(lifetime)
         if own is None:
             return peers
@@ -239,6 +263,7 @@
             peers.unprocessed_tokens + own.unprocessed_tokens,
             peers.own_tokens + own.own_tokens,
             peers.shared_tokens + own.shared_tokens,
+            peers.short_tokens + own.short_tokens,
         )
 
     def own_changes(self, lifetime: str) -> int:
@@ -250,10 +275,10 @@
         """Count the requests in progress on an endpoint from all known nodes."""
         return self.work(lifetime, now).runs
 
-    def wait_s(self, lifetime: str, now: float) -> float:
+    def wait_s(self, lifetime: str, now: float, is_short: bool = False) -> float:
         """Estimate how long a new prompt waits for those ahead of it, in seconds."""
         return self.capacity.slowness(lifetime, now) * self._assumed_wait_s(
-            lifetime, now
+            lifetime, now, is_short
         )
 
     def begin_wait_s(self, lifetime: str, missing_tokens: int, now: float) -> float:
@@ -267,21 +292,29 @@
             slowness = max(slowness, self.capacity.slowest(now))
         return max(slowness * read_s, self.first_events.slowest_s(lifetime, now))
 
-    def assumed_first_s(self, lifetime: str, missing_tokens: int, now: float) -> float:
+    def assumed_first_s(
+        self,
+        lifetime: str,
+        missing_tokens: int,
+        now: float,
+        is_short: bool = False,
+    ) -> float:
         """Return when a prompt would be read at the assumed rate, in seconds."""
-        wait_s = self._assumed_wait_s(lifetime, now)
+        wait_s = self._assumed_wait_s(lifetime, now, is_short)
         return wait_s + missing_tokens / DEFAULT_PREFILL_TOKENS_PER_S
 
-    def _assumed_wait_s(self, lifetime: str, now: float) -> float:
+    def _assumed_wait_s(self, lifetime: str, now: float, is_short: bool) -> float:
         work = self.work(lifetime, now)
-        wait_s = work.unprocessed_tokens / DEFAULT_PREFILL_TOKENS_PER_S
+        tokens = tokens_ahead(work.unprocessed_tokens, work.short_tokens, is_short)
+        wait_s = tokens / DEFAULT_PREFILL_TOKENS_PER_S
         return wait_s + work.runs * STEP_TIME_S_PER_RUN
 
-    def _peer_work(self, key: bytes, now: float) -> EndpointWork:
+    def _peer_work(self, lifetime: str, now: float) -> EndpointWork:
+        key, short_key = endpoint_key(lifetime), short_prompts_key(lifetime)
         known = self._peer_work_by_key.get(key)
         if known is not None and known.at <= now < known.at + PEER_WORK_MAX_AGE_S:
             return known.work
-        runs = unprocessed_tokens = own_tokens = shared_tokens = 0
+        runs = unprocessed_tokens = own_tokens = shared_tokens = short_tokens = 0
         own_sizes = self.run_sizes
         for node, peer in self._peers_by_node.items():
             load = peer.loads_by_key.get(key)
@@ -292,7 +325,11 @@
             unprocessed_tokens += load.unprocessed_tokens
             own_tokens += load.runs * sizes.own_tokens
             shared_tokens += load.runs * sizes.shared_tokens
-        work = EndpointWork(runs, unprocessed_tokens, own_tokens, shared_tokens)
+            short = peer.loads_by_key.get(short_key, NO_LOAD)
+            short_tokens += min(short.unprocessed_tokens, load.unprocessed_tokens)
+        work = EndpointWork(
+            runs, unprocessed_tokens, own_tokens, shared_tokens, short_tokens
+        )
         self._peer_work_by_key[key] = _PeerWork(work, now)
         return work
 
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -55,9 +55,8 @@
 # A caller that comes back after a refusal states less time than the route allows.
 RETURNED_TIME_SHARE = 0.97
 DIGEST_BYTES = 16
-# Engines run all short prompts before the long ones, which take many times as long, and
-# those of each class by the priority of their organisation or route.
-LONG_PROMPT_TOKENS = 2048
+# Engines run all short prompts before the long ones, and those of each class by the
+# priority of their organisation or route.
 FIRST_LONG_PRIORITY = 2
 
 
@@ -210,7 +209,8 @@
     prompt = request.envelope.prompt
     version = state.fleet.version_of(endpoint, prompt.model) if prompt else 0
     identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
-    wait_s = state.load.wait_s(endpoint.lifetime, state.clock.now())
+    is_short = prompt is not None and prompt.is_short
+    wait_s = state.load.wait_s(endpoint.lifetime, state.clock.now(), is_short)
     if prompt and version < state.weights.target(prompt.model):
         wait_s += OLD_WEIGHTS_PENALTY_S
     if state.health.is_unhealthy(endpoint.lifetime, state.clock.now()):
@@ -260,5 +260,5 @@
 
 def work_priority(prompt: Prompt | None) -> Priority:
     """Return the scheduling class of a request; short prompts run first."""
-    is_long = prompt is not None and prompt.prompt_tokens > LONG_PROMPT_TOKENS
+    is_long = prompt is not None and not prompt.is_short
     return Priority.LONG if is_long else Priority.SHORT
--- a/src/agatehoist/gateway/engine_measurement.py
+++ b/src/agatehoist/gateway/engine_measurement.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from agatehoist.admission.room import CHUNK_TOKENS, chunk_count
+from agatehoist.admission.room import CHUNK_TOKENS, chunk_count, tokens_ahead
 from agatehoist.fleet.capacity import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.fleet.load import FIRST_TOKEN_S, NO_SIZES, TrackedRequest
 from agatehoist.fleet.silence import TOLERATED_SILENCE_S, is_wait_explained
@@ -46,9 +46,13 @@
         self._gaps = StreamGaps(dispatch.endpoint.name)
         self._has_begun = False
         load, prompt = state.load, request.envelope.prompt
-        self._tokens_ahead = load.work(self._lifetime, began_at).unprocessed_tokens
+        is_short = prompt is not None and prompt.is_short
+        work = load.work(self._lifetime, began_at)
+        self._tokens_ahead = tokens_ahead(
+            work.unprocessed_tokens, work.short_tokens, is_short
+        )
         self._assumed_first_s = load.assumed_first_s(
-            self._lifetime, dispatch.missing_tokens, began_at
+            self._lifetime, dispatch.missing_tokens, began_at, is_short
         )
         slowness = load.capacity.slowness(self._lifetime, began_at)
         # The endpoint processes earlier prompts first.
@@ -59,7 +63,7 @@
             self.expected_first_s *= rates.noise
         sizes = run_sizes(prompt) if prompt and is_measured else NO_SIZES
         self.tracked: TrackedRequest = load.track(
-            self._lifetime, dispatch.missing_tokens, sizes
+            self._lifetime, dispatch.missing_tokens, sizes, is_short
         )
 
     @property
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -328,7 +328,9 @@
 
     def _record_step(self, action: str, dispatch: Dispatch) -> None:
         endpoint = dispatch.endpoint
-        wait_s = self._state.load.wait_s(endpoint.lifetime, self._now())
+        prompt = self._request.envelope.prompt
+        is_short = prompt is not None and prompt.is_short
+        wait_s = self._state.load.wait_s(endpoint.lifetime, self._now(), is_short)
         wait_ms = round(wait_s * MS_PER_S)
         # The wait is the expected one; `cache` is followed by the KV cache salt.
         step = f"{action} to {endpoint.name}, wait {wait_ms} ms"
--- a/src/agatehoist/gateway/room.py
+++ b/src/agatehoist/gateway/room.py
@@ -75,7 +75,7 @@
     engines = measured_engines(state, request)
     if engines is None:
         read_s = missing_tokens / DEFAULT_PREFILL_TOKENS_PER_S
-        return Room(load.wait_s(lifetime, now), read_s)
+        return Room(load.wait_s(lifetime, now, prompt.is_short), read_s)
     salt = cache_salt_for(request, version)
     cached = state.parts.matched_tokens(lifetime, salt, prompt.shared_parts)
     sizes = run_sizes(prompt)
@@ -83,6 +83,7 @@
         missing_tokens,
         sizes.own_tokens + max(0, sizes.shared_tokens - cached),
         request.route.gap_objective_s,
+        prompt.is_short,
     )
     return room_for(need, state.engine_states.get(state, engines, lifetime, now))
 
@@ -104,6 +105,7 @@
         ),
         slots=engines.slots,
         noise=rates.noise,
+        short_tokens=work.short_tokens,
     )
 
 
--- a/src/agatehoist/gateway/tickets.py
+++ b/src/agatehoist/gateway/tickets.py
@@ -54,12 +54,16 @@
         request.deadline,
         returned,
     )
-    return Ticket(start_request, lambda: least_wait_s(state, find_offers()))
+    return Ticket(
+        start_request, lambda: least_wait_s(state, find_offers(), prompt.is_short)
+    )
 
 
-def least_wait_s(state: GatewayState, offers: tuple[Offer, ...]) -> float:
+def least_wait_s(
+    state: GatewayState, offers: tuple[Offer, ...], is_short: bool = False
+) -> float:
     """Return the least expected wait at one of the offered endpoints, in seconds."""
     now = state.clock.now()
     lifetimes = (each.identity.endpoint_incarnation for each in offers)
-    waits_s = (state.load.wait_s(each, now) for each in lifetimes)
+    waits_s = (state.load.wait_s(each, now, is_short) for each in lifetimes)
     return min(waits_s, default=0.0)
--- a/src/agatehoist/protocol/node_reports.py
+++ b/src/agatehoist/protocol/node_reports.py
@@ -80,6 +80,16 @@
     return hashlib.blake2b(lifetime.encode(), digest_size=KEY_BYTES).digest()
 
 
+@functools.lru_cache(MAX_CACHED_KEYS)
+def short_prompts_key(lifetime: str) -> bytes:
+    """Return the key for the short prompts at an endpoint, reported without runs.
+
+    They are part of the load of the endpoint too. Releases that don't know this key
+    take it for that of an endpoint which they haven't been told of.
+    """
+    return endpoint_key(f"{lifetime}/short")
+
+
 @functools.lru_cache(MAX_CACHED_KEYS)
 def part_key(salt: str, part_id: str) -> bytes:
     """Return the key for a prompt part under a cache salt in reports."""
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -144,6 +144,10 @@
     tokens: int
 
 
+# Engines run short prompts before long ones, which take many times as long.
+LONG_PROMPT_TOKENS = 2048
+
+
 @dataclass(frozen=True, slots=True)
 class Prompt:
     """Describe a prompt; its last part belongs to one request or session only."""
@@ -158,6 +162,11 @@
         """Return the parts that other requests may also contain."""
         return self.parts[:-1]
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether engines run the prompt before all long ones."""
+        return self.prompt_tokens <= LONG_PROMPT_TOKENS
+
 
 @dataclass(frozen=True, slots=True)
 class Envelope:
--- a/tests/test_fleet/test_load.py
+++ b/tests/test_fleet/test_load.py
@@ -6,9 +6,11 @@
 
 from parameterized import parameterized
 
+from agatehoist.admission.room import CHUNK_TOKENS
 from agatehoist.fleet.load import (
     DEFAULT_PREFILL_TOKENS_PER_S,
     PEER_REPORT_MAX_AGE_S,
+    STEP_TIME_S_PER_RUN,
     EndpointWork,
     Load,
     changed_loads,
@@ -75,6 +77,34 @@
         expected = tokens / DEFAULT_PREFILL_TOKENS_PER_S
         self.assertAlmostEqual(load.wait_s("e@1", NOW), expected)
 
+    # Case, unread tokens of long and of short prompts, and those that a short prompt
+    # waits for.
+    @parameterized.expand(
+        [
+            ("behind_long_prompts", 50_000, 0, CHUNK_TOKENS),
+            ("behind_the_end_of_a_long_prompt", 500, 0, 500),
+            ("behind_short_prompts", 0, 3000, 3000),
+            ("behind_both", 50_000, 3000, 3000 + CHUNK_TOKENS),
+        ]
+    )
+    def test_short_prompts_are_not_refused_for_long_ones_in_the_queue(
+        self, _name: str, long_tokens: int, short_tokens: int, ahead: int
+    ) -> None:
+        for is_peer in (False, True):
+            sender, load = Load(), Load()
+            sender.track("e@1", long_tokens)
+            short = sender.track("e@1", short_tokens, is_short=True)
+            loads_by_key = sender.snapshot()
+            load.accept_report(NodeReport("peer", 1, 1, True, loads_by_key), NOW)
+            known = load if is_peer else sender
+            runs_s = 2 * STEP_TIME_S_PER_RUN
+            wait_s = known.wait_s("e@1", NOW, is_short=True) - runs_s
+            self.assertAlmostEqual(wait_s, ahead / DEFAULT_PREFILL_TOKENS_PER_S)
+            unread = known.work("e@1", NOW).unprocessed_tokens
+            self.assertEqual(unread, long_tokens + short_tokens)
+            short.end()
+            self.assertEqual(sender.work("e@1", NOW).short_tokens, 0)
+
     def test_memory_of_runs_counts_until_their_end(self) -> None:
         load = Load()
         with load.track("e@1", 2890, RunSizes(2900, 6300)) as tracked:
--- a/tests/test_gateway/test_start_lines.py
+++ b/tests/test_gateway/test_start_lines.py
@@ -87,7 +87,8 @@
     def _make_busy(self, world: GatewayHarness, count: int) -> list[TrackedRequest]:
         endpoints = world.state.fleet.serving(ENGINES, 0.0)
         return [
-            world.state.load.track(each.lifetime, BACKLOG_TOKENS)
+            # A short prompt waits for other short ones only.
+            world.state.load.track(each.lifetime, BACKLOG_TOKENS, is_short=True)
             for each in endpoints[:count]
         ]
 
