--- a/src/agatehoist/protocol/node_reports.py
+++ b/src/agatehoist/protocol/node_reports.py
@@ -80,6 +80,16 @@
     return hashlib.blake2b(lifetime.encode(), digest_size=KEY_BYTES).digest()
 
 
+@functools.lru_cache(MAX_CACHED_KEYS)
+def short_prompts_key(lifetime: str) -> bytes:
+    """Return the key for the short prompts at an endpoint, reported without runs.
+
+    They are part of the load of the endpoint too. Releases that don't know this key
+    take it for that of an endpoint which they haven't been told of.
+    """
+    return endpoint_key(f"{lifetime}/short")
+
+
 @functools.lru_cache(MAX_CACHED_KEYS)
 def part_key(salt: str, part_id: str) -> bytes:
     """Return the key for a prompt part under a cache salt in reports."""
@@ -138,7 +148,7 @@
             raise ValueError(f"unexpected kind {describe(kind)}")
         node, started_ms, sequence, whole, target_ages, reads, loads = fields
         return NodeReport(
-            _checked_name(node),
+            checked_name(node),
             _checked_number(started_ms),
             _checked_number(sequence),
             whole is True,
@@ -157,7 +167,7 @@
 
 def _decode_target_age(model: Any, version: Any, age_ms: Any) -> TargetWeightsAge:
     return TargetWeightsAge(
-        _checked_name(model), _checked_number(version), _checked_number(age_ms)
+        checked_name(model), _checked_number(version), _checked_number(age_ms)
     )
 
 
@@ -174,7 +184,8 @@
     return number
 
 
-def _checked_name(value: object) -> str:
+def checked_name(value: object) -> str:
+    """Return a name from a datagram; raises ValueError if it isn't one."""
     if not isinstance(value, str) or len(value) > MAX_NAME_CHARACTERS:
         raise ValueError("a name is not a string or is too long")
     return value
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -81,6 +81,11 @@
     stride: int = 1
     token_bytes: int = 0
 
+    @property
+    def states_figures(self) -> bool:
+        """Return whether the room of an engine can be computed from its figures."""
+        return self.stride > 1 and self.memory_tokens > 0
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -139,6 +144,10 @@
     tokens: int
 
 
+# Engines run short prompts before long ones, which take many times as long.
+LONG_PROMPT_TOKENS = 2048
+
+
 @dataclass(frozen=True, slots=True)
 class Prompt:
     """Describe a prompt; its last part belongs to one request or session only."""
@@ -153,6 +162,11 @@
         """Return the parts that other requests may also contain."""
         return self.parts[:-1]
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether engines run the prompt before all long ones."""
+        return self.prompt_tokens <= LONG_PROMPT_TOKENS
+
 
 @dataclass(frozen=True, slots=True)
 class Envelope:
--- a/tests/test_fleet/test_load.py
+++ b/tests/test_fleet/test_load.py
@@ -6,12 +6,16 @@
 
 from parameterized import parameterized
 
+from agatehoist.admission.room import CHUNK_TOKENS
 from agatehoist.fleet.load import (
     DEFAULT_PREFILL_TOKENS_PER_S,
     PEER_REPORT_MAX_AGE_S,
+    STEP_TIME_S_PER_RUN,
+    EndpointWork,
     Load,
     changed_loads,
 )
+from agatehoist.protocol.endpoint_rates import RunSizes
 from agatehoist.protocol.node_reports import EndpointLoad, NodeReport, endpoint_key
 
 NOW = 50.0
@@ -73,6 +77,62 @@
         expected = tokens / DEFAULT_PREFILL_TOKENS_PER_S
         self.assertAlmostEqual(load.wait_s("e@1", NOW), expected)
 
+    # Case, unread tokens of long and of short prompts, and those that a short prompt
+    # waits for.
+    @parameterized.expand(
+        [
+            ("behind_long_prompts", 50_000, 0, CHUNK_TOKENS),
+            ("behind_the_end_of_a_long_prompt", 500, 0, 500),
+            ("behind_short_prompts", 0, 3000, 3000),
+            ("behind_both", 50_000, 3000, 3000 + CHUNK_TOKENS),
+        ]
+    )
+    def test_short_prompts_are_not_refused_for_long_ones_in_the_queue(
+        self, _name: str, long_tokens: int, short_tokens: int, ahead: int
+    ) -> None:
+        for is_peer in (False, True):
+            sender, load = Load(), Load()
+            sender.track("e@1", long_tokens)
+            short = sender.track("e@1", short_tokens, is_short=True)
+            loads_by_key = sender.snapshot()
+            load.accept_report(NodeReport("peer", 1, 1, True, loads_by_key), NOW)
+            known = load if is_peer else sender
+            runs_s = 2 * STEP_TIME_S_PER_RUN
+            wait_s = known.wait_s("e@1", NOW, is_short=True) - runs_s
+            self.assertAlmostEqual(wait_s, ahead / DEFAULT_PREFILL_TOKENS_PER_S)
+            unread = known.work("e@1", NOW).unprocessed_tokens
+            self.assertEqual(unread, long_tokens + short_tokens)
+            short.end()
+            self.assertEqual(sender.work("e@1", NOW).short_tokens, 0)
+
+    def test_memory_of_runs_counts_until_their_end(self) -> None:
+        load = Load()
+        with load.track("e@1", 2890, RunSizes(2900, 6300)) as tracked:
+            tracked.note_prefill_done()
+            work = load.work("e@1", NOW)
+            self.assertEqual((work.own_tokens, work.shared_tokens), (2900, 6300))
+        self.assertEqual(load.work("e@1", NOW), EndpointWork())
+
+    # Case, the size that the peer told of its runs, and what its three runs hold. A
+    # peer of the release before tells none.
+    @parameterized.expand(
+        [("told", RunSizes(600, 100), 1800), ("not_told", None, 3 * 2900)]
+    )
+    def test_runs_of_peers_hold_memory_too(
+        self, _name: str, told: RunSizes | None, own_tokens: int
+    ) -> None:
+        load = Load()
+        for _ in range(50):
+            load.track("other@1", 0, RunSizes(2900, 6300)).end()
+        loads = {endpoint_key("e@1"): EndpointLoad(3, 0)}
+        load.accept_report(NodeReport("peer", 1, 1, True, loads), NOW)
+        if told is not None:
+            load.accept_run_sizes("peer", told)
+        found = load.work("e@1", NOW).own_tokens
+        self.assertAlmostEqual(found, own_tokens, delta=0.02 * own_tokens)
+        later = NOW + PEER_REPORT_MAX_AGE_S + 0.1
+        self.assertEqual(load.work("e@1", later), EndpointWork())
+
     @parameterized.expand(
         [
             ("nothing", {"a": 1}, {"a": 1}, {}),
