Decide on allotments that all gateways share

Nothing enforced an organisation's allotment across the gateways: one organisation ran 4.17 million tokens in 8 s where 3.66 million were allowed.

Each organisation has a home, which leases amounts of a token bucket. Each gateway owns an equal share of the rate and delegates it to the home that it reaches; a home gives out only what is delegated to it, so homes that don't know of each other stay within the allotment together, and a stand-in can use the shares of those that can't reach the home.

The simulation plays 25 gateways, an organisation at 5 times its rate and 12 troubles (all killed, partitions, lost messages, suspensions): in all of them use stays under 0.95 of the bound.

--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from agatehoist.core.address import Address
+from agatehoist.limits.types import AllotmentBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,19 +21,6 @@
     window_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class AllotmentBounds:
-    """Bound what an organisation may use beyond its allotment, over all gateways.
-
-    In any window it may use (rate * window + burst) * (1 + overage) + slack, in the
-    unit of the allotment.
-    """
-
-    window_s: float = 8.0
-    overage: float = 0.0
-    slack: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class MachineLimits:
     """Hold what the machine allows a process; 0 stands for an unknown limit."""
--- a/src/agatehoist/limits/bucket.py
+++ b/src/agatehoist/limits/bucket.py
@@ -17,12 +17,19 @@
         self.level = 0.0
         self._filled_at = now
 
-    def set_rate(self, rate: float | None, now: float) -> None:
+    def set_rate(
+        self, rate: float | None, now: float, burst_s: float | None = None
+    ) -> None:
         if self.rate is None and rate is not None:
             self.level = rate * self._burst_s
             self._filled_at = now
         self.refill(now)
         self.rate = rate
+        if burst_s is not None:
+            self._burst_s = burst_s
+
+    def skip_to(self, now: float) -> None:
+        self._filled_at = max(now, self._filled_at)
 
     def refill(self, now: float) -> None:
         if self.rate is None:
@@ -57,10 +64,17 @@
         self._tokens = _ResourceBucket(now, burst_s)
         self.set_ceiling(ceiling, now)
 
-    def set_ceiling(self, ceiling: Ceiling, now: float) -> None:
-        """Apply a new ceiling and keep what has been used so far."""
-        self._requests.set_rate(ceiling.requests_per_s, now)
-        self._tokens.set_rate(ceiling.tokens_per_s, now)
+    def set_ceiling(
+        self, ceiling: Ceiling, now: float, burst_s: float | None = None
+    ) -> None:
+        """Apply a new ceiling, and a new burst if given; keep what has been used."""
+        self._requests.set_rate(ceiling.requests_per_s, now, burst_s)
+        self._tokens.set_rate(ceiling.tokens_per_s, now, burst_s)
+
+    def skip_to(self, now: float) -> None:
+        """Add nothing to the levels for the time up to now."""
+        self._requests.skip_to(now)
+        self._tokens.skip_to(now)
 
     def available(self, now: float) -> Amount:
         """Return the levels, refilled up to a time in epoch seconds."""
--- a/src/agatehoist/limits/types.py
+++ b/src/agatehoist/limits/types.py
@@ -73,6 +73,19 @@
     uncounted_tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class AllotmentBounds:
+    """Bound what an organisation may use beyond its allotment, over all gateways.
+
+    In any window it may use (rate * window + burst) * (1 + overage) + slack, in the
+    unit of the allotment.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRequestBody:
     """Request a lease from the home of an organisation's ceiling.
--- a/src/agatehoist/platform/settings_file.py
+++ b/src/agatehoist/platform/settings_file.py
@@ -15,11 +15,11 @@
 from agatehoist.core.units import MS_PER_S
 from agatehoist.core.yaml_text import InvalidYamlError, read_yaml
 from agatehoist.gateway.settings import (
-    AllotmentBounds,
     GatewaySettings,
     MachineLimits,
     RetryBounds,
 )
+from agatehoist.limits.types import AllotmentBounds
 
 if TYPE_CHECKING:
     from pathlib import Path
--- /dev/null
+++ b/tests/test_limits/test_allotments.py
@@ -0,0 +1,230 @@
+"""Tests of allotments that gateways share, against one bucket for all of them."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from parameterized import parameterized
+
+from agatehoist.core.registry import Registry
+from agatehoist.limits.allotments import Terms, request_cost, terms_of
+from agatehoist.limits.types import Allotment, AllotmentUnit
+from agatehoist.routing.types import Prompt
+from tests.test_limits.allotment_simulation import (
+    Gateways,
+    allowed_in_window,
+    used_by_one_bucket,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+BIG = Terms(1, 350_000.0, 400_000.0)
+SMALL = Terms(1, 40_000.0, 60_000.0)
+COUNT = 25
+START_S = 0.5
+END_S = 22.0
+# Part of the bound that may be used at most, so that there is room for requests that
+# wait after they were charged.
+ROOM = 0.95
+
+# Troubles between seconds 8 and 14.
+TROUBLES: Registry[Callable[[Gateways], None]] = Registry("trouble of gateways")
+
+
+def during(now: float) -> bool:
+    """Return whether a trouble goes on at a time."""
+    return 8.0 < now < 14.0
+
+
+@TROUBLES.register("none")
+def _none(_gateways: Gateways) -> None:
+    pass
+
+
+@TROUBLES.register("all_killed")
+def _kill_all(gateways: Gateways) -> None:
+    for index in range(COUNT):
+        gateways.at(8.0 + gateways.rng.random() * 0.1, gateways.start, index)
+
+
+@TROUBLES.register("all_killed_three_times")
+def _kill_all_again(gateways: Gateways) -> None:
+    for at in (8.0, 10.0, 12.0):
+        for index in range(COUNT):
+            gateways.at(at, gateways.start, index)
+
+
+@TROUBLES.register("home_killed")
+def _kill_home(gateways: Gateways) -> None:
+    gateways.at(8.0, gateways.stop, gateways.home)
+    gateways.at(12.0, gateways.start, gateways.home)
+
+
+@TROUBLES.register("half_killed")
+def _kill_half(gateways: Gateways) -> None:
+    for index in range(0, COUNT, 2):
+        gateways.at(8.0, gateways.stop, index)
+        gateways.at(14.0, gateways.start, index)
+
+
+@TROUBLES.register("halves_partitioned")
+def _partition(gateways: Gateways) -> None:
+    half = COUNT // 2
+    gateways.reaches = lambda a, b, now: not during(now) or (a < half) == (b < half)
+
+
+@TROUBLES.register("home_hears_nothing")
+def _deaf_home(gateways: Gateways) -> None:
+    gateways.reaches = lambda _a, b, now: not during(now) or b != gateways.home
+
+
+@TROUBLES.register("half_hear_nothing")
+def _deaf_half(gateways: Gateways) -> None:
+    gateways.reaches = lambda _a, b, now: not during(now) or b % 2 == 0
+
+
+@TROUBLES.register("no_message_arrives")
+def _no_messages(gateways: Gateways) -> None:
+    gateways.reaches = lambda _a, _b, now: not during(now)
+
+
+@TROUBLES.register("home_frozen")
+def _freeze_home(gateways: Gateways) -> None:
+    gateways.frozen[gateways.home] = (8.0, 12.0)
+
+
+@TROUBLES.register("half_frozen")
+def _freeze_half(gateways: Gateways) -> None:
+    for index in range(0, COUNT, 2):
+        gateways.frozen[index] = (8.0, 12.0)
+
+
+@TROUBLES.register("a_tenth_of_messages_lost")
+def _lose_messages(gateways: Gateways) -> None:
+    gateways.reaches = lambda _a, _b, _now: gateways.rng.random() > 0.1
+
+
+def played(
+    terms: Terms,
+    load: Callable[[float], float],
+    trouble: str = "none",
+    pick: Callable[[Gateways, float], int] = lambda g, _now: g.rng.randrange(COUNT),
+) -> Gateways:
+    """Return gateways that have served a load, relative to the rate."""
+    gateways = Gateways(COUNT, terms)
+    TROUBLES[trouble](gateways)
+    gateways.now = START_S
+    gateways.send_load(
+        lambda now: load(now) * terms.rate_per_s,
+        END_S,
+        lambda now: pick(gateways, now),
+    )
+    gateways.run(END_S)
+    return gateways
+
+
+class BoundTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            (f"{trouble}_{name}", trouble, terms)
+            for trouble in TROUBLES
+            for name, terms in (("big", BIG), ("small", SMALL))
+        ]
+    )
+    def test_organisation_far_over_its_allotment_stays_within_the_bound(
+        self, _name: str, trouble: str, terms: Terms
+    ) -> None:
+        # Idle gateways have full buckets when the load comes.
+        gateways = played(terms, lambda now: 0.2 if now < 5 else 5.0, trouble)
+        most = gateways.most_in_window()
+        self.assertLessEqual(most, ROOM * allowed_in_window(terms))
+        self.assertLessEqual(max(gateways.waits), 0.11)
+
+    @parameterized.expand([("halved", 0.5), ("raised", 2.0)])
+    def test_changed_allotment_binds_although_a_gateway_has_the_old_one(
+        self, _name: str, factor: float
+    ) -> None:
+        changed = Terms(2, factor * BIG.rate_per_s, factor * BIG.burst)
+        gateways = Gateways(COUNT, BIG)
+        # The table reaches gateways within a second, the last one never.
+        gateways.terms_at = lambda n, now: (
+            changed if now > 8.0 + n / COUNT and n != COUNT - 1 else BIG
+        )
+        gateways.now = START_S
+        load = 3 * max(changed.rate_per_s, BIG.rate_per_s)
+        pick = gateways.rng.randrange
+        gateways.send_load(lambda _now: load, END_S, lambda _now: pick(COUNT))
+        gateways.run(END_S)
+        self.assertLessEqual(
+            gateways.most_in_window(9.1), ROOM * allowed_in_window(changed)
+        )
+        used = gateways.used_between(10.0, END_S) / (END_S - 10.0)
+        self.assertGreaterEqual(used, 0.95 * changed.rate_per_s)
+
+
+class UseTests(unittest.TestCase):
+    # The least part that is admitted of what one bucket for all would admit. Without
+    # its home a small organisation has the shares of the gateways that it has used.
+    @parameterized.expand(
+        [
+            ("none", 0.9, 0.98),
+            ("none", 3.0, 0.97),
+            ("all_killed", 0.9, 0.95),
+            ("home_killed", 0.9, 0.95),
+            ("home_frozen", 0.9, 0.95),
+            ("a_tenth_of_messages_lost", 0.9, 0.95),
+            ("halves_partitioned", 0.9, 0.9),
+        ]
+    )
+    def test_allotment_is_used(self, trouble: str, load: float, least: float) -> None:
+        gateways = played(BIG, lambda _now: load, trouble)
+        used = gateways.used_between(0.0, END_S)
+        self.assertGreaterEqual(used, least * used_by_one_bucket(gateways.asked, BIG))
+
+    @parameterized.expand(
+        [
+            ("one_gateway", lambda _g, _now: 3),
+            ("gateways_in_turn", lambda _g, now: int(now / 4) % COUNT),
+            ("other_data_centre", lambda g, now: g.rng.randrange(8) + int(now / 4) % 2),
+        ]
+    )
+    def test_load_on_gateways_that_have_not_had_it_is_not_refused(
+        self, _name: str, pick: Callable[[Gateways, float], int]
+    ) -> None:
+        gateways = played(SMALL, lambda _now: 0.6, pick=pick)
+        refused = len(gateways.asked) - len(gateways.used)
+        self.assertLessEqual(refused, 0.01 * len(gateways.asked))
+
+    def test_cold_start_refuses_nothing_below_the_allotment(self) -> None:
+        gateways = Gateways(COUNT, SMALL)
+        for index in range(COUNT):
+            gateways.at(0.5, gateways.request, index, 884.0)
+        gateways.run(2.0)
+        self.assertEqual(len(gateways.used), COUNT)
+
+    def test_large_requests_do_not_starve_beside_small_ones(self) -> None:
+        gateways = played(SMALL, lambda _now: 3.0)
+        large = [cost for _at, cost in gateways.asked if cost > 1000]
+        served = [cost for _at, cost in gateways.used if cost > 1000]
+        share = len(gateways.used) / len(gateways.asked)
+        self.assertGreaterEqual(len(served) / len(large), 0.8 * share)
+
+
+class CostTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("prompt", AllotmentUnit.TOKENS, Prompt("m", (), 130, 5), 135.0),
+            ("no_prompt", AllotmentUnit.TOKENS, None, 700.0),
+            ("requests", AllotmentUnit.REQUESTS, Prompt("m", (), 130, 5), 1.0),
+        ]
+    )
+    def test_request_counts_in_the_unit(
+        self, _name: str, unit: AllotmentUnit, prompt: Prompt | None, cost: float
+    ) -> None:
+        allotment = Allotment(1.0, 2.0, unit, 700)
+        self.assertEqual(request_cost(allotment, prompt), cost)
+
+    def test_organisation_without_an_allotment_has_no_limit(self) -> None:
+        self.assertEqual(terms_of(None, 3), Terms(3, 0.0, 0.0))
