Charge requests to allotments before they are first sent

A request of an organisation with an allotment is charged before the first search for an endpoint, from a lease or by its home, and refused with 429 (rate_limited) if neither covers it. What ends without having run within a second is returned. Gateways exchange asks and grants in two new kinds of datagram. Fleets whose configuration has no allotments send nothing more and serve as before.

--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -15,6 +15,7 @@
 
 from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.load import changed_loads
+from agatehoist.gateway.allotments import share_allotments
 from agatehoist.gateway.crash_evidence import send_evidence
 from agatehoist.gateway.endpoint_statements import send_notices
 from agatehoist.gateway.model_endpoints import ModelEndpoints
@@ -68,6 +69,7 @@
             task_group.start_soon(receive_datagrams, state, sock)
             task_group.start_soon(send_evidence, state, sock)
             task_group.start_soon(send_notices, state, sock)
+            task_group.start_soon(share_allotments, state, sock)
             await _send(state, sock)
 
 
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -36,6 +36,7 @@
 from agatehoist.core.registry import Registry
 from agatehoist.core.units import MS_PER_S
 from agatehoist.core.work import Run
+from agatehoist.gateway.allotments import charge, refund
 from agatehoist.gateway.attempt import Attempt
 from agatehoist.gateway.crash_evidence import (
     note_sent,
@@ -120,6 +121,8 @@
         self._noted_waits: set[tuple[AttemptId, str]] = set()
         self._stream_started = False
         self._first_event_s = 0.0
+        # When the request was charged to the allotment of its organisation.
+        self._charged_at: float | None = None
         self._outcome = "caller gone"
         # Why the request ends before its answer, if it does.
         self._interruption: CallerDisconnected | ProcessStopping | None = None
@@ -202,6 +205,8 @@
             finally:
                 for attempt in self._attempts_by_id.values():
                     attempt.note_request_ended()
+                if self._charged_at is not None and not self._machine.may_have_run:
+                    refund(self._state, self._request, self._charged_at)
         self._record_end()
 
     async def _carry_out_all(self) -> None:
@@ -240,6 +245,7 @@
         if self._now() >= self._request.deadline:
             return DeadlinePassed()
         refusal = self._late_refusal() or self._quarantine_refusal()
+        refusal = refusal or await self._charge()
         if refusal is not None:
             return NotAdmitted(refusal)
         found = await self._search.find(has_begun=bool(self._machine.pieces))
@@ -250,6 +256,17 @@
         late = self._late_refusal()
         return Offered(found) if late is None else NotAdmitted(late)
 
+    async def _charge(self) -> Refusal | None:
+        """Charge the request to an allotment, once, before it is first sent."""
+        if self._charged_at is not None:
+            return None
+        refusal = await charge(self._state, self._request)
+        if refusal is None:
+            self._charged_at = self._now()
+        else:
+            self._add_step(refusal.detail)
+        return refusal
+
     def _late_refusal(self) -> Refusal | None:
         """Refuse a request that a stop would cut, if nothing may have run.
 
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -21,6 +21,7 @@
 from agatehoist.fleet.statements import EndpointStatements, Notice
 from agatehoist.fleet.view import EndpointsView
 from agatehoist.gateway.active_requests import ActiveRequests
+from agatehoist.gateway.allotments import Allotments
 from agatehoist.gateway.caller_connections import CallerConnections
 from agatehoist.gateway.peer_outbox import PeerOutbox
 from agatehoist.gateway.start_lines import StartLines
@@ -145,6 +146,7 @@
         self.rng = random.Random()
         self.incarnation = new_incarnation()
         self.rollout_wakeup = Wakeup()
+        self.allotments = Allotments(self)
         self._sequence = itertools.count(1)
         self._retry_budgets_by_service: dict[str, WindowBudget] = {}
         self._retry_slack_available_at = retry_slack_available_at
--- a/src/agatehoist/limits/allotment_leases.py
+++ b/src/agatehoist/limits/allotment_leases.py
@@ -47,7 +47,10 @@
         self.used_per_s = 0.0
         self.used_at = now
         self.cost_mean = 0.0
+        # A refusal holds for a short time, as the allotment may be raised; the time at
+        # which it covers more is for callers.
         self.refused_until = 0.0
+        self.covered_at = 0.0
         # The last refused caller that will return does so at this time.
         self.return_at = 0.0
         self.delegated_at = -math.inf
@@ -93,7 +96,7 @@
             lease.note_use(cost, now)
             return Admit()
         if now < lease.refused_until:
-            return Refuse(lease.refused_until)
+            return Refuse(max(lease.refused_until, lease.covered_at))
         return AskNeeded()
 
     def ask(
@@ -171,7 +174,9 @@
         lease.expires_at = max(lease.expires_at, sent_at + LEASE_S)
         lease.refused_until = 0.0
         if grant.retry_s > 0:
-            lease.refused_until = now + max(grant.retry_s, refusal_s)
+            kept_s = min(MAX_REFUSAL_S, max(grant.retry_s, refusal_s))
+            lease.refused_until = now + kept_s
+            lease.covered_at = now + grant.retry_s
 
     def take_locally(
         self,
@@ -221,20 +226,23 @@
         refused_until: float,
         deadline: float,
         node_count: int,
+        spread: float,
         now: float,
     ) -> float:
         """Return when the allotment covers a refused request.
 
         Callers that will return get times one after the other, at the rate at which
-        this gateway has used the allotment.
+        this gateway has used the allotment. `spread`, from 0 to 1, places each within
+        its turn, as the callers of other gateways have the same turns.
         """
         lease = self._leases_by_organisation[organisation]
         rate = max(lease.terms.rate_per_s, MIN_RATE_PER_S)
         start = max(refused_until, lease.return_at, now)
-        at = start + cost / rate
+        own_rate = min(rate, max(rate / max(1, node_count), lease.use_per_s(now)))
+        turn_s = cost / own_rate
+        at = start + max(cost / rate, spread * turn_s)
         if at - now <= RETURN_SHARE * (deadline - now):
-            own_rate = min(rate, max(rate / max(1, node_count), lease.use_per_s(now)))
-            lease.return_at = start + cost / own_rate
+            lease.return_at = start + turn_s
         return at
 
     def _lease(self, organisation: bytes, terms: Terms, now: float) -> _Lease:
@@ -242,8 +250,9 @@
         if lease is None:
             lease = _Lease(terms, now)
             self._leases_by_organisation[organisation] = lease
-        elif terms.version >= lease.terms.version:
+        elif terms.version > lease.terms.version:
             lease.terms = terms
+            lease.refused_until = 0.0
         lease.retained_until = now + RETENTION_S
         return lease
 
--- a/src/agatehoist/limits/allotment_node.py
+++ b/src/agatehoist/limits/allotment_node.py
@@ -269,7 +269,7 @@
         own_terms = {
             organisation: terms
             for organisation, terms in self._terms_by_organisation.items()
-            if self._first_home(organisation) == self._own
+            if self.home_of(organisation) == self._own
         }
         self.home.tick(own_terms, self.node_count(now), now)
         asks_by_home = self._asks_ahead(now)
@@ -303,7 +303,7 @@
             self.leases.note_delegated(organisation, now)
             self._note_asked_home(organisation, home, now)
             # The first home gets the shares with each message, a stand-in by an ask.
-            if ask is None and home != self._first_home(organisation):
+            if ask is None and home != self.home_of(organisation):
                 ask = self.leases.idle_ask(organisation)
             if ask is not None:
                 asks_by_home.setdefault(home, []).append(ask)
@@ -449,7 +449,8 @@
             self._heard_count = count
             self._heard_until = now + HEARD_COUNT_S
 
-    def _first_home(self, organisation: bytes) -> Address:
+    def home_of(self, organisation: bytes) -> Address:
+        """Return the home of an organisation."""
         return ranked_homes(organisation, self._nodes)[0]
 
     def _reachable_homes(self, organisation: bytes) -> Iterator[Address]:
@@ -462,7 +463,7 @@
 
     def _homes(self) -> frozenset[Address]:
         """Return the homes of all organisations, without this gateway."""
-        homes = (self._first_home(each) for each in self._terms_by_organisation)
+        homes = (self.home_of(each) for each in self._terms_by_organisation)
         return frozenset(homes) - {self._own}
 
     def _send(
--- a/src/agatehoist/limits/allotments.py
+++ b/src/agatehoist/limits/allotments.py
@@ -235,11 +235,6 @@
         self._refill(account, now)
         return self._lease(account, sender, ask, now)
 
-    def level(self, organisation: bytes, now: float) -> float:
-        """Return what a home could lease at once, for logs and status."""
-        account = self._accounts_by_organisation.get(organisation)
-        return 0.0 if account is None else account.bucket.available(now).requests
-
     def _note_time(self, now: float) -> None:
         """Add nothing to the buckets for a time in which this process didn't run."""
         if now - self._noted_at > SUSPENDED_S:
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -46,6 +46,11 @@
 )
 # Permits asked for requests to endpoints with a limit.
 PERMITS_TOTAL = Counter("agatehoist_permits_total", "Permits asked for, by outcome.")
+# `by` says what decided: a lease, a home or the local share, or the end of a request
+# that hasn't run.
+ALLOTMENT_DECISIONS_TOTAL = Counter(
+    "agatehoist_allotment_decisions_total", "Requests charged, refused and returned."
+)
 # Requests that had no answer yet when their endpoint crashed.
 ENDPOINT_CRASHES_TOTAL = Counter(
     "agatehoist_endpoint_crashes_total", "Requests lost in a crash before an answer."
@@ -78,6 +83,7 @@
 IN_FLIGHT = Gauge("agatehoist_in_flight", "Requests in flight.")
 
 __all__ = [
+    "ALLOTMENT_DECISIONS_TOTAL",
     "CLAIMS_TOTAL",
     "CONFIGURATION_REVISION",
     "DROPPED_FRAMES_TOTAL",
--- a/src/agatehoist/protocol/datagrams.py
+++ b/src/agatehoist/protocol/datagrams.py
@@ -12,6 +12,8 @@
 ENDPOINT_NOTICES = 65
 CRASH_EVIDENCE = 66
 FIRST_EVENT_WAITS = 67
+ALLOTMENT_ASKS = 68
+ALLOTMENT_GRANTS = 69
 # The first field follows the header of the array, which takes one byte.
 _KIND_INDEX = 1
 
--- a/standins/users_platform/processes.py
+++ b/standins/users_platform/processes.py
@@ -15,8 +15,16 @@
     from standins.fleet import Fleet
 
 # Fields of the settings file's Bounds section that a gateway reads; RetrySlack is a
-# number of retries.
-BOUNDS = {"GraceS": 8, "LeaseMs": 3000, "VersionMs": 8000, "RetrySlack": 56}
+# number of retries, QuotaSlack one of requests or tokens.
+BOUNDS = {
+    "GraceS": 8,
+    "LeaseMs": 3000,
+    "VersionMs": 8000,
+    "RetrySlack": 56,
+    "QuotaWindowS": 8,
+    "QuotaOverage": 0.1,
+    "QuotaSlack": 5,
+}
 
 
 def start_gateway(fleet: Fleet, name: str, store_port: int) -> None:
