Keep allotments while the gateways of a fleet start and list each other

They now count the gateways that send to them without being listed, and read the list again after 0.4 s instead of 2 s when one does, if an allotment is configured. A gateway that isn't listed yet assumes 64 others.

A node that can't register, as the store takes no writes, still reads the list, which may have it from an earlier process.

--- a/src/agatehoist/gateway/nodes.py
+++ b/src/agatehoist/gateway/nodes.py
@@ -30,6 +30,8 @@
 # Nodes are added and removed over hours, so a list of this age is accurate enough.
 POLL_INTERVAL_S = 15.0
 RETRY_DELAY_S = 2.0
+# The list is read again after this time if a node that it lacks has sent something.
+EARLY_DELAY_S = 0.4
 
 
 async def track_nodes(state: GatewayState) -> None:
@@ -44,7 +46,10 @@
         try:
             if not registered:
                 await _register(state)
-                registered = True
+        except PlatformError as error:
+            # The list may name this node since an earlier process of it.
+            logger.info("node not registered", reason=str(error))
+        try:
             listing = await state.store.list(NODE_KIND, allow_stale=True)
             # A stale list may still lack a node that has just registered.
             registered = any(
@@ -60,11 +65,23 @@
         # While nodes start together, the list is still growing and is read again soon.
         is_complete = registered and len(listing.values) == count > 1
         count = len(listing.values)
-        await anyio.sleep(RETRY_DELAY_S)
+        await _pause(state)
         if is_complete:
             await state.unlisted_node_seen.wait(POLL_INTERVAL_S - RETRY_DELAY_S)
 
 
+async def _pause(state: GatewayState) -> None:
+    """Wait until the list may have changed.
+
+    Gateways that list each other differently can't share allotments fully.
+    """
+    if not state.allotments.terms_by_organisation:
+        await anyio.sleep(RETRY_DELAY_S)
+        return
+    await anyio.sleep(EARLY_DELAY_S)
+    await state.unlisted_node_seen.wait(RETRY_DELAY_S - EARLY_DELAY_S)
+
+
 async def _register(state: GatewayState) -> None:
     inner = state.settings.inner
     spec = {
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -301,6 +301,7 @@
 
     def note_unlisted_node(self, node: Address) -> None:
         """Have the list of nodes read again, once for each address that isn't on it."""
+        self.allotments.node.hear_unlisted(node, self.clock.now())
         if len(self._unlisted_nodes) < MAX_UNLISTED_NODES:
             if node not in self._unlisted_nodes:
                 self.unlisted_node_seen.set()
--- a/src/agatehoist/limits/allotment_node.py
+++ b/src/agatehoist/limits/allotment_node.py
@@ -50,8 +50,9 @@
 # has missed two answers, since a busy process may miss one.
 TICKS_PER_ANSWER = 2
 MAX_MISSED = 2
-# A gateway that isn't listed yet assumes so many.
-INITIAL_NODE_COUNT = 8
+# A gateway that isn't listed yet doesn't know how many others there are; with fewer
+# assumed, a fleet of 68 whose gateways are listed within 2 s exceeds the bound.
+INITIAL_NODE_COUNT = 64
 # A higher count of gateways that another one has stated holds for this time.
 HEARD_COUNT_S = 10.0
 # A gateway tells all others of its start in so many ticks.
@@ -61,6 +62,7 @@
 DIGEST_BYTES = 4
 NO_TERMS = Terms(0, 0.0, 0.0)
 MAX_SENT = 4096
+MAX_UNLISTED = 1024
 # A timer may end this much early by the clock.
 TIMER_ROUNDING_S = 0.005
 
@@ -141,6 +143,7 @@
         self._table_version = 0
         self._heard_count = 0
         self._heard_until = 0.0
+        self._unlisted_until_by_node: dict[Address, float] = {}
         self._waiting_by_organisation: dict[bytes, deque[WaitingRequest]] = {}
         self._asking_until_by_organisation: dict[bytes, float] = {}
         self._asked_home_by_organisation: dict[bytes, Address] = {}
@@ -163,9 +166,19 @@
         self._terms_by_organisation = terms
         self._table_version = version
 
+    def hear_unlisted(self, node: Address, now: float) -> None:
+        """Count a gateway that sends messages but isn't listed yet.
+
+        Gateways that start together list those that registered before them.
+        """
+        if len(self._unlisted_until_by_node) < MAX_UNLISTED:
+            self._unlisted_until_by_node[node] = now + HEARD_COUNT_S
+
     def node_count(self, now: float) -> int:
         """Return how many gateways share the allotments, by the longest list."""
+        unlisted = self._unlisted_until_by_node.items()
         count = len(self._nodes)
+        count += sum(now < until for node, until in unlisted if node not in self._nodes)
         if not self._is_listed:
             count = max(count, INITIAL_NODE_COUNT)
         return max(count, self._heard_count) if now < self._heard_until else count
@@ -283,6 +296,9 @@
                 self._send(home, batch, now, wants_answer=wants_answer)
         self._ping(now)
         self._announce_start(now)
+        for node, until in tuple(self._unlisted_until_by_node.items()):
+            if until <= now:
+                del self._unlisted_until_by_node[node]
 
     def _asks_ahead(self, now: float) -> dict[Address, list[AllotmentAsk]]:
         asks_by_organisation = {
--- a/tests/test_limits/allotment_simulation.py
+++ b/tests/test_limits/allotment_simulation.py
@@ -59,6 +59,11 @@
         self.terms_at: Callable[[int, float], Terms] = lambda _n, _now: terms
         # Whether a message from a gateway reaches another one at a time.
         self.reaches: Callable[[int, int, float], bool] = lambda _a, _b, _now: True
+        self._all = frozenset(self.addresses)
+        # The gateways that one lists at a time.
+        self.listed: Callable[[int, float], frozenset[Address]] = lambda _n, _now: (
+            self._all
+        )
         self.frozen: dict[int, tuple[float, float]] = {}
         self.nodes: dict[int, AllotmentNode] = {}
         self.home = self.addresses.index(
@@ -87,7 +92,7 @@
             self.rng.getrandbits(30),
             lambda _home, _reachable: None,
         )
-        node.set_nodes(frozenset(self.addresses))
+        node.set_nodes(self.listed(index, self.now))
         self.nodes[index] = node
         self._tick(index, node)
 
@@ -170,6 +175,7 @@
             self.at(until, self._tick, index, node)
             return
         terms = self.terms_at(index, self.now)
+        node.set_nodes(self.listed(index, self.now))
         node.set_table({ORGANISATION: terms}, terms.version)
         node.tick(self.now)
         self._flush(index, node)
@@ -180,16 +186,20 @@
             to = self._indexes[destination]
             self.messages += 1
             if self.reaches(index, to, self.now):
-                self.at(self.now + LINK_S, self._deliver, to, batch, self.now)
+                self.at(self.now + LINK_S, self._deliver, index, to, batch, self.now)
         node.outbox.clear()
 
-    def _deliver(self, index: int, batch: Any, sent_at: float) -> None:
+    def _deliver(self, sender: int, index: int, batch: Any, sent_at: float) -> None:
         node = self.nodes.get(index)
         if node is None:
             return
         if until := self._frozen_until(index):
             frozen_at = self.frozen[index][0]
-            self.at(until, self._deliver, index, batch, min(sent_at, frozen_at))
+            at = min(sent_at, frozen_at)
+            self.at(until, self._deliver, sender, index, batch, at)
+            return
+        if self.addresses[sender] not in self.listed(index, self.now):
+            node.hear_unlisted(self.addresses[sender], self.now)
             return
         if isinstance(batch, AskBatch):
             node.receive_asks(batch, sent_at, self.now)
--- a/tests/test_limits/test_allotments.py
+++ b/tests/test_limits/test_allotments.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agatehoist.core.address import Address
+
 BIG = Terms(1, 350_000.0, 400_000.0)
 SMALL = Terms(1, 40_000.0, 60_000.0)
 COUNT = 25
@@ -142,6 +144,30 @@
         self.assertLessEqual(most, ROOM * allowed_in_window(terms))
         self.assertLessEqual(max(gateways.waits), 0.11)
 
+    @parameterized.expand([("within_0_3_s", 0.3), ("within_2_s", 2.0)])
+    def test_fleet_whose_gateways_list_each_other_late_stays_within_the_bound(
+        self, _name: str, spread_s: float
+    ) -> None:
+        gateways = Gateways(COUNT, BIG)
+        listed_at = [gateways.rng.random() * spread_s for _ in range(COUNT)]
+
+        # Each registers and reads the list every half second from then on.
+        def listed(index: int, now: float) -> frozenset[Address]:
+            if now < listed_at[index]:
+                return frozenset()
+            read_at = now - (now - listed_at[index]) % 0.5
+            pairs = zip(gateways.addresses, listed_at, strict=True)
+            return frozenset(each for each, at in pairs if at <= read_at + 1e-6)
+
+        gateways.listed = listed
+        gateways.now = 0.1
+        pick = gateways.rng.randrange
+        gateways.send_load(
+            lambda _now: 7 * BIG.rate_per_s, 10.0, lambda _now: pick(COUNT)
+        )
+        gateways.run(10.0)
+        self.assertLessEqual(gateways.most_in_window(), ROOM * allowed_in_window(BIG))
+
     @parameterized.expand([("halved", 0.5), ("raised", 2.0)])
     def test_changed_allotment_binds_although_a_gateway_has_the_old_one(
         self, _name: str, factor: float
