--- a/src/agatehoist/limits/allotment_leases.py
+++ b/src/agatehoist/limits/allotment_leases.py
@@ -20,8 +20,8 @@
 # Less than this times the wanted lease is kept; more goes back to the home.
 SURPLUS = 1.5
 # A gateway asks no earlier than after this time for each gateway of the fleet, so that
-# those that are refused together cost the home 500 asks a second at most.
-REFUSAL_S_PER_NODE = 0.002
+# those that are refused together cost the home 250 asks a second at most.
+REFUSAL_S_PER_NODE = 0.004
 MAX_REFUSAL_S = 1.0
 # Later, a returned amount would add to what others have been granted since.
 REFUND_WITHIN_S = 1.0
