Use the list of nodes while the store takes no writes only if it names this one

A node that isn't listed would otherwise divide the retry slack by too few nodes. A node that an earlier process has registered still reads the list, and with it its share of allotments, at a restart without the store's writes. 20 tests of nodes, restored stores and relays pass.

--- a/src/agatehoist/gateway/nodes.py
+++ b/src/agatehoist/gateway/nodes.py
@@ -44,21 +44,13 @@
     count = 0
     while True:
         try:
-            if not registered:
-                await _register(state)
-        except PlatformError as error:
-            # The list may name this node since an earlier process of it.
-            logger.info("node not registered", reason=str(error))
-        try:
-            listing = await state.store.list(NODE_KIND, allow_stale=True)
-            # A stale list may still lack a node that has just registered.
-            registered = any(
-                each.name == state.settings.node for each in listing.values
-            )
+            listing = await _list_registered(state, registered)
         except PlatformError as error:
             logger.info("node list not read", reason=str(error))
             await anyio.sleep(RETRY_DELAY_S)
             continue
+        # A stale list may still lack a node that has just registered.
+        registered = _is_listed(state, listing)
         data_centres_by_node = _read_nodes(listing)
         data_centres_by_node |= state.nodes_before_restore()
         state.set_nodes(frozenset(data_centres_by_node), data_centres_by_node)
@@ -70,6 +62,30 @@
             await state.unlisted_node_seen.wait(POLL_INTERVAL_S - RETRY_DELAY_S)
 
 
+async def _list_registered(state: GatewayState, is_registered: bool) -> Listing:
+    """Register this node unless it is, and return the list of nodes.
+
+    While the store takes no writes, the list is used if it names this node since an
+    earlier process of it.
+
+    Raises PlatformError.
+    """
+    failure: PlatformError | None = None
+    if not is_registered:
+        try:
+            await _register(state)
+        except PlatformError as error:
+            failure = error
+    listing = await state.store.list(NODE_KIND, allow_stale=True)
+    if failure is not None and not _is_listed(state, listing):
+        raise failure
+    return listing
+
+
+def _is_listed(state: GatewayState, listing: Listing) -> bool:
+    return any(each.name == state.settings.node for each in listing.values)
+
+
 async def _pause(state: GatewayState) -> None:
     """Wait until the list may have changed.
 
