--- a/src/agatehoist/gateway/nodes.py
+++ b/src/agatehoist/gateway/nodes.py
@@ -30,6 +30,8 @@
 # Nodes are added and removed over hours, so a list of this age is accurate enough.
 POLL_INTERVAL_S = 15.0
 RETRY_DELAY_S = 2.0
+# The list is read again after this time if a node that it lacks has sent something.
+EARLY_DELAY_S = 0.4
 
 
 async def track_nodes(state: GatewayState) -> None:
@@ -42,29 +44,60 @@
     count = 0
     while True:
         try:
-            if not registered:
-                await _register(state)
-                registered = True
-            listing = await state.store.list(NODE_KIND, allow_stale=True)
-            # A stale list may still lack a node that has just registered.
-            registered = any(
-                each.name == state.settings.node for each in listing.values
-            )
+            listing = await _list_registered(state, registered)
         except PlatformError as error:
             logger.info("node list not read", reason=str(error))
             await anyio.sleep(RETRY_DELAY_S)
             continue
+        # A stale list may still lack a node that has just registered.
+        registered = _is_listed(state, listing)
         data_centres_by_node = _read_nodes(listing)
         data_centres_by_node |= state.nodes_before_restore()
         state.set_nodes(frozenset(data_centres_by_node), data_centres_by_node)
         # While nodes start together, the list is still growing and is read again soon.
         is_complete = registered and len(listing.values) == count > 1
         count = len(listing.values)
-        await anyio.sleep(RETRY_DELAY_S)
+        await _pause(state)
         if is_complete:
             await state.unlisted_node_seen.wait(POLL_INTERVAL_S - RETRY_DELAY_S)
 
 
+async def _list_registered(state: GatewayState, is_registered: bool) -> Listing:
+    """Register this node unless it is, and return the list of nodes.
+
+    While the store takes no writes, the list is used if it names this node since an
+    earlier process of it.
+
+    Raises PlatformError.
+    """
+    failure: PlatformError | None = None
+    if not is_registered:
+        try:
+            await _register(state)
+        except PlatformError as error:
+            failure = error
+    listing = await state.store.list(NODE_KIND, allow_stale=True)
+    if failure is not None and not _is_listed(state, listing):
+        raise failure
+    return listing
+
+
+def _is_listed(state: GatewayState, listing: Listing) -> bool:
+    return any(each.name == state.settings.node for each in listing.values)
+
+
+async def _pause(state: GatewayState) -> None:
+    """Wait until the list may have changed.
+
+    Gateways that list each other differently can't share allotments fully.
+    """
+    if not state.allotments.terms_by_organisation:
+        await anyio.sleep(RETRY_DELAY_S)
+        return
+    await anyio.sleep(EARLY_DELAY_S)
+    await state.unlisted_node_seen.wait(RETRY_DELAY_S - EARLY_DELAY_S)
+
+
 async def _register(state: GatewayState) -> None:
     inner = state.settings.inner
     spec = {
--- a/src/agatehoist/protocol/datagrams.py
+++ b/src/agatehoist/protocol/datagrams.py
@@ -15,6 +15,8 @@
 CRASH_EVIDENCE = 66
 FIRST_EVENT_WAITS = 67
 ENDPOINT_RATES = 70
+ALLOTMENT_ASKS = 68
+ALLOTMENT_GRANTS = 69
 # The first field follows the header of the array, which takes one byte.
 _KIND_INDEX = 1
 
