--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env install demo test lint format binary demo-binary capacity soak soak-processes fuzz bench bench-attempts bench-spread bench-admission
+.PHONY: env install demo test lint format binary demo-binary capacity soak soak-processes fuzz bench bench-attempts bench-spread bench-admission bench-rates
 
 env: $(VENV)/.made
 
@@ -30,6 +30,8 @@
 	$(PYTHON) -m bench.spread_simulation
 bench-admission: env
 	$(PYTHON) -m bench.admission
+bench-rates: env
+	$(PYTHON) -m bench.engine_rates
 
 lint: env
 	$(VENV)/bin/ruff format --check --no-cache .
