--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -150,9 +150,12 @@
         self.rollout_wakeup = Wakeup()
         self.allotments = Allotments(self)
         self._sequence = itertools.count(1)
-        self._retry_budgets_by_service: dict[str, WindowBudget] = {}
-        self._retry_slack_available_at = retry_slack_available_at
         self._node_count = INITIAL_NODE_COUNT
+        self._begin_retry_budgets(retry_slack_available_at)
+
+    def _begin_retry_budgets(self, slack_available_at: float) -> None:
+        self._retry_budgets_by_service: dict[str, WindowBudget] = {}
+        self._retry_slack_available_at = slack_available_at
 
     @property
     def ready(self) -> bool:
