--- a/standins/users_platform/processes.py
+++ b/standins/users_platform/processes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import yaml
 
@@ -19,9 +19,14 @@
 BOUNDS = {"GraceS": 8, "LeaseMs": 3000, "VersionMs": 8000, "RetrySlack": 56}
 
 
-def start_gateway(fleet: Fleet, name: str, store_port: int) -> None:
-    """Start a gateway process, which the fleet holds under its name."""
-    path = write_settings(fleet, name, store_port)
+def start_gateway(
+    fleet: Fleet, name: str, store_port: int, limits: dict[str, Any] | None = None
+) -> None:
+    """Start a gateway process, which the fleet holds under its name.
+
+    The limits are those of its machine, as in the settings file.
+    """
+    path = write_settings(fleet, name, store_port, limits)
     fleet.start(name, PROGRAM_MODULE, "gateway", "--settings", str(path))
 
 
@@ -30,7 +35,9 @@
     return f"{name}-ready"
 
 
-def write_settings(fleet: Fleet, name: str, store_port: int) -> Path:
+def write_settings(
+    fleet: Fleet, name: str, store_port: int, limits: dict[str, Any] | None = None
+) -> Path:
     """Write or replace a gateway's settings file and return its path."""
     if name not in fleet.ports_by_name:
         front, ready, inner = free_ports(3)
@@ -51,5 +58,7 @@
         "Bounds": BOUNDS,
         "Platform": {"Address": f"{HOST}:{store_port}"},
     }
+    if limits is not None:
+        document["Limits"] = limits
     path.write_text(yaml.safe_dump(document), encoding="utf-8")
     return path
--- a/tests/test_gateway/test_processes.py
+++ b/tests/test_gateway/test_processes.py
@@ -141,7 +141,7 @@
 
 @asynccontextmanager
 async def gateway_process(
-    world: GatewayHarness | None = None,
+    world: GatewayHarness | None = None, limits: dict[str, Any] | None = None
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway as a process while the context lasts."""
     world = world or GatewayHarness()
@@ -149,7 +149,7 @@
         with tempfile.TemporaryDirectory() as folder:
             fleet = Fleet(Path(folder))
             try:
-                start_gateway(fleet, NAME, store_port)
+                start_gateway(fleet, NAME, store_port, limits)
                 world.port = fleet.ports_by_name[NAME]
                 yield RunningGateway(world, fleet, store_port)
             finally:
