Bound the work and the connections that callers cost a gateway

Cause: h11 yields one event for each chunk, in 3.2 microseconds, and a connection decoded all that had arrived before others ran. 100 bodies of 300,000 one-byte chunks occupied the loop for over a minute. Connections were accepted until descriptors ran out. The input read ahead during a request was bounded for each request, not for the connection, so pipelining callers filled the memory by up to 64 KB a request.

Change: a decoder reads chunks a buffer at a time, blocks of equal small chunks by strides; the last chunk and the trailers stay with h11. Bodies over 64 KiB on the wire, or slower than the head's time-out, are admitted, and read in turns: one piece of 16 KiB in a pass of the loop, half of the time while several wait. Chunk framing over eight bytes a body byte and 64 KiB is a 413. Large bodies open at once and connections follow the machine's memory and descriptors; beyond them the most costly or idlest is closed. A send that isn't read for 30 s ends.

--- a/src/agatehoist/core/byte_budget.py
+++ b/src/agatehoist/core/byte_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -27,12 +28,20 @@
     If a buffer doesn't fit, others may be evicted for it: of the group that holds most,
     the one that has been large and without progress for longest. Buffers of at most
     `small_bytes` always fit. Without a clock, idle times don't count.
+
+    If more than `max_open` buffers can be evicted, one is: of the group that has most
+    of them, the one that has cost most work for its data over its time.
     """
 
     def __init__(
-        self, limit_bytes: int, small_bytes: int = 0, clock: Clock | None = None
+        self,
+        limit_bytes: int,
+        small_bytes: int = 0,
+        clock: Clock | None = None,
+        max_open: int | None = None,
     ) -> None:
         self.limit_bytes = limit_bytes
+        self._max_open = max_open
         self.small_bytes = small_bytes
         self.held_bytes = 0
         self._clock = clock or ManualClock()
@@ -44,6 +53,8 @@
         """Return the usage of a new buffer; without `evict` it is never evicted."""
         usage = BufferUsage(self, group, evict)
         self._buffers.add(usage)
+        if self._max_open is not None:
+            self._close_most_costly(self._max_open)
         return usage
 
     @contextmanager
@@ -80,6 +91,18 @@
         """Stop counting a buffer."""
         self._buffers.discard(usage)
 
+    def _close_most_costly(self, max_open: int) -> None:
+        evictable = [each for each in self._buffers if each.is_evictable]
+        if len(evictable) <= max_open:
+            return
+        count_by_group = Counter(each.group for each in evictable)
+        largest = max(count_by_group.values())
+        now = self.now()
+        max(
+            (each for each in evictable if count_by_group[each.group] == largest),
+            key=lambda each: each.work_per_byte * max(MIN_IDLE_S, now - each.opened_at),
+        ).evict()
+
     def _choose_victim(self, usage: BufferUsage) -> BufferUsage:
         now = self.now()
         large = [
@@ -118,6 +141,9 @@
     ) -> None:
         self.group = group
         self.held_bytes = 0
+        # Bytes that were processed but aren't held, as those of chunk sizes.
+        self.framing_bytes = 0
+        self.opened_at = budget.now()
         self.progress_at = 0.0
         self.is_bounded = False
         self.is_evicted = False
@@ -130,6 +156,11 @@
         """Return whether the buffer may be evicted for another one."""
         return self._evict is not None
 
+    @property
+    def work_per_byte(self) -> float:
+        """Return how many bytes were processed for each that is held."""
+        return 1 + self.framing_bytes / max(1, self.held_bytes)
+
     def add_bytes(self, count: int) -> None:
         """Count bytes that are added to the buffer.
 
--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import anyio
+
 from agatehoist.core.inflight import InFlightCounter
+from agatehoist.http1.connection_choice import OpenConnection, Phase, closable
+from agatehoist.http1.reading_turns import ReadingTurns
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import CLOSED_CONNECTIONS_TOTAL
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -13,33 +21,82 @@
     from agatehoist.core.byte_budget import ByteBudget
     from agatehoist.http1.server import ServerConnection
 
+logger = get_logger("gateway")
+
+# A crowd of callers must not fill the log.
+LOG_INTERVAL_S = 1.0
+
 
 class CallerConnections:
-    """Hold the connections of callers, so that a stopping process can end them."""
+    """Hold the connections of callers: limit them, and end them for a stop."""
 
-    def __init__(self, body_budget: ByteBudget) -> None:
+    def __init__(
+        self, body_budget: ByteBudget, max_connections: int | None = None
+    ) -> None:
         # Of the large bodies of callers' requests.
         self.body_budget = body_budget
-        self.waiting: set[ServerConnection] = set()
-        self._connections: set[ServerConnection] = set()
+        self.reading_turns = ReadingTurns()
+        self._max_connections = max_connections
+        self._by_number: dict[int, ServerConnection] = {}
+        self._states_by_connection: dict[ServerConnection, OpenConnection] = {}
+        self._numbers = itertools.count()
         self._open = InFlightCounter()
         self._closes_idle = False
+        self._logged_at = -math.inf
+        self._closed_since_log = 0
 
     @property
     def open_count(self) -> int:
         """Return the number of open connections."""
-        return len(self._connections)
+        return len(self._by_number)
+
+    @property
+    def waiting(self) -> list[ServerConnection]:
+        """Return the connections that wait for their next request."""
+        states = self._states_by_connection.items()
+        return [each for each, state in states if state.phase is Phase.IDLE]
 
     @contextmanager
     def track(self, connection: ServerConnection) -> Iterator[None]:
         """Count a connection as open until the context exits."""
-        self._connections.add(connection)
+        number = next(self._numbers)
+        self._by_number[number] = connection
+        host = connection.peer.rpartition(":")[0]
+        self._states_by_connection[connection] = OpenConnection(
+            number, host, Phase.READING, anyio.current_time()
+        )
         with self._open.track():
             try:
                 yield
             finally:
-                self._connections.discard(connection)
-                self.waiting.discard(connection)
+                del self._by_number[number], self._states_by_connection[connection]
+
+    def note_phase(self, connection: ServerConnection, phase: Phase) -> None:
+        """Note what a connection begins to do."""
+        state = self._states_by_connection[connection]
+        self._states_by_connection[connection] = OpenConnection(
+            state.number, state.host, phase, anyio.current_time()
+        )
+
+    def make_room(self) -> bool:
+        """Close a connection if there are too many; return whether one may be opened.
+
+        None is closed that has got a part of a request since it was chosen.
+        """
+        if self._max_connections is None or self.open_count < self._max_connections:
+            return True
+        now = anyio.current_time()
+        for state in closable(self._states_by_connection.values(), now):
+            connection = self._by_number[state.number]
+            if state.phase is Phase.IDLE and not connection.is_idle():
+                continue
+            connection.abort()
+            # It isn't chosen again while its task ends.
+            self.note_phase(connection, Phase.SERVING)
+            self._note_closed(state.phase.value, now)
+            return True
+        self._note_closed("refused", now)
+        return False
 
     def may_wait(self, connection: ServerConnection) -> bool:
         """Return whether a connection may stay open until its next request arrives."""
@@ -48,19 +105,33 @@
     def close_idle(self) -> None:
         """Close the idle connections, and later ones as soon as they are idle."""
         self._closes_idle = True
-        for connection in tuple(self.waiting):
+        for connection in self.waiting:
             connection.close_when_idle()
 
     def enlarge_send_buffers(self) -> None:
         """Let the kernel take the replies whole, however slowly the callers read."""
-        for connection in tuple(self._connections):
+        for connection in tuple(self._by_number.values()):
             connection.enlarge_send_buffer()
 
     def end_reading(self) -> None:
         """Refuse the requests that haven't been read whole."""
-        for connection in tuple(self._connections):
+        for connection in tuple(self._by_number.values()):
             connection.end_reading()
 
     async def wait_closed(self) -> None:
         """Wait until no connection is open."""
         await self._open.wait_idle()
+
+    def _note_closed(self, cause: str, now: float) -> None:
+        CLOSED_CONNECTIONS_TOTAL.inc({"cause": cause})
+        self._closed_since_log += 1
+        if now < self._logged_at + LOG_INTERVAL_S:
+            return
+        logger.warning(
+            "too many connections of callers",
+            open=self.open_count,
+            limit=self._max_connections,
+            closed=self._closed_since_log,
+            cause=cause,
+        )
+        self._logged_at, self._closed_since_log = now, 0
--- a/src/agatehoist/gateway/ingress.py
+++ b/src/agatehoist/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,11 +11,16 @@
 from agatehoist.core.work import Run
 from agatehoist.gateway.request_driver import RequestDriver
 from agatehoist.gateway.unanswered_requests import record_if_unanswered
+from agatehoist.http1.connection_choice import Phase
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
 from agatehoist.http1.server import AdmittedBody, ServerConnection
 from agatehoist.http1.types import Request
 from agatehoist.observability.logs import get_logger
-from agatehoist.observability.metrics import OUTCOMES_TOTAL, REFUSALS_TOTAL
+from agatehoist.observability.metrics import (
+    OUTCOMES_TOTAL,
+    REFUSALS_TOTAL,
+    UNREAD_REQUESTS_TOTAL,
+)
 from agatehoist.refusals import RequestRefusedError
 from agatehoist.refusals.kinds import NotConfigured, RouterBusy, internal_fault
 from agatehoist.routing.resolution import resolve
@@ -104,10 +110,14 @@
     async def serve(self, channel: Channel) -> None:
         """Serve a connection until it ends."""
         state = self._state
+        callers = state.caller_connections
+        if not callers.make_room():
+            channel.close()
+            return
         connection = ServerConnection(
-            channel, state.clock, state.limits, self._admit_body
+            channel, state.clock, state.limits, self._admit_body, callers.reading_turns
         )
-        with state.caller_connections.track(connection):
+        with callers.track(connection):
             await self._serve_all(connection)
 
     async def _serve_all(self, connection: ServerConnection) -> None:
@@ -166,10 +176,10 @@
         state = self._state
         if not state.caller_connections.may_wait(connection):
             return False
-        waiting = state.caller_connections.waiting
-        waiting.add(connection)
-        request = await connection.next_request(lambda: waiting.discard(connection))
-        waiting.discard(connection)
+        note_phase = partial(state.caller_connections.note_phase, connection)
+        note_phase(Phase.IDLE)
+        request = await connection.next_request(partial(note_phase, Phase.READING))
+        note_phase(Phase.SERVING)
         if request is None:
             return False
         request_id = state.platform.request_id(request.head)
@@ -229,6 +239,7 @@
     async def _reject(
         self, connection: ServerConnection, error: BadRequestError
     ) -> None:
+        UNREAD_REQUESTS_TOTAL.inc({"status": str(error.status)})
         logger.info("invalid HTTP request", peer=connection.peer, reason=str(error))
         if not connection.can_start_reply():
             connection.abort()
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -5,6 +5,7 @@
 import itertools
 import math
 import random
+import resource
 from typing import TYPE_CHECKING, Any
 
 from agatehoist.attempts.budget import WindowBudget
@@ -22,6 +23,7 @@
 from agatehoist.fleet.view import EndpointsView
 from agatehoist.gateway.active_requests import ActiveRequests
 from agatehoist.gateway.caller_connections import CallerConnections
+from agatehoist.gateway.caller_limits import caller_limits
 from agatehoist.gateway.peer_outbox import PeerOutbox
 from agatehoist.gateway.start_lines import StartLines
 from agatehoist.gateway.store_feed import StoreFeed
@@ -76,9 +78,18 @@
 RETRY_WINDOW_MARGIN_S = 0.5
 
 
-def body_budget(clock: Clock) -> ByteBudget:
+def body_budget(clock: Clock, max_open: int | None = None) -> ByteBudget:
     """Return a budget for the bodies that come from one side."""
-    return ByteBudget(MAX_BODY_BYTES, SMALL_BODY_BYTES, clock)
+    return ByteBudget(MAX_BODY_BYTES, SMALL_BODY_BYTES, clock, max_open)
+
+
+def caller_connections(settings: GatewaySettings, clock: Clock) -> CallerConnections:
+    """Return the connections of callers, limited by the machine of the process."""
+    descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    limits = caller_limits(settings.machine, descriptors)
+    return CallerConnections(
+        body_budget(clock, limits.max_open_bodies), limits.max_connections
+    )
 
 
 class GatewayState:
@@ -141,7 +152,7 @@
         self.leaving = False
         self.stop = StopState()
         self.models_in_rollout: set[str] = set()
-        self.caller_connections = CallerConnections(body_budget(clock))
+        self.caller_connections = caller_connections(settings, clock)
         self.rng = random.Random()
         self.incarnation = new_incarnation()
         self.rollout_wakeup = Wakeup()
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -14,6 +14,7 @@
 import anyio
 import anyio.lowlevel
 
+from agatehoist.core.units import MS_PER_S
 from agatehoist.http1.errors import ConnectionFailedError, NotListeningError
 
 if TYPE_CHECKING:
@@ -38,6 +39,9 @@
 MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 # More than the largest reply; the kernel may allow less.
 LAST_SEND_BUFFER_BYTES = 8 * 1024 * 1024
+# The tasks of accepted connections begin, and close others for them, before more are
+# accepted.
+MAX_ACCEPTS_IN_A_ROW = 16
 # File descriptors run out under a flood of connections; accepting is retried until
 # some have been closed.
 ACCEPT_RETRY_DELAY_S = 0.05
@@ -56,7 +60,7 @@
         self.discarded_bytes = 0
         self._receives_in_a_row = 0
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """Return the next bytes, or none at the end of the stream.
 
         Raises ConnectionFailedError.
@@ -67,13 +71,21 @@
         self._receives_in_a_row += 1
         while True:
             try:
-                return self._sock.recv(RECEIVE_BYTES)
+                return self._sock.recv(max_bytes)
             except BlockingIOError:
                 await self._wait(anyio.wait_readable)
                 self._receives_in_a_row = 1
             except OSError as error:
                 raise self._connection_error("receive", error) from error
 
+    async def wait_for_input(self) -> None:
+        """Wait until bytes or the end of the stream have arrived.
+
+        Raises ConnectionFailedError.
+        """
+        if self.is_idle():
+            await self._wait(anyio.wait_readable)
+
     async def send(self, data: bytes) -> None:
         """Send all bytes.
 
@@ -84,10 +96,19 @@
             try:
                 remainder = remainder[self._sock.send(remainder) :]
             except BlockingIOError:
-                await self._wait(anyio.wait_writable)
+                await self._wait_writable()
             except OSError as error:
                 raise self._connection_error("send", error) from error
 
+    async def _wait_writable(self) -> None:
+        try:
+            with anyio.fail_after(UNREAD_TIMEOUT_MS / MS_PER_S):
+                await self._wait(anyio.wait_writable)
+        except TimeoutError as error:
+            raise ConnectionFailedError(
+                f"send {self.peer}: not read in time"
+            ) from error
+
     def is_idle(self) -> bool:
         """Return whether the peer has neither sent data nor closed the connection."""
         if self.closed:
@@ -228,7 +249,12 @@
 ) -> None:
     """Serve each connection in a task of the group until cancelled."""
     listening.setblocking(False)
+    accepted = 0
     while True:
+        if accepted >= MAX_ACCEPTS_IN_A_ROW:
+            accepted = 0
+            await anyio.lowlevel.checkpoint()
+        accepted += 1
         try:
             sock, address = listening.accept()
         except BlockingIOError:
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -10,7 +10,9 @@
 import h11
 
 from agatehoist.core.byte_budget import BufferUsage, ByteBudgetExceededError
+from agatehoist.http1.chunked_body import ChunkedBody
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
+from agatehoist.http1.reading_turns import ReadingTurns
 from agatehoist.http1.types import Request, RequestHead
 
 if TYPE_CHECKING:
@@ -29,8 +31,18 @@
 VERSION_NOT_SUPPORTED = 505
 # Limit on the bytes of pipelined requests buffered while one request is served.
 MAX_READ_AHEAD_BYTES = 64 * 1024
-# Larger bodies are read only once their request has been admitted.
+# Bodies that take more bytes, with their framing, are read only once their request has
+# been admitted, and in turns.
 MAX_UNADMITTED_BODY_BYTES = 64 * 1024
+# Chunks of one byte have five bytes of framing each, eight with a padded size.
+MAX_FRAMING_PER_BODY_BYTE = 8
+# Of chunk sizes and their extensions, beside those in proportion to the body.
+MAX_FRAMING_BYTES = 64 * 1024
+# Of a large body, received and decoded in one turn. Chunks of one byte whose framing
+# varies take 4 ms.
+TURN_BYTES = 16 * 1024
+# The headers of a request that the parser's state depends on behind its body.
+STATE_HEADERS = frozenset((b"host", b"connection", b"transfer-encoding"))
 # Larger bodies are sent without being copied.
 MAX_COPIED_BODY_BYTES = 64 * 1024
 
@@ -67,12 +79,20 @@
         clock: Clock,
         limits: Callable[[], ConnectionLimits],
         admit: Admission | None = None,
+        turns: ReadingTurns | None = None,
     ) -> None:
         self._channel = channel
         self._admit = admit
+        self._turns = turns or ReadingTurns()
+        # Decodes the chunks of the body that is being read, up to the last one.
+        self._chunks: ChunkedBody | None = None
         # Counts the bytes of a large body until the next request.
         self._body_usage: BufferUsage | None = None
         self._body_deadline = math.inf
+        self._is_admitted = False
+        # Of the body that is being read, with its framing.
+        self._body_bytes = 0
+        self._is_input_closed = False
         self._clock = clock
         self._limits = limits
         # Whether the last request read has got a complete reply.
@@ -140,9 +160,10 @@
     async def wait_closed(self) -> None:
         """Wait until the caller has closed the connection.
 
-        Waits forever once MAX_READ_AHEAD_BYTES have arrived, since no more is read.
+        Waits forever once MAX_READ_AHEAD_BYTES are buffered, since no more is read.
         """
-        buffered = 0
+        # Some may be left from before, with pipelined requests that still wait.
+        buffered = len(self._http.trailing_data[0])
         while buffered < MAX_READ_AHEAD_BYTES:
             try:
                 data = await self._channel.receive()
@@ -321,22 +342,17 @@
         limit = self._limits().max_body_bytes
         await self._begin_body(head, received_at, limit)
         body = bytearray()
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                await self._receive_body()
-            elif isinstance(event, h11.Data):
-                if len(body) + len(event.data) > limit:
-                    raise BadRequestError(
-                        CONTENT_TOO_LARGE, f"body exceeds {limit} bytes"
-                    )
-                if len(body) + len(event.data) > MAX_UNADMITTED_BODY_BYTES:
-                    self._count_body(head, received_at, len(body), len(event.data))
-                body += event.data
-            else:
-                if self._body_usage is not None:
-                    self._body_usage.keep()
-                return bytes(body)
+        data: bytes | None = self._begin_chunks(head)
+        while data is not None:
+            if data or self._chunks is not None:
+                self._count_body(head, received_at, len(body) + len(data), limit)
+                body += data
+            data = self._next_data(head)
+            if data == b"":
+                data = await self._receive_body(head, received_at)
+        if self._body_usage is not None:
+            self._body_usage.keep()
+        return bytes(body)
 
     async def _begin_body(
         self, head: RequestHead, received_at: float, limit: int
@@ -346,34 +362,107 @@
         if length > limit:
             raise BadRequestError(CONTENT_TOO_LARGE, f"body exceeds {limit} bytes")
         self._body_usage, self._body_deadline = None, math.inf
+        self._is_admitted = False
         if length > MAX_UNADMITTED_BODY_BYTES:
             self._admit_body(head, received_at)
         if self._http.they_are_waiting_for_100_continue:
             continue_reply = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(self._encode(continue_reply))
 
-    async def _receive_body(self) -> None:
+    def _begin_chunks(self, head: RequestHead) -> bytes:
+        """Return the data of the chunks that have arrived with the head, if any."""
+        self._chunks = None
+        if not head.values(b"transfer-encoding"):
+            return b""
+        self._chunks = ChunkedBody(self._max_header_bytes)
+        arrived, self._is_input_closed = self._http.trailing_data
+        return self._chunks.feed(arrived)
+
+    def _next_data(self, head: RequestHead) -> bytes | None:
+        """Return the next part of the body, none if more has to arrive.
+
+        Returns None at the end of the body.
+        """
+        if self._chunks is not None:
+            if self._chunks.rest is None:
+                return b""
+            self._end_chunks(head, self._chunks.rest)
+        event = self._next_event()
+        if event is h11.NEED_DATA:
+            return b""
+        return event.data if isinstance(event, h11.Data) else None
+
+    def _end_chunks(self, head: RequestHead, rest: bytes) -> None:
+        """Let a parser in the same state read the last chunk and the trailers."""
+        self._chunks = None
+        lines = b"".join(
+            b"%s: %s\r\n" % each for each in head.headers if each[0] in STATE_HEADERS
+        )
+        self._http = _make_parser(self._max_header_bytes)
+        self._http.receive_data(
+            b"%s / HTTP/1.1\r\n%s\r\n%s" % (head.method, lines, rest)
+        )
+        self._next_event()
+        if self._is_input_closed:
+            self._http.receive_data(b"")
+
+    async def _receive_body(self, head: RequestHead, received_at: float) -> bytes:
+        """Wait for a part of the body and return the data of the chunks in it.
+
+        A body with a length is left to the parser.
+        """
+        if not self._is_admitted:
+            timeout_s = self._limits().header_timeout_s
+            with anyio.move_on_after(received_at + timeout_s - self._clock.now()):
+                return self._take_input(await self._channel.receive())
+            self._admit_body(head, received_at)
         try:
             with anyio.fail_after(self._body_deadline - self._clock.now()):
-                self._http.receive_data(await self._channel.receive())
+                if self._body_bytes <= MAX_UNADMITTED_BODY_BYTES:
+                    return self._take_input(await self._channel.receive())
+                await self._channel.wait_for_input()
+                async with self._turns.turn():
+                    return self._take_input(await self._channel.receive(TURN_BYTES))
         except TimeoutError as error:
             raise BadRequestError(
                 REQUEST_TIMEOUT, "body not received in time"
             ) from error
 
+    def _take_input(self, data: bytes) -> bytes:
+        if self._chunks is None:
+            self._http.receive_data(data)
+            return b""
+        if not data:
+            raise BadRequestError(BAD_REQUEST, "connection closed within the body")
+        return self._chunks.feed(data)
+
     def _admit_body(self, head: RequestHead, received_at: float) -> None:
-        if self._admit is not None:
-            admitted = self._admit(head, received_at, self._read_scope.cancel)
-            self._body_usage, self._body_deadline = admitted.usage, admitted.deadline
-            admitted.usage.is_bounded = bool(head.values(b"content-length"))
+        self._is_admitted = True
+        if self._admit is None:
+            self._body_deadline = received_at + self._idle_timeout_s()
+            return
+        admitted = self._admit(head, received_at, self._read_scope.cancel)
+        self._body_usage, self._body_deadline = admitted.usage, admitted.deadline
+        admitted.usage.is_bounded = bool(head.values(b"content-length"))
 
     def _count_body(
-        self, head: RequestHead, received_at: float, before: int, count: int
+        self, head: RequestHead, received_at: float, count: int, limit: int
     ) -> None:
-        if self._body_usage is None:
+        """Count the bytes of a body and of its framing.
+
+        Handles chunks that carry little data for their framing.
+        """
+        if count > limit:
+            raise BadRequestError(CONTENT_TOO_LARGE, f"body exceeds {limit} bytes")
+        framing = self._chunks.framing_bytes if self._chunks is not None else 0
+        if framing > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * count:
+            raise BadRequestError(CONTENT_TOO_LARGE, "chunks carry too little data")
+        self._body_bytes = count + framing
+        if self._body_bytes > MAX_UNADMITTED_BODY_BYTES and not self._is_admitted:
             self._admit_body(head, received_at)
         if self._body_usage is not None:
-            self._body_usage.set_bytes(before + count)
+            self._body_usage.framing_bytes = framing
+            self._body_usage.set_bytes(count)
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -27,6 +27,15 @@
 UNANSWERED_REQUESTS_TOTAL = Counter(
     "agatehoist_unanswered_requests_total", "Requests that got no reply, by cause."
 )
+# Connections of callers beyond what the machine allows: idle ones, ones whose request
+# was slow to arrive, and new ones that were refused.
+CLOSED_CONNECTIONS_TOTAL = Counter(
+    "agatehoist_closed_connections_total", "Connections closed for lack of room."
+)
+# Requests that were refused before they were read whole.
+UNREAD_REQUESTS_TOTAL = Counter(
+    "agatehoist_unread_requests_total", "Requests refused unread, by status."
+)
 PLATFORM_CALLS_TOTAL = Counter(
     "agatehoist_platform_calls_total", "Calls of the platform by purpose and outcome."
 )
@@ -79,6 +88,7 @@
 
 __all__ = [
     "CLAIMS_TOTAL",
+    "CLOSED_CONNECTIONS_TOTAL",
     "CONFIGURATION_REVISION",
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
@@ -100,5 +110,6 @@
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
     "UNEXPECTED_WEIGHTS_TOTAL",
+    "UNREAD_REQUESTS_TOTAL",
     "WITHDRAWN_FOR_WEIGHTS_TOTAL",
 ]
--- a/tests/test_core/test_byte_budget.py
+++ b/tests/test_core/test_byte_budget.py
@@ -80,6 +80,30 @@
         self.assertEqual([each[0] for each in evicted], [each[0] for each in expected])
         self.assertLessEqual(budget.held_bytes, LIMIT_BYTES)
 
+    # The buffers held, with what was processed for their 10 bytes, and the one that is
+    # dropped as a fourth opens.
+    @parameterized.expand(
+        [
+            ("most_work", [("x", "a", 9), ("y", "a", 90), ("z", "a", 0)], "y"),
+            ("largest_group", [("x", "a", 0), ("y", "a", 9), ("z", "b", 99)], "y"),
+            ("longest_open", [("x", "a", 0), ("y", "a", 0), ("z", "a", 0)], "x"),
+        ]
+    )
+    def test_buffer_that_cost_most_is_dropped_when_too_many_are_open(
+        self, _name: str, held: list[tuple[str, str, int]], expected: str
+    ) -> None:
+        """Callers that send bodies in small chunks must not crowd out others."""
+        clock = ManualClock(100.0)
+        budget = ByteBudget(LIMIT_BYTES, SMALL_BYTES, clock, max_open=3)
+        evicted: list[str] = []
+        for name, group, framing_bytes in held:
+            usage = budget.open_buffer(group, lambda name=name: evicted.append(name))
+            usage.add_bytes(10)
+            usage.framing_bytes = framing_bytes
+            clock.advance_to(clock.now() + 1.0)
+        budget.open_buffer("a", lambda: evicted.append("new"))
+        self.assertEqual(evicted, [expected])
+
     def test_small_buffers_fit_beside_a_full_budget(self) -> None:
         """Sound requests with small bodies are served beside any others."""
         budget = ByteBudget(LIMIT_BYTES, SMALL_BYTES)
--- a/tests/test_http1/test_server.py
+++ b/tests/test_http1/test_server.py
@@ -11,7 +11,7 @@
 from parameterized import parameterized
 
 from agatehoist.core.clock import SystemClock
-from agatehoist.http1.channel import Channel
+from agatehoist.http1.channel import RECEIVE_BYTES, Channel
 from agatehoist.http1.errors import BadRequestError
 from agatehoist.http1.server import ServerConnection
 from agatehoist.http1.types import ConnectionLimits, Request
@@ -32,10 +32,10 @@
         super().__init__(sock, "caller")
         self._peer_sock = peer_sock
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """Return the next bytes."""
         try:
-            return await super().receive()
+            return await super().receive(max_bytes)
         except anyio.get_cancelled_exc_class():
             self._peer_sock.send(WITH_LENGTH)
             raise
@@ -77,6 +77,7 @@
 ) -> None:
     size = piece_bytes or max(1, len(data))
     for start in range(0, len(data), size):
+        await anyio.wait_writable(client_end)
         client_end.send(data[start : start + size])
         await anyio.lowlevel.checkpoint()
     if shut_down:
@@ -153,6 +154,34 @@
         assert isinstance(error, BadRequestError)
         self.assertEqual(error.status, status)
 
+    # In chunks of one byte; LIMITS allow bodies of 4096 bytes.
+    @parameterized.expand(
+        [
+            ("within_the_limit", b"1\r\ny\r\n" * 4096, 0),
+            ("over_the_limit", b"1\r\ny\r\n" * 4097, 413),
+            ("long_extensions", (b"1;" + b"e" * 60 + b"\r\ny\r\n") * 1500, 413),
+            ("long_size_line", b"1;" + b"e" * 2000, 431),
+            ("long_trailers", b"0\r\n" + b"X-A: b\r\n" * 200, 431),
+            ("stopped", b"1\r\ny\r\n" * 5, 408),
+            ("ended", b"1\r\ny\r\n" * 5 + b"1\r\n", 400),
+        ]
+    )
+    def test_work_for_a_chunked_body_is_bounded(
+        self, name: str, chunks: bytes, status: int
+    ) -> None:
+        """A body of many chunks must not cost far more than its bytes."""
+        data = HEAD + CHUNKS + chunks + (b"" if status else b"0\r\n\r\n")
+        found, *_ = read_requests(data, 4000, shut_down=name != "stopped")
+        self.assertEqual(getattr(found, "status", 0), status, found)
+
+    def test_largest_body_in_chunks_of_one_byte_is_read(self) -> None:
+        size = 4 * 1024 * 1024
+        limits = replace(LIMITS, max_body_bytes=size, idle_timeout_s=60.0)
+        data = WITH_LENGTH + HEAD + CHUNKS + b"1\r\ny\r\n" * size + b"0\r\n\r\n"
+        _, found, *_ = read_requests(data, 60_000, later_limits=limits)
+        assert isinstance(found, Request)
+        self.assertEqual(len(found.body), size)
+
     # LIMITS allow headers of 1024 bytes.
     @parameterized.expand(
         [
