Read endpoints while callers read slowly, within a part of the memory

Cause: a stream or reply was written to its caller before more was read from its endpoint. A caller that paused stopped the reading, and an endpoint cuts off an answer that stays unread for some seconds. Replies that callers didn't read counted against the 12 MiB for replies that are being read, so four of them left no room for others for 30 s. Nothing bounded the body bytes at one endpoint.

Change: what a caller doesn't take at once is held for the connection and counted for the organisation against an eighth of the process's memory. If that is used up, the connection that holds most for longest, of the organisation that holds most, is reset, so that its reply doesn't look complete. A gateway has at most 8 MiB of bodies at one endpoint; other endpoints are chosen beyond, and without one the request is refused as not run. One body alone is always sent.

--- a/src/agatehoist/core/byte_budget.py
+++ b/src/agatehoist/core/byte_budget.py
@@ -161,6 +161,10 @@
         """Return how many bytes were processed for each that is held."""
         return 1 + self.framing_bytes / max(1, self.held_bytes)
 
+    def now(self) -> float:
+        """Return the current epoch time in seconds."""
+        return self._budget.now()
+
     def add_bytes(self, count: int) -> None:
         """Count bytes that are added to the buffer.
 
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -143,6 +143,7 @@
         )
         # Counted before the task starts, so that the next choice takes it into account.
         self._tracked = load.track(lifetime, dispatch.missing_tokens)
+        self._held_body = state.body_bytes.hold(lifetime, len(request.envelope.body))
         self._first_event_at = math.inf
         self._answered_events = 0
         self._is_answer_noted = False
@@ -182,7 +183,7 @@
         waiting = self._state.load.first_events.waiting(
             self.dispatch.endpoint.lifetime, self.attempt_id, self._began_at
         )
-        with self._tracked, waiting, self.events, self._scope:
+        with self._tracked, self._held_body, waiting, self.events, self._scope:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(self._watch_silence)
                 task_group.start_soon(self._watch_weights)
--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -31,10 +31,15 @@
     """Hold the connections of callers: limit them, and end them for a stop."""
 
     def __init__(
-        self, body_budget: ByteBudget, max_connections: int | None = None
+        self,
+        body_budget: ByteBudget,
+        backlog_budget: ByteBudget,
+        max_connections: int,
     ) -> None:
         # Of the large bodies of callers' requests.
         self.body_budget = body_budget
+        # Of the replies that callers read slowly.
+        self.backlog_budget = backlog_budget
         self.reading_turns = ReadingTurns()
         self._max_connections = max_connections
         self._by_number: dict[int, ServerConnection] = {}
@@ -83,7 +88,7 @@
 
         None is closed that has got a part of a request since it was chosen.
         """
-        if self._max_connections is None or self.open_count < self._max_connections:
+        if self.open_count < self._max_connections:
             return True
         now = anyio.current_time()
         for state in closable(self._states_by_connection.values(), now):
--- a/src/agatehoist/gateway/caller_limits.py
+++ b/src/agatehoist/gateway/caller_limits.py
@@ -20,16 +20,23 @@
 # in the order in which they are read. Ordinary callers send few such bodies.
 OPEN_BODIES_PER_MB = 0.5
 MIN_OPEN_BODIES = 32
+# The part of the memory that may be held of replies for callers that read slowly.
+BACKLOG_MEMORY_SHARE = 0.125
 # Where the settings don't state the memory, it is that of the smallest machines.
 DEFAULT_MEMORY_MB = 128
 
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Limit the connections of callers and the large bodies that are read at once."""
+    """Limit what is held for callers.
+
+    That is connections, large bodies that are read at once, and bytes of replies that
+    callers read slowly.
+    """
 
     max_connections: int
     max_open_bodies: int
+    max_backlog_bytes: int
 
 
 def caller_limits(machine: MachineLimits, process_descriptors: int) -> CallerLimits:
@@ -48,4 +55,5 @@
     return CallerLimits(
         max(MIN_CONNECTIONS, connections),
         max(MIN_OPEN_BODIES, int(OPEN_BODIES_PER_MB * memory_mb)),
+        int(BACKLOG_MEMORY_SHARE * memory_mb * BYTES_PER_MB),
     )
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -154,6 +154,7 @@
         each
         for each in state.fleet.serving(request.service, now)
         if held_back_until(state, each, priority) is None
+        and state.body_bytes.has_room(each.lifetime, len(request.envelope.body))
     )
     prompt = request.envelope.prompt
     if prompt is None:
--- a/src/agatehoist/gateway/ingress.py
+++ b/src/agatehoist/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -13,10 +14,12 @@
 from agatehoist.gateway.unanswered_requests import record_if_unanswered
 from agatehoist.http1.connection_choice import Phase
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
+from agatehoist.http1.reply_backlog import BacklogTerms
 from agatehoist.http1.server import AdmittedBody, ServerConnection
 from agatehoist.http1.types import Request
 from agatehoist.observability.logs import get_logger
 from agatehoist.observability.metrics import (
+    CUT_SLOW_READERS_TOTAL,
     OUTCOMES_TOTAL,
     REFUSALS_TOTAL,
     UNREAD_REQUESTS_TOTAL,
@@ -28,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from agatehoist.core.byte_budget import BufferUsage
     from agatehoist.gateway.state import GatewayState
     from agatehoist.http1.channel import Channel
     from agatehoist.http1.event_stream import StreamEvent
@@ -220,15 +224,50 @@
         writer = HttpReplyWriter(self._state, connection, request_id)
         try:
             driver = RequestDriver(self._state, routed, writer)
-            async with anyio.create_task_group() as task_group:
-                task_group.start_soon(_watch_disconnect, connection, driver)
-                await driver.run()
-                task_group.cancel_scope.cancel()
+            await self._drive(connection, routed, driver)
         except Exception:
             logger.exception("request failed", request=request_id)
             if not connection.has_replied:
                 await writer.refuse(internal_fault(Run.UNKNOWN))
 
+    async def _drive(
+        self, connection: ServerConnection, routed: RoutedRequest, driver: RequestDriver
+    ) -> None:
+        """Process a request until its caller has got the reply."""
+        open_usage = partial(self._open_backlog, connection, routed)
+        try:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(_watch_disconnect, connection, driver)
+                connection.hold_replies(BacklogTerms(open_usage, task_group.start_soon))
+                await driver.run()
+                # Its connection records the request as unanswered.
+                with suppress(ConnectionFailedError):
+                    await connection.wait_sent()
+                task_group.cancel_scope.cancel()
+        finally:
+            connection.hold_replies(None)
+
+    def _open_backlog(
+        self, connection: ServerConnection, routed: RoutedRequest
+    ) -> BufferUsage:
+        """Count for the organisation what its caller doesn't read at once."""
+        budget = self._state.caller_connections.backlog_budget
+        organisation = routed.organisation.name if routed.organisation else ""
+
+        def cut() -> None:
+            CUT_SLOW_READERS_TOTAL.inc({})
+            logger.warning(
+                "reply cut, its caller reads slowly",
+                request=routed.envelope.request_id,
+                organisation=organisation,
+                peer=connection.peer,
+                held_bytes=budget.held_bytes,
+                limit_bytes=budget.limit_bytes,
+            )
+            connection.abort()
+
+        return budget.open_buffer(organisation, cut)
+
     def _route(self, request: Request) -> RoutedRequest:
         state = self._state
         if state.table is None:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -16,6 +16,7 @@
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlightCounter
 from agatehoist.core.wakeup import Wakeup
+from agatehoist.fleet.body_bytes import BodyBytes
 from agatehoist.fleet.health import Health
 from agatehoist.fleet.load import Load
 from agatehoist.fleet.silence import Silences
@@ -74,6 +75,8 @@
 MAX_BODY_BYTES = 12 * 1024 * 1024
 # Smaller bodies are read beside any others.
 SMALL_BODY_BYTES = 64 * 1024
+# Less is held for any caller that reads slowly.
+SMALL_BACKLOG_BYTES = 16 * 1024
 # Endpoints count retries on arrival, slightly later than this node sends them.
 RETRY_WINDOW_MARGIN_S = 0.5
 
@@ -88,7 +91,9 @@
     descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     limits = caller_limits(settings.machine, descriptors)
     return CallerConnections(
-        body_budget(clock, limits.max_open_bodies), limits.max_connections
+        body_budget(clock, limits.max_open_bodies),
+        ByteBudget(limits.max_backlog_bytes, SMALL_BACKLOG_BYTES, clock),
+        limits.max_connections,
     )
 
 
@@ -121,6 +126,7 @@
         self.lines = StartLines(clock)
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
         self.parts = EndpointParts()
+        self.body_bytes = BodyBytes()
         self.nodes: frozenset[Address] = frozenset()
         self._data_centres_by_node: dict[Address, str] = {}
         self._lost_nodes_kept_until = 0.0
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -92,15 +92,28 @@
         Raises ConnectionFailedError.
         """
         remainder = memoryview(data)
-        while remainder:
+        while remainder := self.send_now(remainder):
+            await self.wait_writable()
+
+    def send_now(self, data: memoryview) -> memoryview:
+        """Send what the kernel takes at once, and return the rest.
+
+        Raises ConnectionFailedError.
+        """
+        while data:
             try:
-                remainder = remainder[self._sock.send(remainder) :]
+                data = data[self._sock.send(data) :]
             except BlockingIOError:
-                await self._wait_writable()
+                break
             except OSError as error:
                 raise self._connection_error("send", error) from error
+        return data
 
-    async def _wait_writable(self) -> None:
+    async def wait_writable(self) -> None:
+        """Wait until the kernel takes more, for a bounded time.
+
+        Raises ConnectionFailedError.
+        """
         try:
             with anyio.fail_after(UNREAD_TIMEOUT_MS / MS_PER_S):
                 await self._wait(anyio.wait_writable)
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -13,6 +13,7 @@
 from agatehoist.http1.chunked_body import ChunkedBody
 from agatehoist.http1.errors import BadRequestError, ConnectionFailedError
 from agatehoist.http1.reading_turns import ReadingTurns
+from agatehoist.http1.reply_backlog import ReplyBacklog
 from agatehoist.http1.types import Request, RequestHead
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 
     from agatehoist.core.clock import Clock
     from agatehoist.http1.channel import Channel
+    from agatehoist.http1.reply_backlog import BacklogTerms
     from agatehoist.http1.types import ConnectionLimits, Headers
 
 BAD_REQUEST = 400
@@ -105,6 +107,9 @@
         self._has_ended_reading = False
         self._closes_when_idle = False
         self._read_scope = anyio.CancelScope()
+        # What the caller hasn't read of a reply, if that is held.
+        self._backlog_terms: BacklogTerms | None = None
+        self._backlog: ReplyBacklog | None = None
 
     @property
     def peer(self) -> str:
@@ -183,14 +188,14 @@
         Raises ConnectionFailedError.
         """
         reply = h11.Response(status_code=status, headers=list(headers))
-        await self._send(self._encode(reply))
+        await self._send_or_hold(self._encode(reply))
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the body.
 
         Raises ConnectionFailedError.
         """
-        await self._send(self._encode(h11.Data(data=data)))
+        await self._send_or_hold(self._encode(h11.Data(data=data)))
 
     async def send_reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete reply with its length; one to HEAD has no body.
@@ -209,16 +214,34 @@
         if len(body) <= MAX_COPIED_BODY_BYTES:
             parts = [b"".join(parts)]
         for part in parts:
-            await self._send(part)
-        self.has_replied = True
+            await self._send_or_hold(part)
+        self.has_replied = self._backlog is None
 
     async def end(self) -> None:
         """End a reply as complete.
 
         Raises ConnectionFailedError.
         """
-        await self._send(self._encode(h11.EndOfMessage()))
-        self.has_replied = True
+        await self._send_or_hold(self._encode(h11.EndOfMessage()))
+        self.has_replied = self._backlog is None
+
+    def hold_replies(self, terms: BacklogTerms | None) -> None:
+        """Hold what the caller doesn't read at once from now on, if there are terms."""
+        self._backlog_terms, self._backlog = terms, None
+
+    async def wait_sent(self) -> None:
+        """Wait until a reply that has been held is sent.
+
+        Raises ConnectionFailedError.
+        """
+        if self._backlog is None:
+            return
+        try:
+            await self._backlog.wait_sent()
+        except ConnectionFailedError:
+            self._note_failure()
+            raise
+        self.has_replied = self._http.our_state in (h11.DONE, h11.MUST_CLOSE)
 
     def can_start_reply(self) -> bool:
         """Return whether a reply can still be started."""
@@ -269,6 +292,24 @@
         self._release_body()
         self._channel.abort()
 
+    async def _send_or_hold(self, data: bytes) -> None:
+        if self._backlog_terms is None:
+            await self._send(data)
+            return
+        try:
+            left = memoryview(data)
+            if self._backlog is None:
+                left = self._channel.send_now(left)
+                if not left:
+                    return
+                usage = self._backlog_terms.open_usage()
+                self._backlog = ReplyBacklog(self._channel, usage)
+                self._backlog_terms.start(self._backlog.run)
+            self._backlog.put(left)
+        except ConnectionFailedError:
+            self._note_failure()
+            raise
+
     async def _send(self, data: bytes) -> None:
         try:
             await self._channel.send(data)
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -32,6 +32,10 @@
 CLOSED_CONNECTIONS_TOTAL = Counter(
     "agatehoist_closed_connections_total", "Connections closed for lack of room."
 )
+# Replies that were cut off as too much was held for callers that read slowly.
+CUT_SLOW_READERS_TOTAL = Counter(
+    "agatehoist_cut_slow_readers_total", "Replies cut as their callers read slowly."
+)
 # Requests that were refused before they were read whole.
 UNREAD_REQUESTS_TOTAL = Counter(
     "agatehoist_unread_requests_total", "Requests refused unread, by status."
@@ -90,6 +94,7 @@
     "CLAIMS_TOTAL",
     "CLOSED_CONNECTIONS_TOTAL",
     "CONFIGURATION_REVISION",
+    "CUT_SLOW_READERS_TOTAL",
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
     "ENDPOINT_STATEMENTS_TOTAL",
--- a/tests/test_gateway/test_callers_without_limits.py
+++ b/tests/test_gateway/test_callers_without_limits.py
@@ -23,6 +23,7 @@
 from tests.test_gateway.callers import (
     HEADERS,
     POST_REQUEST,
+    PROMPT_REQUEST,
     RECEIVE_BYTES,
     REQUEST,
     slow_configuration,
@@ -96,11 +97,12 @@
     "pipelining_without_end": Crowd(FEW, b"", REQUEST * 20, ENDLESS, reads=True),
     "pipelining_unread": Crowd(FEW, b"", REQUEST * 20, ENDLESS),
     "answers_never_read": Crowd(MANY, POST_REQUEST),
+    "streams_never_read": Crowd(MANY, PROMPT_REQUEST),
 }
 
 
 def make_world() -> GatewayHarness:
-    """Return a world with slow routes, large bodies and large answers to calls."""
+    """Return a world with slow routes, large bodies and large answers."""
     world = GatewayHarness()
     changed = slow_configuration()
     changed["Limits"]["MaxBodyBytes"] = MAX_BODY_BYTES
@@ -108,6 +110,8 @@
     world.store.put("config", "main", changed)
     for each in world.applications:
         each.faults = ["large"] * MANY
+    for each in world.engines:
+        each.faults = ["flood"] * MANY
     return world
 
 
