--- a/src/agatehoist/gateway/caller_connections.py
+++ b/src/agatehoist/gateway/caller_connections.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import itertools
 import math
+import time
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-import anyio
-
 from agatehoist.core.inflight import InFlightCounter
 from agatehoist.http1.connection_choice import OpenConnection, Phase, closable
 from agatehoist.http1.reading_turns import ReadingTurns
@@ -42,9 +40,8 @@
         self.backlog_budget = backlog_budget
         self.reading_turns = ReadingTurns()
         self._max_connections = max_connections
-        self._by_number: dict[int, ServerConnection] = {}
-        self._states_by_connection: dict[ServerConnection, OpenConnection] = {}
-        self._numbers = itertools.count()
+        # What each does, and since when in monotonic time.
+        self._phases_by_connection: dict[ServerConnection, tuple[Phase, float]] = {}
         self._open = InFlightCounter()
         self._closes_idle = False
         self._logged_at = -math.inf
@@ -53,35 +50,27 @@
     @property
     def open_count(self) -> int:
         """Return the number of open connections."""
-        return len(self._by_number)
+        return len(self._phases_by_connection)
 
     @property
     def waiting(self) -> list[ServerConnection]:
         """Return the connections that wait for their next request."""
-        states = self._states_by_connection.items()
-        return [each for each, state in states if state.phase is Phase.IDLE]
+        phases = self._phases_by_connection.items()
+        return [each for each, (phase, _) in phases if phase is Phase.IDLE]
 
     @contextmanager
     def track(self, connection: ServerConnection) -> Iterator[None]:
         """Count a connection as open until the context exits."""
-        number = next(self._numbers)
-        self._by_number[number] = connection
-        host = connection.peer.rpartition(":")[0]
-        self._states_by_connection[connection] = OpenConnection(
-            number, host, Phase.READING, anyio.current_time()
-        )
+        self.note_phase(connection, Phase.READING)
         with self._open.track():
             try:
                 yield
             finally:
-                del self._by_number[number], self._states_by_connection[connection]
+                del self._phases_by_connection[connection]
 
     def note_phase(self, connection: ServerConnection, phase: Phase) -> None:
         """Note what a connection begins to do."""
-        state = self._states_by_connection[connection]
-        self._states_by_connection[connection] = OpenConnection(
-            state.number, state.host, phase, anyio.current_time()
-        )
+        self._phases_by_connection[connection] = (phase, time.monotonic())
 
     def make_room(self) -> bool:
         """Close a connection if there are too many; return whether one may be opened.
@@ -90,12 +79,14 @@
         """
         if self.open_count < self._max_connections:
             return True
-        now = anyio.current_time()
-        for state in closable(self._states_by_connection.values(), now):
-            connection = self._by_number[state.number]
+        now = time.monotonic()
+        connections = tuple(self._phases_by_connection)
+        for state in closable(self._open_connections(), now):
+            connection = connections[state.number]
             if state.phase is Phase.IDLE and not connection.is_idle():
                 continue
-            connection.abort()
+            end = connection.close if state.phase is Phase.IDLE else connection.abort
+            end()
             # It isn't chosen again while its task ends.
             self.note_phase(connection, Phase.SERVING)
             self._note_closed(state.phase.value, now)
@@ -115,18 +106,24 @@
 
     def enlarge_send_buffers(self) -> None:
         """Let the kernel take the replies whole, however slowly the callers read."""
-        for connection in tuple(self._by_number.values()):
+        for connection in tuple(self._phases_by_connection):
             connection.enlarge_send_buffer()
 
     def end_reading(self) -> None:
         """Refuse the requests that haven't been read whole."""
-        for connection in tuple(self._by_number.values()):
+        for connection in tuple(self._phases_by_connection):
             connection.end_reading()
 
     async def wait_closed(self) -> None:
         """Wait until no connection is open."""
         await self._open.wait_idle()
 
+    def _open_connections(self) -> Iterator[OpenConnection]:
+        phases = self._phases_by_connection.items()
+        for number, (connection, (phase, since)) in enumerate(phases):
+            host = connection.peer.rpartition(":")[0]
+            yield OpenConnection(number, host, phase, since)
+
     def _note_closed(self, cause: str, now: float) -> None:
         CLOSED_CONNECTIONS_TOTAL.inc({"cause": cause})
         self._closed_since_log += 1
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -43,6 +43,8 @@
 # Of a large body, received and decoded in one turn. Chunks of one byte whose framing
 # varies take 4 ms.
 TURN_BYTES = 16 * 1024
+# Lines of a chunked body that cost less in the parser than a change of parsers does.
+MAX_PARSED_LINES = 16
 # The headers of a request that the parser's state depends on behind its body.
 STATE_HEADERS = frozenset((b"host", b"connection", b"transfer-encoding"))
 # Larger bodies are sent without being copied.
@@ -411,13 +413,20 @@
             await self._send(self._encode(continue_reply))
 
     def _begin_chunks(self, head: RequestHead) -> bytes:
-        """Return the data of the chunks that have arrived with the head, if any."""
+        """Return the data of the chunks that have arrived with the head, if any.
+
+        A body of few chunks that has arrived whole is left to the parser.
+        """
         self._chunks = None
         if not head.values(b"transfer-encoding"):
             return b""
-        self._chunks = ChunkedBody(self._max_header_bytes)
+        chunks = ChunkedBody(self._max_header_bytes)
         arrived, self._is_input_closed = self._http.trailing_data
-        return self._chunks.feed(arrived)
+        data = chunks.feed(arrived)
+        if chunks.rest is not None and arrived.count(b"\n") <= MAX_PARSED_LINES:
+            return b""
+        self._chunks = chunks
+        return data
 
     def _next_data(self, head: RequestHead) -> bytes | None:
         """Return the next part of the body, none if more has to arrive.
