--- a/tests/test_gateway/test_callers_without_limits.py
+++ b/tests/test_gateway/test_callers_without_limits.py
@@ -45,7 +45,7 @@
 IDLE_TIMEOUT_MS = 120_000
 # How long the crowd sends; its connections stay open for longer.
 CROWD_S = 4.0
-# An answer takes milliseconds; the fault lasts for minutes.
+# An answer takes milliseconds; the fault lasted for over a minute of processor time.
 ANSWER_WAIT_S = 20.0
 FEW, MANY = 30, 100
 BODY = b"POST /post/1 HTTP/1.1\r\n" + HEADERS
