Close no connection of a caller that has been idle for under half a second

A new connection whose request is still under way looks idle, so beside 300 slow heads the connections of ordinary callers were closed first.

--- a/src/agatehoist/http1/connection_choice.py
+++ b/src/agatehoist/http1/connection_choice.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# A head and a small body arrive in less time.
-MIN_READING_S = 0.5
+# A head and a small body arrive in less time, also behind the opening of a connection.
+MIN_PHASE_S = 0.5
 # One that was chosen may have got input since and is then passed over.
 MAX_CHOICES = 8
 
@@ -58,6 +58,5 @@
 
 
 def _may_be_closed(connection: OpenConnection, now: float) -> bool:
-    if connection.phase is Phase.READING:
-        return now - connection.since >= MIN_READING_S
-    return connection.phase is Phase.IDLE
+    is_served = connection.phase is Phase.SERVING
+    return not is_served and now - connection.since >= MIN_PHASE_S
