--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -5,6 +5,7 @@
 import itertools
 import math
 import random
+import resource
 from typing import TYPE_CHECKING, Any
 
 from agatehoist.attempts.budget import WindowBudget
@@ -15,6 +16,7 @@
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlightCounter
 from agatehoist.core.wakeup import Wakeup
+from agatehoist.fleet.body_bytes import BodyBytes
 from agatehoist.fleet.health import Health
 from agatehoist.fleet.load import Load
 from agatehoist.fleet.silence import Silences
@@ -23,6 +25,7 @@
 from agatehoist.gateway.active_requests import ActiveRequests
 from agatehoist.gateway.allotments import Allotments
 from agatehoist.gateway.caller_connections import CallerConnections
+from agatehoist.gateway.caller_limits import caller_limits
 from agatehoist.gateway.peer_outbox import PeerOutbox
 from agatehoist.gateway.room import EngineStates
 from agatehoist.gateway.start_lines import StartLines
@@ -74,13 +77,26 @@
 MAX_BODY_BYTES = 12 * 1024 * 1024
 # Smaller bodies are read beside any others.
 SMALL_BODY_BYTES = 64 * 1024
+# Less is held for any caller that reads slowly.
+SMALL_BACKLOG_BYTES = 16 * 1024
 # Endpoints count retries on arrival, slightly later than this node sends them.
 RETRY_WINDOW_MARGIN_S = 0.5
 
 
-def body_budget(clock: Clock) -> ByteBudget:
+def body_budget(clock: Clock, max_open: int | None = None) -> ByteBudget:
     """Return a budget for the bodies that come from one side."""
-    return ByteBudget(MAX_BODY_BYTES, SMALL_BODY_BYTES, clock)
+    return ByteBudget(MAX_BODY_BYTES, SMALL_BODY_BYTES, clock, max_open)
+
+
+def caller_connections(settings: GatewaySettings, clock: Clock) -> CallerConnections:
+    """Return the connections of callers, limited by the machine of the process."""
+    descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    limits = caller_limits(settings.machine, descriptors)
+    return CallerConnections(
+        body_budget(clock, limits.max_open_bodies),
+        ByteBudget(limits.max_backlog_bytes, SMALL_BACKLOG_BYTES, clock),
+        limits.max_connections,
+    )
 
 
 class GatewayState:
@@ -113,13 +129,8 @@
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
         self.parts = EndpointParts()
         self.engine_states = EngineStates()
-        self.nodes: frozenset[Address] = frozenset()
-        self._data_centres_by_node: dict[Address, str] = {}
-        self._lost_nodes_kept_until = 0.0
-        self.nodes_changed = Wakeup()
-        # Set when a node sends that isn't listed yet.
-        self.unlisted_node_seen = Wakeup()
-        self._unlisted_nodes: set[Address] = set()
+        self.body_bytes = BodyBytes()
+        self._begin_nodes()
         # The nodes that watch the store for all, with their data centres.
         self.watchers: dict[Address, str] = {}
         self.feed = StoreFeed()
@@ -144,15 +155,24 @@
         self.leaving = False
         self.stop = StopState()
         self.models_in_rollout: set[str] = set()
-        self.caller_connections = CallerConnections(body_budget(clock))
+        self.caller_connections = caller_connections(settings, clock)
         self.rng = random.Random()
         self.incarnation = new_incarnation()
         self.rollout_wakeup = Wakeup()
         self.allotments = Allotments(self)
         self._sequence = itertools.count(1)
-        self._node_count = INITIAL_NODE_COUNT
         self._begin_retry_budgets(retry_slack_available_at)
 
+    def _begin_nodes(self) -> None:
+        self.nodes: frozenset[Address] = frozenset()
+        self._data_centres_by_node: dict[Address, str] = {}
+        self._lost_nodes_kept_until = 0.0
+        self.nodes_changed = Wakeup()
+        # Set when a node sends that isn't listed yet.
+        self.unlisted_node_seen = Wakeup()
+        self._unlisted_nodes: set[Address] = set()
+        self._node_count = INITIAL_NODE_COUNT
+
     def _begin_retry_budgets(self, slack_available_at: float) -> None:
         self._retry_budgets_by_service: dict[str, WindowBudget] = {}
         self._retry_slack_available_at = slack_available_at
--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -14,6 +14,7 @@
 import anyio
 import anyio.lowlevel
 
+from agatehoist.core.units import MS_PER_S
 from agatehoist.http1.errors import ConnectionFailedError, NotListeningError
 
 if TYPE_CHECKING:
@@ -38,6 +39,9 @@
 MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 # More than the largest reply; the kernel may allow less.
 LAST_SEND_BUFFER_BYTES = 8 * 1024 * 1024
+# The tasks of accepted connections begin, and close others for them, before more are
+# accepted.
+MAX_ACCEPTS_IN_A_ROW = 16
 # File descriptors run out under a flood of connections; accepting is retried until
 # some have been closed.
 ACCEPT_RETRY_DELAY_S = 0.05
@@ -56,7 +60,7 @@
         self.discarded_bytes = 0
         self._receives_in_a_row = 0
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """Return the next bytes, or none at the end of the stream.
 
         Raises ConnectionFailedError.
@@ -67,26 +71,56 @@
         self._receives_in_a_row += 1
         while True:
             try:
-                return self._sock.recv(RECEIVE_BYTES)
+                return self._sock.recv(max_bytes)
             except BlockingIOError:
                 await self._wait(anyio.wait_readable)
                 self._receives_in_a_row = 1
             except OSError as error:
                 raise self._connection_error("receive", error) from error
 
+    async def wait_for_input(self) -> None:
+        """Wait until bytes or the end of the stream have arrived.
+
+        Raises ConnectionFailedError.
+        """
+        if self.is_idle():
+            await self._wait(anyio.wait_readable)
+
     async def send(self, data: bytes) -> None:
         """Send all bytes.
 
         Raises ConnectionFailedError.
         """
         remainder = memoryview(data)
-        while remainder:
+        while remainder := self.send_now(remainder):
+            await self.wait_writable()
+
+    def send_now(self, data: memoryview) -> memoryview:
+        """Send what the kernel takes at once, and return the rest.
+
+        Raises ConnectionFailedError.
+        """
+        while data:
             try:
-                remainder = remainder[self._sock.send(remainder) :]
+                data = data[self._sock.send(data) :]
             except BlockingIOError:
-                await self._wait(anyio.wait_writable)
+                break
             except OSError as error:
                 raise self._connection_error("send", error) from error
+        return data
+
+    async def wait_writable(self) -> None:
+        """Wait until the kernel takes more, for a bounded time.
+
+        Raises ConnectionFailedError.
+        """
+        try:
+            with anyio.fail_after(UNREAD_TIMEOUT_MS / MS_PER_S):
+                await self._wait(anyio.wait_writable)
+        except TimeoutError as error:
+            raise ConnectionFailedError(
+                f"send {self.peer}: not read in time"
+            ) from error
 
     def is_idle(self) -> bool:
         """Return whether the peer has neither sent data nor closed the connection."""
@@ -228,7 +262,12 @@
 ) -> None:
     """Serve each connection in a task of the group until cancelled."""
     listening.setblocking(False)
+    accepted = 0
     while True:
+        if accepted >= MAX_ACCEPTS_IN_A_ROW:
+            accepted = 0
+            await anyio.lowlevel.checkpoint()
+        accepted += 1
         try:
             sock, address = listening.accept()
         except BlockingIOError:
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -35,6 +35,19 @@
 UNANSWERED_REQUESTS_TOTAL = Counter(
     "agatehoist_unanswered_requests_total", "Requests that got no reply, by cause."
 )
+# Connections of callers beyond what the machine allows: idle ones, ones whose request
+# was slow to arrive, and new ones that were refused.
+CLOSED_CONNECTIONS_TOTAL = Counter(
+    "agatehoist_closed_connections_total", "Connections closed for lack of room."
+)
+# Replies that were cut off as too much was held for callers that read slowly.
+CUT_SLOW_READERS_TOTAL = Counter(
+    "agatehoist_cut_slow_readers_total", "Replies cut as their callers read slowly."
+)
+# Requests that were refused before they were read whole.
+UNREAD_REQUESTS_TOTAL = Counter(
+    "agatehoist_unread_requests_total", "Requests refused unread, by status."
+)
 PLATFORM_CALLS_TOTAL = Counter(
     "agatehoist_platform_calls_total", "Calls of the platform by purpose and outcome."
 )
@@ -97,7 +110,9 @@
 __all__ = [
     "ALLOTMENT_DECISIONS_TOTAL",
     "CLAIMS_TOTAL",
+    "CLOSED_CONNECTIONS_TOTAL",
     "CONFIGURATION_REVISION",
+    "CUT_SLOW_READERS_TOTAL",
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
     "ENDPOINT_STATEMENTS_TOTAL",
@@ -120,5 +135,6 @@
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
     "UNEXPECTED_WEIGHTS_TOTAL",
+    "UNREAD_REQUESTS_TOTAL",
     "WITHDRAWN_FOR_WEIGHTS_TOTAL",
 ]
