Soak an organisation far over its allotment

Three callers send requests of an organisation that has 20 requests a second and a burst of 10, on a route of its own, beside all faults; the invariant `allotment` counts those that reach endpoints in any window of 8 s.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import bisect
 from collections import Counter
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from agatehoist.core.registry import Registry
-from soak.configurations import AT_MOST_ONCE_ROUTES, STREAMED_ROUTES
+from soak.configurations import (
+    AT_MOST_ONCE_ROUTES,
+    CROWD,
+    CROWD_BURST,
+    CROWD_RATE_PER_S,
+    CROWD_ROUTE,
+    STREAMED_ROUTES,
+)
 from soak.types import Violation
 from standins.users_platform.endpoint import Ending
+from standins.users_platform.processes import BOUNDS
 from standins.users_platform.prompts import STABLE_S
 
 if TYPE_CHECKING:
@@ -79,6 +88,28 @@
             yield Violation("limit", period.endpoint, detail)
 
 
+@INVARIANT_CHECKS.register("allotment")
+def _check_allotment(record: SoakRecord) -> Iterator[Violation]:
+    """Check that the crowd's requests that reach endpoints stay within its bound.
+
+    A request counts once, whatever number of endpoints gets it.
+    """
+    ids = {e.sent.request_id for e in record.results if e.sent.route == CROWD_ROUTE}
+    first_at_by_id: dict[str, float] = {}
+    for each in sorted(record.endpoints.arrivals, key=lambda arrival: arrival.at):
+        if each.request_id in ids:
+            first_at_by_id.setdefault(each.request_id, each.at)
+    times = list(first_at_by_id.values())
+    window_s = BOUNDS["QuotaWindowS"]
+    allotted = CROWD_RATE_PER_S * window_s + CROWD_BURST
+    allowed = allotted * (1 + BOUNDS["QuotaOverage"]) + BOUNDS["QuotaSlack"]
+    ends = (bisect.bisect_right(times, at + window_s) for at in times)
+    most = max((end - index for index, end in enumerate(ends)), default=0)
+    if most > allowed:
+        detail = f"{most} requests in {window_s} s, {allowed:.0f} allowed"
+        yield Violation("allotment", CROWD, detail)
+
+
 @INVARIANT_CHECKS.register("orders")
 def _check_tokens(record: SoakRecord) -> Iterator[Violation]:
     """Check that fencing tokens don't go back, and that each is of one holder."""
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -18,6 +18,8 @@
 from agatehoist.http1.types import RequestHead
 from soak.answer_invariants import LATE_REQUESTS_S
 from soak.configurations import (
+    CROWD_KEY,
+    CROWD_ROUTE,
     GET_ROUTES,
     GUESTS_KEY,
     PASSING_ROUTES,
@@ -56,6 +58,9 @@
 # Longest time that a caller keeps a connection open after its last answer.
 MAX_KEPT_S = 10.0
 KEPT_SHARE = 0.5
+# Requests of the crowd on one connection, and the pause between them.
+CROWD_REQUESTS = 20
+CROWD_PAUSE_S = 0.02
 HEAD_END = b"\r\n\r\n"
 # Shares of the requests whose bodies come in chunks, of those sent in pieces, and of
 # the streams that are long.
@@ -160,6 +165,12 @@
     return [head, *chunks, b"0\r\n", b"\r\n"]
 
 
+def _api_key(route: str) -> str:
+    if route == CROWD_ROUTE:
+        return CROWD_KEY
+    return GUESTS_KEY if route in PASSING_ROUTES else API_KEY
+
+
 class Callers:
     """Send requests until cancelled and record their results."""
 
@@ -191,6 +202,24 @@
             finally:
                 connection.http.close()
 
+    async def run_crowd(self) -> None:
+        """Send requests of the organisation that is far over its allotment."""
+        while True:
+            gateway = self._rng.choice(self._testbed.gateways)
+            try:
+                connection = await open_connection(self._testbed, gateway)
+            except ConnectionFailedError:
+                await anyio.sleep(PAUSE_S)
+                continue
+            planned = PlannedRequest(CROWD_ROUTE)
+            try:
+                for _ in range(CROWD_REQUESTS):
+                    if not await self.send_request(connection, planned):
+                        break
+                    await anyio.sleep(CROWD_PAUSE_S)
+            finally:
+                connection.http.close()
+
     async def run_slowly(self) -> None:
         """Send requests whose body ends late, each on a connection of its own."""
         while True:
@@ -345,7 +374,7 @@
             prompt = deadly.prompt
         headers = {
             "host": "a.example",
-            "api-key": GUESTS_KEY if route in PASSING_ROUTES else API_KEY,
+            "api-key": _api_key(route),
             REQUEST_ID.decode(): request_id,
         }
         if planned.is_chunked:
--- a/tests/test_soak/test_invariants.py
+++ b/tests/test_soak/test_invariants.py
@@ -8,6 +8,7 @@
 
 from parameterized import parameterized
 
+from soak.configurations import CROWD_ROUTE
 from soak.types import (
     Arrival,
     ConfigurationChange,
@@ -223,6 +224,33 @@
         found = [e.invariant for e in violations if e.invariant != "in force"]
         self.assertEqual(found, expected)
 
+    # Requests of an organisation that 192 of may run in 8 s, the time between two of
+    # them, and how often each reaches an endpoint.
+    @parameterized.expand(
+        [
+            ("at_its_rate", 400, 0.05, 1, []),
+            ("tried_twice", 150, 0.01, 2, []),
+            ("far_over_it", 200, 0.01, 1, ["allotment"]),
+        ]
+    )
+    def test_allotment_is_checked(
+        self, _name: str, count: int, interval_s: float, tries: int, expected: list[str]
+    ) -> None:
+        result = make_result(CROWD_ROUTE)
+        results = [
+            replace(result, sent=replace(result.sent, request_id=f"r{n}"))
+            for n in range(count)
+        ]
+        arrivals = tuple(
+            Arrival(f"e{each}", f"r{n}", n * interval_s + each / 10)
+            for n in range(count)
+            for each in range(tries)
+        )
+        records = EndpointRecords(arrivals=arrivals)
+        found = find_violations(SoakRecord(results, [], CHANGES, STREAM, (), records))
+        allotment = [each.invariant for each in found if each.invariant == "allotment"]
+        self.assertEqual(allotment, expected)
+
     @parameterized.expand(
         [
             ("in_turn", [("a", 1), ("a", 1), ("b", 2)], []),
