Repeat taking back shares of allotments, and pool them at more homes

A gateway that leaves a home tells it again until its delegation has ended, and tries the home again after 0.25 s; it delegates to it at once when it answers. Eight homes are tried instead of three, as in a partition the first three may all be on the other side.

An allotment without a burst counts as one of 0.1 s: its bucket never rose above zero, so every request was refused.

--- a/src/agatehoist/limits/allotment_node.py
+++ b/src/agatehoist/limits/allotment_node.py
@@ -43,9 +43,10 @@
 SUSPENDED_S = 0.4
 # Older asks have been given up.
 STALE_ASK_S = 0.5
-# Homes that are asked in turn, and how often one that gives no answer is tried.
-MAX_HOMES = 3
-PING_INTERVAL_S = 0.5
+# Homes that are asked in turn, and how often one that gives no answer is tried. In a
+# partition the first ones may all be on the other side.
+MAX_HOMES = 8
+PING_INTERVAL_S = 0.25
 # A home that gets no asks has to answer once in so many ticks, and is avoided when it
 # has missed two answers, since a busy process may miss one.
 TICKS_PER_ANSWER = 2
@@ -147,6 +148,8 @@
         self._waiting_by_organisation: dict[bytes, deque[WaitingRequest]] = {}
         self._asking_until_by_organisation: dict[bytes, float] = {}
         self._asked_home_by_organisation: dict[bytes, Address] = {}
+        # Homes that may still count a share which they have lost.
+        self._left_until: dict[tuple[bytes, Address], float] = {}
         self._sent_by_number: dict[int, _Sent] = {}
         self._overdue_numbers: set[int] = set()
         # Homes that gave no answer, with the time of the next ping.
@@ -267,6 +270,8 @@
         self._missed_by_home.pop(sent.home, None)
         if self._ping_at_by_home.pop(sent.home, None) is not None:
             self._note_contact(sent.home, True)
+            if sent.home in self._homes():
+                self._send(sent.home, (), now)
         for grant in batch.grants:
             # The first home may still have what the second one hasn't.
             is_useless = sent.is_second and grant.retry_s > 0
@@ -295,6 +300,7 @@
                 batch = tuple(asks[first : first + MAX_ASKS])
                 self._send(home, batch, now, wants_answer=wants_answer)
         self._ping(now)
+        self._repeat_taking_back(now)
         self._announce_start(now)
         for node, until in tuple(self._unlisted_until_by_node.items()):
             if until <= now:
@@ -396,14 +402,26 @@
         """Take back the share from a home that has stood in, before another gets it."""
         before = self._asked_home_by_organisation.get(organisation, home)
         self._asked_home_by_organisation[organisation] = home
-        if before == home or before in self._ping_at_by_home:
-            return
+        if before != home and before not in self._ping_at_by_home:
+            self._left_until[organisation, before] = now + DELEGATION_S
+            self._take_back_share(organisation, before, now)
+
+    def _take_back_share(self, organisation: bytes, home: Address, now: float) -> None:
         terms = self._terms_by_organisation.get(organisation, NO_TERMS)
         taken_back = AllotmentAsk(organisation, terms, delegates=False)
-        if before == self._own:
-            self.home.ask(before, taken_back, now, now)
+        if home == self._own:
+            self.home.ask(home, taken_back, now, now)
         else:
-            self._send(before, (taken_back,), now)
+            self._send(home, (taken_back,), now)
+
+    def _repeat_taking_back(self, now: float) -> None:
+        """Tell homes again that they have lost a share, as messages may be lost."""
+        for (organisation, home), until in tuple(self._left_until.items()):
+            is_asked = self._asked_home_by_organisation.get(organisation) == home
+            if until <= now or is_asked:
+                del self._left_until[organisation, home]
+            elif home not in self._ping_at_by_home:
+                self._take_back_share(organisation, home, now)
 
     def _apply(
         self,
--- a/src/agatehoist/limits/allotments.py
+++ b/src/agatehoist/limits/allotments.py
@@ -45,6 +45,8 @@
 ABSENT_OF_OVERAGE = 0.3
 # Largest part of the level left after the need that a lease takes in addition.
 EXTRA_LEASE_FRACTION = 0.25
+# A bucket without a burst would never rise above zero.
+MIN_BURST_S = 0.1
 ACCOUNT_RETENTION_S = 30.0
 SUM_INTERVAL_S = 0.02
 # A home that was suspended for longer doesn't refill its buckets for that time, as the
@@ -103,7 +105,8 @@
     """Return the terms of an allotment in a version of the configuration."""
     if allotment is None:
         return Terms(version, 0.0, 0.0)
-    return Terms(version, allotment.rate_per_s, allotment.burst)
+    rate = allotment.rate_per_s
+    return Terms(version, rate, max(allotment.burst, MIN_BURST_S * rate))
 
 
 def request_cost(allotment: Allotment, prompt: Prompt | None) -> float:
--- a/tests/test_limits/test_allotments.py
+++ b/tests/test_limits/test_allotments.py
@@ -252,5 +252,12 @@
         allotment = Allotment(1.0, 2.0, unit, 700)
         self.assertEqual(request_cost(allotment, prompt), cost)
 
+    def test_allotment_without_a_burst_admits_requests_at_its_rate(self) -> None:
+        terms = terms_of(Allotment(20_000.0, 0.0), 1)
+        gateways = played(terms, lambda _now: 3.0)
+        used = gateways.used_between(START_S, END_S)
+        self.assertGreaterEqual(used, 0.95 * terms.rate_per_s * (END_S - START_S))
+        self.assertLessEqual(gateways.most_in_window(), ROOM * allowed_in_window(terms))
+
     def test_organisation_without_an_allotment_has_no_limit(self) -> None:
         self.assertEqual(terms_of(None, 3), Terms(3, 0.0, 0.0))
