--- a/src/agatehoist/gateway/allotments.py
+++ b/src/agatehoist/gateway/allotments.py
@@ -35,6 +35,7 @@
     from agatehoist.core.address import Address
     from agatehoist.gateway.state import GatewayState
     from agatehoist.limits.allotment_node import WaitingRequest
+    from agatehoist.limits.types import Allotment
     from agatehoist.refusals.types import Refusal
     from agatehoist.routing.types import Organisation, RoutedRequest, RoutingTable
 
@@ -109,7 +110,7 @@
     allotments.refresh()
     key = endpoint_key(organisation.name)
     terms = terms_of(organisation.allotment, request.table_version)
-    cost = request_cost(organisation.allotment, request.envelope.prompt)
+    cost = _cost(state, request, organisation.allotment)
     decided = anyio.Event()
     waiting = allotments.node.request(key, terms, cost, decided.set, state.clock.now())
     allotments.flush()
@@ -127,7 +128,7 @@
     organisation = request.organisation
     if organisation is None or organisation.allotment is None:
         return
-    cost = request_cost(organisation.allotment, request.envelope.prompt)
+    cost = _cost(state, request, organisation.allotment)
     key = endpoint_key(organisation.name)
     now = state.clock.now()
     is_returned = state.allotments.node.leases.refund(key, cost, charged_at, now)
@@ -173,6 +174,11 @@
     state.allotments.flush()
 
 
+def _cost(state: GatewayState, request: RoutedRequest, allotment: Allotment) -> float:
+    bounds = state.settings.allotments
+    return request_cost(allotment, request.envelope.prompt, bounds)
+
+
 async def _wait(
     state: GatewayState,
     key: bytes,
--- a/src/agatehoist/limits/allotment_leases.py
+++ b/src/agatehoist/limits/allotment_leases.py
@@ -44,6 +44,8 @@
         self.terms = terms
         self.amount = 0.0
         self.expires_at = 0.0
+        # Of requests that haven't run; goes back to the home, whose bucket bounds it.
+        self.refunded = 0.0
         self.used_per_s = 0.0
         self.used_at = now
         self.cost_mean = 0.0
@@ -69,6 +71,10 @@
         self.used_at = now
         self.cost_mean += 0.25 * (cost - self.cost_mean)
 
+    def pop_refunded(self) -> float:
+        refunded, self.refunded = self.refunded, 0.0
+        return refunded
+
     def wanted(self, now: float) -> float:
         """Return what to hold; less than one request needs would only be returned."""
         wanted = AHEAD_S * self.use_per_s(now)
@@ -115,7 +121,9 @@
         need = max(0.0, sum(costs) - held)
         first = max(0.0, costs[0] - held) if costs else 0.0
         wish = max(0.0, lease.wanted(now) - max(0.0, held - sum(costs)))
-        return AllotmentAsk(organisation, lease.terms, first, need, wish, held)
+        return AllotmentAsk(
+            organisation, lease.terms, first, need, wish, held, lease.pop_refunded()
+        )
 
     def asks_ahead(self, now: float) -> list[AllotmentAsk]:
         """Return what to ask before requests need it: renewals, returns and wishes."""
@@ -128,8 +136,9 @@
             returned = held - wanted if held > SURPLUS * wanted else 0.0
             kept = held - returned
             wish = max(0.0, wanted - kept) if now >= lease.refused_until else 0.0
-            if kept or returned or wish:
+            if kept or returned or wish or lease.refunded:
                 lease.amount = kept
+                returned += lease.pop_refunded()
                 asks.append(
                     AllotmentAsk(
                         organisation,
@@ -215,8 +224,7 @@
         lease = self._leases_by_organisation.get(organisation)
         if lease is None or now > charged_at + REFUND_WITHIN_S:
             return False
-        lease.amount = lease.held(now) + cost
-        lease.expires_at = max(lease.expires_at, charged_at + LEASE_S)
+        lease.refunded += cost
         return True
 
     def retry_at(
--- a/src/agatehoist/limits/allotments.py
+++ b/src/agatehoist/limits/allotments.py
@@ -109,13 +109,21 @@
     return Terms(version, rate, max(allotment.burst, MIN_BURST_S * rate))
 
 
-def request_cost(allotment: Allotment, prompt: Prompt | None) -> float:
-    """Return what a request counts, in the unit of the allotment."""
+def request_cost(
+    allotment: Allotment, prompt: Prompt | None, bounds: AllotmentBounds
+) -> float:
+    """Return what a request counts, in the unit of the allotment.
+
+    A request that states more than may run in a window counts as just that, so that it
+    doesn't use up the allotment of days.
+    """
     if allotment.unit is AllotmentUnit.REQUESTS:
         return 1.0
-    if prompt is None:
-        return float(allotment.uncounted_tokens)
-    return float(prompt.prompt_tokens + prompt.max_output_tokens)
+    tokens = allotment.uncounted_tokens
+    if prompt is not None:
+        tokens = prompt.prompt_tokens + prompt.max_output_tokens
+    most = allotment.rate_per_s * bounds.window_s + allotment.burst
+    return min(float(tokens), most)
 
 
 def excess_allowed(terms: Terms, bounds: AllotmentBounds) -> float:
