--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -22,7 +22,7 @@
 # Routes that all configurations have, and those that some have.
 ROUTES = ("look", "find", "post", "trace", "credit")
 PASSING_ROUTES = ("errand", "tale")
-GET_ROUTES = frozenset({"look", "find", "throng"})
+GET_ROUTES = frozenset({"look", "find", "overuse"})
 STREAMED_ROUTES = frozenset({"trace", "credit", "tale"})
 # Requests on these routes must run at most once.
 AT_MOST_ONCE_ROUTES = frozenset({"post", "credit"})
@@ -33,10 +33,10 @@
 GUESTS = "guests"
 GUESTS_KEY = "key-of-the-guests"
 # An organisation that sends far more than its allotment, on a route of its own.
-CROWD = "crowd"
-CROWD_KEY = "key-of-the-crowd"
-CROWD_ROUTE = "throng"
-CROWD_RATE_PER_S, CROWD_BURST = 20.0, 10.0
+OVERUSER = "overuser"
+OVERUSER_KEY = "key-of-the-overuser"
+OVERUSER_ROUTE = "overuse"
+OVERUSER_RATE_PER_S, OVERUSER_BURST = 20.0, 10.0
 
 # Each changes a configuration in place.
 CONFIGURATION_CHANGES: Registry[Callable[[dict[str, Any], random.Random], None]] = (
@@ -50,13 +50,13 @@
     document["Routes"][0]["PathPrefix"] = f"/look-{version}/"
     # A route whose path stays the same.
     document["Routes"].append(route("find", "idempotent", APPLICATION))
-    document["Routes"].append(route(CROWD_ROUTE, "idempotent", APPLICATION))
+    document["Routes"].append(route(OVERUSER_ROUTE, "idempotent", APPLICATION))
     document["Tenants"].append(
         {
-            "Name": CROWD,
-            "ApiKeys": [CROWD_KEY],
-            "RatePerS": CROWD_RATE_PER_S,
-            "Burst": CROWD_BURST,
+            "Name": OVERUSER,
+            "ApiKeys": [OVERUSER_KEY],
+            "RatePerS": OVERUSER_RATE_PER_S,
+            "Burst": OVERUSER_BURST,
         }
     )
     _set_timeouts(document, ROUTE_TIMEOUT_MS, STREAM_TIMEOUT_MS)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -10,10 +10,10 @@
 from agatehoist.core.registry import Registry
 from soak.configurations import (
     AT_MOST_ONCE_ROUTES,
-    CROWD,
-    CROWD_BURST,
-    CROWD_RATE_PER_S,
-    CROWD_ROUTE,
+    OVERUSER,
+    OVERUSER_BURST,
+    OVERUSER_RATE_PER_S,
+    OVERUSER_ROUTE,
     STREAMED_ROUTES,
 )
 from soak.types import Violation
@@ -90,24 +90,24 @@
 
 @INVARIANT_CHECKS.register("allotment")
 def _check_allotment(record: SoakRecord) -> Iterator[Violation]:
-    """Check that the crowd's requests that reach endpoints stay within its bound.
+    """Check that the overuser's requests that reach endpoints stay within its bound.
 
     A request counts once, whatever number of endpoints gets it.
     """
-    ids = {e.sent.request_id for e in record.results if e.sent.route == CROWD_ROUTE}
+    ids = {e.sent.request_id for e in record.results if e.sent.route == OVERUSER_ROUTE}
     first_at_by_id: dict[str, float] = {}
     for each in sorted(record.endpoints.arrivals, key=lambda arrival: arrival.at):
         if each.request_id in ids:
             first_at_by_id.setdefault(each.request_id, each.at)
     times = list(first_at_by_id.values())
     window_s = BOUNDS["QuotaWindowS"]
-    allotted = CROWD_RATE_PER_S * window_s + CROWD_BURST
+    allotted = OVERUSER_RATE_PER_S * window_s + OVERUSER_BURST
     allowed = allotted * (1 + BOUNDS["QuotaOverage"]) + BOUNDS["QuotaSlack"]
     ends = (bisect.bisect_right(times, at + window_s) for at in times)
     most = max((end - index for index, end in enumerate(ends)), default=0)
     if most > allowed:
         detail = f"{most} requests in {window_s} s, {allowed:.0f} allowed"
-        yield Violation("allotment", CROWD, detail)
+        yield Violation("allotment", OVERUSER, detail)
 
 
 @INVARIANT_CHECKS.register("orders")
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -27,7 +27,7 @@
 # At least so many, and one for each gateway.
 MIN_CALLER_COUNT = 12
 SLOW_CALLER_COUNT = 4
-CROWD_CALLER_COUNT = 3
+OVERUSER_CALLER_COUNT = 3
 CONCURRENT_FAULTS = 3
 PAUSE_S = 1.0
 # The users' platform demands recovery after the last fault, and new weights to be
@@ -56,8 +56,8 @@
                     task_group.start_soon(callers.run)
                 for _ in range(SLOW_CALLER_COUNT):
                     task_group.start_soon(callers.run_slowly)
-                for _ in range(CROWD_CALLER_COUNT):
-                    task_group.start_soon(callers.run_crowd)
+                for _ in range(OVERUSER_CALLER_COUNT):
+                    task_group.start_soon(callers.run_overuser)
                 injected_faults = await _inject_faults(
                     testbed, rng, duration_s, faults or tuple(FAULT_INJECTORS)
                 )
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -18,8 +18,8 @@
 from agatehoist.http1.types import RequestHead
 from soak.answer_invariants import LATE_REQUESTS_S
 from soak.configurations import (
-    CROWD_KEY,
-    CROWD_ROUTE,
+    OVERUSER_KEY,
+    OVERUSER_ROUTE,
     GET_ROUTES,
     GUESTS_KEY,
     PASSING_ROUTES,
@@ -58,9 +58,9 @@
 # Longest time that a caller keeps a connection open after its last answer.
 MAX_KEPT_S = 10.0
 KEPT_SHARE = 0.5
-# Requests of the crowd on one connection, and the pause between them.
-CROWD_REQUESTS = 20
-CROWD_PAUSE_S = 0.02
+# Requests of the overuser on one connection, and the pause between them.
+OVERUSER_REQUESTS = 20
+OVERUSER_PAUSE_S = 0.02
 HEAD_END = b"\r\n\r\n"
 # Shares of the requests whose bodies come in chunks, of those sent in pieces, and of
 # the streams that are long.
@@ -166,8 +166,8 @@
 
 
 def _api_key(route: str) -> str:
-    if route == CROWD_ROUTE:
-        return CROWD_KEY
+    if route == OVERUSER_ROUTE:
+        return OVERUSER_KEY
     return GUESTS_KEY if route in PASSING_ROUTES else API_KEY
 
 
@@ -202,7 +202,7 @@
             finally:
                 connection.http.close()
 
-    async def run_crowd(self) -> None:
+    async def run_overuser(self) -> None:
         """Send requests of the organisation that is far over its allotment."""
         while True:
             gateway = self._rng.choice(self._testbed.gateways)
@@ -211,12 +211,12 @@
             except ConnectionFailedError:
                 await anyio.sleep(PAUSE_S)
                 continue
-            planned = PlannedRequest(CROWD_ROUTE)
+            planned = PlannedRequest(OVERUSER_ROUTE)
             try:
-                for _ in range(CROWD_REQUESTS):
+                for _ in range(OVERUSER_REQUESTS):
                     if not await self.send_request(connection, planned):
                         break
-                    await anyio.sleep(CROWD_PAUSE_S)
+                    await anyio.sleep(OVERUSER_PAUSE_S)
             finally:
                 connection.http.close()
 
--- a/tests/test_soak/test_invariants.py
+++ b/tests/test_soak/test_invariants.py
@@ -8,7 +8,7 @@
 
 from parameterized import parameterized
 
-from soak.configurations import CROWD_ROUTE
+from soak.configurations import OVERUSER_ROUTE
 from soak.types import (
     Arrival,
     ConfigurationChange,
@@ -236,7 +236,7 @@
     def test_allotment_is_checked(
         self, _name: str, count: int, interval_s: float, tries: int, expected: list[str]
     ) -> None:
-        result = make_result(CROWD_ROUTE)
+        result = make_result(OVERUSER_ROUTE)
         results = [
             replace(result, sent=replace(result.sent, request_id=f"r{n}"))
             for n in range(count)
