--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -18,10 +18,10 @@
 from agatehoist.http1.types import RequestHead
 from soak.answer_invariants import LATE_REQUESTS_S
 from soak.configurations import (
-    OVERUSER_KEY,
-    OVERUSER_ROUTE,
     GET_ROUTES,
     GUESTS_KEY,
+    OVERUSER_KEY,
+    OVERUSER_ROUTE,
     PASSING_ROUTES,
     ROUTES,
     STREAMED_ROUTES,
