--- a/tests/test_gateway/test_tasks.py
+++ b/tests/test_gateway/test_tasks.py
@@ -85,6 +85,7 @@
                 assert state.table is not None
                 (route, *_) = state.table.routes_by_host["a.example"]
                 request = Mock(route=route, deadline=state.clock.now() + 1.0)
+                request.envelope.body = b""
                 sender, receiver = anyio.create_memory_object_stream[NotWritten](1)
                 attempt = Attempt(
                     state,
