Tell other gateways only of the gateways that this one knows

Cause: a gateway that isn't listed yet assumes 64 gateways, and told the others so. They took the highest count for 10 s and told it on, so it came back and never ended: with 25 gateways each home gave out 25/64 of the allotments.

Change: messages state the gateways that are listed, or heard and not listed yet. What others state and what is assumed at a start stay with the gateway.

Result: the new test fails before (case not_listed_yet) and passes now; the 50 tests of the bound and the use of allotments pass.

--- a/src/agatehoist/limits/allotment_node.py
+++ b/src/agatehoist/limits/allotment_node.py
@@ -179,13 +179,17 @@
 
     def node_count(self, now: float) -> int:
         """Return how many gateways share the allotments, by the longest list."""
-        unlisted = self._unlisted_until_by_node.items()
-        count = len(self._nodes)
-        count += sum(now < until for node, until in unlisted if node not in self._nodes)
+        count = self._known_count(now)
         if not self._is_listed:
             count = max(count, INITIAL_NODE_COUNT)
         return max(count, self._heard_count) if now < self._heard_until else count
 
+    def _known_count(self, now: float) -> int:
+        """Return the count to tell others: what they have told would come back."""
+        unlisted = self._unlisted_until_by_node.items()
+        count = sum(now < until for node, until in unlisted if node not in self._nodes)
+        return len(self._nodes) + count
+
     def request(
         self,
         organisation: bytes,
@@ -258,7 +262,7 @@
             if batch.sender in self._homes():
                 self._send(batch.sender, (), now)
         if grants or batch.wants_answer:
-            reply = GrantBatch(batch.number, self.node_count(now), grants)
+            reply = GrantBatch(batch.number, self._known_count(now), grants)
             self.outbox.append((batch.sender, reply))
 
     def receive_grants(self, batch: GrantBatch, now: float) -> None:
@@ -521,7 +525,7 @@
         batch = AskBatch(
             self._own,
             self._number,
-            self.node_count(now),
+            self._known_count(now),
             _digest(self._nodes),
             delegates,
             is_new,
--- a/tests/test_limits/test_allotments.py
+++ b/tests/test_limits/test_allotments.py
@@ -7,8 +7,10 @@
 
 from parameterized import parameterized
 
+from agatehoist.core.address import Address
 from agatehoist.core.registry import Registry
 from agatehoist.limits.allotment_leases import AllotmentLeases, AskNeeded
+from agatehoist.limits.allotment_node import AllotmentNode, AskBatch
 from agatehoist.limits.allotments import (
     AllotmentGrant,
     Terms,
@@ -28,8 +30,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from agatehoist.core.address import Address
-
 BIG = Terms(1, 350_000.0, 400_000.0)
 SMALL = Terms(1, 40_000.0, 60_000.0)
 COUNT = 25
@@ -246,6 +246,39 @@
         self.assertGreaterEqual(len(served) / len(large), 0.8 * share)
 
 
+class NodeCountTests(unittest.TestCase):
+    # Case, whether the first gateway is listed when it starts.
+    @parameterized.expand([("listed", True), ("not_listed_yet", False)])
+    def test_count_assumed_at_a_start_does_not_spread(
+        self, _name: str, is_listed: bool
+    ) -> None:
+        addresses = tuple(Address("10.0.0.1", port) for port in range(1, 6))
+        terms = Terms(1, 1000.0, 1000.0)
+        nodes_by_address = {
+            each: AllotmentNode(each, BOUNDS, 1, lambda _home, _is_reachable: None)
+            for each in addresses
+        }
+        for address, node in nodes_by_address.items():
+            all_listed = is_listed or address != addresses[0]
+            node.set_nodes(frozenset(addresses) if all_listed else frozenset())
+            node.set_table({b"organisation": terms, b"another": terms}, 1)
+        for tick in range(4 * 15):
+            now = tick / 4
+            if tick == 4:
+                nodes_by_address[addresses[0]].set_nodes(frozenset(addresses))
+            for node in nodes_by_address.values():
+                node.tick(now)
+            for node in nodes_by_address.values():
+                outbox, node.outbox = node.outbox, []
+                for destination, batch in outbox:
+                    if isinstance(batch, AskBatch):
+                        nodes_by_address[destination].receive_asks(batch, now, now)
+                    else:
+                        nodes_by_address[destination].receive_grants(batch, now)
+        counts = {node.node_count(15.0) for node in nodes_by_address.values()}
+        self.assertEqual(counts, {len(addresses)})
+
+
 class RefundTests(unittest.TestCase):
     @parameterized.expand([("soon", 0.5, 100.0), ("late", 1.5, 0.0)])
     def test_amount_goes_back_to_the_home_and_is_not_used_beside_it(
