Name the tokens of short prompts apart from those that memory lacks

Cause: Room.short_tokens is what the memory lacks; EngineState and EndpointWork had a field of the same name for the unread tokens of short prompts.

Change: the latter are short_prompt_tokens. No message changes.

Result: the tests of loads and room pass.

--- a/src/agatehoist/admission/room.py
+++ b/src/agatehoist/admission/room.py
@@ -38,8 +38,8 @@
     A step computes one token for each run and takes `step_s`, longer while it reads
     up to CHUNK_TOKENS of a prompt as well. An event of a stream has `stride` tokens. A
     memory of 0 tokens is unknown, and so are 0 slots. One answer in ten takes `noise`
-    times as long as expected, or longer. Of the unprocessed tokens `short_tokens` are
-    those of short prompts.
+    times as long as expected, or longer. Of the unprocessed tokens
+    `short_prompt_tokens` are those of short prompts.
     """
 
     prefill_tokens_per_s: float
@@ -51,7 +51,7 @@
     held_tokens: int
     slots: int = 0
     noise: float = 1.0
-    short_tokens: int = 0
+    short_prompt_tokens: int = 0
 
     @property
     def is_full(self) -> bool:
@@ -82,7 +82,9 @@
 def room_for(need: Need, engine: EngineState) -> Room:
     """Return what a prompt meets and causes at an engine."""
     rate = engine.prefill_tokens_per_s
-    ahead = tokens_ahead(engine.unprocessed_tokens, engine.short_tokens, need.is_short)
+    ahead = tokens_ahead(
+        engine.unprocessed_tokens, engine.short_prompt_tokens, need.is_short
+    )
     wait_s = ahead / rate + chunk_count(ahead) * engine.step_s
     read_s = need.missing_tokens / rate
     read_s += chunk_count(need.missing_tokens) * engine.step_s
@@ -95,14 +97,17 @@
     )
 
 
-def tokens_ahead(unprocessed_tokens: int, short_tokens: int, is_short: bool) -> int:
+def tokens_ahead(
+    unprocessed_tokens: int, short_prompt_tokens: int, is_short: bool
+) -> int:
     """Return the tokens that an engine reads before a new prompt.
 
     It reads short prompts before long ones, but ends a chunk that it has begun.
     """
     if not is_short:
         return unprocessed_tokens
-    return short_tokens + min(CHUNK_TOKENS, unprocessed_tokens - short_tokens)
+    long_tokens = unprocessed_tokens - short_prompt_tokens
+    return short_prompt_tokens + min(CHUNK_TOKENS, long_tokens)
 
 
 def chunk_count(tokens: int) -> int:
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -57,7 +57,7 @@
 
     `own_tokens` are those that the runs hold in memory without the parts that they
     share. `shared_tokens` are the shared parts, counted once for each run.
-    `short_tokens` are the unprocessed tokens of short prompts, which are also part of
+    `short_prompt_tokens` are the unprocessed tokens of short prompts, which are also part of
     `unprocessed_tokens`.
     """
 
@@ -65,7 +65,7 @@
     unprocessed_tokens: int = 0
     own_tokens: int = 0
     shared_tokens: int = 0
-    short_tokens: int = 0
+    short_prompt_tokens: int = 0
 
 
 NO_WORK = EndpointWork()
@@ -85,7 +85,7 @@
         self.unprocessed_tokens = 0
         self.own_tokens = 0
         self.shared_tokens = 0
-        self.short_tokens = 0
+        self.short_prompt_tokens = 0
         self.changes = 0
 
     @property
@@ -127,7 +127,7 @@
         self._on_change = on_change
         work.runs += 1
         work.unprocessed_tokens += unprocessed_tokens
-        work.short_tokens += unprocessed_tokens if is_short else 0
+        work.short_prompt_tokens += unprocessed_tokens if is_short else 0
         work.own_tokens += sizes.own_tokens
         work.shared_tokens += sizes.shared_tokens
         work.changes += 1
@@ -144,7 +144,7 @@
         if self._unprocessed_tokens:
             self._work.unprocessed_tokens -= self._unprocessed_tokens
             if self._is_short:
-                self._work.short_tokens -= self._unprocessed_tokens
+                self._work.short_prompt_tokens -= self._unprocessed_tokens
             self._unprocessed_tokens = 0
             self._work.changes += 1
             self._on_change()
@@ -194,8 +194,8 @@
         for lifetime, work in self._work_by_lifetime.items():
             if work.runs:
                 loads_by_key[endpoint_key(lifetime)] = work.load
-            if work.short_tokens:
-                short_load = EndpointLoad(0, work.short_tokens)
+            if work.short_prompt_tokens:
+                short_load = EndpointLoad(0, work.short_prompt_tokens)
                 loads_by_key[short_prompts_key(lifetime)] = short_load
         return loads_by_key
 
@@ -263,7 +263,7 @@
             peers.unprocessed_tokens + own.unprocessed_tokens,
             peers.own_tokens + own.own_tokens,
             peers.shared_tokens + own.shared_tokens,
-            peers.short_tokens + own.short_tokens,
+            peers.short_prompt_tokens + own.short_prompt_tokens,
         )
 
     def own_changes(self, lifetime: str) -> int:
@@ -305,7 +305,9 @@
 
     def _assumed_wait_s(self, lifetime: str, now: float, is_short: bool) -> float:
         work = self.work(lifetime, now)
-        tokens = tokens_ahead(work.unprocessed_tokens, work.short_tokens, is_short)
+        tokens = tokens_ahead(
+            work.unprocessed_tokens, work.short_prompt_tokens, is_short
+        )
         wait_s = tokens / DEFAULT_PREFILL_TOKENS_PER_S
         return wait_s + work.runs * STEP_TIME_S_PER_RUN
 
--- a/src/agatehoist/gateway/engine_measurement.py
+++ b/src/agatehoist/gateway/engine_measurement.py
@@ -49,7 +49,7 @@
         is_short = prompt is not None and prompt.is_short
         work = load.work(self._lifetime, began_at)
         self._tokens_ahead = tokens_ahead(
-            work.unprocessed_tokens, work.short_tokens, is_short
+            work.unprocessed_tokens, work.short_prompt_tokens, is_short
         )
         self._assumed_first_s = load.assumed_first_s(
             self._lifetime, dispatch.missing_tokens, began_at, is_short
--- a/src/agatehoist/gateway/room.py
+++ b/src/agatehoist/gateway/room.py
@@ -105,7 +105,7 @@
         ),
         slots=engines.slots,
         noise=rates.noise,
-        short_tokens=work.short_tokens,
+        short_prompt_tokens=work.short_prompt_tokens,
     )
 
 
--- a/tests/test_admission/test_room.py
+++ b/tests/test_admission/test_room.py
@@ -58,7 +58,7 @@
         self.assertEqual(room.noise, 1.5)
 
     def test_short_prompt_goes_before_long_ones(self) -> None:
-        engine = replace(SLOW, unprocessed_tokens=50_000, short_tokens=1000)
+        engine = replace(SLOW, unprocessed_tokens=50_000, short_prompt_tokens=1000)
         room = room_for(Need(648, 0, 0.4, is_short=True), engine)
         self.assertAlmostEqual(room.wait_s, 3048 / 19_440 + 2 * 0.01)
 
--- a/tests/test_fleet/test_load.py
+++ b/tests/test_fleet/test_load.py
@@ -103,7 +103,7 @@
             unread = known.work("e@1", NOW).unprocessed_tokens
             self.assertEqual(unread, long_tokens + short_tokens)
             short.end()
-            self.assertEqual(sender.work("e@1", NOW).short_tokens, 0)
+            self.assertEqual(sender.work("e@1", NOW).short_prompt_tokens, 0)
 
     def test_memory_of_runs_counts_until_their_end(self) -> None:
         load = Load()
