Preview a configuration of the platform before it is sent

Cause: `agatehoist platform check` reports only what can't be parsed. It passes hidden routes, keys of two organisations, limits that contradict each other, and a change without a higher version, which gateways ignore.

The new package preview holds the checks, pure functions over a parsed draft in a registry; the platform's names and units are in platform.draft_text. read_draft keeps the lists that the routing table is made from, since the table doesn't show repeated names and keys; read_configuration returns its table as before. configuration.diff.compare_values is public now, so that both kinds of configuration have one format of differences.

--- a/src/agatehoist/configuration/diff.py
+++ b/src/agatehoist/configuration/diff.py
@@ -45,21 +45,13 @@
     before: Document | None, after: Document | None
 ) -> tuple[Difference, ...]:
     """Return the differences, sorted by path."""
-    return tuple(_compare("", _comparable_value(before), _comparable_value(after)))
+    return tuple(
+        compare_values("", _comparable_value(before), _comparable_value(after))
+    )
 
 
-def _comparable_value(document: Document | None) -> dict[str, Any]:
-    if document is None:
-        return {}
-    value = document_value(document)
-    for key in IGNORED_KEYS:
-        del value[key]
-    # Keyed by name, so that a different order of exceptions is no difference.
-    value["exceptions"] = {each["name"]: each for each in value["exceptions"]}
-    return value
-
-
-def _compare(path: str, before: Any, after: Any) -> Iterator[Difference]:
+def compare_values(path: str, before: Any, after: Any) -> Iterator[Difference]:
+    """Yield the differences between two nested mappings, sorted by path."""
     if before == after:
         return
     if not isinstance(before, dict) or not isinstance(after, dict):
@@ -72,7 +64,18 @@
         elif key not in after:
             yield Difference(DifferenceKind.REMOVED, key_path, before=before[key])
         else:
-            yield from _compare(key_path, before[key], after[key])
+            yield from compare_values(key_path, before[key], after[key])
+
+
+def _comparable_value(document: Document | None) -> dict[str, Any]:
+    if document is None:
+        return {}
+    value = document_value(document)
+    for key in IGNORED_KEYS:
+        del value[key]
+    # Keyed by name, so that a different order of exceptions is no difference.
+    value["exceptions"] = {each["name"]: each for each in value["exceptions"]}
+    return value
 
 
 def _render(value: Any) -> str:
--- a/src/agatehoist/platform/documents.py
+++ b/src/agatehoist/platform/documents.py
@@ -16,6 +16,7 @@
 from agatehoist.fleet.types import Endpoint
 from agatehoist.http1.types import ConnectionLimits
 from agatehoist.limits.types import Allotment, AllotmentUnit
+from agatehoist.preview.types import Draft, KeyHolder
 from agatehoist.routing.types import (
     Engines,
     KvStore,
@@ -38,28 +39,39 @@
 def read_configuration(spec: Any) -> RoutingTable:
     """Parse the platform's configuration object into a routing table.
 
+    Raises InvalidDocumentError.
+    """
+    return read_draft(spec).table
+
+
+def read_draft(spec: Any) -> Draft:
+    """Parse the configuration object into a routing table and the lists behind it.
+
     Raises InvalidDocumentError.
     """
     findings: list[Finding] = []
     reader = MappingReader(spec, "", findings)
+    routes = tuple(map(_read_route, reader.mappings("Routes")))
     routes_by_host: dict[str, tuple[Route, ...]] = {}
-    for each in reader.mappings("Routes"):
-        route = _read_route(each)
+    for route in routes:
         routes_by_host[route.host] = (*routes_by_host.get(route.host, ()), route)
-    services = list(reader.mappings("Services"))
-    organisations = _read_organisations(reader)
+    service_readers = list(reader.mappings("Services"))
+    services = tuple(map(_read_service, service_readers))
+    key_holders = tuple(map(_read_key_holder, reader.mappings("Tenants")))
     table = RoutingTable(
         reader.integer("Version"),
         routes_by_host,
-        {each.name: each for each in map(_read_service, services)},
-        tuple(_read_kv_store(each) for each in services if each.has("KvStoreAddr")),
-        organisations,
+        {each.name: each for each in services},
+        tuple(
+            _read_kv_store(each) for each in service_readers if each.has("KvStoreAddr")
+        ),
+        {key: each.organisation for each in key_holders for key in each.keys},
         # Callers need a key if the configuration lists organisations.
         reader.has("Tenants"),
         _read_limits(reader),
     )
     raise_findings("configuration", findings)
-    return table
+    return Draft(table, routes, services, key_holders)
 
 
 def read_endpoint(name: str, spec: Any) -> Endpoint:
@@ -174,17 +186,14 @@
     )
 
 
-def _read_organisations(reader: MappingReader) -> dict[bytes, Organisation]:
-    organisations_by_key = {}
-    for each in reader.mappings("Tenants"):
-        priority = each.integer("Priority") if each.has("Priority") else None
-        # An isolated organisation shares no cache with others.
-        organisation = Organisation(
-            each.text("Name"), priority, each.flag("Isolated"), _read_allotment(each)
-        )
-        for key in each.texts("ApiKeys"):
-            organisations_by_key[key.encode()] = organisation
-    return organisations_by_key
+def _read_key_holder(reader: MappingReader) -> KeyHolder:
+    priority = reader.integer("Priority") if reader.has("Priority") else None
+    # An isolated organisation shares no cache with others.
+    organisation = Organisation(
+        reader.text("Name"), priority, reader.flag("Isolated"), _read_allotment(reader)
+    )
+    keys = tuple(each.encode() for each in reader.texts("ApiKeys"))
+    return KeyHolder(organisation, keys)
 
 
 def _read_allotment(reader: MappingReader) -> Allotment | None:
--- a/tests/test_cli/test_platform.py
+++ b/tests/test_cli/test_platform.py
@@ -26,6 +26,7 @@
 from standins.users_platform.processes import write_settings
 from tests.test_platform.odd_entries import DEEP_LIST, ENDLESS_DIGITS, ODD_SPECS
 
+EXIT_FAILED = 1
 EXIT_INVALID = 2
 NAME = "gateway-0"
 
@@ -88,6 +89,39 @@
         self.assertIn(shown, output)
 
 
+class PreviewTests(unittest.TestCase):
+    # Guards against an exit status that lets a wrong configuration pass in a script,
+    # and against a comparison with another object than the one in force.
+    @parameterized.expand(
+        [
+            ("no_change", configuration(), 0, "no findings"),
+            ("warning", configuration(4, Routes=[]), 0, "warning: Services.engines: "),
+            ("ignored", configuration(2), EXIT_FAILED, "error: Version: not above 3"),
+            ("odd", {"Routes": 5}, EXIT_FAILED, "error: Routes: a list expected"),
+        ]
+    )
+    def test_preview_compares_with_the_file_or_the_store(
+        self, _name: str, spec: dict[str, object], expected: int, shown: str
+    ) -> None:
+        async def run(folder: str) -> None:
+            harness = GatewayHarness()
+            harness.store.put("config", "main", configuration())
+            draft, in_force = Path(folder) / "draft.json", Path(folder) / "force.json"
+            draft.write_text(json.dumps(spec), encoding="utf-8")
+            in_force.write_text(json.dumps(configuration()), encoding="utf-8")
+            async with run_standins(harness) as port:
+                settings = write_settings(Fleet(Path(folder)), NAME, port)
+                for option in (f"--in-force={in_force}", f"--settings={settings}"):
+                    status, output = await anyio.to_thread.run_sync(
+                        run_command, "preview", str(draft), option
+                    )
+                    self.assertEqual(status, expected, output)
+                    self.assertIn(shown, output)
+
+        with tempfile.TemporaryDirectory() as folder:
+            anyio.run(run, folder)
+
+
 class StatusTests(unittest.TestCase):
     def test_status_shows_the_stored_objects_and_names_invalid_ones(self) -> None:
         async def run() -> str:
--- /dev/null
+++ b/tests/test_preview/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the preview package."""
+
+from __future__ import annotations
