--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -57,8 +57,8 @@
 
     `own_tokens` are those that the runs hold in memory without the parts that they
     share. `shared_tokens` are the shared parts, counted once for each run.
-    `short_prompt_tokens` are the unprocessed tokens of short prompts, which are also part of
-    `unprocessed_tokens`.
+    `short_prompt_tokens` are the unprocessed tokens of short prompts, which are also
+    part of `unprocessed_tokens`.
     """
 
     runs: int = 0
