Choose endpoints by expected finish where engines state their figures

Cause: the home of a prompt was chosen as if all engines were equally fast. Streams on slow engines were late, and shared parts were read again: after evictions that the gateway didn't expect, and where a copy over the engines' links takes less time.

Change: the policy expected_finish compares wait, reading and answer at measured rates, what a prompt costs the streams that run there, and the repeated reading of shared parts. Nearly equal endpoints are ordered by weighted rendezvous hashing, by the shared part or, for short prompts, by the request. Parts are fetched where that costs less than to compute them; KV cache between data centres costs its traffic as well. Parts that runs have evicted don't count as cached, and peers are told again of parts in use. It takes effect where the configuration states memory and stride, and the settings file may disable it.

The rates are the assumed ones, corrected by the time to the first event, until measured ones are merged.

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -9,6 +9,13 @@
 from agatehoist.core.work import PrefixLevel, Priority
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.gateway.endpoint_permits import held_back_until
+from agatehoist.gateway.expected_finish import (
+    finish_offer,
+    holders_of,
+    is_by_finish,
+    note_part_request,
+    spread_key,
+)
 from agatehoist.gateway.prompt_cache import (
     cache_salt_for,
     fetch_address,
@@ -28,6 +35,8 @@
     from agatehoist.routing.types import Prompt, RoutedRequest
 
 PLACEMENT_POLICY = "home_bounded"
+# Of services whose configuration states the memory and the stride of the engines.
+BY_FINISH_POLICY = "expected_finish"
 # Added to the expected wait of an endpoint with replaced weights, to prefer new ones.
 OLD_WEIGHTS_PENALTY_S = 0.25
 # Added to the expected wait of an endpoint that often fails: the cost of a retry.
@@ -74,9 +83,8 @@
     )
     candidates_to_try = state.suspects.candidates_to_try(candidates, now)
     offers = tuple(_offer(state, request, each) for each in candidates_to_try)
-    return POLICIES[PLACEMENT_POLICY]().choose(
-        _placement_request(state, request), offers
-    )
+    name = BY_FINISH_POLICY if is_by_finish(state, request) else PLACEMENT_POLICY
+    return POLICIES[name]().choose(_placement_request(state, request, now), offers)
 
 
 def make_dispatch(
@@ -95,6 +103,7 @@
         return Dispatch(endpoint, last_event_id=last_event_id)
     if version is None:
         version = state.fleet.version_of(endpoint, prompt.model)
+    note_part_request(state, request)
     matched = matched_tokens(state, request, endpoint, version)
     return Dispatch(
         endpoint=endpoint,
@@ -210,13 +219,10 @@
     prompt = request.envelope.prompt
     version = state.fleet.version_of(endpoint, prompt.model) if prompt else 0
     identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
-    wait_s = state.load.wait_s(endpoint.lifetime, state.clock.now())
-    if prompt and version < state.weights.target(prompt.model):
-        wait_s += OLD_WEIGHTS_PENALTY_S
-    if state.health.is_unhealthy(endpoint.lifetime, state.clock.now()):
-        wait_s += UNHEALTHY_PENALTY_S
-    if state.silences.is_silent(endpoint.lifetime, state.clock.now()):
-        wait_s += SILENT_PENALTY_S
+    penalty_s = _penalty_s(state, request, endpoint, version)
+    if prompt is not None and is_by_finish(state, request):
+        return finish_offer(state, request, candidate, identity, penalty_s)
+    wait_s = state.load.wait_s(endpoint.lifetime, state.clock.now()) + penalty_s
     if prompt is None:
         return Offer(candidate, identity, 0, wait_s)
     # The gateway sends no probes: what is cached follows from what was sent before.
@@ -225,7 +231,24 @@
     return Offer(candidate, identity, matched, wait_s + read_s)
 
 
-def _placement_request(state: GatewayState, request: RoutedRequest) -> PlacementRequest:
+def _penalty_s(
+    state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
+) -> float:
+    """Return the wait that an endpoint with a drawback counts as having."""
+    prompt, now = request.envelope.prompt, state.clock.now()
+    penalty_s = 0.0
+    if prompt and version < state.weights.target(prompt.model):
+        penalty_s += OLD_WEIGHTS_PENALTY_S
+    if state.health.is_unhealthy(endpoint.lifetime, now):
+        penalty_s += UNHEALTHY_PENALTY_S
+    if state.silences.is_silent(endpoint.lifetime, now):
+        penalty_s += SILENT_PENALTY_S
+    return penalty_s
+
+
+def _placement_request(
+    state: GatewayState, request: RoutedRequest, now: float
+) -> PlacementRequest:
     prompt = request.envelope.prompt
     levels: list[PrefixLevel] = []
     tokens = 0
@@ -241,6 +264,8 @@
         prompt.prompt_tokens if prompt else 0,
         work_priority(prompt),
         state.settings.data_centre,
+        holders_of(state, request, now),
+        spread_key(request),
     )
 
 
--- a/src/agatehoist/gateway/prompt_cache.py
+++ b/src/agatehoist/gateway/prompt_cache.py
@@ -4,6 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from agatehoist.cache.part_fetches import (
+    FetchPlan,
+    FetchRates,
+    FetchSource,
+    HeldPrompt,
+    plan_fetch,
+)
+from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.fleet.view import UNKNOWN_VERSION
 from agatehoist.protocol.node_reports import part_key
 
@@ -11,7 +19,7 @@
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.state import GatewayState
     from agatehoist.gateway.types import Dispatch
-    from agatehoist.routing.types import KvStore, RoutedRequest
+    from agatehoist.routing.types import Engines, KvStore, RoutedRequest
 
 # Fewer tokens are computed faster than they are fetched from another endpoint.
 MIN_FETCHED_TOKENS = 500
@@ -38,30 +46,58 @@
 ) -> int:
     """Return the prompt tokens that an endpoint is expected not to compute.
 
-    Parts that it lacks are mostly fetched from the KV store, which takes a fraction of
-    the time to compute them.
+    Parts that it lacks are fetched where that takes less time than to compute them. The
+    time to fetch them counts as that of some tokens.
     """
     prompt = request.envelope.prompt
     if prompt is None:
         return 0
-    cached = _cached_tokens(state, request, endpoint, version)
-    shared = sum(each.tokens for each in prompt.shared_parts)
-    fetched = max(0, shared - cached)
+    cached = cached_tokens(state, request, endpoint, version)
     # Cache of unknown weights isn't shared.
-    if version == UNKNOWN_VERSION or _kv_store_for(state, endpoint) is None:
-        fetched = 0
+    if version == UNKNOWN_VERSION:
+        return cached
+    if _states_transfers(state, request):
+        return cached + _saved_tokens(state, request, endpoint, version, cached)
+    if _kv_store_for(state, endpoint) is None:
+        return cached
+    fetched = max(0, sum(each.tokens for each in prompt.shared_parts) - cached)
     return cached + round((1 - FETCH_COST_RATIO) * fetched)
 
 
+def _saved_tokens(
+    state: GatewayState,
+    request: RoutedRequest,
+    endpoint: Endpoint,
+    version: int,
+    cached: int,
+) -> int:
+    """Return the tokens that are computed in the time that a fetch saves."""
+    plan = _plan_fetch(state, request, endpoint, version, cached)
+    if plan is None:
+        return 0
+    rate = prefill_tokens_per_s(state, endpoint.lifetime)
+    return max(0, plan.tokens - round(plan.fetch_s * rate))
+
+
+def prefill_tokens_per_s(state: GatewayState, lifetime: str) -> float:
+    """Return how many prompt tokens an endpoint computes per second."""
+    return DEFAULT_PREFILL_TOKENS_PER_S / state.load.slowness(lifetime)
+
+
 def fetch_address(
     state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
 ) -> str:
     """Return HOST:PORT of what has most of the shared parts that an endpoint lacks.
 
-    That is another endpoint, or else the KV store; "" if there is neither.
+    That is another endpoint, or else the KV store; "" if there is neither, or if the
+    endpoint computes the parts in less time.
     """
     if version == UNKNOWN_VERSION:
         return ""
+    if _states_transfers(state, request):
+        cached = cached_tokens(state, request, endpoint, version)
+        plan = _plan_fetch(state, request, endpoint, version, cached)
+        return plan.source if plan else ""
     kv_store = _kv_store_for(state, endpoint)
     engine_mbps = _engine_link_mbps(state, request)
     if kv_store and kv_store.link_mbps >= MIN_STORE_LINK_RATIO * engine_mbps > 0:
@@ -72,6 +108,96 @@
     return kv_store.address if kv_store else ""
 
 
+def _plan_fetch(
+    state: GatewayState,
+    request: RoutedRequest,
+    endpoint: Endpoint,
+    version: int,
+    cached: int,
+) -> FetchPlan | None:
+    """Return the fetch of shared parts that saves most time, or None if none does."""
+    prompt = request.envelope.prompt
+    engines = engines_of(state, request.service)
+    if prompt is None or engines is None or not prompt.shared_parts:
+        return None
+    shared = sum(each.tokens for each in prompt.shared_parts)
+    if shared < cached + MIN_FETCHED_TOKENS:
+        return None
+    sources = (
+        *_store_sources(state, request, endpoint, version),
+        *_endpoint_sources(state, request, endpoint, version),
+    )
+    rates = FetchRates(
+        prefill_tokens_per_s(state, endpoint.lifetime),
+        engines.token_bytes,
+        engines.link_mbps,
+        state.settings.placement.wait_s_per_mb,
+    )
+    return plan_fetch(cached, sources, rates)
+
+
+def _endpoint_sources(
+    state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
+) -> tuple[FetchSource, ...]:
+    held = state.placement.held_prompts.find(
+        request.envelope.prompt,
+        version,
+        state.clock.now(),
+        lambda: _find_held(state, request, version),
+    )
+    return tuple(
+        FetchSource(
+            each.address,
+            each.tokens,
+            crosses_data_centres=each.data_centre != endpoint.data_centre,
+        )
+        for each in held
+        if each.lifetime != endpoint.lifetime
+    )
+
+
+def _find_held(
+    state: GatewayState, request: RoutedRequest, version: int
+) -> tuple[HeldPrompt, ...]:
+    """Return the endpoints that other ones may fetch shared parts of a prompt from."""
+    prompt = request.envelope.prompt
+    assert prompt is not None
+    now = state.clock.now()
+    held = (
+        HeldPrompt(
+            each.lifetime,
+            f"{each.host}:{each.port}",
+            each.data_centre,
+            cached_tokens(state, request, each, version),
+        )
+        for each in state.fleet.serving(request.service, now)
+        if state.fleet.version_of(each, prompt.model) == version
+        and not state.weights.is_changing(each, now)
+        and not state.suspects.is_suspected(each.name, now)
+    )
+    return tuple(each for each in held if each.tokens >= MIN_FETCHED_TOKENS)
+
+
+def _store_sources(
+    state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
+) -> tuple[FetchSource, ...]:
+    kv_store, prompt = _kv_store_for(state, endpoint), request.envelope.prompt
+    if kv_store is None or prompt is None:
+        return ()
+    key = part_key(cache_salt_for(request, version), prompt.shared_parts[-1].part_id)
+    if not state.saved_parts.is_saved(key, state.clock.now()):
+        return ()
+    return (
+        FetchSource(
+            kv_store.address,
+            sum(each.tokens for each in prompt.shared_parts),
+            crosses_data_centres=kv_store.data_centre != endpoint.data_centre,
+            link_mbps=kv_store.link_mbps,
+            is_sure=True,
+        ),
+    )
+
+
 def save_address(
     state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
 ) -> str:
@@ -96,8 +222,7 @@
     prompt = request.envelope.prompt
     if prompt is None:
         return
-    service = state.table.services_by_name.get(request.service) if state.table else None
-    engines = service.engines if service else None
+    engines = engines_of(state, request.service)
     saved = bool(dispatch.cache_save_address)
     state.parts.note_read(
         dispatch.endpoint.lifetime,
@@ -105,6 +230,7 @@
         prompt.shared_parts,
         engines.memory_tokens if engines else 0,
         saved,
+        state.clock.now() if _states_transfers(state, request) else 0.0,
     )
     if saved:
         key = part_key(dispatch.salt, prompt.shared_parts[-1].part_id)
@@ -118,13 +244,13 @@
     prompt = request.envelope.prompt
     if prompt is None:
         return None
-    cached = _cached_tokens(state, request, endpoint, version)
+    cached = cached_tokens(state, request, endpoint, version)
     shared = sum(each.tokens for each in prompt.shared_parts)
     if shared < cached + MIN_FETCHED_TOKENS:
         return None
     now = state.clock.now()
     tokens_by_lifetime = {
-        each.lifetime: _cached_tokens(state, request, each, version)
+        each.lifetime: cached_tokens(state, request, each, version)
         for each in state.fleet.serving(request.service, now)
     }
     holders = [
@@ -146,9 +272,10 @@
     )
 
 
-def _cached_tokens(
+def cached_tokens(
     state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
 ) -> int:
+    """Return the leading prompt tokens that an endpoint has in memory."""
     prompt = request.envelope.prompt
     parts = prompt.shared_parts if prompt else ()
     salt = cache_salt_for(request, version)
@@ -156,8 +283,22 @@
 
 
 def _engine_link_mbps(state: GatewayState, request: RoutedRequest) -> float:
-    service = state.table.services_by_name.get(request.service) if state.table else None
-    return service.engines.link_mbps if service and service.engines else 0.0
+    engines = engines_of(state, request.service)
+    return engines.link_mbps if engines else 0.0
+
+
+def _states_transfers(state: GatewayState, request: RoutedRequest) -> bool:
+    """Return whether the time to fetch a part follows from the configuration."""
+    engines = engines_of(state, request.service)
+    if engines is None or not engines.states_figures:
+        return False
+    return engines.token_bytes > 0 and engines.link_mbps > 0
+
+
+def engines_of(state: GatewayState, service: str) -> Engines | None:
+    """Return what the configuration states of the engines of a service."""
+    found = state.table.services_by_name.get(service) if state.table else None
+    return found.engines if found else None
 
 
 def _kv_store_for(state: GatewayState, endpoint: Endpoint) -> KvStore | None:
--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -42,6 +42,23 @@
     link_mbps: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """Choose how requests are placed; both ways need figures of the engines or zones.
+
+    With `by_finish`, prompts go where their answer ends soonest, if the configuration
+    states the memory and the stride of the engines. With `spills`, a request leaves its
+    data centre only for less wait. A megabyte sent between data centres costs as much
+    as `wait_s_per_mb` of wait.
+    """
+
+    by_finish: bool = True
+    spills: bool = True
+    # A long prompt of 40 KB then costs 0.04 ms, so that its wait decides. KV cache of
+    # 6,300 tokens, 800 MB, costs more than the slowest engine takes to compute it.
+    wait_s_per_mb: float = 0.001
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Hold the settings of one gateway process; times are in seconds.
@@ -65,3 +82,4 @@
     retries: RetryBounds
     allotments: AllotmentBounds = AllotmentBounds()
     machine: MachineLimits = MachineLimits()
+    placement: PlacementSettings = PlacementSettings()
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -23,6 +23,7 @@
 from agatehoist.gateway.active_requests import ActiveRequests
 from agatehoist.gateway.caller_connections import CallerConnections
 from agatehoist.gateway.peer_outbox import PeerOutbox
+from agatehoist.gateway.placement_state import PlacementState
 from agatehoist.gateway.start_lines import StartLines
 from agatehoist.gateway.store_feed import StoreFeed
 from agatehoist.gateway.store_roles import StoreRole
@@ -110,6 +111,7 @@
         self.lines = StartLines(clock)
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
         self.parts = EndpointParts()
+        self.placement = PlacementState()
         self.nodes: frozenset[Address] = frozenset()
         self._data_centres_by_node: dict[Address, str] = {}
         self._lost_nodes_kept_until = 0.0
@@ -216,6 +218,7 @@
             self.load.forget(endpoint.lifetime)
             self.silences.note_data(endpoint.lifetime)
             self.parts.forget(endpoint.lifetime)
+            self.placement.forget(endpoint.lifetime)
 
     def _note_load_changed(self) -> None:
         self.load_changed.set()
--- a/src/agatehoist/placement/costs.py
+++ b/src/agatehoist/placement/costs.py
@@ -6,10 +6,20 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from agatehoist.admission.room import Room
     from agatehoist.placement.types import Offer, PlacementRequest
 
 # Assumed for every engine, as offers don't state its rate.
 PREFILL_S_PER_TOKEN = 1 / 20_000
+# A shared part that is read once more takes the time from other prompts, and memory
+# from other parts, in addition to the delay of its own request.
+REPEAT_WEIGHT = 1.0
+# A stream with a gap over its objective has lost the worth of being in time. So has a
+# run that is preempted. More wait than this makes most prompts late themselves.
+BROKEN_STREAM_S = 1.0
+# Pauses are estimated without the noise of the steps; those from this share of the gap
+# objective on may exceed it.
+SAFE_PAUSE_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,3 +55,30 @@
     """Return the part of an estimate that is spent waiting for other work."""
     own_s = missing_tokens(request, offer) * PREFILL_S_PER_TOKEN
     return offer.ttft_estimate - own_s
+
+
+def finish_cost_s(offer: Offer, is_holder: bool) -> float:
+    """Return what an offer costs its request and others, in seconds.
+
+    An endpoint that is to hold the shared parts may read them without extra cost.
+    """
+    finish = offer.finish
+    if finish is None:
+        return offer.ttft_estimate + offer.data_centre_s
+    repeat_s = 0.0 if is_holder else REPEAT_WEIGHT * finish.repeat_s
+    return finish.own_s + finish.harm_s + repeat_s + offer.data_centre_s
+
+
+def harm_s(room: Room, gap_objective_s: float, prefill_tokens_per_s: float) -> float:
+    """Return what a prompt costs the streams that run at an endpoint, in seconds.
+
+    It handles endpoints that read a prompt slowly: their streams pause for too long.
+    """
+    cost_s = 0.0
+    if gap_objective_s > 0:
+        excess = room.pause_s / gap_objective_s - SAFE_PAUSE_SHARE
+        cost_s = BROKEN_STREAM_S * min(1.0, max(0.0, excess / (1 - SAFE_PAUSE_SHARE)))
+    if room.short_tokens > 0:
+        # Preempted runs are read again.
+        cost_s += BROKEN_STREAM_S + room.short_tokens / prefill_tokens_per_s
+    return cost_s
--- /dev/null
+++ b/src/agatehoist/placement/home_weights.py
@@ -0,0 +1,61 @@
+"""Weights by which endpoints get homes of prompts, from their measured speed."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, replace
+
+# A slow endpoint gets less than its share of the homes: at the usual load of a third,
+# the least mean time to read a prompt is reached about there.
+SPEED_EXPONENT = 2.0
+# Measured rates follow pauses of engines that last seconds; homes must not.
+SMOOTHING_S = 10.0
+# Weights are powers of this number, so that gateways which measure slightly different
+# rates use the same ones.
+STEP_RATIO = 1.5
+# A weight changes once the rate is this many steps off, so that a rate between two
+# steps doesn't move homes to and fro.
+MIN_CHANGE_STEPS = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class _Weight:
+    log_rate: float
+    step: int
+    updated_at: float
+
+
+class HomeWeights:
+    """Keep a stable weight for each endpoint lifetime; times are in epoch seconds."""
+
+    def __init__(self) -> None:
+        self._weights_by_lifetime: dict[str, _Weight] = {}
+
+    def weight(self, lifetime: str, rate: float, now: float) -> float:
+        """Return the weight of an endpoint that now reads `rate` tokens per second."""
+        log_rate = math.log(max(1.0, rate))
+        known = self._weights_by_lifetime.get(lifetime)
+        if known is None:
+            known = _Weight(log_rate, round(_steps(log_rate)), now)
+        else:
+            known = _smoothed(known, log_rate, now)
+        self._weights_by_lifetime[lifetime] = known
+        return STEP_RATIO**known.step
+
+    def forget(self, lifetime: str) -> None:
+        """Drop the weight of an endpoint that has ended."""
+        self._weights_by_lifetime.pop(lifetime, None)
+
+
+def _smoothed(known: _Weight, log_rate: float, now: float) -> _Weight:
+    elapsed_s = max(0.0, now - known.updated_at)
+    share = 1 - math.exp(-elapsed_s / SMOOTHING_S)
+    smoothed = known.log_rate + share * (log_rate - known.log_rate)
+    steps = _steps(smoothed)
+    is_off = abs(steps - known.step) > MIN_CHANGE_STEPS
+    step = round(steps) if is_off else known.step
+    return replace(known, log_rate=smoothed, step=step, updated_at=now)
+
+
+def _steps(log_rate: float) -> float:
+    return SPEED_EXPONENT * log_rate / math.log(STEP_RATIO)
--- a/src/agatehoist/placement/policies.py
+++ b/src/agatehoist/placement/policies.py
@@ -6,9 +6,14 @@
 from typing import TYPE_CHECKING, Protocol
 
 from agatehoist.core.registry import Registry
-from agatehoist.placement.costs import PREFILL_S_PER_TOKEN, CostRule, queueing_s
+from agatehoist.placement.costs import (
+    PREFILL_S_PER_TOKEN,
+    CostRule,
+    finish_cost_s,
+    queueing_s,
+)
 from agatehoist.placement.keys import NO_PREFIX_KEY, placement_keys
-from agatehoist.placement.ranking import rank
+from agatehoist.placement.ranking import rank, rank_by_weight
 
 if TYPE_CHECKING:
     import random
@@ -23,6 +28,15 @@
 # idle endpoint with an empty cache.
 WIDEN_COST_RATIO = 2.0
 MAX_PROBES = 40
+# Requests that share fewer tokens have no home: the endpoints read those in less time
+# than the choice of a busier endpoint costs.
+MIN_HOME_TOKENS = 1_000
+# Gateways decide on reports that are up to some 0.1 s old, in which about two long
+# prompts start in the whole fleet. A smaller difference of expected finish says
+# nothing about which endpoint is the better one.
+NEARLY_EQUAL_S = 0.03
+# The same as a share of the least expected time, as estimates err in proportion.
+NEARLY_EQUAL_SHARE = 0.15
 # Most extra time to first token that is accepted at the home of a prompt, besides the
 # time to compute the shared part of the prompt elsewhere.
 MAX_EXTRA_WAIT_S = 0.05
@@ -165,6 +179,59 @@
         return (*within_limit, *sorted(over_limit, key=lambda each: each.ttft_estimate))
 
 
+@POLICIES.register("expected_finish")
+class ExpectedFinishPolicy(FixedShortlist):
+    """Choose where an answer ends soonest, at a holder of its prompt, without a rush.
+
+    It handles prompts that share long parts and endpoints of uneven speed. All offers
+    state their finish. Nearly equal ones are ordered by weighted rendezvous hashing: by
+    the shared part if it is long, so that few endpoints hold it, else by the request,
+    so that gateways with the same reports choose different endpoints.
+    """
+
+    def shortlist(
+        self,
+        request: PlacementRequest,
+        candidates: Sequence[Candidate],
+        rng: random.Random,
+    ) -> tuple[Candidate, ...]:
+        """Return every candidate."""
+        return tuple(candidates)
+
+    def choose(
+        self, request: PlacementRequest, offers: Sequence[Offer]
+    ) -> tuple[Offer, ...]:
+        """Return the nearly equal offers by rank, then the others by their cost."""
+        if not offers:
+            return ()
+        ranked, holders = _by_rank(request, offers)
+        costs_s = {
+            each.candidate.host: finish_cost_s(each, is_holder=index < holders)
+            for index, each in enumerate(ranked)
+        }
+        least_s = min(costs_s.values())
+        limit_s = least_s + max(NEARLY_EQUAL_S, NEARLY_EQUAL_SHARE * least_s)
+        near = [each for each in ranked if costs_s[each.candidate.host] <= limit_s]
+        others = [each for each in ranked if costs_s[each.candidate.host] > limit_s]
+        # A part with more than one holder needs them for its load.
+        first = sorted(near[:holders], key=lambda each: costs_s[each.candidate.host])
+        return (
+            *first,
+            *near[holders:],
+            *sorted(others, key=lambda each: costs_s[each.candidate.host]),
+        )
+
+
+def _by_rank(
+    request: PlacementRequest, offers: Sequence[Offer]
+) -> tuple[tuple[Offer, ...], int]:
+    """Return the offers by rank, and how many of the first are to hold the prompt."""
+    if not request.levels or request.levels[-1].tokens < MIN_HOME_TOKENS:
+        return rank_by_weight(request.spread_key, offers), 0
+    key = placement_keys(request)[0]
+    return rank_by_weight(key, offers), request.holder_count
+
+
 @POLICIES.register("random")
 class RandomPolicy(FixedShortlist):
     """Choose endpoints at random."""
--- a/src/agatehoist/platform/settings_file.py
+++ b/src/agatehoist/platform/settings_file.py
@@ -18,6 +18,7 @@
     AllotmentBounds,
     GatewaySettings,
     MachineLimits,
+    PlacementSettings,
     RetryBounds,
 )
 
@@ -73,6 +74,20 @@
             slack=bounds.number("QuotaSlack", 0),
         ),
         machine=_read_machine_limits(reader),
+        placement=_read_placement(reader),
+    )
+
+
+def _read_placement(reader: MappingReader) -> PlacementSettings:
+    """Read how requests are placed; the platform itself writes no such section."""
+    defaults = PlacementSettings()
+    if not reader.has("Placement"):
+        return defaults
+    placement = reader.mapping("Placement")
+    return PlacementSettings(
+        placement.flag("ByFinish", defaults.by_finish),
+        placement.flag("Spills", defaults.spills),
+        placement.number("WaitMsPerMb", defaults.wait_s_per_mb * MS_PER_S) / MS_PER_S,
     )
 
 
--- a/tests/test_cache/test_endpoint_parts.py
+++ b/tests/test_cache/test_endpoint_parts.py
@@ -6,7 +6,11 @@
 
 from parameterized import parameterized
 
-from agatehoist.cache.endpoint_parts import PARTS_MEMORY_SHARE, EndpointParts
+from agatehoist.cache.endpoint_parts import (
+    PARTS_MEMORY_SHARE,
+    REPORT_INTERVAL_S,
+    EndpointParts,
+)
 from agatehoist.cache.saved_parts import (
     SAVE_TIMEOUT_S,
     SAVED_RETENTION_S,
@@ -67,6 +71,27 @@
         self.assertEqual(peer.matched_tokens(ENDPOINT, SALT, [BOOK]), 6000)
         self.assertEqual(peer.pop_unreported(9), ())
 
+    # Case, tokens that runs hold in a memory of 15,000, and the parts that stay.
+    @parameterized.expand([("few", 2_000, 2), ("many", 5_000, 1), ("all", 15_000, 0)])
+    def test_parts_evicted_in_favour_of_runs_are_not_expected(
+        self, _name: str, held_tokens: int, stay: int
+    ) -> None:
+        parts = EndpointParts()
+        for each in (BOOK, OTHER):
+            parts.note_read(ENDPOINT, SALT, [each], 18_000)
+        parts.note_held(ENDPOINT, 15_000, held_tokens)
+        # They don't come back when the runs end.
+        parts.note_held(ENDPOINT, 15_000, 0)
+        found = [parts.matched_tokens(ENDPOINT, SALT, [each]) for each in (OTHER, BOOK)]
+        self.assertEqual(found, [6_000] * stay + [0] * (2 - stay))
+
+    def test_peers_are_told_again_of_a_part_in_use(self) -> None:
+        """A peer drops the least recently used parts first, as the endpoint does."""
+        parts = EndpointParts()
+        for at in (NOW, NOW + 0.1, NOW + REPORT_INTERVAL_S):
+            parts.note_read(ENDPOINT, SALT, [BOOK], now=at)
+        self.assertEqual(len(parts.pop_unreported(9)), 2)
+
     def test_ended_endpoint_is_forgotten(self) -> None:
         parts = EndpointParts()
         parts.note_read(ENDPOINT, SALT, [BOOK])
