Let a share of requests leave their data centre

Cause: endpoints in all data centres were used alike, whatever a request or a copy of KV cache costs between them, and whether the own endpoints had room.

Change: placement.spill.SpillShare moves the share of a service's requests that leave, by the least waits here and elsewhere, the measured bytes of bodies and answers and the time to connect. Prompts with a long shared part go to their holder as before. A request that would wait much longer here leaves at once. Without recent reports requests stay. Bytes between data centres and the share are metrics, and changes of the share are logged.

--- a/src/agatehoist/cache/part_fetches.py
+++ b/src/agatehoist/cache/part_fetches.py
@@ -60,6 +60,7 @@
     source: str
     tokens: int
     fetch_s: float
+    crosses_data_centres: bool = False
 
 
 def plan_fetch(
@@ -76,7 +77,9 @@
         gain_s = tokens / rates.prefill_tokens_per_s - cost_s
         if gain_s > best_gain_s:
             best_gain_s = gain_s
-            best = FetchPlan(source.address, tokens, fetch_s)
+            best = FetchPlan(
+                source.address, tokens, fetch_s, source.crosses_data_centres
+            )
     return best
 
 
--- a/src/agatehoist/fleet/load.py
+++ b/src/agatehoist/fleet/load.py
@@ -255,6 +255,11 @@
         """Count the requests in progress on an endpoint from all known nodes."""
         return self.work(lifetime, now).runs
 
+    def nodes_heard(self, now: float) -> int:
+        """Count the other nodes whose reports are recent enough to be counted."""
+        oldest = now - PEER_REPORT_MAX_AGE_S
+        return sum(each.received_at >= oldest for each in self._peers_by_node.values())
+
     def wait_s(self, lifetime: str, now: float) -> float:
         """Estimate how long a new prompt waits for those ahead of it, in seconds."""
         return self.capacity.slowness(lifetime, now) * self._assumed_wait_s(
--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -33,6 +33,7 @@
 from agatehoist.gateway.endpoint_statements import note_statement
 from agatehoist.gateway.engine_measurement import EngineMeasurement
 from agatehoist.gateway.prompt_cache import note_prompt_read
+from agatehoist.gateway.spill import note_answered
 from agatehoist.http1.errors import (
     ConnectionFailedError,
     InvalidReplyError,
@@ -139,6 +140,7 @@
         self.measurement = EngineMeasurement(state, request, dispatch, self._began_at)
         self._first_event_at = math.inf
         self._answered_events = 0
+        self._answer_bytes = 0
         self._is_answer_noted = False
         self._withheld_event: Event | None = None
         self._scope = anyio.CancelScope()
@@ -299,6 +301,7 @@
         now = self._state.clock.now()
         # A suspected endpoint is tried by one request at a time.
         suspects.begin_probe(endpoint.name, now)
+        connecting_at = anyio.current_time()
         try:
             connection = await self._state.pool.acquire(
                 endpoint.lifetime,
@@ -311,6 +314,7 @@
         except ConnectionFailedError as error:
             self._state.suspect(endpoint, str(error))
             return NotWritten(self.attempt_id, str(error))
+        self._note_connected(connection, connecting_at)
         try:
             event = await self._exchange(connection)
         except ReplyEvictedError as error:
@@ -335,6 +339,14 @@
         suspects.note_answer(endpoint.name)
         return event
 
+    def _note_connected(
+        self, connection: ClientConnection, connecting_at: float
+    ) -> None:
+        if not connection.is_reused:
+            connect_s = anyio.current_time() - connecting_at
+            data_centre = self.dispatch.endpoint.data_centre
+            self._state.placement.delays.note_connect(data_centre, connect_s)
+
     def _note_eviction(self, reason: str) -> None:
         EVICTED_REPLIES_TOTAL.inc({})
         endpoint, usage = self.dispatch.endpoint, self._usages[-1]
@@ -419,6 +431,13 @@
             if self._is_outcome(head):
                 note_answer_ended(self._state, self._traits, now)
         self.is_answer_whole = True
+        note_answered(
+            self._state,
+            self._request,
+            self.dispatch.endpoint,
+            self._answer_bytes,
+            self._began_at,
+        )
         self._connection = None
         limit_s = platform.idle_limit_s(head)
         self._state.pool.return_connection(
@@ -443,6 +462,7 @@
             usage.close()
             raise
         usage.keep()
+        self._answer_bytes += len(body)
         return body
 
     @property
@@ -514,6 +534,7 @@
         while (data := await connection.read_data()) is not None:
             self._state.record_contact(self.dispatch.endpoint)
             is_empty = False
+            self._answer_bytes += len(data)
             stream_events = splitter.feed(data)
             usage.set_bytes(splitter.remainder_bytes)
             if stream_events:
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -22,6 +22,7 @@
     matched_tokens,
     save_address,
 )
+from agatehoist.gateway.spill import by_data_centre
 from agatehoist.gateway.topics import WEIGHTS_TOPIC
 from agatehoist.gateway.types import Dispatch
 from agatehoist.limits.endpoint_permits import LEAST_URGENT
@@ -84,7 +85,9 @@
     candidates_to_try = state.suspects.candidates_to_try(candidates, now)
     offers = tuple(_offer(state, request, each) for each in candidates_to_try)
     name = BY_FINISH_POLICY if is_by_finish(state, request) else PLACEMENT_POLICY
-    return POLICIES[name]().choose(_placement_request(state, request, now), offers)
+    chosen = POLICIES[name]().choose(_placement_request(state, request, now), offers)
+    # An endpoint that was tried says nothing about the others of its data centre.
+    return by_data_centre(state, request, chosen, now, is_first=not tried)
 
 
 def make_dispatch(
--- a/src/agatehoist/gateway/expected_finish.py
+++ b/src/agatehoist/gateway/expected_finish.py
@@ -12,6 +12,7 @@
     engines_of,
 )
 from agatehoist.gateway.room import room_at
+from agatehoist.gateway.spill import transfer_s
 from agatehoist.placement.costs import harm_s
 from agatehoist.placement.popularity import holder_count
 from agatehoist.placement.types import ExpectedFinish, Offer
@@ -70,7 +71,8 @@
     )
     ttft_s = finish.wait_s + finish.read_s
     weight = state.placement.home_weights.weight(endpoint.lifetime, rate, now)
-    return Offer(candidate, identity, matched, ttft_s, finish, room, weight)
+    leaving_s = transfer_s(state, request, endpoint.data_centre)
+    return Offer(candidate, identity, matched, ttft_s, finish, room, weight, leaving_s)
 
 
 def note_part_request(state: GatewayState, request: RoutedRequest) -> None:
--- a/src/agatehoist/gateway/prompt_cache.py
+++ b/src/agatehoist/gateway/prompt_cache.py
@@ -12,6 +12,7 @@
     plan_fetch,
 )
 from agatehoist.fleet.view import UNKNOWN_VERSION
+from agatehoist.observability.metrics import DATA_CENTRE_BYTES_TOTAL
 from agatehoist.protocol.node_reports import part_key
 
 if TYPE_CHECKING:
@@ -96,6 +97,8 @@
     if _states_transfers(state, request):
         cached = cached_tokens(state, request, endpoint, version)
         plan = _plan_fetch(state, request, endpoint, version, cached)
+        if plan is not None and plan.crosses_data_centres:
+            _note_kv_traffic(state, request, plan.tokens)
         return plan.source if plan else ""
     kv_store = _kv_store_for(state, endpoint)
     engine_mbps = _engine_link_mbps(state, request)
@@ -107,6 +110,12 @@
     return kv_store.address if kv_store else ""
 
 
+def _note_kv_traffic(state: GatewayState, request: RoutedRequest, tokens: int) -> None:
+    engines = engines_of(state, request.service)
+    token_bytes = engines.token_bytes if engines else 0
+    DATA_CENTRE_BYTES_TOTAL.add({"kind": "kv"}, tokens * token_bytes)
+
+
 def _plan_fetch(
     state: GatewayState,
     request: RoutedRequest,
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -77,6 +77,13 @@
 WITHDRAWN_FOR_WEIGHTS_TOTAL = Counter(
     "agatehoist_withdrawn_for_weights_total", "Runs taken back from old weights."
 )
+# `kind` is requests for their bodies and answers, kv for fetched KV cache.
+DATA_CENTRE_BYTES_TOTAL = Counter(
+    "agatehoist_data_centre_bytes_total", "Bytes between data centres, by kind."
+)
+SPILL_SHARE = Gauge(
+    "agatehoist_spill_share", "Share of requests that leave the data centre."
+)
 CONFIGURATION_REVISION = Gauge(
     "agatehoist_configuration_revision", "Revision in force."
 )
@@ -92,6 +99,7 @@
 __all__ = [
     "CLAIMS_TOTAL",
     "CONFIGURATION_REVISION",
+    "DATA_CENTRE_BYTES_TOTAL",
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
     "ENDPOINT_STATEMENTS_TOTAL",
@@ -111,6 +119,7 @@
     "REQUEST_SECONDS",
     "RETRIES_TOTAL",
     "REGISTRY",
+    "SPILL_SHARE",
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
     "UNEXPECTED_WEIGHTS_TOTAL",
