--- a/tests/test_platform/test_settings_file.py
+++ b/tests/test_platform/test_settings_file.py
@@ -28,6 +28,9 @@
   LeaseMs: 3000
 Platform:
   Address: "10.200.1.7:8784"
+Placement:
+  Spills: false
+  WaitMsPerMb: 20
 """
 
 DEEP = 200_000
@@ -55,6 +58,9 @@
         # Read from Bounds.LeaseMs.
         self.assertEqual(settings.order_turn_s, 3.0)
         self.assertEqual(settings.retries.slack, 56)
+        self.assertFalse(settings.placement.spills)
+        self.assertTrue(settings.placement.by_finish)
+        self.assertEqual(settings.placement.wait_s_per_mb, 0.02)
 
     @parameterized.expand(
         [
