Save prompts only to a KV store whose traffic pays

Cause: a copy in another data centre takes 1.2 GB, and isn't fetched from there. The matched tokens of an offer were derived from its read time, which now includes steps.

Change: with stated figures, a prompt is saved in another data centre only if its traffic costs less than to compute the shared part. Offers state the matched tokens themselves.

Result: tests of part fetches, endpoint choice and expected finish pass.

--- a/src/agatehoist/cache/part_fetches.py
+++ b/src/agatehoist/cache/part_fetches.py
@@ -73,7 +73,9 @@
         tokens = source.tokens - cached
         fetch_s = _fetch_s(tokens, source, rates)
         doubt_factor = 1.0 if source.is_sure else SURE_SOURCE_FACTOR
-        cost_s = doubt_factor * fetch_s + _traffic_s(tokens, source, rates)
+        cost_s = doubt_factor * fetch_s
+        if source.crosses_data_centres:
+            cost_s += _traffic_s(tokens, rates)
         gain_s = tokens / rates.prefill_tokens_per_s - cost_s
         if gain_s > best_gain_s:
             best_gain_s = gain_s
@@ -83,6 +85,14 @@
     return best
 
 
+def pays_to_save(saved_tokens: int, shared_tokens: int, rates: FetchRates) -> bool:
+    """Return whether a KV store in another data centre is to get a copy of a prompt.
+
+    Endpoints near the store save a copy of their own if they read the parts.
+    """
+    return _traffic_s(saved_tokens, rates) < shared_tokens / rates.prefill_tokens_per_s
+
+
 def _fetch_s(tokens: int, source: FetchSource, rates: FetchRates) -> float:
     link_mbps = rates.link_mbps
     if source.link_mbps:
@@ -92,9 +102,7 @@
     return factor * megabits / link_mbps
 
 
-def _traffic_s(tokens: int, source: FetchSource, rates: FetchRates) -> float:
-    if not source.crosses_data_centres:
-        return 0.0
+def _traffic_s(tokens: int, rates: FetchRates) -> float:
     return rates.wait_s_per_mb * tokens * rates.token_bytes / BYTES_PER_MB
 
 
--- a/src/agatehoist/gateway/expected_finish.py
+++ b/src/agatehoist/gateway/expected_finish.py
@@ -10,6 +10,7 @@
     cache_salt_for,
     cached_tokens,
     engines_of,
+    matched_tokens,
 )
 from agatehoist.gateway.room import room_at
 from agatehoist.gateway.spill import transfer_s
@@ -59,8 +60,7 @@
     room = room_at(state, request, endpoint, now)
     shared = sum(each.tokens for each in prompt.shared_parts)
     repeated = shared - cached_tokens(state, request, endpoint, version)
-    # The room already took what the endpoint fetches into account.
-    matched = max(0, prompt.prompt_tokens - round(room.read_s * rate))
+    matched = matched_tokens(state, request, endpoint, version)
     finish = ExpectedFinish(
         wait_s=room.wait_s + penalty_s,
         read_s=room.read_s,
--- a/src/agatehoist/gateway/prompt_cache.py
+++ b/src/agatehoist/gateway/prompt_cache.py
@@ -9,6 +9,7 @@
     FetchRates,
     FetchSource,
     HeldPrompt,
+    pays_to_save,
     plan_fetch,
 )
 from agatehoist.fleet.view import UNKNOWN_VERSION
@@ -135,13 +136,18 @@
         *_store_sources(state, request, endpoint, version),
         *_endpoint_sources(state, request, endpoint, version),
     )
-    rates = FetchRates(
+    return plan_fetch(cached, sources, _fetch_rates(state, engines, endpoint))
+
+
+def _fetch_rates(
+    state: GatewayState, engines: Engines, endpoint: Endpoint
+) -> FetchRates:
+    return FetchRates(
         prefill_tokens_per_s(state, endpoint.lifetime),
         engines.token_bytes,
         engines.link_mbps,
         state.settings.placement.wait_s_per_mb,
     )
-    return plan_fetch(cached, sources, rates)
 
 
 def _endpoint_sources(
@@ -217,12 +223,27 @@
     # The KV store keeps parts when weights change, so their name must tell the version.
     if version == UNKNOWN_VERSION:
         return ""
+    if not _pays_to_save(state, request, endpoint, kv_store):
+        return ""
     tokens = sum(each.tokens for each in prompt.shared_parts)
     key = part_key(cache_salt_for(request, version), prompt.shared_parts[-1].part_id)
     saves = state.placement.saved_parts.should_save(key, tokens, state.clock.now())
     return kv_store.address if saves else ""
 
 
+def _pays_to_save(
+    state: GatewayState, request: RoutedRequest, endpoint: Endpoint, kv_store: KvStore
+) -> bool:
+    prompt, engines = request.envelope.prompt, engines_of(state, request.service)
+    if kv_store.data_centre == endpoint.data_centre or prompt is None:
+        return True
+    if engines is None or not _states_transfers(state, request):
+        return True
+    shared = sum(each.tokens for each in prompt.shared_parts)
+    rates = _fetch_rates(state, engines, endpoint)
+    return pays_to_save(prompt.prompt_tokens, shared, rates)
+
+
 def note_prompt_read(
     state: GatewayState, request: RoutedRequest, dispatch: Dispatch
 ) -> None:
--- a/tests/test_cache/test_part_fetches.py
+++ b/tests/test_cache/test_part_fetches.py
@@ -11,6 +11,7 @@
     FetchSource,
     HeldPrompt,
     HeldPrompts,
+    pays_to_save,
     plan_fetch,
 )
 
@@ -60,6 +61,12 @@
         self.assertAlmostEqual(near.fetch_s, 0.0236, places=4)
         self.assertAlmostEqual(distant.fetch_s, 2 * near.fetch_s)
 
+    def test_copies_for_other_data_centres_are_saved_only_at_low_cost(
+        self,
+    ) -> None:
+        self.assertFalse(pays_to_save(TOKENS + 2_890, TOKENS, RATES))
+        self.assertTrue(pays_to_save(TOKENS + 2_890, TOKENS, FREE_TRAFFIC))
+
     def test_holders_are_searched_once_for_all_endpoints_compared(self) -> None:
         """A search for each of 25 endpoints looks at 625 memories."""
         held, searches, prompt = HeldPrompts(), [0], object()
