Count shared tokens by source and log changed home weights

Cause: whether placement reads shared parts again couldn't be seen in operation, and no test placed load on uneven engines.

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -106,9 +106,8 @@
         return Dispatch(endpoint, last_event_id=last_event_id)
     if version is None:
         version = state.fleet.version_of(endpoint, prompt.model)
-    note_part_request(state, request)
     matched = matched_tokens(state, request, endpoint, version)
-    return Dispatch(
+    dispatch = Dispatch(
         endpoint=endpoint,
         missing_tokens=max(0, prompt.prompt_tokens - matched),
         weights_version=version,
@@ -118,6 +117,8 @@
         cache_save_address=save_address(state, request, endpoint, version),
         last_event_id=last_event_id,
     )
+    note_part_request(state, request, dispatch)
+    return dispatch
 
 
 def required_version(state: GatewayState, model: str, now: float) -> int:
--- a/src/agatehoist/gateway/expected_finish.py
+++ b/src/agatehoist/gateway/expected_finish.py
@@ -14,6 +14,8 @@
 )
 from agatehoist.gateway.room import room_at
 from agatehoist.gateway.spill import transfer_s
+from agatehoist.observability.logs import get_logger
+from agatehoist.observability.metrics import SHARED_TOKENS_TOTAL
 from agatehoist.placement.costs import harm_s
 from agatehoist.placement.popularity import holder_count
 from agatehoist.placement.types import ExpectedFinish, Offer
@@ -23,9 +25,12 @@
     from agatehoist.core.identity import EndpointIdentity
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.state import GatewayState
+    from agatehoist.gateway.types import Dispatch
     from agatehoist.placement.types import Candidate
     from agatehoist.routing.types import RoutedRequest
 
+logger = get_logger("gateway")
+
 # Of the key by which a request is spread. With few different keys, the hash values of
 # all endpoints are in the memory of the process.
 SPREAD_KEY_BYTES = 1
@@ -70,16 +75,25 @@
         harm_s=harm_s(room, request.route.gap_objective_s, rate),
     )
     ttft_s = finish.wait_s + finish.read_s
-    weight = state.placement.home_weights.weight(endpoint.lifetime, rate, now)
+    weight = _weight(state, endpoint, rate, now)
     leaving_s = transfer_s(state, request, endpoint.data_centre)
     return Offer(candidate, identity, matched, ttft_s, finish, room, weight, leaving_s)
 
 
-def note_part_request(state: GatewayState, request: RoutedRequest) -> None:
-    """Count a request for the shared parts of its prompt."""
-    key = _part_of(request)
-    if key is not None and is_by_finish(state, request):
-        state.placement.part_rates.note_request(key, state.clock.now())
+def note_part_request(
+    state: GatewayState, request: RoutedRequest, dispatch: Dispatch
+) -> None:
+    """Count a request for the shared parts of its prompt, and where they are."""
+    key, prompt = _part_of(request), request.envelope.prompt
+    if key is None or prompt is None or not is_by_finish(state, request):
+        return
+    state.placement.part_rates.note_request(key, state.clock.now())
+    endpoint, version = dispatch.endpoint, dispatch.weights_version
+    shared = sum(each.tokens for each in prompt.shared_parts)
+    cached = cached_tokens(state, request, endpoint, version)
+    source = "fetch" if dispatch.cache_fetch_address else "read"
+    SHARED_TOKENS_TOTAL.add({"source": "memory"}, cached)
+    SHARED_TOKENS_TOTAL.add({"source": source}, shared - cached)
 
 
 def holders_of(state: GatewayState, request: RoutedRequest, now: float) -> int:
@@ -102,6 +116,20 @@
     return hashlib.blake2b(request_id, digest_size=SPREAD_KEY_BYTES).digest()
 
 
+def _weight(state: GatewayState, endpoint: Endpoint, rate: float, now: float) -> float:
+    weights, lifetime = state.placement.home_weights, endpoint.lifetime
+    before = weights.known(lifetime)
+    weight = weights.weight(lifetime, rate, now)
+    if before is not None and weight != before:
+        logger.info(
+            "home weight changed",
+            endpoint=lifetime,
+            ratio=round(weight / before, 2),
+            prefill_tokens_per_s=round(rate),
+        )
+    return weight
+
+
 def _part_of(request: RoutedRequest) -> bytes | None:
     prompt = request.envelope.prompt
     if prompt is None or not prompt.shared_parts:
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -77,6 +77,10 @@
 WITHDRAWN_FOR_WEIGHTS_TOTAL = Counter(
     "agatehoist_withdrawn_for_weights_total", "Runs taken back from old weights."
 )
+# `source` is memory, fetch or read (computed), as far as this process knows.
+SHARED_TOKENS_TOTAL = Counter(
+    "agatehoist_shared_tokens_total", "Shared prompt tokens sent, by expected source."
+)
 # `kind` is requests for their bodies and answers, kv for fetched KV cache.
 DATA_CENTRE_BYTES_TOTAL = Counter(
     "agatehoist_data_centre_bytes_total", "Bytes between data centres, by kind."
@@ -119,6 +123,7 @@
     "REQUEST_SECONDS",
     "RETRIES_TOTAL",
     "REGISTRY",
+    "SHARED_TOKENS_TOTAL",
     "SPILL_SHARE",
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
--- a/src/agatehoist/placement/home_weights.py
+++ b/src/agatehoist/placement/home_weights.py
@@ -46,6 +46,11 @@
         self._weights_by_lifetime[lifetime] = known
         return STEP_RATIO**known.step
 
+    def known(self, lifetime: str) -> float | None:
+        """Return the weight that was last in use, None if there is none."""
+        known = self._weights_by_lifetime.get(lifetime)
+        return None if known is None else STEP_RATIO**known.step
+
     def forget(self, lifetime: str) -> None:
         """Drop the weight of an endpoint that has ended."""
         self._weights_by_lifetime.pop(lifetime, None)
