Follow measured rates sooner after a start

Cause: the weight of an engine followed the assumed rate of its first seconds for ten more, longer than a tenth of the lifetime of a part under frequent new weights.

Change: rates are smoothed over half of the time since the first one, from 1 s to 10 s.

--- a/src/agatehoist/placement/home_weights.py
+++ b/src/agatehoist/placement/home_weights.py
@@ -10,6 +10,9 @@
 SPEED_EXPONENT = 2.0
 # Measured rates follow pauses of engines that last seconds; homes must not.
 SMOOTHING_S = 10.0
+# The first rate of an endpoint is the assumed one, so rates are smoothed over half of
+# the time since then at first, but not less than this.
+MIN_SMOOTHING_S = 1.0
 # Each choice asks for the weights of all endpoints, which change more slowly.
 MIN_UPDATE_S = 0.25
 # Weights are powers of this number, so that gateways which measure slightly different
@@ -24,6 +27,7 @@
 class _Weight:
     log_rate: float
     step: int
+    since: float
     updated_at: float
 
 
@@ -40,7 +44,7 @@
             return STEP_RATIO**known.step
         log_rate = math.log(max(1.0, rate))
         if known is None:
-            known = _Weight(log_rate, round(_steps(log_rate)), now)
+            known = _Weight(log_rate, round(_steps(log_rate)), now, now)
         else:
             known = _smoothed(known, log_rate, now)
         self._weights_by_lifetime[lifetime] = known
@@ -58,7 +62,8 @@
 
 def _smoothed(known: _Weight, log_rate: float, now: float) -> _Weight:
     elapsed_s = max(0.0, now - known.updated_at)
-    share = 1 - math.exp(-elapsed_s / SMOOTHING_S)
+    smoothing_s = min(SMOOTHING_S, max(MIN_SMOOTHING_S, (now - known.since) / 2))
+    share = 1 - math.exp(-elapsed_s / smoothing_s)
     smoothed = known.log_rate + share * (log_rate - known.log_rate)
     steps = _steps(smoothed)
     is_off = abs(steps - known.step) > MIN_CHANGE_STEPS
