--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -11,7 +11,6 @@
 from agatehoist.attempts.budget import WindowBudget
 from agatehoist.attempts.suspicion import SuspicionTable
 from agatehoist.cache.endpoint_parts import EndpointParts
-from agatehoist.cache.saved_parts import SavedParts
 from agatehoist.core.byte_budget import ByteBudget
 from agatehoist.core.identity import AttemptId, new_incarnation
 from agatehoist.core.inflight import InFlightCounter
@@ -27,6 +26,7 @@
 from agatehoist.gateway.caller_connections import CallerConnections
 from agatehoist.gateway.caller_limits import caller_limits
 from agatehoist.gateway.peer_outbox import PeerOutbox
+from agatehoist.gateway.placement_state import PlacementState
 from agatehoist.gateway.room import EngineStates
 from agatehoist.gateway.start_lines import StartLines
 from agatehoist.gateway.store_feed import StoreFeed
@@ -128,6 +128,7 @@
         self.lines = StartLines(clock)
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
         self.parts = EndpointParts()
+        self.placement = PlacementState()
         self.engine_states = EngineStates()
         self.body_bytes = BodyBytes()
         self._begin_nodes()
@@ -135,7 +136,6 @@
         self.watchers: dict[Address, str] = {}
         self.feed = StoreFeed()
         self.health = Health()
-        self.saved_parts = SavedParts()
         self.suspects = SuspicionTable()
         self.silences = Silences()
         self.quarantine = TraitQuarantine()
@@ -244,6 +244,7 @@
             self.engine_states.forget(endpoint.lifetime)
             self.silences.note_data(endpoint.lifetime)
             self.parts.forget(endpoint.lifetime)
+            self.placement.forget(endpoint.lifetime)
 
     def _note_load_changed(self) -> None:
         self.load_changed.set()
