--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -9,12 +9,20 @@
 from agatehoist.core.work import PrefixLevel, Priority
 from agatehoist.fleet.load import DEFAULT_PREFILL_TOKENS_PER_S
 from agatehoist.gateway.endpoint_permits import held_back_until
+from agatehoist.gateway.expected_finish import (
+    finish_offer,
+    holders_of,
+    is_by_finish,
+    note_part_request,
+    spread_key,
+)
 from agatehoist.gateway.prompt_cache import (
     cache_salt_for,
     fetch_address,
     matched_tokens,
     save_address,
 )
+from agatehoist.gateway.spill import by_data_centre
 from agatehoist.gateway.topics import WEIGHTS_TOPIC
 from agatehoist.gateway.types import Dispatch
 from agatehoist.limits.endpoint_permits import LEAST_URGENT
@@ -28,6 +36,8 @@
     from agatehoist.routing.types import Prompt, RoutedRequest
 
 PLACEMENT_POLICY = "home_bounded"
+# Of services whose configuration states the memory and the stride of the engines.
+BY_FINISH_POLICY = "expected_finish"
 # Added to the expected wait of an endpoint with replaced weights, to prefer new ones.
 OLD_WEIGHTS_PENALTY_S = 0.25
 # Added to the expected wait of an endpoint that often fails: the cost of a retry.
@@ -73,9 +83,10 @@
     )
     candidates_to_try = state.suspects.candidates_to_try(candidates, now)
     offers = tuple(_offer(state, request, each) for each in candidates_to_try)
-    return POLICIES[PLACEMENT_POLICY]().choose(
-        _placement_request(state, request), offers
-    )
+    name = BY_FINISH_POLICY if is_by_finish(state, request) else PLACEMENT_POLICY
+    chosen = POLICIES[name]().choose(_placement_request(state, request, now), offers)
+    # An endpoint that was tried says nothing about the others of its data centre.
+    return by_data_centre(state, request, chosen, now, is_first=not tried)
 
 
 def make_dispatch(
@@ -95,7 +106,7 @@
     if version is None:
         version = state.fleet.version_of(endpoint, prompt.model)
     matched = matched_tokens(state, request, endpoint, version)
-    return Dispatch(
+    dispatch = Dispatch(
         endpoint=endpoint,
         missing_tokens=max(0, prompt.prompt_tokens - matched),
         weights_version=version,
@@ -105,6 +116,8 @@
         cache_save_address=save_address(state, request, endpoint, version),
         last_event_id=last_event_id,
     )
+    note_part_request(state, request, dispatch)
+    return dispatch
 
 
 def required_version(state: GatewayState, model: str, now: float) -> int:
@@ -210,14 +223,12 @@
     prompt = request.envelope.prompt
     version = state.fleet.version_of(endpoint, prompt.model) if prompt else 0
     identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
+    penalty_s = _penalty_s(state, request, endpoint, version)
+    if prompt is not None and is_by_finish(state, request):
+        return finish_offer(state, request, candidate, identity, penalty_s)
     is_short = prompt is not None and prompt.is_short
     wait_s = state.load.wait_s(endpoint.lifetime, state.clock.now(), is_short)
-    if prompt and version < state.weights.target(prompt.model):
-        wait_s += OLD_WEIGHTS_PENALTY_S
-    if state.health.is_unhealthy(endpoint.lifetime, state.clock.now()):
-        wait_s += UNHEALTHY_PENALTY_S
-    if state.silences.is_silent(endpoint.lifetime, state.clock.now()):
-        wait_s += SILENT_PENALTY_S
+    wait_s += penalty_s
     if prompt is None:
         return Offer(candidate, identity, 0, wait_s)
     # The gateway sends no probes: what is cached follows from what was sent before.
@@ -226,7 +237,24 @@
     return Offer(candidate, identity, matched, wait_s + read_s)
 
 
-def _placement_request(state: GatewayState, request: RoutedRequest) -> PlacementRequest:
+def _penalty_s(
+    state: GatewayState, request: RoutedRequest, endpoint: Endpoint, version: int
+) -> float:
+    """Return the wait that an endpoint with a drawback counts as having."""
+    prompt, now = request.envelope.prompt, state.clock.now()
+    penalty_s = 0.0
+    if prompt and version < state.weights.target(prompt.model):
+        penalty_s += OLD_WEIGHTS_PENALTY_S
+    if state.health.is_unhealthy(endpoint.lifetime, now):
+        penalty_s += UNHEALTHY_PENALTY_S
+    if state.silences.is_silent(endpoint.lifetime, now):
+        penalty_s += SILENT_PENALTY_S
+    return penalty_s
+
+
+def _placement_request(
+    state: GatewayState, request: RoutedRequest, now: float
+) -> PlacementRequest:
     prompt = request.envelope.prompt
     levels: list[PrefixLevel] = []
     tokens = 0
@@ -242,6 +270,8 @@
         prompt.prompt_tokens if prompt else 0,
         work_priority(prompt),
         state.settings.data_centre,
+        holders_of(state, request, now),
+        spread_key(request),
     )
 
 
--- a/src/agatehoist/gateway/peer_reports.py
+++ b/src/agatehoist/gateway/peer_reports.py
@@ -197,7 +197,7 @@
     for each in report.reads:
         state.parts.note_peer_read(each)
         if each.saved:
-            state.saved_parts.note_saved(each.part, now)
+            state.placement.saved_parts.note_saved(each.part, now)
 
 
 def record_target_times(
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -95,6 +95,17 @@
 WITHDRAWN_FOR_WEIGHTS_TOTAL = Counter(
     "agatehoist_withdrawn_for_weights_total", "Runs taken back from old weights."
 )
+# `source` is memory, fetch or read (computed), as far as this process knows.
+SHARED_TOKENS_TOTAL = Counter(
+    "agatehoist_shared_tokens_total", "Shared prompt tokens sent, by expected source."
+)
+# `kind` is requests for their bodies and answers, kv for fetched KV cache.
+DATA_CENTRE_BYTES_TOTAL = Counter(
+    "agatehoist_data_centre_bytes_total", "Bytes between data centres, by kind."
+)
+SPILL_SHARE = Gauge(
+    "agatehoist_spill_share", "Share of requests that leave the data centre."
+)
 CONFIGURATION_REVISION = Gauge(
     "agatehoist_configuration_revision", "Revision in force."
 )
@@ -113,6 +124,7 @@
     "CLOSED_CONNECTIONS_TOTAL",
     "CONFIGURATION_REVISION",
     "CUT_SLOW_READERS_TOTAL",
+    "DATA_CENTRE_BYTES_TOTAL",
     "DROPPED_FRAMES_TOTAL",
     "ENDPOINT_CRASHES_TOTAL",
     "ENDPOINT_STATEMENTS_TOTAL",
@@ -132,6 +144,8 @@
     "REQUEST_SECONDS",
     "RETRIES_TOTAL",
     "REGISTRY",
+    "SHARED_TOKENS_TOTAL",
+    "SPILL_SHARE",
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
     "UNEXPECTED_WEIGHTS_TOTAL",
--- a/tests/test_gateway/test_cache_versions.py
+++ b/tests/test_gateway/test_cache_versions.py
@@ -135,7 +135,9 @@
                     each.on_move = expect_newer_weights
                 await drain_while_running(world, "/trace/1", **LONG_PROMPT)
                 key = part_key(f"{MODEL}/2/crew", "aa")
-                return world.state.saved_parts.is_saved(key, world.state.clock.now())
+                return world.state.placement.saved_parts.is_saved(
+                    key, world.state.clock.now()
+                )
 
         self.assertFalse(anyio.run(run))
         continued = [run for each in world.engines for run in each.continued_runs]
