--- a/tests/test_platform/test_settings_file.py
+++ b/tests/test_platform/test_settings_file.py
@@ -29,6 +29,7 @@
 Platform:
   Address: "10.200.1.7:8784"
 Placement:
+  ByFinish: true
   Spills: false
   WaitMsPerMb: 20
 """
