Match chunk size lines in linear time

A size line with an extension of 16,000 blanks was matched in quadratic time, again for each piece that arrived: 0.3 s of the event loop for each byte that a caller sent, before its body counts as large.

--- a/src/agatehoist/http1/chunked_body.py
+++ b/src/agatehoist/http1/chunked_body.py
@@ -9,8 +9,9 @@
 BAD_REQUEST = 400
 HEADERS_TOO_LARGE = 431
 LINE_END = b"\r\n"
-# As in h11: chunk extensions aren't parsed, and blanks may follow.
-SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})(?:;.*)?[ \t]*\r\n")
+# As in h11: chunk extensions aren't parsed, and blanks may follow. An extension
+# includes the blanks behind it; matching them apart takes quadratic time.
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})(?:;.*|[ \t]*)\r\n")
 MAX_SHOWN_BYTES = 80
 # Small chunks whose size lines are the same are decoded so many at a time.
 BLOCK_CHUNKS = 64
