Reset the connection of a caller whose answer was cut

If a caller took nothing of a held answer for 30 s, the rest was dropped but the connection stayed usable, and the answer to a pipelined request followed in the middle of the cut one; with a length, the caller takes it for the rest of the body. A connection whose reply couldn't be sent whole now serves no further request and is reset. The test got the second answer before.

--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -102,6 +102,8 @@
         # Whether the last request read has got a complete reply.
         self.has_replied = False
         self.has_caller_left = False
+        # Whether a part of a reply couldn't be sent, so that none may follow it.
+        self._has_failed = False
         self._method = b""
         self._max_header_bytes = limits().max_header_bytes
         self._http = _make_parser(self._max_header_bytes)
@@ -251,7 +253,7 @@
 
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return False if none can follow."""
-        if self._http.our_state is not h11.DONE:
+        if self._has_failed or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
@@ -270,8 +272,13 @@
         return not self.has_input() and self._channel.is_idle()
 
     async def close_after_reply(self) -> None:
-        """Close the connection without losing the complete reply that was sent last."""
-        if self._http.our_state in (h11.DONE, h11.MUST_CLOSE):
+        """Close the connection without losing the complete reply that was sent last.
+
+        Resets it if that reply couldn't be sent whole.
+        """
+        if self._has_failed:
+            self.abort()
+        elif self._http.our_state in (h11.DONE, h11.MUST_CLOSE):
             await self._channel.linger()
 
     def close(self) -> None:
@@ -320,6 +327,7 @@
             raise
 
     def _note_failure(self) -> None:
+        self._has_failed = True
         # A connection that this process has closed fails as well.
         self.has_caller_left = self.has_caller_left or not self._channel.closed
 
--- a/tests/test_gateway/test_slow_readers.py
+++ b/tests/test_gateway/test_slow_readers.py
@@ -8,6 +8,7 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.core.units import MS_PER_S
 from agatehoist.fleet.body_bytes import BodyBytes
 from agatehoist.http1 import channel
 from standins.users_platform import endpoint
@@ -15,6 +16,7 @@
 from tests.test_gateway.callers import (
     POST_REQUEST,
     PROMPT_REQUEST,
+    REQUEST,
     STREAM_END,
     read_to_end,
     read_until,
@@ -29,6 +31,7 @@
 LARGE_BUDGET_BYTES = 16 * 1024 * 1024
 SMALL_BUDGET_BYTES = 50_000
 BODY_BYTES = 1000
+UNREAD_TIMEOUT_MS = 300
 
 
 class SlowReaderTests(unittest.TestCase):
@@ -80,6 +83,31 @@
         if budget_bytes == LARGE_BUDGET_BYTES:
             self.assertGreater(len(received), ANSWER_BYTES)
 
+    def test_no_answer_follows_one_that_was_cut(self) -> None:
+        """A caller would take the next answer for the rest of the cut one."""
+        world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
+        for each in world.endpoints():
+            each.faults = ["large"]
+
+        async def run() -> None:
+            async with running_gateway(world):
+                callers = world.state.caller_connections
+                with connect_with_a_small_window(world.port) as sock:
+                    sock.send(POST_REQUEST + REQUEST)
+                    await until(lambda: callers.backlog_budget.held_bytes > 0)
+                    await anyio.sleep(2 * UNREAD_TIMEOUT_MS / MS_PER_S)
+                    with self.assertRaises(ConnectionResetError):
+                        await read_to_end(sock)
+
+        with (
+            mock.patch.object(channel, "configure_socket", limit_send_buffer),
+            mock.patch.object(channel, "UNREAD_TIMEOUT_MS", UNREAD_TIMEOUT_MS),
+            mock.patch.object(endpoint, "LARGE_ANSWER_BYTES", ANSWER_BYTES),
+        ):
+            anyio.run(run)
+        self.assertEqual([len(each.runs) for each in world.applications], [1, 0])
+
 
 class BodyBytesTests(unittest.TestCase):
     # Bytes held at the endpoint, of the next body, and whether it may be sent there.
