Suspend the endpoints of a test once they wait

The harness can be suspended in the one pass of the event loop between an arrival at an endpoint and the endpoint's wait; the endpoint then begins to wait after the deadline and is told in the wait that its caller has gone.

--- a/tests/test_gateway/test_silent_endpoints.py
+++ b/tests/test_gateway/test_silent_endpoints.py
@@ -9,6 +9,7 @@
 from unittest.mock import patch
 
 import anyio
+import anyio.lowlevel
 from parameterized import parameterized
 from structlog.testing import capture_logs
 
@@ -75,6 +76,8 @@
 SUSPECTED_WITHIN_S = 6.0
 CALLER_PAUSE_S = 1.8
 SUSPENDED_S = 2.5
+# Passes of the event loop in which an endpoint begins to wait; it needs one.
+PASSES_TO_WAIT = 5
 # Nothing listens there.
 CLOSED_PORT = 9
 
@@ -480,6 +483,10 @@
                     await until(
                         lambda: any(each.arrivals for each in world.endpoints())
                     )
+                    # The endpoint begins its wait a pass after the arrival. If it began
+                    # it after the suspension, a late request would be withdrawn in it.
+                    for _ in range(PASSES_TO_WAIT):
+                        await anyio.lowlevel.checkpoint()
                     # All processes of the harness stand still.
                     time.sleep(SUSPENDED_S)  # noqa: ASYNC251
 
