Notice that a caller left behind more requests than are read ahead

Once 64 KiB of pipelined requests were buffered, nothing was read any more and a closed or reset connection wasn't noticed, so the caller's run went on to its deadline. The kernel is now asked every 0.2 s. The run is cancelled within half a second (before: not in the time of the test); a FIN behind more bytes than the kernel holds stays unnoticed.

--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -5,6 +5,7 @@
 import errno
 import fcntl
 import os
+import select
 import socket
 import struct
 import termios
@@ -135,6 +136,15 @@
             return False
         return False
 
+    def has_peer_ended(self) -> bool:
+        """Return whether the peer has closed the connection, even with bytes unread."""
+        if self.closed:
+            return True
+        poller = select.poll()
+        # Resets and other errors are always reported too.
+        poller.register(self._sock, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     def close(self) -> None:
         """Close the connection; data that was sent is still delivered."""
         if self.closed:
--- a/src/agatehoist/http1/server.py
+++ b/src/agatehoist/http1/server.py
@@ -34,6 +34,8 @@
 VERSION_NOT_SUPPORTED = 505
 # Limit on the bytes of pipelined requests buffered while one request is served.
 MAX_READ_AHEAD_BYTES = 64 * 1024
+# The runs of a caller that has left must be cancelled within half a second.
+PEER_END_POLL_S = 0.2
 # Bodies that take more bytes, with their framing, are read only once their request has
 # been admitted, and in turns.
 MAX_UNADMITTED_BODY_BYTES = 64 * 1024
@@ -170,7 +172,8 @@
     async def wait_closed(self) -> None:
         """Wait until the caller has closed the connection.
 
-        Waits forever once MAX_READ_AHEAD_BYTES are buffered, since no more is read.
+        Once MAX_READ_AHEAD_BYTES are buffered, no more is read, and the kernel is asked
+        at intervals. It doesn't know of an end behind more bytes than it holds.
         """
         # Some may be left from before, with pipelined requests that still wait.
         buffered = len(self._http.trailing_data[0])
@@ -185,7 +188,10 @@
                 self.has_caller_left = True
                 return
             buffered += len(data)
-        await anyio.sleep_forever()
+        while not self._channel.has_peer_ended():  # noqa: ASYNC110
+            await anyio.sleep(PEER_END_POLL_S)
+        # This process may have closed the connection as well.
+        self.has_caller_left = self.has_caller_left or not self._channel.closed
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Start a reply.
--- a/tests/test_gateway/test_slow_callers.py
+++ b/tests/test_gateway/test_slow_callers.py
@@ -18,7 +18,9 @@
 from tests.test_gateway.callers import (
     POST_REQUEST,
     PROMPT_REQUEST,
+    REQUEST,
     STREAM_END,
+    connect_as_caller,
     read_piece,
     read_to_end,
     read_until,
@@ -36,6 +38,9 @@
 SEND_BUFFER_BYTES = 4096
 # More than both buffers hold.
 ANSWER_BYTES = 100_000
+# They take more bytes than are read ahead, and fewer than the kernel holds besides.
+PIPELINED_REQUESTS = 1000
+CANCELLED_WITHIN_S = 0.5
 
 
 def connect_with_a_small_window(port: int) -> socket.socket:
@@ -134,6 +139,41 @@
             self.assertTrue(received.endswith(STREAM_END))
 
 
+class LeavingCallerTests(unittest.TestCase):
+    # What is sent behind the request, and whether the connection is then reset.
+    @parameterized.expand(
+        [
+            ("nothing", b"", False),
+            ("more_than_is_read_ahead", REQUEST * PIPELINED_REQUESTS, False),
+            ("more_than_is_read_ahead_and_reset", REQUEST * PIPELINED_REQUESTS, True),
+        ]
+    )
+    def test_run_of_a_caller_that_left_is_cancelled(
+        self, _name: str, behind: bytes, resets: bool
+    ) -> None:
+        world = GatewayHarness()
+        world.store.put("config", "main", slow_configuration())
+        for each in world.endpoints():
+            each.faults = ["mute"]
+
+        async def run() -> None:
+            async with running_gateway(world):
+                sock = connect_as_caller(world.port)
+                sock.send(REQUEST)
+                await until(lambda: any(each.active for each in world.endpoints()))
+                if behind:
+                    sock.send(behind)
+                    await anyio.sleep(0.1)
+                if resets:
+                    option = (socket.SOL_SOCKET, socket.SO_LINGER)
+                    sock.setsockopt(*option, channel.RESET_ON_CLOSE)
+                sock.close()
+                with anyio.fail_after(CANCELLED_WITHIN_S):
+                    await until(lambda: not any(e.active for e in world.endpoints()))
+
+        anyio.run(run)
+
+
 def limit_send_buffer(sock: socket.socket, _timeout_ms: int = 0) -> None:
     """Let the kernel hold little of what is sent, as on a link with small packets."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
