Evict no buffer for one that has been dropped

Input may reach an evicted body or reply before its task is cancelled. Its growth made room in the budget although it isn't counted any more, and evicted another caller's buffer. A closed buffer now makes no room.

--- a/src/agatehoist/core/byte_budget.py
+++ b/src/agatehoist/core/byte_budget.py
@@ -166,14 +166,14 @@
         return self._budget.now()
 
     def add_bytes(self, count: int) -> None:
-        """Count bytes that are added to the buffer.
+        """Count bytes that are added to the buffer, unless it has been closed.
 
         Raises ByteBudgetExceededError.
         """
-        self._budget.make_room(self, count)
-        self.progress_at = self._budget.now()
         if not self._is_closed:
+            self._budget.make_room(self, count)
             self._change(count)
+        self.progress_at = self._budget.now()
 
     def set_bytes(self, count: int) -> None:
         """Count what the buffer holds now.
--- a/tests/test_core/test_byte_budget.py
+++ b/tests/test_core/test_byte_budget.py
@@ -31,6 +31,25 @@
 
 
 class EvictionTests(unittest.TestCase):
+    # Whether the buffer was evicted or closed by its holder.
+    @parameterized.expand([("evicted", True), ("closed", False)])
+    def test_growth_of_a_dropped_buffer_evicts_no_other(
+        self, _name: str, is_evicted: bool
+    ) -> None:
+        """Input may arrive for a buffer before its task learns of the eviction."""
+        budget = ByteBudget(LIMIT_BYTES, SMALL_BYTES)
+        dropped = budget.open_buffer("a", lambda: None)
+        other = budget.open_buffer("b", lambda: None)
+        dropped.add_bytes(LIMIT_BYTES - 200)
+        if is_evicted:
+            dropped.evict()
+        else:
+            dropped.close()
+        other.add_bytes(LIMIT_BYTES // 2)
+        dropped.set_bytes(LIMIT_BYTES - 100)
+        self.assertFalse(other.is_evicted)
+        self.assertEqual(budget.held_bytes, LIMIT_BYTES // 2)
+
     # The buffers held, and the first letters of those that are evicted as "new"
     # of the group "a" grows by 300 bytes; "new" itself is the one that doesn't fit.
     @parameterized.expand(
