Don't state the assumed number of gateways to others

A gateway that doesn't list itself yet assumes 64 gateways and stated that number in its messages, which others held for 10 s. After the return of one gateway of 25, the fleet could use 0.39 of each allotment. Messages now carry the number of known gateways; the assumption only limits the gateway that makes it.

--- a/src/agatehoist/limits/allotment_node.py
+++ b/src/agatehoist/limits/allotment_node.py
@@ -179,11 +179,18 @@
 
     def node_count(self, now: float) -> int:
         """Return how many gateways share the allotments, by the longest list."""
+        count = self._stated_count(now)
+        return count if self._is_listed else max(count, INITIAL_NODE_COUNT)
+
+    def _stated_count(self, now: float) -> int:
+        """Return the count to state to others, without the one assumed at the start.
+
+        They would hold an assumed count for seconds, and use a fraction of the
+        allotment after the start of a single gateway.
+        """
         unlisted = self._unlisted_until_by_node.items()
         count = len(self._nodes)
         count += sum(now < until for node, until in unlisted if node not in self._nodes)
-        if not self._is_listed:
-            count = max(count, INITIAL_NODE_COUNT)
         return max(count, self._heard_count) if now < self._heard_until else count
 
     def request(
@@ -258,7 +265,7 @@
             if batch.sender in self._homes():
                 self._send(batch.sender, (), now)
         if grants or batch.wants_answer:
-            reply = GrantBatch(batch.number, self.node_count(now), grants)
+            reply = GrantBatch(batch.number, self._stated_count(now), grants)
             self.outbox.append((batch.sender, reply))
 
     def receive_grants(self, batch: GrantBatch, now: float) -> None:
@@ -521,7 +528,7 @@
         batch = AskBatch(
             self._own,
             self._number,
-            self.node_count(now),
+            self._stated_count(now),
             _digest(self._nodes),
             delegates,
             is_new,
--- a/tests/test_limits/test_allotments.py
+++ b/tests/test_limits/test_allotments.py
@@ -231,6 +231,36 @@
         refused = len(gateways.asked) - len(gateways.used)
         self.assertLessEqual(refused, 0.01 * len(gateways.asked))
 
+    # Gateways that were stopped return at the same address, and learn later than others
+    # that they are listed again.
+    @parameterized.expand([("home", 1, 0.97), ("one_after_another", 8, 0.95)])
+    def test_gateways_that_return_do_not_reduce_what_others_may_use(
+        self, _name: str, stopped: int, least: float
+    ) -> None:
+        gateways = Gateways(COUNT, BIG)
+        delays = [gateways.rng.random() for _ in range(COUNT)]
+        absences = {}
+        for n in range(stopped):
+            index, since = (gateways.home + n) % COUNT, 8.0 + 2 * n
+            absences[gateways.addresses[index]] = (since + 0.5, since + 4.5)
+            gateways.at(since, gateways.stop, index)
+            gateways.at(since + 4.0, gateways.start, index)
+
+        def listed(index: int, now: float) -> frozenset[Address]:
+            read_at = now - delays[index]
+            away = {a for a, (x, y) in absences.items() if x <= read_at < y}
+            return frozenset(gateways.addresses) - away
+
+        gateways.listed = listed
+        gateways.now = START_S
+        pick = gateways.rng.randrange
+        gateways.send_load(
+            lambda _now: 0.9 * BIG.rate_per_s, 30.0, lambda _now: pick(COUNT)
+        )
+        gateways.run(30.0)
+        used = gateways.used_between(0.0, 30.0)
+        self.assertGreaterEqual(used, least * used_by_one_bucket(gateways.asked, BIG))
+
     def test_cold_start_refuses_nothing_below_the_allotment(self) -> None:
         gateways = Gateways(COUNT, SMALL)
         for index in range(COUNT):
