Answer a refusal whose lease has been forgotten

After a suspension of over 30 s, a gateway may forget the lease of an organisation before it answers a request that was refused. Computing the time to return then raised KeyError. Such callers may return at once.

--- a/src/agatehoist/limits/allotment_leases.py
+++ b/src/agatehoist/limits/allotment_leases.py
@@ -243,7 +243,10 @@
         this gateway has used the allotment. `spread`, from 0 to 1, places each within
         its turn, as the callers of other gateways have the same turns.
         """
-        lease = self._leases_by_organisation[organisation]
+        lease = self._leases_by_organisation.get(organisation)
+        if lease is None:
+            # Forgotten while this process was suspended.
+            return max(refused_until, now)
         rate = max(lease.terms.rate_per_s, MIN_RATE_PER_S)
         start = max(refused_until, lease.return_at, now)
         own_rate = min(rate, max(rate / max(1, node_count), lease.use_per_s(now)))
--- a/tests/test_limits/test_allotments.py
+++ b/tests/test_limits/test_allotments.py
@@ -8,7 +8,7 @@
 from parameterized import parameterized
 
 from agatehoist.core.registry import Registry
-from agatehoist.limits.allotment_leases import AllotmentLeases, AskNeeded
+from agatehoist.limits.allotment_leases import RETENTION_S, AllotmentLeases, AskNeeded
 from agatehoist.limits.allotments import (
     AllotmentGrant,
     Terms,
@@ -312,6 +312,18 @@
         self.assertEqual(ask.returned, returned)
 
 
+class LeaseTests(unittest.TestCase):
+    def test_refusal_that_is_answered_after_a_suspension_has_a_time_to_return(
+        self,
+    ) -> None:
+        leases = AllotmentLeases()
+        leases.ask(ORGANISATION, SMALL, (9200.0,), 0.0)
+        leases.asks_ahead(RETENTION_S + 1.0)
+        now = RETENTION_S + 2.0
+        at = leases.retry_at(ORGANISATION, 9200.0, 1.0, 15.0, COUNT, 0.5, now)
+        self.assertEqual(at, now)
+
+
 class CostTests(unittest.TestCase):
     @parameterized.expand(
         [
