--- a/src/agatehoist/gateway/prompt_cache.py
+++ b/src/agatehoist/gateway/prompt_cache.py
@@ -317,8 +317,13 @@
 
 
 def _states_transfers(state: GatewayState, request: RoutedRequest) -> bool:
-    """Return whether the time to fetch a part follows from the configuration."""
+    """Return whether parts are fetched where that takes less time than to compute them.
+
+    The time follows from the configuration.
+    """
     engines = engines_of(state, request.service)
+    if not state.settings.placement.by_finish:
+        return False
     if engines is None or not engines.states_figures:
         return False
     return engines.token_bytes > 0 and engines.link_mbps > 0
--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -42,7 +42,7 @@
 
     # With reports up to 0.8 s old, shared parts are prefilled again more often.
     by_finish: bool = False
-    spills: bool = True
+    spills: bool = False
     # A long prompt of 40 KB then costs 0.04 ms, so that its wait decides. KV cache of
     # 6,300 tokens, 800 MB, costs more than the slowest engine takes to compute it.
     wait_s_per_mb: float = 0.001
