Name the keys of organisations and two limits of allotments for what they are

Cause: a reader of the code stopped at keys of organisations made by endpoint_key, at two constants of one name with different meanings, and at _left_until.

Change: organisation_key, MAX_REFILLED_PAUSE_S, _taken_back_until. Keys on the wire stay.

--- a/src/agatehoist/gateway/allotments.py
+++ b/src/agatehoist/gateway/allotments.py
@@ -24,9 +24,9 @@
     decode_grants,
     encode_asks,
     encode_grants,
+    organisation_key,
 )
 from agatehoist.protocol.datagrams import ALLOTMENT_ASKS, ALLOTMENT_GRANTS
-from agatehoist.protocol.node_reports import endpoint_key
 from agatehoist.refusals.kinds import RateLimited
 
 if TYPE_CHECKING:
@@ -108,7 +108,7 @@
         return None
     allotments = state.allotments
     allotments.refresh()
-    key = endpoint_key(organisation.name)
+    key = organisation_key(organisation.name)
     terms = terms_of(organisation.allotment, request.table_version)
     cost = _cost(state, request, organisation.allotment)
     decided = anyio.Event()
@@ -129,7 +129,7 @@
     if organisation is None or organisation.allotment is None:
         return
     cost = _cost(state, request, organisation.allotment)
-    key = endpoint_key(organisation.name)
+    key = organisation_key(organisation.name)
     now = state.clock.now()
     is_returned = state.allotments.node.leases.refund(key, cost, charged_at, now)
     outcome = "returned" if is_returned else "lapsed"
@@ -217,7 +217,7 @@
     allotment = organisation.allotment
     assert allotment is not None
     retry_at = node.leases.retry_at(
-        endpoint_key(organisation.name),
+        organisation_key(organisation.name),
         waiting.cost,
         verdict.retry_at,
         request.deadline,
@@ -234,7 +234,7 @@
             unit=str(allotment.unit),
             cost=waiting.cost,
             decided_by=waiting.decided_by,
-            home=str(node.home_of(endpoint_key(organisation.name))),
+            home=str(node.home_of(organisation_key(organisation.name))),
             configuration=request.table_version,
             retry_ms=round((retry_at - now) * MS_PER_S),
         )
@@ -248,7 +248,7 @@
 def _terms_by_organisation(table: RoutingTable) -> dict[bytes, Terms]:
     organisations = {each.name: each for each in table.organisations_by_key.values()}
     return {
-        endpoint_key(name): terms_of(each.allotment, table.version)
+        organisation_key(name): terms_of(each.allotment, table.version)
         for name, each in organisations.items()
         if each.allotment is not None
     }
--- a/src/agatehoist/gateway/settings.py
+++ b/src/agatehoist/gateway/settings.py
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
-    """Choose how requests are placed; both ways need figures of the engines or zones.
+    """Choose how requests are placed; both ways need figures of the engines.
 
     With `by_finish`, prompts go where their answer ends soonest, if the configuration
     states the memory and the stride of the engines. With `spills`, a request leaves its
--- a/src/agatehoist/limits/allotment_node.py
+++ b/src/agatehoist/limits/allotment_node.py
@@ -149,8 +149,8 @@
         self._waiting_by_organisation: dict[bytes, deque[WaitingRequest]] = {}
         self._asking_until_by_organisation: dict[bytes, float] = {}
         self._asked_home_by_organisation: dict[bytes, Address] = {}
-        # Homes that may still count a share which they have lost.
-        self._left_until: dict[tuple[bytes, Address], float] = {}
+        # Homes that may still count a share which was taken back, by organisation.
+        self._taken_back_until: dict[tuple[bytes, Address], float] = {}
         self._sent_by_number: dict[int, _Sent] = {}
         self._overdue_numbers: set[int] = set()
         # Homes that gave no answer, with the time of the next ping.
@@ -414,7 +414,7 @@
         before = self._asked_home_by_organisation.get(organisation, home)
         self._asked_home_by_organisation[organisation] = home
         if before != home and before not in self._ping_at_by_home:
-            self._left_until[organisation, before] = now + DELEGATION_S
+            self._taken_back_until[organisation, before] = now + DELEGATION_S
             self._take_back_share(organisation, before, now)
 
     def _take_back_share(self, organisation: bytes, home: Address, now: float) -> None:
@@ -427,10 +427,10 @@
 
     def _repeat_taking_back(self, now: float) -> None:
         """Tell homes again that they have lost a share, as messages may be lost."""
-        for (organisation, home), until in tuple(self._left_until.items()):
+        for (organisation, home), until in tuple(self._taken_back_until.items()):
             is_asked = self._asked_home_by_organisation.get(organisation) == home
             if until <= now or is_asked:
-                del self._left_until[organisation, home]
+                del self._taken_back_until[organisation, home]
             elif home not in self._ping_at_by_home:
                 self._take_back_share(organisation, home, now)
 
--- a/src/agatehoist/limits/allotments.py
+++ b/src/agatehoist/limits/allotments.py
@@ -51,7 +51,7 @@
 SUM_INTERVAL_S = 0.02
 # A home that was suspended for longer doesn't refill its buckets for that time, as the
 # owners of the shares have used them elsewhere.
-SUSPENDED_S = 1.5 * DELEGATION_S
+MAX_REFILLED_PAUSE_S = 1.5 * DELEGATION_S
 # A refused gateway asks no earlier than after this time.
 MIN_RETRY_S = 0.001
 
@@ -248,7 +248,7 @@
 
     def _note_time(self, now: float) -> None:
         """Add nothing to the buckets for a time in which this process didn't run."""
-        if now - self._noted_at > SUSPENDED_S:
+        if now - self._noted_at > MAX_REFILLED_PAUSE_S:
             for account in self._accounts_by_organisation.values():
                 account.bucket.skip_to(now)
         self._noted_at = now
--- a/src/agatehoist/protocol/allotments.py
+++ b/src/agatehoist/protocol/allotments.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import functools
+import hashlib
 from typing import Any
 
 import msgpack
@@ -21,12 +23,18 @@
 from agatehoist.limits.allotments import AllotmentAsk, AllotmentGrant, Terms
 from agatehoist.protocol.datagrams import ALLOTMENT_ASKS, ALLOTMENT_GRANTS
 from agatehoist.protocol.decoding import bad_frames
-from agatehoist.protocol.node_reports import checked_key
+from agatehoist.protocol.node_reports import KEY_BYTES, MAX_CACHED_KEYS, checked_key
 
 # Of a rate, a burst, an amount or a number of seconds.
 MAX_NUMBER = 1e15
 
 
+@functools.lru_cache(MAX_CACHED_KEYS)
+def organisation_key(name: str) -> bytes:
+    """Return the key for an organisation in messages."""
+    return hashlib.blake2b(name.encode(), digest_size=KEY_BYTES).digest()
+
+
 def encode_asks(batch: AskBatch) -> bytes:
     """Encode a batch of asks."""
     asks = [
--- a/tests/test_gateway/test_allotments.py
+++ b/tests/test_gateway/test_allotments.py
@@ -17,7 +17,7 @@
 from agatehoist.core.address import Address
 from agatehoist.gateway.allotments import share_allotments
 from agatehoist.limits.endpoint_permits import ranked_homes
-from agatehoist.protocol.node_reports import endpoint_key
+from agatehoist.protocol.allotments import organisation_key
 from standins.users_platform.harness import (
     API_KEY,
     GatewayHarness,
@@ -111,7 +111,7 @@
                     for each in GATEWAYS
                 }
                 nodes = frozenset(names_by_inner)
-                home = names_by_inner[ranked_homes(endpoint_key("crew"), nodes)[0]]
+                home = names_by_inner[ranked_homes(organisation_key("crew"), nodes)[0]]
                 others = [each for each in GATEWAYS if each != home]
                 ports = [fleet.ports_by_name[each] for each in others]
                 await anyio.sleep(SETTLE_S)
