Make the backlogs of two tests of waiting requests of short prompts

Cause: requests that wait for room are short prompts in these tests, and their engines were filled with long ones, which no longer hold a short prompt up.

Change: the same backlogs as short prompts, so that the requests wait as before. No assertion changes.

--- a/tests/test_gateway/test_late_in_the_grace.py
+++ b/tests/test_gateway/test_late_in_the_grace.py
@@ -73,7 +73,8 @@
 def fill_engines(world: GatewayHarness) -> None:
     """Leave no room for prompts on any engine."""
     for each in world.state.fleet.by_name.values():
-        world.state.load.track(each.lifetime, ENDLESS_TOKENS)
+        # A short prompt waits for other short ones only.
+        world.state.load.track(each.lifetime, ENDLESS_TOKENS, is_short=True)
 
 
 async def learn_calls(world: GatewayHarness) -> None:
--- a/tests/test_gateway/test_table_changes.py
+++ b/tests/test_gateway/test_table_changes.py
@@ -254,7 +254,8 @@
 async def in_line(world: GatewayHarness, change: Change) -> list[Outcome]:
     load, lines = world.state.load, world.state.lines
     engines = world.state.fleet.serving(ENGINES, world.state.clock.now())
-    busy = [load.track(each.lifetime, UNREAD_TOKENS) for each in engines]
+    # A short prompt waits for other short ones only.
+    busy = [load.track(each.lifetime, UNREAD_TOKENS, is_short=True) for each in engines]
 
     async def change_and_make_room() -> None:
         await change()
