--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -36,7 +36,7 @@
     from agatehoist.routing.types import Prompt, RoutedRequest
 
 PLACEMENT_POLICY = "home_bounded"
-# Of services whose configuration states the memory and the stride of the engines.
+# Where the settings ask for it and the configuration states memory and stride.
 BY_FINISH_POLICY = "expected_finish"
 # Added to the expected wait of an endpoint with replaced weights, to prefer new ones.
 OLD_WEIGHTS_PENALTY_S = 0.25
--- a/src/agatehoist/placement/costs.py
+++ b/src/agatehoist/placement/costs.py
@@ -20,10 +20,8 @@
 # Pauses are estimated without the noise of the steps; those from this share of the gap
 # objective on may exceed it.
 SAFE_PAUSE_SHARE = 0.5
-# An answer that takes longer earns as much, but holds memory for longer. With the whole
-# time, short prompts go to the fast engines that read the long ones, and their streams
-# pause: in a trial on the load of deployment B, 27% of them for too long, and 10% with
-# a share of 0.
+# A longer answer holds memory for longer. Counted in full, its time would send short
+# prompts to the fast engines that read the long ones, where their streams pause.
 ANSWER_WEIGHT = 0.05
 
 
