--- a/src/agatehoist/fleet/types.py
+++ b/src/agatehoist/fleet/types.py
@@ -10,7 +10,7 @@
     """Describe one lifetime of an endpoint, from its start to its end.
 
     An endpoint is `leaving` once the platform lists it as draining; it then gets no new
-    requests.
+    requests. `software` is the version of its software, not that of its weights.
     """
 
     name: str
@@ -23,6 +23,7 @@
     started_ms: int
     versions_by_model: dict[str, int] = field(default_factory=dict)
     order_count: int = 0
+    software: str = ""
 
     @property
     def lifetime(self) -> str:
--- a/src/agatehoist/platform/names.py
+++ b/src/agatehoist/platform/names.py
@@ -26,6 +26,8 @@
 TIME_LEFT_MS = b"x-agatehoist-deadline-ms"
 API_KEY = b"api-key"
 LAST_EVENT_ID = b"last-event-id"
+# Of the request that brought the first event of a stream that the caller resumes.
+RESUMED_REQUEST_ID = b"resumes"
 ORGANISATION = b"x-agatehoist-tenant-id"
 EXPECTED_ENDPOINT = b"x-agatehoist-expect-instance"
 EXPECTED_WEIGHTS = b"x-agatehoist-expect-version"
--- a/src/agatehoist/platform/requests.py
+++ b/src/agatehoist/platform/requests.py
@@ -61,6 +61,7 @@
         caller_deadline=_parse_deadline(head, request.received_at),
         prompt=_parse_prompt(head),
         last_event_id=_single_value(head, names.LAST_EVENT_ID),
+        resumed_request_id=_parse_resumed_request_id(head),
     )
 
 
@@ -124,6 +125,11 @@
     return values[0] if values else None
 
 
+def _parse_resumed_request_id(head: RequestHead) -> str | None:
+    value = _single_value(head, names.RESUMED_REQUEST_ID)
+    return None if value is None else value.decode("ascii", "replace")
+
+
 def _parse_host(head: RequestHead) -> str:
     host = (_single_value(head, b"host") or b"").decode("ascii", "replace").lower()
     return host.partition(":")[0]
--- a/src/agatehoist/routing/types.py
+++ b/src/agatehoist/routing/types.py
@@ -173,7 +173,8 @@
     """Hold a request as a front end parsed it; times are in epoch seconds.
 
     `target` is the HTTP request target, and `headers` are the headers that are passed
-    to the endpoint unchanged.
+    to the endpoint unchanged. A caller that resumes a stream names the request that
+    brought its first event in `resumed_request_id`.
     """
 
     request_id: str
@@ -188,6 +189,7 @@
     caller_deadline: float | None
     prompt: Prompt | None
     last_event_id: bytes | None
+    resumed_request_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/agatehoist/software/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of endpoints, to which the streams that they begin are bound."""
