Log the end of a stream that only its connection shows

Cause: the hypotheses on stopped streams that are delivered as complete differ in the order of the order to stop, its failure and the end of the connection. The first had no request id in its line, the last no line.

Change: one line each, with the request and the endpoint; only for streams without length or chunks.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -428,6 +428,8 @@
         if self._is_stream(head):
             self.stream_head = head
             await self._pass_stream_events(connection, head)
+            if not head.has_framing:
+                self._log_connection_end()
             event: Event = StreamEnded(self.attempt_id, Ending(self._next_event_index))
         else:
             usage = self._open_usage(connection, head)
@@ -453,6 +455,19 @@
         )
         return event
 
+    def _log_connection_end(self) -> None:
+        """Log the end of a stream that has neither a length nor chunks.
+
+        Only the order of log lines tells whose decision this end was.
+        """
+        logger.info(
+            "stream ended with its connection",
+            request=self._request_id,
+            endpoint=self.dispatch.endpoint.lifetime,
+            events=self._next_event_index,
+            stop_ordered=self.is_stopping,
+        )
+
     def _open_usage(self, connection: ClientConnection, head: ReplyHead) -> BufferUsage:
         """Return the usage of a body, whose bytes count until the request has ended."""
         lifetime = self.dispatch.endpoint.lifetime
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -251,7 +251,12 @@
         try:
             stopped = await move_run(state, source, request_id, destination, timeout_s)
         except CallFailedError as error:
-            logger.info("run stopped without an answer", reason=str(error))
+            logger.info(
+                "run stopped without an answer",
+                request=request_id,
+                endpoint=source.lifetime,
+                reason=str(error),
+            )
     version = attempt.dispatch.weights_version
     offer, fallback = _offer(destination, version), _offer(source, version)
     retry_budget = state.retry_budget(request.service)
