Show that stopped streams are delivered as complete

A stream without length or chunks that its gateway has stopped for a move is delivered as complete, if the order to stop is not answered, answered late or with an error. So is one whose stop is answered with 200 once the rest of the copy has been made, 0.1 s after the stream was closed.

Change: the stand-in engine sends streams without length or chunks, and stops them late, inside an event or with various answers.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -55,6 +55,8 @@
 LATE_S = 2.5
 
 FAULTS: Registry[Callable[..., Awaitable[None]]] = Registry("fault of an endpoint")
+# Of calls that stop a run; it is stopped in any case.
+MOVE_FAULTS: Registry[Callable[..., Awaitable[None]]] = Registry("fault of a move")
 # Answers that HTTP doesn't show to be faulty, or with other bytes than the usual ones.
 UNUSUAL_ANSWERS: Registry[Callable[..., Awaitable[None]]] = Registry("unusual answer")
 
@@ -144,8 +146,11 @@
     on_request is called before a request is checked, on_move before a run is stopped.
     before_copy and after_copy are called at the destination of a run that was stopped
     to be moved, before_first_copy at that of one that goes on meanwhile. move_faults
-    are those of calls that stop a run: "lost" resets the connection in place of a
-    reply. freed has the handles of copies that were given up.
+    are those of calls that stop a run, of MOVE_FAULTS. A run is stopped stop_delay_s
+    after its call has arrived, inside an event if stops_inside_event. freed has the
+    handles of copies that were given up.
+
+    Streams have neither a length nor chunks if they are_unframed.
 
     All answers state limit_per_s, if it is set, and whether the endpoint is_leaving;
     refusals also state pause_s. Arrivals are those of all requests, run or refused.
@@ -181,6 +186,11 @@
     after_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     before_first_copy: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     move_faults: list[str] = field(default_factory=list)
+    stop_delay_s: float = 0.0
+    stops_inside_event: bool = False
+    are_unframed: bool = False
+    # Whether a run that was stopped can be continued where it was.
+    keeps_stopped_runs: bool = True
     freed: list[str] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
     active: int = 0
@@ -207,7 +217,7 @@
     # Start of the endpoint in epoch milliseconds.
     started_ms: int = 1_700_000_000_000
     _connection_scopes: set[anyio.CancelScope] = field(default_factory=set)
-    _stopping: set[str] = field(default_factory=set)
+    _stopping_at_by_run: dict[str, float] = field(default_factory=dict)
     _run_scopes: set[anyio.CancelScope] = field(default_factory=set)
     _weights_changes: int = 0
     _made_under_by_copy: dict[str, int] = field(default_factory=dict)
@@ -252,7 +262,7 @@
         self.busy = False
         self.orders.clear()
         self.order_times.clear()
-        self._stopping.clear()
+        self._stopping_at_by_run.clear()
         self._made_under_by_copy.clear()
 
     def crash(self, request_id: str = "") -> None:
@@ -354,7 +364,7 @@
         (self.continued_runs if continued else self.runs).append(run)
         self._use_cache(run)
         # A run that was moved away may be tried here again.
-        self._stopping.discard(run.request_id)
+        self._stopping_at_by_run.pop(run.request_id, None)
         self.active += 1
         priority = headers.get(PRIORITY, DEFAULT_PRIORITY)
         self._priority_by_run[request_id] = int(priority)
@@ -365,7 +375,7 @@
                 await self._answer_run(connection, run, fault)
                 if _has_ended_reply(connection):
                     ending = Ending.WHOLE
-                elif run.request_id in self._stopping:
+                elif self._is_stopped(run):
                     ending = Ending.MOVED
             if scope.cancelled_caught:
                 connection.abort()
@@ -453,7 +463,9 @@
         With a count, reset the connection after so many events.
         """
         ended = await self._send_events(connection, run, count)
-        if ended and count is None:
+        if self.are_unframed and count is None:
+            connection.close()
+        elif ended and count is None:
             await connection.end()
         else:
             connection.abort()
@@ -463,18 +475,35 @@
     ) -> bool:
         """Send count events, or all; return False if the run was moved meanwhile."""
         first = int(run.headers_by_name.get("last-event-id", "0"))
-        await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
+        send = await self._begin_stream(connection, run)
         until = self.event_count_of(run) if count is None else first + count
         # Sleeps beside load add up to far more than their sum.
         due_at = anyio.current_time()
         for number in range(first + 1, until + 1):
-            if run.request_id in self._stopping:
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            if self._is_stopped(run):
+                if self.stops_inside_event:
+                    await send(event[:-3])
                 return False
-            await connection.send_data(f"id: {number}\ndata: t{number}\n\n".encode())
+            await send(event)
             due_at += self.event_interval_s
             await anyio.sleep_until(due_at)
         return True
 
+    async def _begin_stream(
+        self, connection: ServerConnection, run: ReceivedRequest
+    ) -> Callable[[bytes], Awaitable[None]]:
+        """Send the head of a stream, and return how its events are sent."""
+        if self.are_unframed:
+            await _send_raw(self, connection, run, b"\r\n")
+            return connection._channel.send
+        await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
+        return connection.send_data
+
+    def _is_stopped(self, run: ReceivedRequest) -> bool:
+        stopping_at = self._stopping_at_by_run.get(run.request_id)
+        return stopping_at is not None and anyio.current_time() >= stopping_at
+
     def event_count_of(self, run: ReceivedRequest) -> int:
         """Return how many events the whole answer to a request has."""
         return self.event_counts_by_target.get(run.target, self.event_count)
@@ -544,14 +573,16 @@
         name = f"{self.address}/{handle}"
         if is_last:
             self.stopped.add(request_id)
-            self._stopping.add(request_id)
-            # The source keeps the memory of the run.
-            self._made_under_by_copy[name] = made_under
+            self._stopping_at_by_run[request_id] = (
+                anyio.current_time() + self.stop_delay_s
+            )
+            if self.keeps_stopped_runs:
+                self._made_under_by_copy[name] = made_under
         if receive is not None:
             await receive(name, made_under, is_last)
         fault = self.move_faults.pop(0) if is_last and self.move_faults else ""
-        if fault == "lost":
-            connection.abort()
+        if fault:
+            await MOVE_FAULTS[fault](connection)
         elif receive is not None or is_last:
             status = 503 if receive is None else 200
             await _send_json(connection, status, {"handle": handle, "Created": 1})
@@ -617,6 +648,27 @@
     return b"\r\n".join([*lines, b"content-length: 0", b"", b""])
 
 
+@MOVE_FAULTS.register("lost")
+async def _lose_move_reply(connection: ServerConnection) -> None:
+    connection.abort()
+
+
+@MOVE_FAULTS.register("late")
+async def _reply_to_move_too_late(connection: ServerConnection) -> None:
+    await anyio.sleep(LATE_S)
+    await _send_json(connection, 200, {"handle": "late", "Created": 1})
+
+
+@MOVE_FAULTS.register("mute")
+async def _never_reply_to_move(connection: ServerConnection) -> None:
+    await connection.wait_closed()
+
+
+@MOVE_FAULTS.register("failed")
+async def _fail_move(connection: ServerConnection) -> None:
+    await connection.send_reply(500, (), b"")
+
+
 @FAULTS.register("reset")
 async def _reset(
     _endpoint: EndpointStandIn, connection: ServerConnection, _run: ReceivedRequest
