Take a stream that was ordered to stop as whole only if its framing shows so

Callers got parts of streams as complete answers: the events up to the moment at which their gateway stopped the run in order to move it.

Cause: a stream without length or chunks ends with its connection, and this end was passed on as that of the run, also while the gateway's own order to stop it was under way, and after one without an answer, which the engine may carry out late. Failures are withheld during a move, ends weren't. The class of fault: an observation that has two causes is attributed to one of them while the other is known to be possible.

Change: once a run has been ordered to stop, the end of its connection counts as a failure unless the endpoint states that it didn't stop it (404, 409, 421, not executed). A failure is withheld during the move and then continued from the copy, or by Last-Event-Id. A run that may not be repeated keeps its copy while a late stop is possible, up to 5 s. An order without an answer also casts doubt on a run that goes on at the same endpoint later. Status 500 to the order counts as no answer, not as 'the run goes on'.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -129,7 +129,10 @@
         # While its run is copied, and stopped in the end, to go on elsewhere.
         self.is_moving = False
         self.is_stopping = False
-        self._failed_in_move = anyio.Event()
+        # Once this process has ordered its run to stop, unless it is known that it
+        # didn't. The end of the connection then doesn't show that the answer is whole.
+        self.may_be_stopped = False
+        self._has_ended_in_move = anyio.Event()
         # Set if the connection was lost before the answer was complete.
         self.suspected_crash: Crash | None = None
         self._is_replacement = is_replacement
@@ -145,6 +148,8 @@
         self._answer_bytes = 0
         self._is_answer_noted = False
         self._withheld_event: Event | None = None
+        # The end of a stream if its run hasn't been stopped.
+        self._unconfirmed_end: StreamEnded | None = None
         self._scope = anyio.CancelScope()
         self._usages: list[BufferUsage] = []
         self._is_request_over = False
@@ -167,6 +172,7 @@
             await self._run()
         finally:
             self.has_ended = True
+            self._has_ended_in_move.set()
             if self._is_request_over:
                 self._close_usages()
 
@@ -197,7 +203,7 @@
                 # An endpoint aborts its reply when it stops a run that is to be moved;
                 # the failure is passed on only if the move fails too.
                 self._withheld_event = event
-                self._failed_in_move.set()
+                self._has_ended_in_move.set()
                 await anyio.sleep(MAX_MOVE_S)
             await self.send_event(event)
 
@@ -222,7 +228,7 @@
         failed = isinstance(event, AttemptRefused | NotWritten)
         # Failures during a weights change or a move don't count against the endpoint.
         if failed and (
-            self.is_stopping or self._state.weights.is_changing(endpoint, now)
+            self._may_end_early or self._state.weights.is_changing(endpoint, now)
         ):
             return
         if failed and self._is_rejection_explained(event, now):
@@ -334,7 +340,7 @@
             now = self._state.clock.now()
             if not self._state.weights.is_changing(endpoint, now):
                 self._state.suspect(endpoint, str(error))
-            if not self.is_stopping:
+            if not self._may_end_early:
                 self._suspect_crash(now)
             return self._refused_event(OutcomeUnknown.refuse(str(error)))
         except Exception as error:
@@ -428,9 +434,12 @@
         if self._is_stream(head):
             self.stream_head = head
             await self._pass_stream_events(connection, head)
+            event: Event = StreamEnded(self.attempt_id, Ending(self._next_event_index))
             if not head.has_framing:
                 self._log_connection_end()
-            event: Event = StreamEnded(self.attempt_id, Ending(self._next_event_index))
+            if not head.has_framing and self.may_be_stopped:
+                connection.close()
+                return self._unconfirmed_end_event()
         else:
             usage = self._open_usage(connection, head)
             body = await self._read_body(connection, usage)
@@ -455,6 +464,14 @@
         )
         return event
 
+    def _unconfirmed_end_event(self) -> AttemptRefused:
+        self._unconfirmed_end = StreamEnded(
+            self.attempt_id, Ending(self._next_event_index)
+        )
+        return self._refused_event(
+            OutcomeUnknown.refuse("the stream ended, maybe as it was stopped")
+        )
+
     def _log_connection_end(self) -> None:
         """Log the end of a stream that has neither a length nor chunks.
 
@@ -465,7 +482,7 @@
             request=self._request_id,
             endpoint=self.dispatch.endpoint.lifetime,
             events=self._next_event_index,
-            stop_ordered=self.is_stopping,
+            stop_ordered=self.may_be_stopped,
         )
 
     def _open_usage(self, connection: ClientConnection, head: ReplyHead) -> BufferUsage:
@@ -641,14 +658,24 @@
         left_s = self._request.deadline - self._state.clock.now()
         return self._progress_at + silence_timeout_s(self._request.route, left_s)
 
+    @property
+    def _may_end_early(self) -> bool:
+        return self.is_stopping or self.may_be_stopped
+
     async def has_failed_in_move(self, within_s: float = 0.0) -> bool:
-        """Wait for a failure that is withheld for the move; return whether it came."""
+        """Wait for the end, and return whether a failure is withheld for the move."""
         with anyio.move_on_after(within_s):
-            await self._failed_in_move.wait()
-        return self._failed_in_move.is_set()
+            await self._has_ended_in_move.wait()
+        return isinstance(self._withheld_event, AttemptRefused)
+
+    def note_not_stopped(self) -> None:
+        """Take the end of the stream, past or future, for that of its run."""
+        self.may_be_stopped = False
+        if self._unconfirmed_end is not None:
+            self._withheld_event = self._unconfirmed_end
 
     async def cancel_move(self) -> None:
-        """End a failed move and pass on the failure withheld for it, if any."""
+        """End a failed move and pass on the end that is withheld for it, if any."""
         self.is_moving = self.is_stopping = False
         if self._withheld_event is not None:
             await self.send_event(self._withheld_event)
--- a/src/agatehoist/gateway/endpoint_calls.py
+++ b/src/agatehoist/gateway/endpoint_calls.py
@@ -25,6 +25,13 @@
 MOVE_TIMEOUT_S = TOLERATED_SILENCE_S + CALL_TIMEOUT_S
 # The reply to a call may name a limit, but one without a limit doesn't end it.
 NOT_A_REQUEST = 0.0
+# Replies to the order to stop a run that has ended, that is being moved already, or
+# that another endpoint runs.
+NOT_STOPPED = (
+    HTTPStatus.NOT_FOUND,
+    HTTPStatus.CONFLICT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+)
 MAX_REPLY_BYTES = 256 * 1024
 
 
@@ -93,16 +100,20 @@
     destination: Endpoint,
     timeout_s: float = MOVE_TIMEOUT_S,
 ) -> StoppedRun | None:
-    """Stop a run and copy the rest of its KV cache; return None if the run goes on.
+    """Stop a run and copy the rest of its KV cache; return None if it wasn't stopped.
 
-    Raises CallFailedError, after which the run may have been stopped.
+    Raises CallFailedError, after which the run may have been stopped, or may be later.
     """
     head, body = state.platform.move_request(source, request_id, destination, True)
     # The reply doesn't say which run it names.
     reply = await _call(state, source, head, body, True, timeout_s)
     name = state.platform.read_move_reply(source, reply)
-    is_copied = reply.head.status == HTTPStatus.OK
-    return StoppedRun(name, is_copied) if name else None
+    if name:
+        return StoppedRun(name, reply.head.status == HTTPStatus.OK)
+    is_rejected = state.platform.is_not_executed(reply.head)
+    if is_rejected or reply.head.status in NOT_STOPPED:
+        return None
+    raise CallFailedError(f"{source.name} answered {reply.head.status}")
 
 
 async def free_copy(state: GatewayState, destination: Endpoint, name: str) -> None:
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -393,6 +393,12 @@
             is_replacement,
             lifetime in self._asked_lifetimes,
         )
+        # An order without an answer may be carried out late, on a run that goes on at
+        # the same endpoint.
+        attempt.may_be_stopped = any(
+            each.may_be_stopped and each.dispatch.endpoint.lifetime == lifetime
+            for each in self._attempts_by_id.values()
+        )
         self._attempts_by_id[attempt_id] = attempt
         self._asked_lifetimes.add(lifetime)
         self._state.spawn(self._run_attempt, attempt)
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -41,6 +41,9 @@
 MOVE_DELAY_S = 0.25
 # The stream of a run that was stopped ends within this time.
 STOPPED_WITHIN_S = 0.3
+# An order to stop without an answer may be carried out later. A run that may not be
+# repeated can then only go on from its copy, which the destination keeps so long.
+COPY_KEPT_S = 5.0
 # Priority for permits: a run that doesn't move may be cut.
 MOVE_PRIORITY = 0
 
@@ -245,12 +248,20 @@
     source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
     attempt.is_stopping = True
     stopped = None
+    ends_within_s = STOPPED_WITHIN_S
     # A run that has failed meanwhile is continued by the copy that was made before.
     if not await attempt.has_failed_in_move():
+        was_stopped_before = attempt.may_be_stopped
+        attempt.may_be_stopped = True
         timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
         try:
             stopped = await move_run(state, source, request_id, destination, timeout_s)
+            if stopped is None and not was_stopped_before:
+                attempt.note_not_stopped()
         except CallFailedError as error:
+            ends_within_s = COPY_KEPT_S
+            # The endpoint may be silent, or sound, for all that is known.
+            attempt.is_stopping = False
             logger.info(
                 "run stopped without an answer",
                 request=request_id,
@@ -262,7 +273,7 @@
     retry_budget = state.retry_budget(request.service)
     failed_copies = state.active_requests.failed_copies
     if stopped is None:
-        if not may_retry and await attempt.has_failed_in_move(STOPPED_WITHIN_S):
+        if not may_retry and await attempt.has_failed_in_move(ends_within_s):
             return RunMoved(attempt.attempt_id, offer, name, fallback, taken_at)
         failed_copies.note_failure(destination.name, state.clock.now())
         retry_budget.give_back(taken_at)
