Log the software version of endpoints and the request that a caller resumes

Cause: the hypotheses on streams of two software versions can't be told apart by the logs, which name endpoints without their versions and no resumption.

Change: the steps of a request and the line of a listed endpoint name the version, and the line of a request the one that it resumes. The stand-in engine states a version of its own.

--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -358,6 +358,8 @@
         limit_per_s = self._state.statements.limit_per_s(key, self._now())
         if limit_per_s is not None:
             step += f", limit {limit_per_s}/s"
+        if endpoint.software:
+            step += f", software {endpoint.software}"
         if dispatch.weights_version:
             step += f", cache {dispatch.salt}{self._weights_age_text(dispatch)}"
         self._add_step(step)
@@ -570,6 +572,8 @@
             service=request.service,
             prompt=self._last_shared_part(),
             configuration=request.table_version,
+            # The request that began the stream, if the caller resumes one.
+            resumes=request.envelope.resumed_request_id or "",
             fleet=str(self._state.fleet.revision),
             steps=self._steps,
             outcome=self._outcome,
--- a/src/agatehoist/gateway/topics.py
+++ b/src/agatehoist/gateway/topics.py
@@ -175,6 +175,7 @@
             endpoint=endpoint.lifetime,
             leaving=endpoint.leaving,
             weights=endpoint.versions_by_model,
+            software=endpoint.software,
             revision=str(value.revision),
         )
 
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -166,6 +166,7 @@
     version: int = 1
     # Models besides `model`, whose weights change without an effect on runs.
     versions_by_other_model: dict[str, int] = field(default_factory=dict)
+    software: str = "v1"
     event_count: int = 5
     # Of streams that aren't as long as the others.
     event_counts_by_target: dict[str, int] = field(default_factory=dict)
@@ -277,7 +278,7 @@
             "Service": self.service,
             "Address": f"{HOST}:{port}",
             "Zone": "z1",
-            "Version": "v1",
+            "Version": self.software,
             "Slots": 8,
             "State": "ready",
             "ColdLeftMs": 0,
