--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -81,6 +81,8 @@
     body: bytes
     method: str = "GET"
     received_at: float = field(default_factory=time.monotonic)
+    # That of the endpoint as it ran the request.
+    software: str = ""
 
     @property
     def identity(self) -> RequestIdentity:
@@ -360,6 +362,7 @@
             request.head.target.decode(),
             request.body,
             request.head.method.decode(),
+            software=self.software,
         )
         continued = "kv-from" in headers
         (self.continued_runs if continued else self.runs).append(run)
