Continue a stream only at the software version that began it

Callers got streams whose first part one software version wrote and whose rest another one did, without anything in the answer that shows it.

Cause: the version in an endpoint's entry wasn't read, so the retry of a stream that broke off, the destination of a move and the replacement of a silent engine were chosen among all endpoints of the service. The class of fault: a continuation is bound to less than the beginning depended on.

Change: once an event has reached the caller, offers and destinations are only those of the version that brought it. An endpoint that has started again with another version between offer and dispatch isn't sent the stream.

A stream with an endpoint of its version left goes on there; one without isn't ended as complete.

--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -71,14 +71,17 @@
 
 
 def find_offers(
-    state: GatewayState, request: RoutedRequest, tried: frozenset[str]
+    state: GatewayState,
+    request: RoutedRequest,
+    tried: frozenset[str],
+    software: str | None = None,
 ) -> tuple[Offer, ...]:
-    """Return the endpoints to try, best first."""
+    """Return the endpoints to try, best first, of one software version if given."""
     now = state.clock.now()
     # In a gateway, the `host` of a candidate is the name of the endpoint.
     candidates = tuple(
         Candidate(each.name, each.data_centre)
-        for each in _available(state, request, now)
+        for each in _available(state, request, now, software)
         if each.lifetime not in tried
     )
     candidates_to_try = state.suspects.candidates_to_try(candidates, now)
@@ -159,13 +162,14 @@
 
 
 def _available(
-    state: GatewayState, request: RoutedRequest, now: float
+    state: GatewayState, request: RoutedRequest, now: float, software: str | None
 ) -> tuple[Endpoint, ...]:
     priority = urgency(request)
     serving = tuple(
         each
         for each in state.fleet.serving(request.service, now)
-        if held_back_until(state, each, priority) is None
+        if software in (None, each.software)
+        and held_back_until(state, each, priority) is None
         and state.body_bytes.has_room(each.lifetime, len(request.envelope.body))
     )
     prompt = request.envelope.prompt
--- a/src/agatehoist/gateway/offer_search.py
+++ b/src/agatehoist/gateway/offer_search.py
@@ -36,6 +36,8 @@
 
     def __init__(self, state: GatewayState, request: RoutedRequest) -> None:
         self.tried_lifetimes: list[str] = []
+        # The only software version at which the request may run, None for any.
+        self.software: str | None = None
         # Describes the waits of the request, for its log line.
         self.steps: list[str] = []
         self._state = state
@@ -149,7 +151,8 @@
         )
 
     def _find_offers(self) -> tuple[Offer, ...]:
-        return find_offers(self._state, self._request, frozenset(self.tried_lifetimes))
+        tried = frozenset(self.tried_lifetimes)
+        return find_offers(self._state, self._request, tried, self.software)
 
     def _find_unlimited(self) -> tuple[Offer, ...]:
         return tuple(each for each in self._find_offers() if not self._is_limited(each))
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -316,6 +316,8 @@
         attempt_id = decision.target.attempt_id
         if endpoint is None:
             return NotWritten(attempt_id, "the endpoint has gone")
+        if self._search.software not in (None, endpoint.software):
+            return NotWritten(attempt_id, f"{endpoint.name} has other software now")
         if (quarantined := self._quarantine_refusal()) is not None:
             if decision.replaced is not None:
                 # The silent attempt may go on.
@@ -521,6 +523,8 @@
         self._add_step("first event")
         assert self._attempt is not None
         assert self._attempt.stream_head is not None
+        # What other versions write doesn't fit to the events that the caller has.
+        self._search.software = self._attempt.dispatch.endpoint.software
         await self._writer.start(self._attempt.stream_head)
 
     async def _next_event(self) -> Event:
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -111,9 +111,10 @@
 ) -> list[Endpoint]:
     """Return the endpoints that can continue a run.
 
-    They must have the same weights, since KV cache is valid only for the weights that
-    computed it, and those must not be overdue for replacement: no run may begin on
-    overdue weights, including a moved one.
+    They must have the same software, since the texts of two versions don't fit
+    together, and the same weights, since KV cache is valid only for the weights that
+    computed it. Those must not be overdue for replacement: no run may begin on overdue
+    weights, including a moved one.
     """
     prompt = request.envelope.prompt
     service = state.table.services_by_name.get(request.service) if state.table else None
@@ -133,6 +134,7 @@
         each
         for each in state.fleet.serving(request.service, now)
         if each.lifetime != source.lifetime
+        and each.software == source.software
         and not state.weights.is_changing(each, now)
         and not state.suspects.is_suspected(each.name, now)
         and not state.active_requests.failed_copies.is_suspected(each.name, now)
