Hold the shares of software versions in the state of a gateway

Cause: the writer of the shares and the choice of a version for a stream are built apart; both need the view between them.

Change: agatehoist.software.shares_view, empty until records are read. Linter and type check pass.

--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -39,6 +39,7 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.quarantine.trait_quarantine import TraitQuarantine
 from agatehoist.quarantine.types import Answer, Crash, Quarantine
+from agatehoist.software.shares_view import SharesView
 from agatehoist.stopping.state import StopState
 from agatehoist.storage.revisions import NO_REVISION
 from agatehoist.weights.view import WeightsView
@@ -124,6 +125,7 @@
         self.statements = EndpointStatements()
         self.fleet = EndpointsView(self.statements)
         self.weights = WeightsView()
+        self.shares = SharesView()
         self.load_changed = Wakeup()
         self.lines = StartLines(clock)
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
