Use no endpoint whose entry states no software version

Cause: the version decides which streams an endpoint may continue. Without it a stream can't be told apart from those of other versions, and an entry with a missing field names no endpoint to use.

Change: the field must be a text, like the others.

--- a/src/agatehoist/platform/documents.py
+++ b/src/agatehoist/platform/documents.py
@@ -102,7 +102,7 @@
         },
         # The number of weights orders that the endpoint has accepted.
         order_count=reader.integer("SeqNo", 0),
-        software=reader.text("Version", ""),
+        software=reader.text("Version"),
     )
     raise_findings(f"entry {name[:MAX_SHOWN_CHARACTERS]}", findings)
     return endpoint
--- a/tests/test_platform/odd_entries.py
+++ b/tests/test_platform/odd_entries.py
@@ -103,7 +103,7 @@
     },
     **{
         f"{field}_{name}": with_field(field, text)
-        for field in ("Service", "Zone", "State")
+        for field in ("Service", "Zone", "State", "Version")
         for name, text in ODD_TEXTS.items()
     },
 }
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -82,6 +82,7 @@
         endpoint = read_endpoint("i-1", ENTRY)
         self.assertEqual((endpoint.host, endpoint.port), ("10.128.0.9", 8080))
         self.assertEqual(endpoint.versions_by_model, {"songs": 3})
+        self.assertEqual(endpoint.software, "v1")
         self.assertEqual(endpoint.lifetime, "i-1@1784186469033")
         self.assertFalse(endpoint.leaving)
 
@@ -92,6 +93,8 @@
             ("unknown_state", "State", "paused"),
             ("no_service", "Service", None),
             ("number_for_service", "Service", 7),
+            ("no_software_version", "Version", None),
+            ("number_for_software_version", "Version", 1),
             ("no_port", "Address", "10.0.0.1"),
             ("port_too_high", "Address", "10.0.0.1:99999"),
             ("text_for_slots", "Slots", "many"),
