Show that streams that go on at their source are broken off at their end

Cause: may_be_stopped stays set on the attempt that was ordered to stop, also after the order has been answered and carried out, and the next attempt at the same endpoint inherits it. So a stream without length or chunks that goes on at its source (503 with the handle, a destination that crashes or rejects the run, a lost answer while nobody else takes the run) is taken for stopped again at its own end. On a route without retries it is broken off after its last event.

Change: a table over route, answer of the order and fault of the destinations.

--- a/tests/test_gateway/test_stopped_streams.py
+++ b/tests/test_gateway/test_stopped_streams.py
@@ -14,6 +14,7 @@
 from standins.users_platform.harness import GatewayHarness, running_gateway, until
 from tests.test_gateway.callers import slow_configuration
 from tests.test_gateway.test_run_moves import (
+    change_weights,
     crash,
     drain_while_running,
     refuse_copies,
@@ -21,6 +22,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from standins.users_platform.endpoint import EndpointStandIn
 
 EVENT_COUNT = 60
@@ -172,3 +175,46 @@
 
         anyio.run(run)
         self.assertEqual(len(failures), 1)
+
+    # The route, the answer to the call that stops the run, and what happens to the other
+    # endpoints meanwhile. The source then has the run in memory.
+    @parameterized.expand(
+        [
+            (f"{path}_{fault or 'answered'}_{name}", path, fault, fail)
+            for path, fault, (name, fail) in itertools.product(
+                ROUTES,
+                ("", "lost"),
+                (
+                    ("no_room", refuse_copies),
+                    ("crashed", crash),
+                    ("other_weights", change_weights),
+                ),
+            )
+        ]
+    )
+    def test_end_of_a_stream_that_goes_on_where_it_was_stopped_is_its_end(
+        self,
+        _name: str,
+        path: str,
+        fault: str,
+        fail: Callable[[GatewayHarness, EndpointStandIn], None],
+    ) -> None:
+        """An order that has been carried out can't stop the run again."""
+        world = moving_world(are_unframed=True)
+        bodies: list[bytes] = []
+
+        def fail_others(source: EndpointStandIn) -> None:
+            for each in world.engines:
+                if each is not source:
+                    fail(world, each)
+
+        async def run() -> None:
+            async with running_gateway(world):
+                for each in world.engines:
+                    each.move_faults.append(fault)
+                    each.on_move = partial(fail_others, each)
+                _, body = await drain_while_running(world, f"/{path}/1")
+                bodies.append(body)
+
+        anyio.run(run)
+        self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
