Let an order that was carried out cast no doubt on the run that follows

Cause: an attempt inherited may_be_stopped from any earlier one at its endpoint, also after the order to stop was answered, or its stream had ended by it. A run that went on at its source was then taken for stopped once more at its own end, and broken off on routes without retries.

Change: only orders without an answer are inherited, and they are counted. One counts as carried out if the endpoint continues the run from memory, which it keeps only of runs that it has stopped, or if the stream has ended with its connection: that was the stop, or else the answer was whole.

--- a/src/agatehoist/gateway/attempt.py
+++ b/src/agatehoist/gateway/attempt.py
@@ -132,6 +132,8 @@
         # Once this process has ordered its run to stop, unless it is known that it
         # didn't. The end of the connection then doesn't show that the answer is whole.
         self.may_be_stopped = False
+        # Orders to stop its run that may have been, or may yet be, carried out.
+        self.unanswered_stops = 0
         self._has_ended_in_move = anyio.Event()
         # Set if the connection was lost before the answer was complete.
         self.suspected_crash: Crash | None = None
@@ -668,6 +670,15 @@
             await self._has_ended_in_move.wait()
         return isinstance(self._withheld_event, AttemptRefused)
 
+    def late_stops(self, is_continued: bool) -> int:
+        """Return how many orders may yet stop another run at the same endpoint.
+
+        An endpoint continues a run from memory only if it has stopped it. An end of the
+        stream was that of one order, or else nothing of the answer is left to stop.
+        """
+        has_stopped = is_continued or self._unconfirmed_end is not None
+        return max(0, self.unanswered_stops - has_stopped)
+
     def note_not_stopped(self) -> None:
         """Take the end of the stream, past or future, for that of its run."""
         self.may_be_stopped = False
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -399,10 +399,15 @@
         )
         # An order without an answer may be carried out late, on a run that goes on at
         # the same endpoint.
-        attempt.may_be_stopped = any(
-            each.may_be_stopped and each.dispatch.endpoint.lifetime == lifetime
-            for each in self._attempts_by_id.values()
+        attempt.unanswered_stops = max(
+            (
+                each.late_stops(is_continued=bool(dispatch.continued_run))
+                for each in self._attempts_by_id.values()
+                if each.dispatch.endpoint.lifetime == lifetime
+            ),
+            default=0,
         )
+        attempt.may_be_stopped = attempt.unanswered_stops > 0
         self._attempts_by_id[attempt_id] = attempt
         self._asked_lifetimes.add(lifetime)
         self._state.spawn(self._run_attempt, attempt)
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -262,6 +262,7 @@
                 attempt.note_not_stopped()
         except CallFailedError as error:
             ends_within_s = COPY_KEPT_S
+            attempt.unanswered_stops += 1
             # The endpoint may be silent, or sound, for all that is known.
             attempt.is_stopping = False
             logger.info(
--- a/tests/test_gateway/test_stopped_streams.py
+++ b/tests/test_gateway/test_stopped_streams.py
@@ -176,8 +176,8 @@
         anyio.run(run)
         self.assertEqual(len(failures), 1)
 
-    # The route, the answer to the call that stops the run, and what happens to the other
-    # endpoints meanwhile. The source then has the run in memory.
+    # The route, the answer to the call that stops the run, and what happens to the
+    # other endpoints meanwhile. The source then has the run in memory.
     @parameterized.expand(
         [
             (f"{path}_{fault or 'answered'}_{name}", path, fault, fail)
