Show that replies with a status over 599 are taken for answers

Cause: not mended here. The parser takes any three digits from 200 on for a final status. Nothing behind it checks for 600 to 999, and most users compare only with 400 to 599, so that such a reply counts as a success.

Change: tables of invalid statuses (000, 099, 20, 600, 999, 2000) for the gateway's routes, the connections of the gateway and of the sidecar, streams and cache requests of engines, orders, and both clients of the store. Also answers without a length that are reset after the endpoint has received the whole request, with and without an upload. The requests that may run again must get the answer of another endpoint.

--- a/standins/raw_replies.py
+++ b/standins/raw_replies.py
@@ -21,6 +21,8 @@
 # Time in which the client has read what was sent before a reset.
 READ_S = 0.02
 PAUSE_S = 0.02
+# Statuses that HTTP doesn't define, with which a reply may be sound otherwise.
+INVALID_STATUSES = ("000", "099", "20", "600", "999", "2000")
 
 ENDINGS: Registry[Callable[..., Awaitable[None]]] = Registry("ending of a raw reply")
 
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -18,6 +19,7 @@
 from agatehoist.core.registry import Registry
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.server import ServerConnection
+from standins.raw_replies import INVALID_STATUSES
 from standins.users_platform.kv_cache import KvNetwork, PartMemory
 from standins.users_platform.loopback import HOST, serve_requests
 
@@ -907,11 +909,12 @@
     run: ReceivedRequest,
     rest: bytes,
     *framing: bytes,
+    status: bytes = b"200 OK",
 ) -> None:
     """Send a head with no other framing headers than the given ones, and the rest."""
     headers = [*endpoint.answer_headers(run)]
     headers += [STREAM] if endpoint.model else []
-    lines = [b"HTTP/1.1 200 OK", *(b": ".join(each) for each in headers), *framing]
+    lines = [b"HTTP/1.1 " + status, *(b": ".join(each) for each in headers), *framing]
     await connection._channel.send(b"\r\n".join([*lines, rest]))
 
 
@@ -953,6 +956,25 @@
     connection.abort()
 
 
+async def _answer_with_status(
+    status: str,
+    endpoint: EndpointStandIn,
+    connection: ServerConnection,
+    run: ReceivedRequest,
+) -> None:
+    body = _raw_body(endpoint, run)
+    length = f"content-length: {len(body)}".encode()
+    rest = b"\r\n" + body
+    await _send_raw(
+        endpoint, connection, run, rest, length, status=f"{status} Odd".encode()
+    )
+    connection.close()
+
+
+for _status in INVALID_STATUSES:
+    UNUSUAL_ANSWERS.register(f"status_{_status}")(partial(_answer_with_status, _status))
+
+
 @FAULTS.register("half_head")
 async def _end_inside_the_head(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
--- a/tests/test_endpoints/test_engine.py
+++ b/tests/test_endpoints/test_engine.py
@@ -10,6 +10,7 @@
 import anyio
 from parameterized import parameterized
 
+from agatehoist.cache.types import CacheEpoch, KvExport
 from agatehoist.core.work import CompletionWork
 from agatehoist.endpoints import EngineClient
 from agatehoist.endpoints.errors import (
@@ -19,7 +20,7 @@
     EndpointRejectedError,
 )
 from agatehoist.endpoints.types import EndpointStatus, EngineEnd, EngineTokens
-from standins.raw_replies import RawReply, serve_raw
+from standins.raw_replies import INVALID_STATUSES, RawReply, serve_raw
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -76,9 +77,13 @@
         pass
 
 
+EPOCH = b'"incarnation": "run-1", "weights_version": "1"'
+EXPORTED = KvExport(CacheEpoch("run-1", "1"), ())
+
 CACHE_REQUESTS: dict[str, Callable[[EngineClient], Awaitable[object]]] = {
     "listing": lambda client: client.cache.listing(),
     "export": lambda client: client.cache.export(["a"]),
+    "import": lambda client: client.cache.import_blocks(EXPORTED),
     "events": _read_events,
 }
 
@@ -124,6 +129,12 @@
         result = anyio.run(complete, RawReply(data, ending))
         self.assertEqual(result, (tokens, EndpointFailedError))
 
+    @parameterized.expand([(each,) for each in INVALID_STATUSES])
+    def test_stream_with_invalid_status_is_no_answer(self, status: str) -> None:
+        data = UNFRAMED.replace(b"200", status.encode()) + ANSWER
+        result = anyio.run(complete, RawReply(data))
+        self.assertEqual(result, (0, EndpointFailedError))
+
     @parameterized.expand(
         [
             ("list", b"data: []\n\n"),
@@ -266,3 +277,34 @@
             self.fail("no error")
 
         anyio.run(run)
+
+
+class CacheStatusTests(unittest.TestCase):
+    # Each body is sound for its request.
+    @parameterized.expand(
+        [
+            ("listing", b'{%s, "sequence": 1, "blocks": []}' % EPOCH),
+            ("export", b'{%s, "blocks": []}' % EPOCH),
+            ("import", b"{}"),
+            ("events", b'{%s, "sequence": 1, "stored": [], "removed": []}\n' % EPOCH),
+        ]
+    )
+    def test_reply_with_invalid_status_is_not_read(
+        self, name: str, body: bytes
+    ) -> None:
+        async def run(status: bytes) -> bool:
+            """Return whether the reply is taken for a sound one."""
+            reply = RawReply(b"HTTP/1.1 " + status + b" Odd\r\n\r\n" + body)
+            async with serve_raw(reply) as url:
+                client = EngineClient(url)
+                try:
+                    with anyio.fail_after(LIMIT_S):
+                        await CACHE_REQUESTS[name](client)
+                except EndpointFailedError:
+                    return False
+                finally:
+                    await client.aclose()
+            return True
+
+        taken = [anyio.run(run, status) for status in (b"200", b"600")]
+        self.assertEqual(taken, [True, False])
--- a/tests/test_endpoints/test_service.py
+++ b/tests/test_endpoints/test_service.py
@@ -19,7 +19,7 @@
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.types import Reply
 from agatehoist.protocol.codec import MAX_FRAME_BYTES
-from standins.raw_replies import RawReply, serve_raw
+from standins.raw_replies import INVALID_STATUSES, RawReply, serve_raw
 from standins.users_platform.loopback import HOST, listen_on_loopback
 
 if TYPE_CHECKING:
@@ -83,6 +83,12 @@
         result = anyio.run(call, RawReply(data, ending))
         self.assertEqual(result, EndpointFailedError)
 
+    @parameterized.expand([(each,) for each in INVALID_STATUSES])
+    def test_reply_with_invalid_status_is_not_passed_on(self, status: str) -> None:
+        line = f"HTTP/1.1 {status} Odd\r\n".encode()
+        reply = RawReply(line + b"content-length: 2\r\n\r\nab")
+        self.assertEqual(anyio.run(call, reply), EndpointFailedError)
+
     @parameterized.expand(
         [
             ("head", HEAD, b"x-more: y\r\n" * 100),
--- a/tests/test_gateway/test_faulty_answers.py
+++ b/tests/test_gateway/test_faulty_answers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import suppress
 
 import anyio
 from parameterized import parameterized
 
 from agatehoist.http1.channel import connect
 from agatehoist.http1.errors import ConnectionFailedError
+from standins.raw_replies import INVALID_STATUSES
 from standins.users_platform.harness import (
     APPLICATION,
     GatewayHarness,
@@ -181,3 +183,67 @@
             return statuses
 
         self.assertNotIn(200, anyio.run(run))
+
+
+# The path of a request, its status if only its first run is answered so, and the runs
+# then. Only requests that may run again get the answer of another endpoint.
+OUTCOMES_BY_PATH = {
+    "/post/1": (502, 1),
+    "/look/1": (200, 2),
+    "/credit/1": (502, 1),
+    "/trace/1": (200, 2),
+}
+UPLOAD = b"x" * 60_000
+
+
+async def ask_once(path: str, body: bytes, faults: list[str]) -> tuple[int, int]:
+    """Return the status of the reply to a request, or 0, and the number of its runs."""
+    world = GatewayHarness()
+    for each in world.endpoints():
+        each.faults = faults
+    status = 0
+    async with running_gateway(world):
+        with suppress(ConnectionFailedError):
+            if path in ("/credit/1", "/trace/1"):
+                reply = await world.ask_prompt(path)
+            else:
+                method = "POST" if path == "/post/1" else "GET"
+                reply = await world.ask(path, method, body)
+            status = reply.head.status
+    return status, len(world.runs())
+
+
+class InvalidStatusTests(unittest.TestCase):
+    @parameterized.expand(
+        [(path, each) for path in OUTCOMES_BY_PATH for each in INVALID_STATUSES]
+    )
+    def test_reply_with_invalid_status_is_not_passed_on(
+        self, path: str, status: str
+    ) -> None:
+        result = anyio.run(ask_once, path, b"", [f"status_{status}"])
+        self.assertEqual(result, OUTCOMES_BY_PATH[path])
+
+    @parameterized.expand([("/look/1",), ("/trace/1",)])
+    def test_invalid_status_of_all_endpoints_is_not_passed_on(self, path: str) -> None:
+        status, _ = anyio.run(ask_once, path, b"", ["status_600"] * 9)
+        self.assertEqual(status, 502)
+
+
+class ResetTests(unittest.TestCase):
+    # The endpoint has received the whole request when it resets its answer. The status
+    # of the reply, 0 if it breaks off after its events, and the number of runs.
+    @parameterized.expand(
+        [
+            ("no_body", "/post/1", b"", 502, 1),
+            ("upload", "/post/1", UPLOAD, 502, 1),
+            ("retried", "/look/1", b"", 200, 2),
+            ("retried_upload", "/look/1", UPLOAD, 200, 2),
+            ("stream", "/credit/1", b"", 0, 1),
+            ("resumed_stream", "/trace/1", b"", 200, 2),
+        ]
+    )
+    def test_reset_in_place_of_the_end_is_no_success(
+        self, _name: str, path: str, body: bytes, status: int, runs: int
+    ) -> None:
+        result = anyio.run(ask_once, path, body, ["unframed_reset"])
+        self.assertEqual(result, (status, runs))
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -17,6 +17,7 @@
     InvalidRequestError,
 )
 from agatehoist.http1.types import RequestHead
+from standins.raw_replies import INVALID_STATUSES
 from standins.users_platform.loopback import HOST, listen_on_loopback
 
 if TYPE_CHECKING:
@@ -81,6 +82,10 @@
             ("no_http", b"\x00\x01 no answer\r\n\r\n"),
             ("bad_length", b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nab"),
             ("too_long", b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n" + b"x" * 2000),
+            *(
+                (f"status_{each}", f"HTTP/1.1 {each} Odd\r\n\r\nab".encode())
+                for each in (*INVALID_STATUSES, "101")
+            ),
         ]
     )
     def test_invalid_reply(self, _name: str, reply: bytes) -> None:
--- a/tests/test_orders/test_clients.py
+++ b/tests/test_orders/test_clients.py
@@ -1,4 +1,4 @@
-"""Tests of endless replies to orders."""
+"""Tests of endless and invalid replies to orders."""
 
 from __future__ import annotations
 
@@ -51,3 +51,24 @@
             self.fail("no error")
 
         anyio.run(run)
+
+
+class InvalidStatusTests(unittest.TestCase):
+    # An engine that answers so may have accepted the order.
+    @parameterized.expand([("000",), ("600",)])
+    def test_order_answered_with_invalid_status_does_not_count_as_refused(
+        self, status: str
+    ) -> None:
+        async def run() -> None:
+            reply = RawReply(f"HTTP/1.1 {status} Odd\r\n\r\n".encode())
+            async with serve_raw(reply) as url:
+                client = EngineOrderClient(url)
+                try:
+                    await CALLS["order"](client)
+                except OrderOutcomeUnknownError:
+                    return
+                finally:
+                    await client.aclose()
+            self.fail("no error")
+
+        anyio.run(run)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -10,7 +10,7 @@
 
 from agatehoist.core.address import Address
 from agatehoist.core.clock import SystemClock
-from agatehoist.platform.store import RELAY_AFTER_S, PlatformStore
+from agatehoist.platform.store import OBJECTS_PATH, RELAY_AFTER_S, PlatformStore
 from agatehoist.storage.errors import (
     ConflictError,
     HistoryLostError,
@@ -19,6 +19,7 @@
     RateLimitedError,
 )
 from agatehoist.storage.revisions import Revision
+from standins.raw_replies import RawReply, serve_raw
 from standins.users_platform.loopback import HOST, listen_on_loopback
 from standins.users_platform.store import PAGE_OBJECTS, StoreStandIn
 
@@ -214,3 +215,38 @@
             self.assertEqual(nothing.changes, ())
 
         run_scenario(scenario)
+
+
+class FaultyReplyTests(unittest.TestCase):
+    # A read, and one that is made for a peer. All bodies are sound.
+    @parameterized.expand(
+        [
+            (f"{call}_{name}", call, status, ending)
+            for call in ("list", "relayed")
+            for name, status, ending in (
+                ("status_000", b"000", "close"),
+                ("status_600", b"600", "close"),
+                ("reset", b"200", "reset"),
+            )
+        ]
+    )
+    def test_faulty_reply_of_the_store_is_not_read(
+        self, _name: str, call: str, status: bytes, ending: str
+    ) -> None:
+        head = b"HTTP/1.1 " + status + b" Odd\r\n\r\n"
+        reply = RawReply(head + b'{"items": [], "CurrentRev": 1}', ending)
+
+        async def run() -> None:
+            async with serve_raw(reply) as url:
+                address = Address(HOST, int(url.rpartition(":")[2]))
+                store = PlatformStore(address, SystemClock())
+                try:
+                    if call == "list":
+                        await store.list("config")
+                    else:
+                        await store.forward_read(OBJECTS_PATH.encode() + b"/config")
+                except PlatformUnavailableError:
+                    return
+            self.fail("no error")
+
+        anyio.run(run)
--- a/tests/test_storage/test_client.py
+++ b/tests/test_storage/test_client.py
@@ -31,6 +31,7 @@
     ("surrogate", rb'{"kind": "k", "name": "\ud800", "version": 1, "value": 1}'),
     ("huge", b'{"kind": "k", "name": "n", "version": 1%s, "value": 1}' % (b"0" * 400)),
 ]
+OBJECT = b'{"kind": "kind", "name": "name", "version": 1, "value": 1}'
 HOST_ENTRY = {
     "host": "h1",
     "address": "10.0.0.1",
@@ -93,6 +94,39 @@
         anyio.run(run_call)
 
 
+class InvalidStatusTests(unittest.TestCase):
+    # Each body is sound for its call.
+    @parameterized.expand(
+        [
+            ("get", CALLS[0][1], OBJECT),
+            ("put", CALLS[2][1], OBJECT),
+            ("watch", CALLS[3][1], OBJECT),
+            ("names", CALLS[1][1], b"[]"),
+            ("delete", lambda client: client.delete("kind", "name"), b""),
+        ]
+    )
+    def test_reply_with_invalid_status_is_no_success(
+        self,
+        _name: str,
+        make_call: Callable[[PlatformClient], Awaitable[Any]],
+        body: bytes,
+    ) -> None:
+        async def run() -> None:
+            reply = RawReply(b"HTTP/1.1 600 Odd\r\n\r\n" + body)
+            async with serve_raw(reply) as url:
+                client = PlatformClient(PlatformSettings(url))
+                try:
+                    with anyio.fail_after(LIMIT_S):
+                        await make_call(client)
+                except PlatformUnavailableError:
+                    return
+                finally:
+                    await client.aclose()
+            self.fail("no error")
+
+        anyio.run(run)
+
+
 class HostListTests(unittest.TestCase):
     @parameterized.expand(
         [
