Take a reply with a status over 599 for no answer

Callers got replies of endpoints in trouble whose status means nothing, and the client of the first store took writes and deletions answered so as done.

Cause: the parser takes any three digits from 200 on for a final status, and the code behind it compares with the classes that HTTP defines.

Change: one bound, MAX_STATUS, checked where heads are read: in ClientConnection.read_head, which the gateway uses for endpoints, peers and the store, and where exchange.py sends through httpx, for the sidecar, orders and the first store. The reply counts like other bytes that are no answer: the outcome is unknown, requests that may run again get the answer of another endpoint, others end with 502.

--- a/src/agatehoist/http1/client.py
+++ b/src/agatehoist/http1/client.py
@@ -13,7 +13,7 @@
     InvalidRequestError,
     ReplyEvictedError,
 )
-from agatehoist.http1.types import ReplyHead
+from agatehoist.http1.types import MAX_STATUS, ReplyHead
 
 if TYPE_CHECKING:
     from agatehoist.core.byte_budget import BufferUsage
@@ -61,7 +61,7 @@
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ReplyHead(event.status_code, tuple(event.headers))
+                return self._checked_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise InvalidReplyError(f"{self._channel.peer}: expected a reply head")
         raise InvalidReplyError(
@@ -123,6 +123,13 @@
         """Reset the connection, which ends a read in progress."""
         self._channel.abort()
 
+    def _checked_head(self, event: h11.Response) -> ReplyHead:
+        if event.status_code > MAX_STATUS:
+            raise InvalidReplyError(
+                f"{self._channel.peer}: invalid status {event.status_code}"
+            )
+        return ReplyHead(event.status_code, tuple(event.headers))
+
     def _too_long_error(self, max_bytes: int) -> InvalidReplyError:
         return InvalidReplyError(
             f"{self._channel.peer}: body exceeds {max_bytes} bytes"
--- a/src/agatehoist/http1/exchange.py
+++ b/src/agatehoist/http1/exchange.py
@@ -8,7 +8,7 @@
 import httpx
 
 from agatehoist.core.byte_budget import ByteBudget, ByteBudgetExceededError
-from agatehoist.http1.types import Reply, ReplyHead
+from agatehoist.http1.types import MAX_STATUS, Reply, ReplyHead
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -46,7 +46,7 @@
             budget.track_buffer(evict=scope.cancel) as usage,
             scope,
         ):
-            response = await http.send(request, stream=True)
+            response = await _send(http, request)
             usage.is_bounded = "content-length" in response.headers
             try:
                 body = await _read_body(response, max_bytes, usage)
@@ -71,7 +71,7 @@
     """
     try:
         with anyio.fail_after(timeout_s):
-            return await http.send(request, stream=True)
+            return await _send(http, request)
     except TimeoutError as error:
         raise httpx.ReadTimeout(
             f"{request.method} {request.url.path}: no head within {timeout_s} s",
@@ -111,6 +111,22 @@
             raise _too_long(response, f"line exceeds {max_bytes} bytes")
 
 
+async def _send(http: httpx.AsyncClient, request: httpx.Request) -> httpx.Response:
+    """Send a request and return the response, whose status is one of HTTP.
+
+    Raises httpx.HTTPError.
+    """
+    response = await http.send(request, stream=True)
+    if response.status_code > MAX_STATUS:
+        await response.aclose()
+        raise httpx.RemoteProtocolError(
+            f"{request.method} {request.url.path}: "
+            f"invalid status {response.status_code}",
+            request=request,
+        )
+    return response
+
+
 async def _read_body(
     response: httpx.Response, max_bytes: int, usage: BufferUsage
 ) -> bytes:
--- a/src/agatehoist/http1/types.py
+++ b/src/agatehoist/http1/types.py
@@ -6,6 +6,10 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# The parser takes all statuses of three digits, but HTTP defines no higher class
+# (RFC 9110, 15), and most code compares only with the classes that it defines.
+MAX_STATUS = 599
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
