Show that a reset during a stop makes a part of an answer look complete

Cause: not mended here. The kernel reports the reset of a connection to one call only; the next one finds the end of the stream. In a stop the gateway looks whether an answer has arrived that isn't read yet (has_unread_answer, a recv with MSG_PEEK); if the reset has come, this call gets the error, and the reader of the answer takes the end of the stream for that of the body.

Change: a test of the client connection, which looks at it between two reads, and one of the gateway: an endpoint sends a part of an answer without a length and resets the connection, and the process stops before its loop has reported the reset.

--- a/tests/test_gateway/test_faulty_answers.py
+++ b/tests/test_gateway/test_faulty_answers.py
@@ -19,6 +19,8 @@
 )
 from standins.users_platform.loopback import HOST, listen_on_loopback
 
+SETTLE_S = 0.1
+LAST_EVENTS_S = 1.0
 STREAM_REQUEST = (
     b"POST /trace/1 HTTP/1.1\r\nhost: a.example\r\nx-agatehoist-request-id: r1\r\n"
     b"api-key: key-of-the-crew\r\nx-agatehoist-model-name: songs-large\r\n"
@@ -136,6 +138,23 @@
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
 
 
+def list_application(world: GatewayHarness, port: int) -> None:
+    """Write the entry of an application called cutter to the store."""
+    entry = {
+        "Service": APPLICATION,
+        "Address": f"{HOST}:{port}",
+        "Zone": "z1",
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready",
+        "ColdLeftMs": 0,
+        "Models": [],
+        "SeqNo": 0,
+        "born": 1,
+    }
+    world.store.put("servers", "cutter", entry)
+
+
 class CutHeadTests(unittest.TestCase):
     # The whole answer, cut after each of its bytes up to the end of its head.
     @parameterized.expand(
@@ -161,19 +180,7 @@
                 channel.close()
 
             async with running_gateway(world), listen_on_loopback(answer) as port:
-                entry = {
-                    "Service": APPLICATION,
-                    "Address": f"{HOST}:{port}",
-                    "Zone": "z1",
-                    "Version": "v1",
-                    "Slots": 8,
-                    "State": "ready",
-                    "ColdLeftMs": 0,
-                    "Models": [],
-                    "SeqNo": 0,
-                    "born": 1,
-                }
-                world.store.put("servers", "cutter", entry)
+                list_application(world, port)
                 await anyio.sleep(0.2)
                 for cut_at in range(1, len(head)):
                     heads.append(head[:cut_at])
@@ -247,3 +254,26 @@
     ) -> None:
         result = anyio.run(ask_once, path, body, ["unframed_reset"])
         self.assertEqual(result, (status, runs))
+
+    def test_reset_at_the_moment_of_a_stop_is_no_success(self) -> None:
+        """The look for unread answers must not take the error from their reader."""
+        world = GatewayHarness()
+        world.applications.clear()
+
+        async def answer(channel) -> None:  # type: ignore[no-untyped-def]
+            await channel.receive()
+            head = b"HTTP/1.1 200 OK\r\nx-agatehoist-server-stamp: s\r\n"
+            await channel.send(head + b"x-agatehoist-request-id: r1\r\n\r\npart")
+            await anyio.sleep(SETTLE_S)
+            # The gateway stops before its loop has reported the reset.
+            channel.abort()
+            last_events_until = anyio.current_time() + LAST_EVENTS_S
+            world.state.active_requests.end_for_stop(last_events_until)
+
+        async def run() -> int:
+            async with running_gateway(world), listen_on_loopback(answer) as port:
+                list_application(world, port)
+                await anyio.sleep(2 * SETTLE_S)
+                return (await world.ask("/post/1", "POST")).head.status
+
+        self.assertEqual(anyio.run(run), 502)
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -25,6 +25,7 @@
 
 HEAD = RequestHead(b"GET", b"/", ((b"host", b"a.example"),))
 MAX_BODY_BYTES = 1000
+SETTLE_S = 0.05
 
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
@@ -131,6 +132,45 @@
         self.assertEqual(anyio.run(read_parts, reply), [b"ab" + b"c" * 100, end])
 
 
+class ResetTests(unittest.TestCase):
+    # Whether the connection is looked at after its reset, which the kernel reports only
+    # once, and what of the body has been read before.
+    @parameterized.expand(
+        [
+            ("not_looked_at", False, False),
+            ("looked_at", True, False),
+            ("looked_at_within_body", True, True),
+        ]
+    )
+    def test_reset_is_not_taken_for_the_end_of_a_reply_without_length(
+        self, _name: str, looked_at: bool, has_begun: bool
+    ) -> None:
+        async def serve(channel: Channel) -> None:
+            await channel.receive()
+            await channel.send(b"HTTP/1.1 200 OK\r\n\r\nab")
+            await anyio.sleep(SETTLE_S)
+            channel.abort()
+
+        async def run() -> bytes | AgatehoistError:
+            async with listen_on_loopback(serve) as port:
+                connection = ClientConnection(await connect(HOST, port))
+                try:
+                    await connection.send(HEAD, b"")
+                    await connection.read_head()
+                    if has_begun:
+                        await connection.read_data()
+                    await anyio.sleep(2 * SETTLE_S)
+                    if looked_at:
+                        self.assertFalse(connection.is_idle())
+                    return await connection.read_body(MAX_BODY_BYTES)
+                except AgatehoistError as error:
+                    return error
+                finally:
+                    connection.close()
+
+        self.assertIsInstance(anyio.run(run), ConnectionFailedError)
+
+
 class InvalidRequestTests(unittest.TestCase):
     @parameterized.expand(
         [
