Report a reset to the reader of a connection, whatever call was told first

A part of an answer without a length, whose connection was reset, reached the caller as a complete success if its gateway began to stop at that moment.

Cause: the kernel reports a reset once. is_idle and wait_for_input look with MSG_PEEK, a failed send takes the error as well; the next receive returned no bytes, which says that the peer has ended the stream.

Change: a channel keeps why it has failed (the text, as an exception would keep its frames), and receive raises it in place of the end of the stream. Bytes that came before the reset are still read.

--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -60,6 +60,9 @@
         # Bytes that were sent but not acknowledged when the connection was aborted.
         self.discarded_bytes = 0
         self._receives_in_a_row = 0
+        # The kernel reports a reset to one call only. To later ones the connection
+        # looks as if the peer had ended the stream.
+        self._failure: str | None = None
 
     async def receive(self, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """Return the next bytes, or none at the end of the stream.
@@ -72,12 +75,16 @@
         self._receives_in_a_row += 1
         while True:
             try:
-                return self._sock.recv(max_bytes)
+                data = self._sock.recv(max_bytes)
             except BlockingIOError:
                 await self._wait(anyio.wait_readable)
                 self._receives_in_a_row = 1
             except OSError as error:
                 raise self._connection_error("receive", error) from error
+            else:
+                if not data and self._failure is not None:
+                    raise ConnectionFailedError(f"receive {self.peer}: {self._failure}")
+                return data
 
     async def wait_for_input(self) -> None:
         """Wait until bytes or the end of the stream have arrived.
@@ -131,8 +138,9 @@
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except OSError:
+        except OSError as error:
             # The connection was reset and can't be used again, whatever the reason.
+            self._failure = error.strerror
             return False
         return False
 
@@ -200,6 +208,7 @@
             ) from error
 
     def _connection_error(self, action: str, error: OSError) -> ConnectionFailedError:
+        self._failure = error.strerror
         return ConnectionFailedError(f"{action} {self.peer}: {error.strerror}")
 
 
--- a/tests/test_http1/test_channel.py
+++ b/tests/test_http1/test_channel.py
@@ -13,7 +13,7 @@
 from parameterized import parameterized
 
 from agatehoist.http1 import channel
-from agatehoist.http1.channel import RECEIVE_BYTES, Channel, connect
+from agatehoist.http1.channel import RECEIVE_BYTES, RESET_ON_CLOSE, Channel, connect
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.protocol.errors import ConnectionLostError
 from agatehoist.protocol.outgoing_connections import open_connection
@@ -25,6 +25,14 @@
 FILL_S = 0.2
 
 
+def connected_sockets() -> tuple[socket.socket, socket.socket]:
+    """Return both ends of a TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        peer = socket.create_connection(server.getsockname())
+        own, _ = server.accept()
+    return own, peer
+
+
 class ReceiveTests(unittest.TestCase):
     def test_peer_that_always_has_sent_more_does_not_keep_out_other_tasks(self) -> None:
         turns = 0
@@ -58,6 +66,33 @@
         self.assertGreaterEqual(anyio.run(run), RECEIVES // 2 - 1)
 
 
+class ResetTests(unittest.TestCase):
+    # The call to which the kernel reports the reset before the connection is read.
+    @parameterized.expand([("none",), ("look",), ("wait",), ("send",)])
+    def test_reset_is_not_read_as_the_end_of_the_stream(self, call: str) -> None:
+        async def run() -> None:
+            own, peer = connected_sockets()
+            own.setblocking(False)
+            channel = Channel(own, "peer")
+            peer.send(b"part")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            peer.close()
+            if call == "send":
+                with self.assertRaises(ConnectionFailedError):
+                    await channel.send(b"x")
+            received = await channel.receive()
+            if call == "look":
+                self.assertFalse(channel.is_idle())
+            if call == "wait":
+                await channel.wait_for_input()
+            self.assertEqual(received, b"part")
+            with self.assertRaises(ConnectionFailedError):
+                await channel.receive()
+            channel.close()
+
+        anyio.run(run)
+
+
 class AbortTests(unittest.TestCase):
     # Whether the peer has kept up with what was sent.
     @parameterized.expand([("slow_peer", False), ("peer_that_reads", True)])
@@ -65,9 +100,7 @@
         self, _name: str, reads: bool
     ) -> None:
         async def run() -> int:
-            with socket.create_server(("127.0.0.1", 0)) as server:
-                peer = socket.create_connection(server.getsockname())
-                own, _ = server.accept()
+            own, peer = connected_sockets()
             own.setblocking(False)
             channel = Channel(own, "peer")
             with peer:
