Show that replies with a status of 3xx are taken for successes

Cause: not mended here. Redirects aren't followed, but the clients of the engine and of both stores check only for the statuses of errors.

Change: status 302 with a body that is sound for its call, in the tables of invalid statuses.

--- a/tests/test_endpoints/test_engine.py
+++ b/tests/test_endpoints/test_engine.py
@@ -129,8 +129,10 @@
         result = anyio.run(complete, RawReply(data, ending))
         self.assertEqual(result, (tokens, EndpointFailedError))
 
-    @parameterized.expand([(each,) for each in INVALID_STATUSES])
-    def test_stream_with_invalid_status_is_no_answer(self, status: str) -> None:
+    @parameterized.expand([(each,) for each in (*INVALID_STATUSES, "302")])
+    def test_stream_with_other_status_than_success_is_no_answer(
+        self, status: str
+    ) -> None:
         data = UNFRAMED.replace(b"200", status.encode()) + ANSWER
         result = anyio.run(complete, RawReply(data))
         self.assertEqual(result, (0, EndpointFailedError))
@@ -289,7 +291,7 @@
             ("events", b'{%s, "sequence": 1, "stored": [], "removed": []}\n' % EPOCH),
         ]
     )
-    def test_reply_with_invalid_status_is_not_read(
+    def test_reply_with_other_status_than_success_is_not_read(
         self, name: str, body: bytes
     ) -> None:
         async def run(status: bytes) -> bool:
@@ -300,11 +302,11 @@
                 try:
                     with anyio.fail_after(LIMIT_S):
                         await CACHE_REQUESTS[name](client)
-                except EndpointFailedError:
+                except EndpointError:
                     return False
                 finally:
                     await client.aclose()
             return True
 
-        taken = [anyio.run(run, status) for status in (b"200", b"600")]
-        self.assertEqual(taken, [True, False])
+        taken = [anyio.run(run, status) for status in (b"200", b"302", b"600")]
+        self.assertEqual(taken, [True, False, False])
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -229,6 +229,7 @@
                 ("reset", b"200", "reset"),
             )
         ]
+        + [("list_status_302", "list", b"302", "close")]
     )
     def test_faulty_reply_of_the_store_is_not_read(
         self, _name: str, call: str, status: bytes, ending: str
--- a/tests/test_storage/test_client.py
+++ b/tests/test_storage/test_client.py
@@ -94,25 +94,29 @@
         anyio.run(run_call)
 
 
-class InvalidStatusTests(unittest.TestCase):
+class OtherStatusTests(unittest.TestCase):
     # Each body is sound for its call.
     @parameterized.expand(
         [
-            ("get", CALLS[0][1], OBJECT),
-            ("put", CALLS[2][1], OBJECT),
-            ("watch", CALLS[3][1], OBJECT),
-            ("names", CALLS[1][1], b"[]"),
-            ("delete", lambda client: client.delete("kind", "name"), b""),
+            (f"{call}_{status}", make_call, f"{status} Odd\r\n\r\n".encode() + body)
+            for call, make_call, body in (
+                ("get", CALLS[0][1], OBJECT),
+                ("put", CALLS[2][1], OBJECT),
+                ("watch", CALLS[3][1], OBJECT),
+                ("names", CALLS[1][1], b"[]"),
+                ("delete", lambda client: client.delete("kind", "name"), b""),
+            )
+            for status in (302, 600)
         ]
     )
-    def test_reply_with_invalid_status_is_no_success(
+    def test_reply_with_other_status_than_success_is_none(
         self,
         _name: str,
         make_call: Callable[[PlatformClient], Awaitable[Any]],
-        body: bytes,
+        rest: bytes,
     ) -> None:
         async def run() -> None:
-            reply = RawReply(b"HTTP/1.1 600 Odd\r\n\r\n" + body)
+            reply = RawReply(b"HTTP/1.1 " + rest)
             async with serve_raw(reply) as url:
                 client = PlatformClient(PlatformSettings(url))
                 try:
