Take a reply with a status of 3xx for no success

Cause: the clients of the engine, of its cache and of both stores checked for the classes of errors (400 to 599, or from 400 on) and took all else for a success, while redirects aren't followed.

Change: a success is 2xx. A stream with 3xx fails like one with 5xx, as the engine may have started it; a cache request fails; at the stores a call may have taken effect, as after 5xx. A service's 3xx still reaches its caller.

--- a/src/agatehoist/endpoints/engine.py
+++ b/src/agatehoist/endpoints/engine.py
@@ -141,7 +141,7 @@
         try:
             response = await start_exchange(self._http, request, READ_TIMEOUT_S)
             async with aclosing(response):
-                if response.is_error:
+                if not response.is_success:
                     raise await _error_for_response(response)
                 _check_identity(response, expected_status)
                 # Only its status tells what an engine without these headers runs.
@@ -219,7 +219,7 @@
     detail = f"engine answered {response.status_code}: {text}"
     if response.status_code == HTTPStatus.MISDIRECTED_REQUEST:
         return EndpointChangedError(detail)
-    if response.status_code in _RETRIABLE_STATUSES or response.is_server_error:
+    if response.status_code in _RETRIABLE_STATUSES or not response.is_client_error:
         return EndpointFailedError(detail)
     return EndpointRejectedError(detail)
 
--- a/src/agatehoist/endpoints/engine_cache.py
+++ b/src/agatehoist/endpoints/engine_cache.py
@@ -117,7 +117,7 @@
 def _check_status(status: int) -> None:
     if httpx.codes.is_client_error(status):
         raise EndpointRejectedError(f"engine answered {status}")
-    if httpx.codes.is_error(status):
+    if not httpx.codes.is_success(status):
         raise EndpointError(f"engine answered {status}")
 
 
--- a/src/agatehoist/platform/store.py
+++ b/src/agatehoist/platform/store.py
@@ -468,7 +468,7 @@
         raise HistoryLostError(call_text)
     if status == HTTPStatus.TOO_MANY_REQUESTS:
         raise RateLimitedError(f"{call_text}: status {status}")
-    if status >= HTTPStatus.BAD_REQUEST:
+    if status >= HTTPStatus.MULTIPLE_CHOICES:
         raise PlatformUnavailableError(f"{call_text}: status {status}")
     try:
         value = read_json_of_many(reply_body)
--- a/src/agatehoist/storage/client.py
+++ b/src/agatehoist/storage/client.py
@@ -194,10 +194,10 @@
             raise ObjectNotFoundError(path)
         if status == HTTPStatus.PRECONDITION_FAILED:
             raise ConflictError(path)
-        if httpx.codes.is_server_error(status):
-            raise PlatformUnavailableError(f"{method} {path}: status {status}")
-        if httpx.codes.is_error(status):
+        if httpx.codes.is_client_error(status):
             raise PlatformError(f"{method} {path}: status {status}")
+        if not httpx.codes.is_success(status):
+            raise PlatformUnavailableError(f"{method} {path}: status {status}")
         return reply
 
 
