Show that a success may end before its request has arrived

Cause: not mended here. An endpoint that ends its stream and then resets the connection, as one does that closes it while a long upload is under way, looks the same as one that has answered: after the end of the stream, the kernel tells recv nothing of the reset. The request is no obstacle if the buffer of the socket has taken it whole.

Change: a test of the client connection with an upload of 600 KB of which the peer reads one part, with and without the reset; refusals and small requests must be answered as before.

--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
 HEAD = RequestHead(b"GET", b"/", ((b"host", b"a.example"),))
 MAX_BODY_BYTES = 1000
 SETTLE_S = 0.05
+# The socket of the client takes it, but not that of a peer which reads nothing.
+UPLOAD = b"x" * 600_000
 
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
@@ -171,6 +174,64 @@
         self.assertIsInstance(anyio.run(run), ConnectionFailedError)
 
 
+class UnreadRequestTests(unittest.TestCase):
+    # Whether the peer resets the connection behind the end of its stream, and whether
+    # the reply is read after that.
+    @parameterized.expand(
+        [("left_open", False), ("reset_then", True)],
+    )
+    def test_success_without_length_is_not_whole_before_the_request_has_arrived(
+        self, _name: str, is_reset: bool
+    ) -> None:
+        result = anyio.run(self._ask, b"200", UPLOAD, is_reset)
+        self.assertIsInstance(result, ConnectionFailedError)
+
+    # A refusal may come before the whole request has; a small one arrives at once.
+    @parameterized.expand(
+        [
+            ("refusal", b"413", UPLOAD, False),
+            ("refusal_with_reset", b"413", UPLOAD, True),
+            ("small_request", b"200", b"x", False),
+        ]
+    )
+    def test_other_reply_is_read_to_its_end(
+        self, _name: str, status: bytes, body: bytes, is_reset: bool
+    ) -> None:
+        self.assertEqual(anyio.run(self._ask, status, body, is_reset), b"ab")
+
+    async def _ask(
+        self, status: bytes, body: bytes, is_reset: bool
+    ) -> bytes | AgatehoistError:
+        """Return the body of the reply of a peer that doesn't read the request."""
+        head = RequestHead(
+            b"POST",
+            b"/",
+            ((b"host", b"a"), (b"content-length", str(len(body)).encode())),
+        )
+
+        async def serve(channel: Channel) -> None:
+            await channel.receive()
+            await channel.send(b"HTTP/1.1 " + status + b" Odd\r\n\r\nab")
+            channel._sock.shutdown(socket.SHUT_WR)
+            await anyio.sleep(SETTLE_S)
+            if is_reset:
+                channel.abort()
+            await anyio.sleep(4 * SETTLE_S)
+            channel.close()
+
+        async with listen_on_loopback(serve) as port:
+            connection = ClientConnection(await connect(HOST, port))
+            try:
+                await connection.send(head, body)
+                await anyio.sleep(2 * SETTLE_S)
+                await connection.read_head()
+                return await connection.read_body(MAX_BODY_BYTES)
+            except AgatehoistError as error:
+                return error
+            finally:
+                connection.close()
+
+
 class InvalidRequestTests(unittest.TestCase):
     @parameterized.expand(
         [
