Take a success for cut if its request had not arrived when it ended

A runner that closes a connection while a long upload is under way sends a part of its answer, the end of the stream and a reset. The part was taken for a complete answer if the answer had no length and the upload fitted into the buffer of the socket.

Cause: recv tells nothing of a reset behind the end of the stream, and bytes that wait in the kernel count as sent.

Change: at the end of the stream, a success without length or chunks is checked: the socket has no error, and the peer has acknowledged the whole request. The segment that ends the stream acknowledges all that has arrived before it, so this is certain for an endpoint that has read its request. Refusals and failures are passed on as before; they may come before the whole request has.

--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -153,6 +153,18 @@
         poller.register(self._sock, select.POLLRDHUP)
         return bool(poller.poll(0))
 
+    def has_undelivered(self) -> bool:
+        """Return whether the peer has reset the connection or not received all.
+
+        Once the peer has ended its stream, only this shows a reset.
+        """
+        if self.closed:
+            return True
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._failure = os.strerror(code)
+        return self._failure is not None or _unacknowledged_bytes(self._sock) > 0
+
     def close(self) -> None:
         """Close the connection; data that was sent is still delivered."""
         if self.closed:
--- a/src/agatehoist/http1/client.py
+++ b/src/agatehoist/http1/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
@@ -38,6 +39,7 @@
         )
         # What the parser has found behind the data that was read last.
         self._following: ParserEvent | h11.RemoteProtocolError = h11.NEED_DATA
+        self._status = 0
         self.usable_until = 0.0
         # Whether it has carried a reply before the one to the current request.
         self.is_reused = False
@@ -128,6 +130,7 @@
             raise InvalidReplyError(
                 f"{self._channel.peer}: invalid status {event.status_code}"
             )
+        self._status = event.status_code
         return ReplyHead(event.status_code, tuple(event.headers))
 
     def _too_long_error(self, max_bytes: int) -> InvalidReplyError:
@@ -208,7 +211,7 @@
                 if closed:
                     raise self._closed_early_error() from error
                 raise InvalidReplyError(f"{self._channel.peer}: {error}") from error
-        if isinstance(event, h11.ConnectionClosed):
+        if isinstance(event, h11.ConnectionClosed) or (closed and self._is_cut()):
             raise self._closed_early_error()
         if not isinstance(event, h11.Event):
             raise InvalidReplyError(
@@ -216,6 +219,14 @@
             )
         return event
 
+    def _is_cut(self) -> bool:
+        """Return whether a success has ended before its request has arrived.
+
+        The end of the connection ends it, and acknowledges a request that was read.
+        """
+        is_success = self._status < HTTPStatus.MULTIPLE_CHOICES
+        return is_success and self._channel.has_undelivered()
+
     def _closed_early_error(self) -> ConnectionFailedError:
         return ConnectionFailedError(
             f"{self._channel.peer}: closed before the end of the reply"
