Show that the sidecar takes a success whose request has not arrived for whole

Cause: not mended here.

Change: a service that ends its stream, then stays open or resets the connection, in the tests of the service's client.

--- a/standins/raw_replies.py
+++ b/standins/raw_replies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -21,6 +22,8 @@
 # Time in which the client has read what was sent before a reset.
 READ_S = 0.02
 PAUSE_S = 0.02
+# Time in which the client has found the end of the stream.
+OPEN_S = 0.3
 # Statuses that HTTP doesn't define, with which a reply may be sound otherwise.
 INVALID_STATUSES = ("000", "099", "20", "600", "999", "2000")
 
@@ -65,6 +68,19 @@
     channel.abort()
 
 
+@ENDINGS.register("half_close")
+async def _half_close(channel: Channel, _reply: RawReply) -> None:
+    channel._sock.shutdown(socket.SHUT_WR)
+    await anyio.sleep(OPEN_S)
+    channel.abort()
+
+
+@ENDINGS.register("half_close_reset")
+async def _half_close_and_reset(channel: Channel, _reply: RawReply) -> None:
+    channel._sock.shutdown(socket.SHUT_WR)
+    channel.abort()
+
+
 @ENDINGS.register("flood")
 async def _flood(channel: Channel, reply: RawReply) -> None:
     while True:
--- a/tests/test_endpoints/test_service.py
+++ b/tests/test_endpoints/test_service.py
@@ -28,6 +28,8 @@
 MAX_HEAD_BYTES = 128 * 1024
 # Longer than the bounds on loopback, and shorter than CALL_TIMEOUT_S.
 LIMIT_S = 5.0
+# The socket of the client takes it, but not that of a server which reads nothing.
+UPLOAD = b"x" * 600_000
 HEAD = b"HTTP/1.1 200 OK\r\n"
 UNFRAMED = HEAD + b"\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
@@ -35,13 +37,13 @@
 ENCODED = HEAD + b"content-encoding: gzip\r\n\r\n"
 
 
-async def call(reply: RawReply) -> Reply | type[EndpointError]:
+async def call(reply: RawReply, body: bytes = b"") -> Reply | type[EndpointError]:
     """Return the reply to a call, or the class of the error."""
     async with serve_raw(reply) as url:
         client = ServiceClient(url)
         try:
             with anyio.fail_after(2 * LIMIT_S):
-                return await client.call(CallWork("GET", "/"))
+                return await client.call(CallWork("GET", "/", body=body))
         except EndpointError as error:
             return type(error)
         finally:
@@ -83,6 +85,26 @@
         result = anyio.run(call, RawReply(data, ending))
         self.assertEqual(result, EndpointFailedError)
 
+    @parameterized.expand([("reset",), ("half_close",), ("half_close_reset",)])
+    def test_part_of_a_reply_to_an_unread_upload_is_no_complete_one(
+        self, ending: str
+    ) -> None:
+        result = anyio.run(call, RawReply(UNFRAMED + b"ab", ending), UPLOAD)
+        self.assertEqual(result, EndpointFailedError)
+
+    @parameterized.expand(
+        [
+            ("small_request", UNFRAMED, b"x", 200),
+            ("refusal", b"HTTP/1.1 413 Large\r\n\r\n", UPLOAD, 413),
+        ]
+    )
+    def test_other_reply_is_accepted_without_a_length(
+        self, _name: str, head: bytes, body: bytes, status: int
+    ) -> None:
+        reply = anyio.run(call, RawReply(head + b"ab", "half_close"), body)
+        assert isinstance(reply, Reply)
+        self.assertEqual((reply.head.status, reply.body), (status, b"ab"))
+
     @parameterized.expand([(each,) for each in INVALID_STATUSES])
     def test_reply_with_invalid_status_is_not_passed_on(self, status: str) -> None:
         line = f"HTTP/1.1 {status} Odd\r\n".encode()
