Check over httpx too that the request of a success has arrived

Change: exchange() reads the stream of the response itself and, at the end of a success without length or chunks, asks the socket as the gateway's client does: channel.has_undelivered serves both. Replies that have no body, refusals and failures are taken as before.

Streams of engines aren't read this way; their last events show whether they are whole.

--- a/src/agatehoist/http1/channel.py
+++ b/src/agatehoist/http1/channel.py
@@ -154,16 +154,9 @@
         return bool(poller.poll(0))
 
     def has_undelivered(self) -> bool:
-        """Return whether the peer has reset the connection or not received all.
-
-        Once the peer has ended its stream, only this shows a reset.
-        """
-        if self.closed:
-            return True
-        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self._failure = os.strerror(code)
-        return self._failure is not None or _unacknowledged_bytes(self._sock) > 0
+        """Return whether the peer has reset the connection or not received all."""
+        is_failed = self.closed or self._failure is not None
+        return is_failed or has_undelivered(self._sock)
 
     def close(self) -> None:
         """Close the connection; data that was sent is still delivered."""
@@ -224,6 +217,15 @@
         return ConnectionFailedError(f"{action} {self.peer}: {error.strerror}")
 
 
+def has_undelivered(sock: socket.socket) -> bool:
+    """Return whether the peer has reset the connection or not received all.
+
+    Once the peer has ended its stream, only this shows a reset. It shows it once.
+    """
+    is_reset = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+    return is_reset or _unacknowledged_bytes(sock) > 0
+
+
 def _unacknowledged_bytes(sock: socket.socket) -> int:
     """Return how many sent bytes the peer hasn't acknowledged, 0 if unknown."""
     try:
--- a/src/agatehoist/http1/exchange.py
+++ b/src/agatehoist/http1/exchange.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import httpx
 
 from agatehoist.core.byte_budget import ByteBudget, ByteBudgetExceededError
+from agatehoist.http1.channel import has_undelivered
 from agatehoist.http1.types import MAX_STATUS, Reply, ReplyHead
 
 if TYPE_CHECKING:
@@ -108,7 +110,7 @@
             for line in lines:
                 yield bytes(line)
         if len(remainder) > max_bytes:
-            raise _too_long(response, f"line exceeds {max_bytes} bytes")
+            raise _invalid(response, f"line exceeds {max_bytes} bytes")
 
 
 async def _send(http: httpx.AsyncClient, request: httpx.Request) -> httpx.Response:
@@ -131,26 +133,46 @@
     response: httpx.Response, max_bytes: int, usage: BufferUsage
 ) -> bytes:
     body = bytearray()
+    # Other ways to read it close the connection before its end can be checked.
+    assert isinstance(response.stream, httpx.AsyncByteStream)
     try:
-        async for data in response.aiter_raw():
+        async for data in response.stream:
             if len(body) + len(data) > max_bytes:
-                raise _too_long(response, f"body exceeds {max_bytes} bytes")
+                raise _invalid(response, f"body exceeds {max_bytes} bytes")
             usage.add_bytes(len(data))
             body += data
+        if _is_cut(response):
+            raise _invalid(response, "ended before its request had arrived")
         return bytes(body)
     except ByteBudgetExceededError as error:
-        raise _too_long(response, str(error)) from error
+        raise _invalid(response, str(error)) from error
     finally:
         # The traceback of an error would keep it in memory.
         body.clear()
 
 
+def _is_cut(response: httpx.Response) -> bool:
+    """Return whether a success without a length has ended before its request arrived.
+
+    The end of the connection ends it, and acknowledges a request that was read.
+    """
+    has_body = response.is_success and response.status_code != HTTPStatus.NO_CONTENT
+    stream = response.extensions.get("network_stream")
+    if not has_body or response.request.method == "HEAD" or stream is None:
+        return False
+    if _head(response).has_framing:
+        return False
+    sock = stream.get_extra_info("socket")
+    # A socket that the event loop has closed after a failure has no descriptor.
+    return sock is not None and (sock.fileno() < 0 or has_undelivered(sock))
+
+
 def _head(response: httpx.Response) -> ReplyHead:
     headers = tuple((name.lower(), value) for name, value in response.headers.raw)
     return ReplyHead(response.status_code, headers)
 
 
-def _too_long(response: httpx.Response, reason: str) -> httpx.HTTPError:
+def _invalid(response: httpx.Response, reason: str) -> httpx.HTTPError:
     request = response.request
     return httpx.RemoteProtocolError(
         f"{request.method} {request.url.path}: {reason}", request=request
