Guard the gateway against a success that ends before its request has arrived

Change: a test from end to end: an application answers an upload of 600 KB that it doesn't read with a part, the end of the stream and a reset.

--- a/tests/test_gateway/test_faulty_answers.py
+++ b/tests/test_gateway/test_faulty_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from contextlib import suppress
 
@@ -14,6 +15,7 @@
 from standins.users_platform.harness import (
     APPLICATION,
     GatewayHarness,
+    configuration,
     running_gateway,
     until,
 )
@@ -201,6 +203,12 @@
     "/trace/1": (200, 2),
 }
 UPLOAD = b"x" * 60_000
+# The socket of a gateway takes it, but not that of an endpoint which reads nothing.
+UNREAD_UPLOAD = b"x" * 600_000
+PART_OF_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nx-agatehoist-server-stamp: s\r\n"
+    b"x-agatehoist-request-id: r1\r\n\r\npart"
+)
 
 
 async def ask_once(path: str, body: bytes, faults: list[str]) -> tuple[int, int]:
@@ -262,8 +270,7 @@
 
         async def answer(channel) -> None:  # type: ignore[no-untyped-def]
             await channel.receive()
-            head = b"HTTP/1.1 200 OK\r\nx-agatehoist-server-stamp: s\r\n"
-            await channel.send(head + b"x-agatehoist-request-id: r1\r\n\r\npart")
+            await channel.send(PART_OF_ANSWER)
             await anyio.sleep(SETTLE_S)
             # The gateway stops before its loop has reported the reset.
             channel.abort()
@@ -277,3 +284,29 @@
                 return (await world.ask("/post/1", "POST")).head.status
 
         self.assertEqual(anyio.run(run), 502)
+
+    def test_part_of_an_answer_to_an_unread_upload_is_no_success(self) -> None:
+        world = GatewayHarness()
+        world.applications.clear()
+        changed = configuration()
+        changed["Limits"]["MaxBodyBytes"] = len(UNREAD_UPLOAD)
+        world.store.put("config", "main", changed)
+        runs = 0
+
+        async def answer(channel) -> None:  # type: ignore[no-untyped-def]
+            nonlocal runs
+            # The gateway also looks whether the endpoint has crashed.
+            if (await channel.receive()).startswith(b"POST"):
+                runs += 1
+                await channel.send(PART_OF_ANSWER)
+                channel._sock.shutdown(socket.SHUT_WR)
+            channel.abort()
+
+        async def run() -> int:
+            async with running_gateway(world), listen_on_loopback(answer) as port:
+                list_application(world, port)
+                await anyio.sleep(2 * SETTLE_S)
+                return (await world.ask("/post/1", "POST", UNREAD_UPLOAD)).head.status
+
+        self.assertEqual(anyio.run(run), 502)
+        self.assertEqual(runs, 1)
