Let the soak play software versions, moves without an answer and resumptions

New faults: release (spare engines start with another version, old ones drain and leave, one may restart in place), kill_all, unframed_streams and last_steps_of_moves (lost, late, mute or failed, beside engines that leave and new weights). Beside them 12 callers send streams of 1 to 4 s, close some of the connections and resume what broke off, also at other gateways. Engines write their version into the data of events in the soak only.

An engine that writes streams without framing resets its connections when it crashes: a close would be the end of the answer, and no gateway could know.

--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -13,13 +13,13 @@
 from soak.proxy import Fault
 from soak.traffic import PROMPT_COUNT
 from soak.types import GRACE_S, DeadlyRequest, LaterSignal, StatementPeriod
-from standins.users_platform.endpoint import EVENT_INTERVAL_S, FAULTS
+from standins.users_platform.endpoint import EVENT_INTERVAL_S, FAULTS, MOVE_FAULTS
 from standins.users_platform.harness import until
 from standins.users_platform.store import RawJson
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Sequence
 
     from soak.testbed import Testbed
     from standins.users_platform.endpoint import EndpointStandIn
@@ -48,6 +48,13 @@
     "slow_engines",
     "weights",
 )
+# What goes on while the last steps of moves fail, in series.
+MOVE_CAUSES = ("endpoint_leaves", "endpoint_leaves_by_answer", "weights")
+MAX_STOP_DELAY_S = 0.5
+# Share of the releases in which an engine comes back under its id with the new version.
+RESTARTED_SHARE = 0.3
+# How long engines drain until they leave.
+DRAIN_S = 1.0, 4.0
 # Long enough for all gateways to know what an endpoint says, and for what follows.
 MIN_STATED_S = 5.0
 
@@ -55,7 +62,17 @@
 @FAULT_INJECTORS.register("kill")
 async def _kill_gateways(testbed: Testbed, rng: random.Random) -> None:
     gateways = rng.sample(testbed.gateways, rng.randint(1, len(testbed.gateways)))
-    down_s = rng.uniform(0, MAX_FAULT_S / 2)
+    await _kill_at_once(testbed, gateways, rng.uniform(0, MAX_FAULT_S / 2))
+
+
+@FAULT_INJECTORS.register("kill_all")
+async def _kill_all_gateways(testbed: Testbed, rng: random.Random) -> None:
+    await _kill_at_once(testbed, testbed.gateways, rng.uniform(0, MAX_FAULT_S / 2))
+
+
+async def _kill_at_once(
+    testbed: Testbed, gateways: Sequence[str], down_s: float
+) -> None:
     with testbed.recording_fault(*gateways):
         async with anyio.create_task_group() as task_group:
             for each in gateways:
@@ -383,3 +400,76 @@
         await anyio.sleep(rng.uniform(0, MAX_FAULT_S / 2))
         await testbed.restore_store(copied, rng.uniform(0, PAUSE_S))
         store.down = False
+
+
+@FAULT_INJECTORS.register("release")
+async def _release_software(testbed: Testbed, rng: random.Random) -> None:
+    started = testbed.start_engines(rng)
+    for each in started:
+        testbed.list_engine(each)
+        await anyio.sleep(rng.uniform(0, 2 * PAUSE_S))
+    async with anyio.create_task_group() as task_group:
+        for _ in started:
+            # The last engines stay if others leave at the same time.
+            old = _choose_old_engine(testbed, rng)
+            if old is None or _count_staying(testbed) <= 1:
+                break
+            testbed.begin_drain(old)
+            task_group.start_soon(_retire, testbed, rng, old)
+            await anyio.sleep(rng.uniform(0, 2 * PAUSE_S))
+        restarted = _choose_old_engine(testbed, rng)
+        if restarted is not None and rng.random() < RESTARTED_SHARE:
+            restarted.crash()
+            restarted.software = f"v{testbed.software_number}"
+
+
+def _count_staying(testbed: Testbed) -> int:
+    names = {each.name for each in testbed.harness.engines}
+    return len(names - testbed.leaving_endpoints)
+
+
+def _choose_old_engine(testbed: Testbed, rng: random.Random) -> EndpointStandIn | None:
+    """Return an engine that serves with another than the newest version, if any."""
+    newest = f"v{testbed.software_number}"
+    old = [
+        each
+        for each in testbed.harness.engines
+        if each.name not in testbed.leaving_endpoints and each.software != newest
+    ]
+    return rng.choice(old) if old else None
+
+
+async def _retire(
+    testbed: Testbed, rng: random.Random, engine: EndpointStandIn
+) -> None:
+    await anyio.sleep(rng.uniform(*DRAIN_S))
+    testbed.retire(engine)
+
+
+@FAULT_INJECTORS.register("unframed_streams")
+async def _write_streams_without_framing(testbed: Testbed, rng: random.Random) -> None:
+    engines = testbed.harness.engines
+    unframed = rng.sample(engines, rng.randint(1, len(engines)))
+    for each in unframed:
+        testbed.set_framing(each, are_unframed=True)
+    await anyio.sleep(rng.uniform(MAX_FAULT_S, 2 * MAX_FAULT_S))
+    for each in unframed:
+        testbed.set_framing(each, are_unframed=False)
+
+
+@FAULT_INJECTORS.register("last_steps_of_moves")
+async def _fail_last_steps_of_moves(testbed: Testbed, rng: random.Random) -> None:
+    engines = testbed.harness.engines
+    for each in engines:
+        # Some succeed.
+        faults = ("", *(str(name) for name in MOVE_FAULTS))
+        each.move_faults += rng.choices(faults, k=rng.randint(1, 12))
+        each.stop_delay_s = rng.choice((0.0, rng.uniform(0, MAX_STOP_DELAY_S)))
+        each.stops_inside_event = rng.random() < 0.5
+    for _ in range(rng.randint(2, 4)):
+        async with anyio.create_task_group() as task_group:
+            for name in rng.sample(MOVE_CAUSES, rng.randint(1, 3)):
+                task_group.start_soon(FAULT_INJECTORS[name], testbed, rng)
+    for each in engines:
+        each.move_faults.clear()
+        each.stop_delay_s, each.stops_inside_event = 0.0, False
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -45,6 +45,8 @@
         self.fault = Fault.NONE
         # Holds back the data of both directions, whatever the fault.
         self.is_paused = False
+        # Whether connections are reset, not closed, when the proxy goes down.
+        self.resets_when_down = False
         self._channels: set[Channel] = set()
 
     def reset(self) -> None:
@@ -69,6 +71,10 @@
                     self._forward, caller, target, Fault.REQUESTS_LOST
                 )
                 task_group.start_soon(self._forward, target, caller, Fault.ANSWERS_LOST)
+        except anyio.get_cancelled_exc_class():
+            if self.resets_when_down:
+                caller.abort()
+            raise
         finally:
             self._channels -= {caller, target}
             caller.close()
--- a/soak/report.py
+++ b/soak/report.py
@@ -17,6 +17,9 @@
     statuses = ", ".join(f"{status} {counts[status]}" for status in sorted(counts))
     yield f"seed {result.seed}: {len(result.violations)} broken; {statuses}"
     yield f"  {' '.join(result.injected_faults)}"
+    if result.resumptions_counted:
+        served, counted = result.resumptions_served, result.resumptions_counted
+        yield f"  {served} of {counted} resumptions went on"
     for each in result.violations:
         yield f"  {each.invariant}: {each.subject} {each.detail}".rstrip()
 
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -15,6 +15,7 @@
 from soak.configurations import ROUTES
 from soak.fault_injection import FAULT_INJECTORS
 from soak.report import format_timeline
+from soak.resumption_invariants import count_resumptions
 from soak.testbed import Testbed, clear_faults, run_testbed
 from soak.traffic import Callers, PlannedRequest, open_connection
 from soak.types import SeedResult, Violation
@@ -28,7 +29,14 @@
 MIN_CALLER_COUNT = 12
 SLOW_CALLER_COUNT = 4
 OVERUSER_CALLER_COUNT = 3
+# Callers of lasting streams beside these faults.
+STREAM_CALLER_COUNT = 12
+FAULTS_OF_STREAMS = frozenset(
+    {"kill_all", "last_steps_of_moves", "release", "unframed_streams"}
+)
 CONCURRENT_FAULTS = 3
+# Engines that start in releases, beside those that serve from the beginning.
+SPARE_ENGINE_COUNT = 3
 PAUSE_S = 1.0
 # The users' platform demands recovery after the last fault, and new weights to be
 # loaded, within this time.
@@ -47,20 +55,24 @@
     On a violation, save the gateway logs under the log folder.
     """
     rng = random.Random(seed)
+    names = faults or tuple(FAULT_INJECTORS)
+    spare_engines = SPARE_ENGINE_COUNT if "release" in names else 0
     with TemporaryDirectory() as folder:
-        async with run_testbed(Path(folder), gateways) as testbed:
+        async with run_testbed(Path(folder), gateways, spare_engines) as testbed:
             await until(lambda: all(map(testbed.has_started, testbed.gateways)))
             callers = Callers(testbed, rng)
             async with anyio.create_task_group() as task_group:
                 for _ in range(max(MIN_CALLER_COUNT, gateways)):
                     task_group.start_soon(callers.run)
+                for _ in range(
+                    STREAM_CALLER_COUNT if FAULTS_OF_STREAMS & {*names} else 0
+                ):
+                    task_group.start_soon(callers.run_streams)
                 for _ in range(SLOW_CALLER_COUNT):
                     task_group.start_soon(callers.run_slowly)
                 for _ in range(OVERUSER_CALLER_COUNT):
                     task_group.start_soon(callers.run_overuser)
-                injected_faults = await _inject_faults(
-                    testbed, rng, duration_s, faults or tuple(FAULT_INJECTORS)
-                )
+                injected_faults = await _inject_faults(testbed, rng, duration_s, names)
                 clear_faults(testbed)
                 violations = await _wait_for_recovery(testbed, callers)
                 task_group.cancel_scope.cancel()
@@ -75,7 +87,13 @@
                 timeline = "\n".join(format_timeline(record))
                 (log_folder / str(seed) / "timeline.txt").write_text(timeline)
     counts = Counter(each.status for each in callers.results)
-    return SeedResult(seed, tuple(violations), dict(counts), injected_faults)
+    return SeedResult(
+        seed,
+        tuple(violations),
+        dict(counts),
+        injected_faults,
+        *count_resumptions(record),
+    )
 
 
 async def _inject_faults(
@@ -115,6 +133,8 @@
     ]
     for engine in testbed.harness.engines:
         versions = {engine.version, *engine.versions_by_other_model.values()}
+        if engine.name in testbed.retired_engines:
+            continue
         if versions != {testbed.weights_version}:
             detail = f"weights {versions}, not {testbed.weights_version}"
             unrecovered.append(Violation("weights", engine.name, detail))
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -30,6 +30,7 @@
     GatewayRecords,
     Period,
     ReceivedOrder,
+    Service,
     SoakRecord,
     StatementPeriod,
 )
@@ -59,6 +60,9 @@
 # The organisation of the callers.
 ORGANISATION = "crew"
 STOP_TIMEOUT_S = 20.0
+ENGINE_COUNT = 3
+# Share of the engines whose streams have neither length nor chunks after a release.
+UNFRAMED_SHARE = 0.3
 
 
 class Testbed:
@@ -89,6 +93,12 @@
         # Those whose entries say so.
         self.draining_endpoints: set[str] = set()
         self.weights_version = 1
+        # Engines that don't run: they may start with another software version.
+        self.retired_engines: set[str] = set()
+        self.software_number = 1
+        self.down: list[Period] = []
+        self._services: list[Service] = []
+        self._service_begins: dict[str, tuple[str, float]] = {}
         self._restart_locks_by_gateway: dict[str, anyio.Lock] = {}
         self._log_offsets_by_gateway: dict[str, int] = {}
         self._fault_free_since_by_gateway: dict[str, float] = {}
@@ -113,6 +123,7 @@
                 tuple(self.kills),
                 tuple(self.stops),
                 tuple(self.suspensions),
+                tuple(self.down),
             ),
         )
 
@@ -143,6 +154,7 @@
                 ),
             ),
             tuple(self.silences),
+            (*self._services, *map(self._service, self._service_begins)),
         )
 
     async def restore_store(self, copied: StoreCopy, wait_s: float) -> None:
@@ -161,9 +173,10 @@
             age = "born" if kind == "servers" else "Version"
             if (store.spec(kind, name) or spec)[age] <= spec[age]:
                 store.put(kind, name, spec)
-        # An odd entry may have been removed since the copy was made.
+        # An odd entry, or an engine, may have been removed since the copy was made.
         for name in tuple(store.objects_by_kind.get("servers", {})):
-            if isinstance(store.spec("servers", name), RawJson):
+            is_odd = isinstance(store.spec("servers", name), RawJson)
+            if is_odd or name in self.retired_engines:
                 store.remove("servers", name)
 
     @property
@@ -245,6 +258,7 @@
             await anyio.sleep(down_s)
             self._log_offsets_by_gateway[gateway] = len(self.fleet.log(gateway))
             self.fleet.restart(gateway)
+            self.down.append(Period(gateway, began_at, time.monotonic()))
 
     def has_started(self, gateway: str) -> bool:
         """Return whether a gateway's current process has logged that it started."""
@@ -298,19 +312,81 @@
         return rng.choice(staying) if staying else None
 
     def publish_endpoint(self, name: str) -> None:
-        """Write an endpoint's store entry, as at its start."""
+        """Write an endpoint's store entry, as at its start, unless it is retired."""
+        if name in self.retired_engines:
+            return
         endpoint = next(e for e in self.harness.endpoints() if e.name == name)
         entry = endpoint.entry(self.ports_by_endpoint[name])
         if name in self.draining_endpoints:
             entry["State"] = "draining"
         self.harness.store.put("servers", name, entry)
+        self._note_service(endpoint)
+
+    def _note_service(self, endpoint: EndpointStandIn) -> None:
+        """Record since when an engine runs its software version and doesn't leave."""
+        name = endpoint.name
+        is_leaving = name in self.draining_endpoints
+        software, _ = self._service_begins.get(name, ("", 0.0))
+        if software and (is_leaving or software != endpoint.software):
+            self._services.append(self._service(name))
+            del self._service_begins[name]
+        if endpoint.model and not is_leaving:
+            begin = (endpoint.software, time.monotonic())
+            self._service_begins.setdefault(name, begin)
+
+    def _service(self, name: str) -> Service:
+        software, began_at = self._service_begins[name]
+        return Service(software, Period(name, began_at, time.monotonic()))
+
+    def start_engines(self, rng: random.Random) -> list[EndpointStandIn]:
+        """Start some engines that are retired with a new software version."""
+        spare = [
+            each
+            for each in self.harness.engines
+            if each.name in self.retired_engines and not each.crashed.is_set()
+        ]
+        started = rng.sample(spare, rng.randint(1, len(spare))) if spare else []
+        self.software_number += 1
+        for each in started:
+            each.software = f"v{self.software_number}"
+            each.change_weights(self.weights_version)
+            each.versions_by_other_model = dict.fromkeys(
+                each.versions_by_other_model, self.weights_version
+            )
+            self.set_framing(each, rng.random() < UNFRAMED_SHARE)
+        return started
+
+    def list_engine(self, engine: EndpointStandIn) -> None:
+        """Let a started engine take requests."""
+        self.retired_engines.discard(engine.name)
+        engine.started_ms += 1
+        self.publish_endpoint(engine.name)
+        self.leaving_endpoints.discard(engine.name)
+
+    def begin_drain(self, engine: EndpointStandIn) -> None:
+        """Let an engine leave by its entry."""
+        self.leaving_endpoints.add(engine.name)
+        self.draining_endpoints.add(engine.name)
+        self.publish_endpoint(engine.name)
+
+    def retire(self, engine: EndpointStandIn) -> None:
+        """End an engine that has drained, with what it still runs."""
+        self.retired_engines.add(engine.name)
+        self.draining_endpoints.discard(engine.name)
+        self.harness.store.remove("servers", engine.name)
+        engine.crash()
+
+    def set_framing(self, engine: EndpointStandIn, are_unframed: bool) -> None:
+        """Let the next streams of an engine have neither length nor chunks, or not."""
+        engine.are_unframed = are_unframed
+        # A closed connection would end such a stream as complete.
+        proxy = self.endpoint_proxies_by_name[engine.name]
+        proxy.resets_when_down |= are_unframed
 
     @contextlib.contextmanager
     def draining(self, endpoint: EndpointStandIn) -> Iterator[None]:
         """Let an endpoint leave by its entry, and come back in another lifetime."""
-        self.leaving_endpoints.add(endpoint.name)
-        self.draining_endpoints.add(endpoint.name)
-        self.publish_endpoint(endpoint.name)
+        self.begin_drain(endpoint)
         try:
             yield
         finally:
@@ -349,10 +425,18 @@
 
 
 @asynccontextmanager
-async def run_testbed(folder: Path, gateways: int) -> AsyncIterator[Testbed]:
-    """Run the gateways, proxies and stand-ins while the context lasts."""
-    testbed = Testbed(GatewayHarness(models=MODELS), Fleet(folder))
-    harness = testbed.harness
+async def run_testbed(
+    folder: Path, gateways: int, spare_engines: int = 0
+) -> AsyncIterator[Testbed]:
+    """Run the gateways, proxies and stand-ins while the context lasts.
+
+    Spare engines are retired at first.
+    """
+    harness = GatewayHarness(ENGINE_COUNT + spare_engines, MODELS)
+    testbed = Testbed(harness, Fleet(folder))
+    for engine in harness.engines[ENGINE_COUNT:]:
+        testbed.retired_engines.add(engine.name)
+        testbed.leaving_endpoints.add(engine.name)
     event_counts = {
         stream_path(route, count): count
         for route in STREAMED_ROUTES
@@ -362,6 +446,7 @@
         for endpoint in harness.endpoints():
             endpoint.event_count = USUAL_EVENT_COUNT
             endpoint.event_counts_by_target = event_counts
+            endpoint.marks_events = True
             name = endpoint.name
             proxy = Proxy()
             front = EndpointFront(proxy, endpoint)
@@ -403,5 +488,6 @@
         each.limit_per_s, each.pause_s, each.is_leaving = None, None, False
         each.event_interval_s = EVENT_INTERVAL_S
         each.faults.clear()
+        each.move_faults.clear()
     testbed.harness.deadly_parts.clear()
     testbed.change_configuration()
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import itertools
+import random
+import re
 import socket
 import time
 from contextlib import suppress
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import anyio
@@ -28,6 +31,7 @@
 )
 from soak.testbed import LONG_EVENT_COUNTS, stream_path
 from soak.types import (
+    EVENT_END,
     USUAL_EVENT_COUNT,
     DeadlyRequest,
     RequestResult,
@@ -37,7 +41,7 @@
 from standins.users_platform.loopback import HOST
 
 if TYPE_CHECKING:
-    import random
+    from collections.abc import Callable
 
     from soak.testbed import Testbed
 
@@ -58,8 +62,24 @@
 # Longest time that a caller keeps a connection open after its last answer.
 MAX_KEPT_S = 10.0
 KEPT_SHARE = 0.5
-# Requests of the overuser on one connection, and the pause between them.
-OVERUSER_REQUESTS = 20
+# How often and how long a caller takes a stream up; its route has 10 s or more.
+MAX_RESUMPTIONS = 5
+RESUMPTION_BUDGET_S = 9.0
+# The longest pauses before; after a longer one, a gateway that was killed is up again.
+MAX_RESUMPTION_PAUSES_S = 0.6, 5.0
+SAME_GATEWAY_SHARE = 0.4
+RESUMABLE_ROUTE = "trace"
+# Streams that often meet changes, most of which may be resumed.
+LASTING_ROUTES = ("trace", "trace", "trace", "credit")
+LASTING_EVENT_COUNTS = range(100, 400)
+# Share of them whose callers lose their connection, and the longest time until then.
+CUT_OFF_SHARE = 0.3
+MAX_UNTIL_CUT_OFF_S = 3.0
+# The version in the data of an event; the last one may have been cut off.
+SOFTWARE_MARK = re.compile(rb"(?<=\d) (v\d*)?(?=\n|\Z)")
+WHOLE_MARK = re.compile(rb"(?<=\d) (v\d+)\n")
+# Requests of the same kind on one connection, and the pause between the overuser's.
+REQUESTS_ON_CONNECTION = 20
 OVERUSER_PAUSE_S = 0.02
 HEAD_END = b"\r\n\r\n"
 # Shares of the requests whose bodies come in chunks, of those sent in pieces, and of
@@ -90,7 +110,9 @@
     """Hold what a caller is about to send.
 
     The last piece of the body is sent slow_s after the head, the others at any time
-    before. With a leaves_after_s, the caller gives up after that time.
+    before. With a leaves_after_s, the caller closes the connection after that time, and
+    takes_up the stream or gives up. The request resumes the stream that another one
+    began, if it names one, after last_event_id.
     """
 
     route: str
@@ -100,6 +122,9 @@
     leaves_after_s: float | None = None
     event_count: int = USUAL_EVENT_COUNT
     is_chunked: bool = False
+    resumes: str = ""
+    last_event_id: int = 0
+    takes_up: bool = False
 
 
 class SlowlyReadChannel(Channel):
@@ -165,6 +190,31 @@
     return [head, *chunks, b"0\r\n", b"\r\n"]
 
 
+def make_resumption(
+    planned: PlannedRequest, result: RequestResult
+) -> PlannedRequest | None:
+    """Return the request that takes up a stream, or None if it isn't taken up."""
+    is_answer = result.status == HTTPStatus.OK
+    last_event_id = planned.last_event_id
+    if is_answer:
+        last_event_id += result.body.count(EVENT_END)
+    if (
+        (is_answer and result.complete)
+        or (result.has_left and not planned.takes_up)
+        or planned.route != RESUMABLE_ROUTE
+        or planned.deadly_part
+        or planned.deadly_request is not None
+        or not 0 < last_event_id < planned.event_count
+    ):
+        return None
+    return PlannedRequest(
+        planned.route,
+        event_count=planned.event_count,
+        resumes=planned.resumes or result.sent.request_id,
+        last_event_id=last_event_id,
+    )
+
+
 def _api_key(route: str) -> str:
     if route == OVERUSER_ROUTE:
         return OVERUSER_KEY
@@ -178,6 +228,7 @@
         self.results: list[RequestResult] = []
         self._testbed = testbed
         self._rng = rng
+        self._resumption_rng = random.Random(rng.random())
         self._request_numbers = itertools.count(1)
 
     async def run(self) -> None:
@@ -204,6 +255,17 @@
 
     async def run_overuser(self) -> None:
         """Send requests of the organisation that is far over its allotment."""
+        planned = PlannedRequest(OVERUSER_ROUTE)
+        await self._run_alike(lambda: planned, OVERUSER_PAUSE_S)
+
+    async def run_streams(self) -> None:
+        """Send requests for streams that last longer than most."""
+        await self._run_alike(self._plan_stream, PAUSE_S)
+
+    async def _run_alike(
+        self, make_planned: Callable[[], PlannedRequest], pause_s: float
+    ) -> None:
+        """Send some requests in sequence on each connection."""
         while True:
             gateway = self._rng.choice(self._testbed.gateways)
             try:
@@ -211,12 +273,11 @@
             except ConnectionFailedError:
                 await anyio.sleep(PAUSE_S)
                 continue
-            planned = PlannedRequest(OVERUSER_ROUTE)
             try:
-                for _ in range(OVERUSER_REQUESTS):
-                    if not await self.send_request(connection, planned):
+                for _ in range(REQUESTS_ON_CONNECTION):
+                    if not await self.send_request(connection, make_planned()):
                         break
-                    await anyio.sleep(OVERUSER_PAUSE_S)
+                    await anyio.sleep(pause_s)
             finally:
                 connection.http.close()
 
@@ -245,14 +306,58 @@
     async def send_request(
         self, connection: CallerConnection, planned: PlannedRequest
     ) -> bool:
-        """Send one request; return whether its connection can be reused."""
+        """Send a request, and take its stream up if that breaks off.
+
+        Return whether its connection can be reused.
+        """
+        result = await self._exchange(connection, planned)
+        if result.is_closing:
+            await self._keep_open(connection)
+        is_reusable = result.complete and connection.http.prepare_next_request()
+        await self._resume(result, planned)
+        return is_reusable
+
+    async def _resume(self, result: RequestResult, planned: PlannedRequest) -> None:
+        """Take up a stream that broke off, a few times, also at other gateways."""
+        deadline = result.sent.sent_at + RESUMPTION_BUDGET_S
+        for _ in range(MAX_RESUMPTIONS):
+            resumption = make_resumption(planned, result)
+            if resumption is None:
+                return
+            connection = await self._connect_before(deadline, result.sent.gateway)
+            if connection is None:
+                return
+            try:
+                result = await self._exchange(connection, resumption)
+            finally:
+                connection.http.close()
+            planned = resumption
+
+    async def _connect_before(
+        self, deadline: float, last_gateway: str
+    ) -> CallerConnection | None:
+        """Open a connection for a resumption, after a pause."""
+        rng = self._resumption_rng
+        while True:
+            await anyio.sleep(rng.uniform(0, rng.choice(MAX_RESUMPTION_PAUSES_S)))
+            if time.monotonic() > deadline:
+                return None
+            is_same = rng.random() < SAME_GATEWAY_SHARE
+            gateway = last_gateway if is_same else rng.choice(self._testbed.gateways)
+            with suppress(ConnectionFailedError):
+                return await open_connection(self._testbed, gateway)
+
+    async def _exchange(
+        self, connection: CallerConnection, planned: PlannedRequest
+    ) -> RequestResult:
+        """Send one request and record its result."""
         request_id = f"r{next(self._request_numbers)}"
         path_version = self._testbed.path_version
         head, body = self._build_request(request_id, planned, path_version)
         sent = self._sent(request_id, planned, path_version, connection.gateway)
         began_at = sent.sent_at
         status, received, complete, sent_whole = 0, bytearray(), False, False
-        answered_id, has_left = b"", False
+        answered_id, has_left, is_closing = b"", False, False
         timeout_s = planned.leaves_after_s or REQUEST_TIMEOUT_S + planned.slow_s
         scope = anyio.move_on_after(timeout_s)
         try:
@@ -268,6 +373,7 @@
                 reply_head = await connection.http.read_head()
                 status = reply_head.status
                 answered_id = reply_head.value(REQUEST_ID) or b""
+                is_closing = reply_head.value(b"connection") == b"close"
                 while (data := await connection.http.read_data()) is not None:
                     received += data
                 complete = True
@@ -278,23 +384,23 @@
             has_left = True
             raise
         finally:
-            self.results.append(
-                RequestResult(
-                    sent,
-                    status,
-                    bytes(received),
-                    complete,
-                    time.monotonic(),
-                    answered_id.decode(),
-                    connection.opened_at,
-                    has_left,
-                    sent_whole,
-                    began_at,
-                )
+            software = dict.fromkeys(WHOLE_MARK.findall(received))
+            result = RequestResult(
+                sent,
+                status,
+                SOFTWARE_MARK.sub(b"", bytes(received)),
+                complete,
+                time.monotonic(),
+                answered_id.decode(),
+                connection.opened_at,
+                has_left,
+                sent_whole,
+                began_at,
+                tuple(each.decode() for each in software),
+                complete and is_closing,
             )
-        if complete and reply_head.value(b"connection") == b"close":
-            await self._keep_open(connection)
-        return complete and connection.http.prepare_next_request()
+            self.results.append(result)
+        return result
 
     async def _send_pieces(
         self, connection: CallerConnection, within_s: float, *pieces: bytes
@@ -335,6 +441,18 @@
             is_chunked=has_body and rng.random() < CHUNKED_SHARE,
         )
 
+    def _plan_stream(self) -> PlannedRequest:
+        route = self._rng.choice(LASTING_ROUTES)
+        event_count = self._rng.choice(LASTING_EVENT_COUNTS)
+        is_cut_off = self._rng.random() < CUT_OFF_SHARE
+        until_cut_off_s = self._rng.uniform(0, MAX_UNTIL_CUT_OFF_S)
+        return PlannedRequest(
+            route,
+            leaves_after_s=until_cut_off_s if is_cut_off else None,
+            event_count=event_count,
+            takes_up=is_cut_off,
+        )
+
     def _event_count(self, route: str) -> int:
         if route in STREAMED_ROUTES and self._rng.random() < LONG_SHARE:
             return self._rng.choice(LONG_EVENT_COUNTS)
@@ -357,6 +475,8 @@
             planned.deadly_part,
             planned.deadly_request.name if planned.deadly_request else "",
             planned.event_count,
+            planned.resumes,
+            planned.last_event_id,
         )
 
     def _build_request(
@@ -381,6 +501,9 @@
             headers["transfer-encoding"] = "chunked"
         else:
             headers["content-length"] = str(len(body))
+        if planned.resumes:
+            headers["last-event-id"] = str(planned.last_event_id)
+            headers["resumes"] = planned.resumes
         if route in STREAMED_ROUTES:
             parts = [f"a{prompt}:100", f"b{prompt}:30"]
             if planned.deadly_part:
--- a/soak/types.py
+++ b/soak/types.py
@@ -39,7 +39,9 @@
     reached the store without a fault since `fault_free_since`; that is infinite while
     the gateway has a fault. `deadly_part` is the part of its prompt that crashes
     engines, if there is one, and `deadly_request` the name of the deadly request of
-    which it is a repetition. Its stream, if it is for one, has `event_count` events.
+    which it is a repetition. Its stream, if it is for one, has `event_count` events. A
+    resumption `resumes` the request that brought the first of them, after
+    `last_event_id`.
     """
 
     request_id: str
@@ -51,6 +53,8 @@
     deadly_part: str = ""
     deadly_request: str = ""
     event_count: int = USUAL_EVENT_COUNT
+    resumes: str = ""
+    last_event_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +64,9 @@
     `answered_id` is the request's id as the response states it, if it does.
     `connected_at` is when its connection was opened. It `has_left` if the caller gave
     up before the response, and was not `sent_whole` if the connection ended earlier.
-    Its first bytes were sent at `began_at`.
+    Its first bytes were sent at `began_at`. The events of a stream name the `software`
+    that wrote them, which `body` leaves out. It `is_closing` if the response says that
+    the connection ends.
     """
 
     sent: SentRequest
@@ -73,6 +79,8 @@
     has_left: bool = False
     sent_whole: bool = True
     began_at: float = math.inf
+    software: tuple[str, ...] = ()
+    is_closing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +109,14 @@
         return self.began_at <= ended_at and began_at <= self.ended_at
 
 
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Hold when an engine ran a software version and didn't leave."""
+
+    software: str
+    period: Period
+
+
 @dataclass(frozen=True, slots=True)
 class LaterSignal:
     """Hold a signal to a process that has already been told to stop."""
@@ -163,19 +179,22 @@
     ended_runs: tuple[EndedRun, ...] = ()
     path_faults: tuple[Period, ...] = ()
     silences: tuple[Period, ...] = ()
+    services: tuple[Service, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayRecords:
     """Hold when gateways had faults, and which they were.
 
-    A kill and a planned stop last until the end of the process.
+    A kill and a planned stop last until the end of the process, and it is down until
+    the next one is started.
     """
 
     faults: tuple[Period, ...] = ()
     kills: tuple[Period, ...] = ()
     stops: tuple[Period, ...] = ()
     suspensions: tuple[Period, ...] = ()
+    down: tuple[Period, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,9 +221,11 @@
         return by_id
 
     def stream_of(self, sent: SentRequest) -> bytes:
-        """Return the complete body that the stream of a request must have."""
+        """Return the complete body that the answer to a request must have."""
         events = self.stream.split(EVENT_END)[:-1]
-        return b"".join(each + EVENT_END for each in events[: sent.event_count])
+        return b"".join(
+            each + EVENT_END for each in events[sent.last_event_id : sent.event_count]
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,9 +239,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SeedResult:
-    """Hold the violations, request counts and injected faults of a seed."""
+    """Hold the violations, request counts and injected faults of a seed.
+
+    Of so many resumptions that should go on, so many did.
+    """
 
     seed: int
     violations: tuple[Violation, ...]
     requests_by_status: dict[int, int]
     injected_faults: tuple[str, ...]
+    resumptions_served: int = 0
+    resumptions_counted: int = 0
--- a/soak/violations.py
+++ b/soak/violations.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from soak import answer_invariants, deadly_invariants, stop_invariants  # noqa: F401
+from soak import (  # noqa: F401
+    answer_invariants,
+    deadly_invariants,
+    resumption_invariants,
+    stop_invariants,
+)
 from soak.invariants import INVARIANT_CHECKS
 
 if TYPE_CHECKING:
--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -81,8 +81,9 @@
     body: bytes
     method: str = "GET"
     received_at: float = field(default_factory=time.monotonic)
-    # That of the endpoint as it ran the request.
+    # Those of the endpoint as it ran the request.
     software: str = ""
+    is_unframed: bool = False
 
     @property
     def identity(self) -> RequestIdentity:
@@ -122,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEnd:
-    """Record how and when a run ended, and the fault that it took, if any."""
+    """Record how and when a run ended, and the fault of it or of its move, if any."""
 
     request_id: str
     ending: Ending
@@ -152,7 +153,8 @@
     after its call has arrived, inside an event if stops_inside_event. freed has the
     handles of copies that were given up.
 
-    Streams have neither a length nor chunks if they are_unframed.
+    Streams have neither a length nor chunks if they are_unframed. The data of events
+    names the software if it marks_events.
 
     All answers state limit_per_s, if it is set, and whether the endpoint is_leaving;
     refusals also state pause_s. Arrivals are those of all requests, run or refused.
@@ -192,6 +194,7 @@
     stop_delay_s: float = 0.0
     stops_inside_event: bool = False
     are_unframed: bool = False
+    marks_events: bool = False
     # Whether a run that was stopped can be continued where it was.
     keeps_stopped_runs: bool = True
     freed: list[str] = field(default_factory=list)
@@ -220,6 +223,8 @@
     # Start of the endpoint in epoch milliseconds.
     started_ms: int = 1_700_000_000_000
     _connection_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    _ended_unframed: set[str] = field(default_factory=set)
+    _move_faults_by_run: dict[str, str] = field(default_factory=dict)
     _stopping_at_by_run: dict[str, float] = field(default_factory=dict)
     _run_scopes: set[anyio.CancelScope] = field(default_factory=set)
     _weights_changes: int = 0
@@ -363,12 +368,15 @@
             request.body,
             request.head.method.decode(),
             software=self.software,
+            is_unframed=self.are_unframed,
         )
         continued = "kv-from" in headers
         (self.continued_runs if continued else self.runs).append(run)
         self._use_cache(run)
         # A run that was moved away may be tried here again.
         self._stopping_at_by_run.pop(run.request_id, None)
+        self._ended_unframed.discard(request_id)
+        self._move_faults_by_run.pop(request_id, None)
         self.active += 1
         priority = headers.get(PRIORITY, DEFAULT_PRIORITY)
         self._priority_by_run[request_id] = int(priority)
@@ -377,7 +385,7 @@
             with anyio.CancelScope() as scope:
                 self._run_scopes.add(scope)
                 await self._answer_run(connection, run, fault)
-                if _has_ended_reply(connection):
+                if _has_ended_reply(connection) or request_id in self._ended_unframed:
                     ending = Ending.WHOLE
                 elif self._is_stopped(run):
                     ending = Ending.MOVED
@@ -389,6 +397,7 @@
         finally:
             if self.crashed.is_set() and ending is not Ending.WHOLE:
                 ending = Ending.CRASHED
+            fault = fault or self._move_faults_by_run.get(request_id, "")
             end = RunEnd(run.request_id, ending, fault, time.monotonic())
             self.run_ends.append(end)
             self._run_scopes.discard(scope)
@@ -467,8 +476,10 @@
         With a count, reset the connection after so many events.
         """
         ended = await self._send_events(connection, run, count)
-        if self.are_unframed and count is None:
+        if run.is_unframed and count is None:
             connection.close()
+            if ended:
+                self._ended_unframed.add(run.request_id)
         elif ended and count is None:
             await connection.end()
         else:
@@ -481,10 +492,11 @@
         first = int(run.headers_by_name.get("last-event-id", "0"))
         send = await self._begin_stream(connection, run)
         until = self.event_count_of(run) if count is None else first + count
+        mark = f" {run.software}" if self.marks_events else ""
         # Sleeps beside load add up to far more than their sum.
         due_at = anyio.current_time()
         for number in range(first + 1, until + 1):
-            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            event = f"id: {number}\ndata: t{number}{mark}\n\n".encode()
             if self._is_stopped(run):
                 if self.stops_inside_event:
                     await send(event[:-3])
@@ -498,7 +510,7 @@
         self, connection: ServerConnection, run: ReceivedRequest
     ) -> Callable[[bytes], Awaitable[None]]:
         """Send the head of a stream, and return how its events are sent."""
-        if self.are_unframed:
+        if run.is_unframed:
             await _send_raw(self, connection, run, b"\r\n")
             return connection._channel.send
         await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
@@ -586,6 +598,7 @@
             await receive(name, made_under, is_last)
         fault = self.move_faults.pop(0) if is_last and self.move_faults else ""
         if fault:
+            self._move_faults_by_run[request_id] = f"{fault} last step"
             await MOVE_FAULTS[fault](connection)
         elif receive is not None or is_last:
             status = 503 if receive is None else 200
