--- a/src/agatehoist/software/types.py
+++ b/src/agatehoist/software/types.py
@@ -4,6 +4,13 @@
 
 from dataclasses import dataclass, field
 
+from agatehoist.storage.revisions import Revision
+
+# Bounds on a stored record, which anybody may have written.
+MAX_PERIODS = 64
+MAX_VERSIONS = 32
+MAX_SOFTWARE_CHARACTERS = 128
+
 
 @dataclass(frozen=True, slots=True)
 class SharePeriod:
@@ -27,3 +34,11 @@
     service: str
     number: int
     periods: tuple[SharePeriod, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredShares:
+    """Hold what the store has for a service; the record is None if it can't be read."""
+
+    record: ShareRecord | None
+    revision: Revision
