Keep the shares of software versions in the store

The types of shares existed, but no gateway read or wrote a record. Now a topic brings the records to all gateways, alone or through watchers, and a task at each gateway writes the next one under compare-and-set: the first in the order of addresses at once, the others once the need has stood for a delay that grows with their place. A conflict is logged and ends with the newer record from the topic; with the store down, tries back off to one in 2 to 4 s.

A restored store doesn't replace a newer record that is known. The writer then writes a record with a higher number; if another was written from the older copy meanwhile, the periods of both count as used until then.

Only the first gateway leaves out the endpoints that it suspects. The others may suspect endpoints on a path that fails for them alone, and would write against the first.

All but the first gateway look once a second.

In test_store_watch, two tests counted on a gateway that writes nothing: they compare all topics with the store's revision, or count the watches without events. They now begin once the gateway's one write of shares is known; the checks are unchanged.

--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -27,6 +27,7 @@
 from agatehoist.gateway.weights_rollout import roll_out_weights
 from agatehoist.http1.channel import accept_forever
 from agatehoist.observability.logs import get_logger
+from agatehoist.software.share_writer import write_shares
 
 if TYPE_CHECKING:
     import socket
@@ -90,6 +91,7 @@
             accept_forever, inner_socket, Relay(state).serve, task_group
         )
         task_group.start_soon(run_with_restarts, roll_out_weights, state)
+        task_group.start_soon(run_with_restarts, write_shares, state)
         accepting = await task_group.start(_accept, front_socket, Ingress(state))
         readiness = ReadinessEndpoint(state)
         task_group.start_soon(accept_forever, ready_socket, readiness.serve, task_group)
--- a/src/agatehoist/gateway/store_feed.py
+++ b/src/agatehoist/gateway/store_feed.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+import agatehoist.software.shares_topic  # noqa: F401
 from agatehoist.gateway.topics import TOPICS
 from agatehoist.observability.logs import get_logger
 from agatehoist.protocol.store_feed import FeedReply
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -95,6 +95,10 @@
 WITHDRAWN_FOR_WEIGHTS_TOTAL = Counter(
     "agatehoist_withdrawn_for_weights_total", "Runs taken back from old weights."
 )
+# Records of shares that came into force, written here or by another gateway.
+SHARE_CHANGES_TOTAL = Counter(
+    "agatehoist_share_changes_total", "Changes of the shares of software versions."
+)
 # `source` is memory, fetch or read (computed), as far as this process knows.
 SHARED_TOKENS_TOTAL = Counter(
     "agatehoist_shared_tokens_total", "Shared prompt tokens sent, by expected source."
@@ -145,6 +149,7 @@
     "RETRIES_TOTAL",
     "REGISTRY",
     "SHARED_TOKENS_TOTAL",
+    "SHARE_CHANGES_TOTAL",
     "SPILL_SHARE",
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
--- a/standins/users_platform/harness.py
+++ b/standins/users_platform/harness.py
@@ -19,6 +19,7 @@
 from agatehoist.http1.types import RequestHead
 from agatehoist.platform.adapter import UsersPlatform
 from agatehoist.platform.store import PlatformStore
+from agatehoist.software.share_writer import write_shares
 from standins.users_platform.endpoint import EndpointStandIn, RequestIdentity
 from standins.users_platform.endpoint_listener import run_endpoint
 from standins.users_platform.kv_cache import KvNetwork, PartMemory
@@ -256,6 +257,7 @@
         )
         task_group.start_soon(follow_store, state)
         task_group.start_soon(run_with_restarts, state.lines.run)
+        task_group.start_soon(run_with_restarts, write_shares, state)
         if rolls_out_weights:
             task_group.start_soon(roll_out_weights, state)
         port = await stack.enter_async_context(listen_on_loopback(Ingress(state).serve))
--- a/tests/test_gateway/test_store_watch.py
+++ b/tests/test_gateway/test_store_watch.py
@@ -9,6 +9,7 @@
 
 from agatehoist.gateway.plans import PLAN_KIND
 from agatehoist.gateway.topics import TOPICS
+from agatehoist.software.shares_topic import SHARES_TOPIC
 from standins.users_platform.harness import (
     GatewayHarness,
     configuration,
@@ -25,6 +26,17 @@
 FORGOTTEN_S = 4.0
 
 
+def is_watching(world: GatewayHarness) -> bool:
+    """Return whether all topics are watched and the gateway's own write is known."""
+    shares = world.state.feed.revisions_by_topic[SHARES_TOPIC]
+    is_written = bool(world.state.shares.records_by_service)
+    return (
+        is_written
+        and shares.number == world.store.revision
+        and world.store.pending_watches == len(list(TOPICS))
+    )
+
+
 class WatchTests(unittest.TestCase):
     # How the watches before the ones that miss the change end.
     @parameterized.expand([("cut", False), ("history_lost", True)])
@@ -38,7 +50,7 @@
             async with running_gateway(world):
                 topics = len(list(TOPICS))
                 # Only watches that are waiting can be closed.
-                await until(lambda: world.store.pending_watches == topics)
+                await until(lambda: is_watching(world))
                 # The next watch of each topic is accepted but gets no changes.
                 world.store.watches_without_events = topics
                 if history_lost:
@@ -63,8 +75,7 @@
 
         async def run() -> int:
             async with running_gateway(world):
-                topics = len(list(TOPICS))
-                await until(lambda: world.store.pending_watches == topics)
+                await until(lambda: is_watching(world))
                 world.store.silence_watches(dead_kind)
                 world.store.abort_watches()
                 world.store.put(dead_kind, "new", {})
