--- /dev/null
+++ b/tests/test_software/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the software versions of endpoints."""
