Resume a stream only at the software version that began it

Cause: the choice of an endpoint didn't heed the request that a resumption names. A stream of v1 was resumed at v2, at the gateway that began it and at one that started after that was killed.

Change: one object for each request (StreamOrigin) binds its search to a version. A new stream on a resumable route begins at the version that its id is assigned to, and elsewhere only if that has no usable endpoint left. A resumption goes on at the version found in memory, the journals or the shares, else it is refused and not run: origin_unknown, or version_gone if no endpoint of the version is listed as serving.

Open: clocks that differ by more than ADOPTION_S, a gateway that is cut off from the store with old shares, and a caller that sends an id anew after its first try was journaled at another version.

--- a/src/agatehoist/gateway/app.py
+++ b/src/agatehoist/gateway/app.py
@@ -85,6 +85,7 @@
             )
         task_group.start_soon(run_with_restarts, exchange_peer_reports, state)
         task_group.start_soon(run_with_restarts, state.lines.run)
+        task_group.start_soon(run_with_restarts, state.journal.run)
         inner_socket = open_listening_socket(settings.inner.host, settings.inner.port)
         task_group.start_soon(
             accept_forever, inner_socket, Relay(state).serve, task_group
--- a/src/agatehoist/gateway/endpoint_choice.py
+++ b/src/agatehoist/gateway/endpoint_choice.py
@@ -92,6 +92,20 @@
     return by_data_centre(state, request, chosen, now, is_first=not tried)
 
 
+def has_usable(
+    state: GatewayState,
+    request: RoutedRequest,
+    tried: frozenset[str],
+    software: str,
+) -> bool:
+    """Return whether an untried endpoint of a version, not suspected, is offered."""
+    now = state.clock.now()
+    return any(
+        each.lifetime not in tried and not state.suspects.is_suspected(each.name, now)
+        for each in _available(state, request, now, software)
+    )
+
+
 def make_dispatch(
     state: GatewayState,
     request: RoutedRequest,
--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -67,6 +67,7 @@
 )
 from agatehoist.refusals.types import Refusal
 from agatehoist.routing.types import RouteKind
+from agatehoist.software.stream_origin import StreamOrigin
 from agatehoist.stopping.admission import late_refusal, output_tokens
 
 if TYPE_CHECKING:
@@ -117,6 +118,7 @@
         self._endpoints_of_move: dict[str, Endpoint] = {}
         self._search = OfferSearch(state, request)
         self._steps = self._search.steps
+        self._origin = StreamOrigin(state, request, self._search)
         # The endpoints that have got this request, also to continue a moved run.
         self._asked_lifetimes: set[str] = set()
         # The attempts that were waited for despite a silence, with the reason.
@@ -249,7 +251,7 @@
         if self._now() >= self._request.deadline:
             return DeadlinePassed()
         refusal = self._late_refusal() or self._quarantine_refusal()
-        refusal = refusal or await self._charge()
+        refusal = refusal or await self._choose_software() or await self._charge()
         if refusal is not None:
             return NotAdmitted(refusal)
         if self._interruption is not None:
@@ -263,6 +265,12 @@
         late = self._late_refusal()
         return Offered(found) if late is None else NotAdmitted(late)
 
+    async def _choose_software(self) -> Refusal | None:
+        with anyio.CancelScope() as self._wait_scope:
+            return await self._origin.choose()
+        # The caller looks at the interruption.
+        return None
+
     async def _charge(self) -> Refusal | None:
         """Charge the request to an allotment, once, before it is first sent."""
         if self._charged_at is not None:
@@ -289,6 +297,7 @@
         offers: tuple[Offer, ...] = ()
         if self._quarantine_refusal() is None:
             has_begun = bool(self._machine.pieces)
+            self._origin.choose_for_replacement()
             offers = await self._search.find_replacement(has_begun)
         event = ReplacementsOffered(decision.target.attempt_id, offers)
         # What the endpoint has sent meanwhile comes first; if it has filled the buffer,
@@ -324,6 +333,7 @@
                 return NotWritten(attempt_id, quarantined.detail)
             return AttemptRefused(attempt_id, quarantined)
         note_sent(self._state, self._traits)
+        self._origin.note_sent(endpoint)
         if self._search.tried_lifetimes:
             RETRIES_TOTAL.inc({})
         last_event_id = self._request.envelope.last_event_id
@@ -524,7 +534,9 @@
         assert self._attempt is not None
         assert self._attempt.stream_head is not None
         # What other versions write doesn't fit to the events that the caller has.
-        self._search.software = self._attempt.dispatch.endpoint.software
+        endpoint = self._attempt.dispatch.endpoint
+        self._search.software = endpoint.software
+        self._origin.note_first_event(endpoint)
         await self._writer.start(self._attempt.stream_head)
 
     async def _next_event(self) -> Event:
--- a/src/agatehoist/gateway/state.py
+++ b/src/agatehoist/gateway/state.py
@@ -39,6 +39,9 @@
 from agatehoist.observability.logs import get_logger
 from agatehoist.quarantine.trait_quarantine import TraitQuarantine
 from agatehoist.quarantine.types import Answer, Crash, Quarantine
+from agatehoist.software.journal_reader import JournalReader
+from agatehoist.software.journal_writer import JournalWriter
+from agatehoist.software.origins import OriginTable
 from agatehoist.software.shares_view import SharesView
 from agatehoist.stopping.state import StopState
 from agatehoist.storage.revisions import NO_REVISION
@@ -125,7 +128,7 @@
         self.statements = EndpointStatements()
         self.fleet = EndpointsView(self.statements)
         self.weights = WeightsView()
-        self.shares = SharesView()
+        self._begin_origins()
         self.load_changed = Wakeup()
         self.lines = StartLines(clock)
         self.load = Load(self._note_load_changed, self.lines.note_load_changed)
@@ -165,6 +168,13 @@
         self._sequence = itertools.count(1)
         self._begin_retry_budgets(retry_slack_available_at)
 
+    def _begin_origins(self) -> None:
+        self.shares = SharesView()
+        self.origins = OriginTable()
+        self.journal = JournalWriter(self)
+        self.journal_reader = JournalReader(self)
+        self.shares.on_accepted = self.journal.note_record
+
     def _begin_nodes(self) -> None:
         self.nodes: frozenset[Address] = frozenset()
         self._data_centres_by_node: dict[Address, str] = {}
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -60,6 +60,15 @@
 # Answers read again from a token on.
 RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
 # Calls with an idempotency key, by the state of the key's claim.
+# `outcome` is how the software version was found, or the code of the refusal.
+RESUMED_STREAMS_TOTAL = Counter(
+    "agatehoist_resumed_streams_total", "Streams that callers resume, by outcome."
+)
+# `need` is soon or at once, see software.origins.
+JOURNALED_STREAMS_TOTAL = Counter(
+    "agatehoist_journaled_streams_total",
+    "Streams whose software version was journaled, by need.",
+)
 CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
 # Answers in which an endpoint names a limit, says that it leaves or asks for time.
 ENDPOINT_STATEMENTS_TOTAL = Counter(
@@ -133,6 +142,7 @@
     "EXPLAINED_FAILURES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
+    "JOURNALED_STREAMS_TOTAL",
     "LONGEST_GAP_SECONDS",
     "OUTCOMES_TOTAL",
     "QUARANTINES_TOTAL",
@@ -140,6 +150,7 @@
     "REFUSALS_TOTAL",
     "PERMITS_TOTAL",
     "PLATFORM_CALLS_TOTAL",
+    "RESUMED_STREAMS_TOTAL",
     "RESUMES_TOTAL",
     "REQUEST_SECONDS",
     "RETRIES_TOTAL",
--- a/src/agatehoist/refusals/kinds.py
+++ b/src/agatehoist/refusals/kinds.py
@@ -322,6 +322,24 @@
     status = Status.SERVICE_UNAVAILABLE
 
 
+@register_refusal
+class OriginUnknown(RefusalKind):
+    """It isn't certain at which software version the stream to resume began."""
+
+    code = "origin_unknown"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
+@register_refusal
+class VersionGone(RefusalKind):
+    """No endpoint has the software version at which the stream to resume began."""
+
+    code = "version_gone"
+    status = Status.SERVICE_UNAVAILABLE
+    error_type = "overloaded_error"
+
+
 @register_refusal
 class KeyReused(RefusalKind):
     """The idempotency key was used for another request."""
--- a/src/agatehoist/software/shares_view.py
+++ b/src/agatehoist/software/shares_view.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from agatehoist.software.types import ShareRecord
 
 
@@ -13,6 +15,10 @@
 
     def __init__(self) -> None:
         self.records_by_service: dict[str, ShareRecord] = {}
+        # Called with each record that is taken over, and the one before.
+        self.on_accepted: Callable[[ShareRecord, ShareRecord | None], None] = (
+            lambda _record, _before: None
+        )
 
     def accept(self, record: ShareRecord) -> bool:
         """Take over a record unless a newer one is known; return whether it was new."""
@@ -20,4 +26,5 @@
         if known is not None and known.number >= record.number:
             return False
         self.records_by_service[record.service] = record
+        self.on_accepted(record, known)
         return True
--- a/standins/users_platform/harness.py
+++ b/standins/users_platform/harness.py
@@ -256,6 +256,7 @@
         )
         task_group.start_soon(follow_store, state)
         task_group.start_soon(run_with_restarts, state.lines.run)
+        task_group.start_soon(run_with_restarts, state.journal.run)
         if rolls_out_weights:
             task_group.start_soon(roll_out_weights, state)
         port = await stack.enter_async_context(listen_on_loopback(Ingress(state).serve))
