--- a/src/agatehoist/gateway/drain.py
+++ b/src/agatehoist/gateway/drain.py
@@ -41,6 +41,7 @@
     state.leaving = True
     state.stop.schedule = schedule
     state.rollout_wakeup.set()
+    state.journal.note_stop()
     await anyio.sleep_until(began_at + schedule.closes_idle_at - now)
     # When all nodes of a data centre stop together, the platform still routes callers
     # here; they try another node only if this one refuses the connection.
--- a/src/agatehoist/software/journal.py
+++ b/src/agatehoist/software/journal.py
@@ -114,6 +114,8 @@
 
     def __init__(self) -> None:
         self.entries_by_digest: dict[str, JournalEntry] = {}
+        # Callers of a process that stops resume their streams at other nodes.
+        self.is_stopping = False
         self._need = JournalNeed.NONE
         self._written_at = -math.inf
         self._retry_at = -math.inf
@@ -145,7 +147,7 @@
         if self._need is JournalNeed.NONE:
             return math.inf
         interval_s = MIN_WRITE_INTERVAL_S
-        if self._need is JournalNeed.SOON:
+        if self._need is JournalNeed.SOON and not self.is_stopping:
             interval_s = max(interval_s, nodes / MAX_WRITES_PER_S)
         return max(self._written_at + interval_s, self._retry_at)
 
--- a/src/agatehoist/software/journal_writer.py
+++ b/src/agatehoist/software/journal_writer.py
@@ -42,6 +42,11 @@
             JOURNALED_STREAMS_TOTAL.inc({"need": need.value})
             self._changed.set()
 
+    def note_stop(self) -> None:
+        """Write without delay from now on, as streams are about to be cut."""
+        self._journal.is_stopping = True
+        self._changed.set()
+
     def note_record(self, record: ShareRecord, before: ShareRecord | None) -> None:
         """Add the streams under way that have become ambiguous by a new record."""
         now = self._state.clock.now()
--- a/src/agatehoist/software/origins.py
+++ b/src/agatehoist/software/origins.py
@@ -35,11 +35,18 @@
 
 
 def journal_need(
-    record: ShareRecord | None, request_id: str, software: str, now: float
+    record: ShareRecord | None,
+    request_id: str,
+    software: str,
+    now: float,
+    is_unrecorded: bool = False,
 ) -> JournalNeed:
-    """Tell whether a stream that began at a version must be in the journal."""
+    """Tell whether a stream that began at a version must be in the journal.
+
+    Without a record, other gateways may have one unless the store has none.
+    """
     if record is None:
-        return JournalNeed.SOON
+        return JournalNeed.SOON if is_unrecorded else JournalNeed.AT_ONCE
     possible = possible_software(record, request_id, now)
     if possible == {software}:
         return JournalNeed.NONE
--- a/src/agatehoist/software/stream_origin.py
+++ b/src/agatehoist/software/stream_origin.py
@@ -115,9 +115,18 @@
     def _record(self) -> ShareRecord | None:
         return self._state.shares.records_by_service.get(self._request.service)
 
+    @property
+    def _is_unrecorded(self) -> bool:
+        """Return whether the store has no record, as far as it has been read."""
+        revisions = self._state.feed.revisions_by_topic
+        is_read = revisions.get(SHARES_TOPIC, NO_REVISION) != NO_REVISION
+        return is_read and self._record is None
+
     def _need(self, request_id: str, endpoint: Endpoint) -> JournalNeed:
         now = self._state.clock.now()
-        return journal_need(self._record, request_id, endpoint.software, now)
+        return journal_need(
+            self._record, request_id, endpoint.software, now, self._is_unrecorded
+        )
 
     async def _choose_origin(self) -> Refusal | None:
         is_first = self._found is None
@@ -175,12 +184,11 @@
         return found
 
     def _evidence(self, journaled: JournaledVersions | None) -> OriginEvidence:
-        revisions = self._state.feed.revisions_by_topic
         return OriginEvidence(
             self._request.envelope.resumed_request_id,
             self._record,
             journaled,
-            revisions.get(SHARES_TOPIC, NO_REVISION) != NO_REVISION,
+            self._is_unrecorded,
             self._listed(),
             self._state.clock.now(),
         )
--- a/tests/test_gateway/test_resumed_streams.py
+++ b/tests/test_gateway/test_resumed_streams.py
@@ -5,7 +5,7 @@
 import json
 import unittest
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -71,7 +71,6 @@
     before: Periods = ()
     during: Periods = ()
     trouble: str = "none"
-    headers: dict[str, str] = field(default_factory=dict)
 
 
 def set_shares(state: GatewayState, periods: Periods) -> None:
@@ -192,6 +191,9 @@
 KEPT, MOVED = request_id_of(OLD), request_id_of(NEW)
 STEADY: Periods = ((90, HALVES),)
 CHANGED: Periods = ((90, ONLY_OLD), (0, HALVES))
+ASSIGNED = Scenario(stream_id=KEPT, before=STEADY)
+# The shares change while the stream is under way.
+SHIFTED = Scenario(stream_id=MOVED, before=CHANGED[:1], during=CHANGED)
 
 
 class ResumedStreamTests(unittest.TestCase):
@@ -200,24 +202,10 @@
             ("same_gateway", Scenario(killed=False)),
             ("after_a_kill", Scenario()),
             ("same_gateway_store_down", Scenario(killed=False, trouble="store_down")),
-            ("assigned", Scenario(stream_id=KEPT, before=STEADY)),
-            (
-                "assigned_store_down",
-                Scenario(stream_id=KEPT, before=STEADY, trouble="store_down"),
-            ),
-            (
-                "shares_change_in_stream",
-                Scenario(stream_id=MOVED, before=CHANGED[:1], during=CHANGED),
-            ),
-            (
-                "beside_odd_journal",
-                Scenario(
-                    stream_id=MOVED,
-                    before=CHANGED[:1],
-                    during=CHANGED,
-                    trouble="odd_journal",
-                ),
-            ),
+            ("assigned", ASSIGNED),
+            ("assigned_store_down", replace(ASSIGNED, trouble="store_down")),
+            ("shares_change_in_stream", SHIFTED),
+            ("beside_odd_journal", replace(SHIFTED, trouble="odd_journal")),
             # No endpoint had the version that the id is assigned to.
             ("exception", Scenario(before=((90, ONLY_NEW),))),
         ]
@@ -234,22 +222,12 @@
         [
             (
                 "ambiguous_store_down",
-                Scenario(
-                    stream_id=MOVED,
-                    before=CHANGED[:1],
-                    during=CHANGED,
-                    trouble="store_down",
-                ),
+                replace(SHIFTED, trouble="store_down"),
                 "origin_unknown",
             ),
             (
                 "ambiguous_journal_lost",
-                Scenario(
-                    stream_id=MOVED,
-                    before=CHANGED[:1],
-                    during=CHANGED,
-                    trouble="journals_lost",
-                ),
+                replace(SHIFTED, trouble="journals_lost"),
                 "origin_unknown",
             ),
             ("gone", Scenario(trouble="version_gone"), "version_gone"),
--- a/tests/test_software/test_journal.py
+++ b/tests/test_software/test_journal.py
@@ -51,13 +51,15 @@
 
 
 class BatchTests(unittest.TestCase):
-    # Needs of the entries, number of nodes, and the time from one write to the next.
+    # Needs of the entries, number of nodes, whether the process stops, and the time
+    # from one write to the next.
     @parameterized.expand(
         [
-            ("nothing", (), 4, math.inf),
-            ("few_nodes", (JournalNeed.SOON,), 4, 0.2),
-            ("many_nodes", (JournalNeed.SOON,), 390, 19.5),
-            ("not_waiting", (JournalNeed.AT_ONCE, JournalNeed.SOON), 390, 0.2),
+            ("nothing", (), 4, False, math.inf),
+            ("few_nodes", (JournalNeed.SOON,), 4, False, 0.2),
+            ("many_nodes", (JournalNeed.SOON,), 390, False, 19.5),
+            ("stop", (JournalNeed.SOON,), 390, True, 0.2),
+            ("not_waiting", (JournalNeed.AT_ONCE, JournalNeed.SOON), 390, False, 0.2),
         ]
     )
     def test_time_between_writes(
@@ -65,9 +67,11 @@
         _name: str,
         needs: tuple[JournalNeed, ...],
         nodes: int,
+        is_stopping: bool,
         interval_s: float,
     ) -> None:
         journal = OwnJournal()
+        journal.is_stopping = is_stopping
         journal.begin_write(NOW)
         for number, need in enumerate(needs):
             journal.add(f"r{number}", OLD, NOW + 10, need)
--- a/tests/test_software/test_origins.py
+++ b/tests/test_software/test_origins.py
@@ -29,7 +29,8 @@
 class JournalNeedTests(unittest.TestCase):
     @parameterized.expand(
         [
-            ("no_record", None, OLD, JournalNeed.SOON),
+            # Other gateways may have read a record.
+            ("no_record", None, OLD, JournalNeed.AT_ONCE),
             ("follows", record_of((50, ONLY_OLD)), OLD, JournalNeed.NONE),
             ("exception", record_of((50, ONLY_OLD)), NEW, JournalNeed.AT_ONCE),
             (
