--- a/src/agatehoist/software/shares_view.py
+++ b/src/agatehoist/software/shares_view.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from agatehoist.software.types import ShareRecord, StoredShares
     from agatehoist.storage.revisions import Revision
@@ -17,6 +17,10 @@
     def __init__(self) -> None:
         self.records_by_service: dict[str, ShareRecord] = {}
         self.stored_by_service: dict[str, StoredShares] = {}
+        # Called with each record that is taken over, and the one before.
+        self.on_accepted: Callable[[ShareRecord, ShareRecord | None], None] = (
+            lambda _record, _before: None
+        )
 
     def accept(self, record: ShareRecord) -> bool:
         """Take over a record unless a newer one is known; return whether it was new."""
@@ -24,6 +28,7 @@
         if known is not None and known.number >= record.number:
             return False
         self.records_by_service[record.service] = record
+        self.on_accepted(record, known)
         return True
 
     def note_stored(self, service: str, stored: StoredShares) -> None:
