Show that whole streams are broken off long after an order without effect

Cause: once an order to stop has got no answer, the end of a stream without length or chunks is in doubt for good. The doubt is resolved by the copy, which is given up after 5 s, or by another run, for which there may be no retry.

Both orders were never carried out.

--- a/tests/test_gateway/test_stopped_streams.py
+++ b/tests/test_gateway/test_stopped_streams.py
@@ -30,6 +30,9 @@
 # Longer than a gateway waits for the end of a stream that it has stopped.
 LATE_STOP_S = 0.4
 SLOW_COPY_S = 0.1
+NEVER_S = 60.0
+# Such a stream takes longer than a copy is kept after an order without an answer.
+LONG_EVENT_COUNT = 700
 ROUTES = ("credit", "trace")
 
 
@@ -134,7 +137,7 @@
     def test_stream_that_ends_before_its_stop_is_delivered_once(
         self, path: str, fault: str
     ) -> None:
-        world = moving_world(are_unframed=True, stop_delay_s=60.0)
+        world = moving_world(are_unframed=True, stop_delay_s=NEVER_S)
         bodies: list[bytes] = []
 
         async def run() -> None:
@@ -218,3 +221,51 @@
 
         anyio.run(run)
         self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
+
+    # The answer to the call, on a route without retries. No endpoint has room for
+    # another copy later, so that the order isn't repeated.
+    @parameterized.expand([("lost",), ("failed",)])
+    def test_stream_that_ends_long_after_an_order_without_effect_is_whole(
+        self, fault: str
+    ) -> None:
+        world = moving_world(
+            are_unframed=True, stop_delay_s=NEVER_S, event_count=LONG_EVENT_COUNT
+        )
+        bodies: list[bytes] = []
+
+        def refuse_all_copies() -> None:
+            for each in world.engines:
+                refuse_copies(world, each)
+
+        async def run() -> None:
+            async with running_gateway(world):
+                for each in world.engines:
+                    each.move_faults.append(fault)
+                    each.on_move = refuse_all_copies
+                _, body = await drain_while_running(world, "/credit/1")
+                bodies.append(body)
+
+        anyio.run(run)
+        self.assertEqual(bodies, [stream_of(LONG_EVENT_COUNT)])
+
+    def test_whole_stream_is_not_broken_off_once_the_retries_are_used_up(self) -> None:
+        """Nothing but another run shows whether an order without effect cut it."""
+        world = moving_world(engine_count=2, are_unframed=True, stop_delay_s=NEVER_S)
+        bodies: list[bytes] = []
+
+        async def spend_retries_later() -> None:
+            await anyio.sleep(LATE_STOP_S)
+            budget = world.state.retry_budget(world.engines[0].service)
+            while budget.try_spend():
+                pass
+
+        async def run() -> None:
+            async with running_gateway(world), anyio.create_task_group() as task_group:
+                for each in world.engines:
+                    each.move_faults.append("lost")
+                task_group.start_soon(spend_retries_later)
+                _, body = await drain_while_running(world, "/trace/1")
+                bodies.append(body)
+
+        anyio.run(run)
+        self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
