Continue a run that may have been stopped where it was before breaking it off

Cause: after an order to stop without an answer, the copy is given up on resumable routes, and on others after 5 s. If the run is stopped then, and no other endpoint takes the stream (all are down, leave, have other weights or another software version), it was broken off, although its source has it in memory.

Change: the state machine notes where the run may be in memory, and continues it there as the last resort, for a retry, unless another attempt has brought pieces meanwhile. An endpoint that hasn't stopped the run rejects it.

--- a/src/agatehoist/attempts/machine.py
+++ b/src/agatehoist/attempts/machine.py
@@ -24,6 +24,7 @@
     FindReplacement,
     Finish,
     LinkLost,
+    MayBeStopped,
     NotAdmitted,
     NotWritten,
     Offered,
@@ -106,6 +107,8 @@
         self._may_have_run: set[AttemptId] = set()
         # The move after which the current attempt continues a run, if there is one.
         self._move: RunMoved | None = None
+        # The run that brought the last piece, if its endpoint may have it in memory.
+        self._last_resort: MayBeStopped | None = None
         self._dispatch_count = 0
         self._search_count = 0
         self._resumes = 0
@@ -155,6 +158,8 @@
 
     @EVENT_HANDLERS.register(NotAdmitted)
     def _on_not_admitted(self, event: NotAdmitted, now: float) -> Decisions:
+        if event.refusal.code == NoEndpoint.code:
+            return self._continue_or_refuse(event.refusal, now)
         return self._refuse(event.refusal, now)
 
     @EVENT_HANDLERS.register(NotWritten)
@@ -224,8 +229,29 @@
         # attempt: _may_have_run keeps the id of the attempt before the move and doesn't
         # get the id of the attempt that continues the run.
         cancelled = self._cancel_others(event.attempt_id)
+        self._last_resort = None
         return (*cancelled, self._continue_run(event))
 
+    @EVENT_HANDLERS.register(MayBeStopped)
+    def _on_may_be_stopped(self, event: MayBeStopped, _now: float) -> Decisions:
+        if self._is_current(event.attempt_id):
+            self._last_resort = event
+        return ()
+
+    def _continue_or_refuse(self, refusal: Refusal, now: float) -> Decisions:
+        """Continue a run that may have been stopped, as nothing else is left."""
+        run, self._last_resort = self._last_resort, None
+        if run is None or now >= self.rules.deadline or not self._budget.try_spend():
+            return self._refuse(refusal, now)
+        return (self._continue_run(RunMoved(run.attempt_id, run.offer, run.run_name)),)
+
+    def _note_source_of_pieces(self, attempt_id: AttemptId) -> None:
+        if self._move is not None and self._move.attempt_id == attempt_id:
+            self._end_move()
+        if self._last_resort is not None and self._last_resort.attempt_id != attempt_id:
+            # The run in memory lacks these pieces.
+            self._last_resort = None
+
     def _continue_run(self, move: RunMoved) -> ContinueRun:
         self.target = self._next_target(move.offer)
         self._move = replace(move, attempt_id=self.target.attempt_id)
@@ -283,8 +309,7 @@
             return (Drop(EventFault.LATE), *cancelled)
         if event.goes_on:
             self._is_replacing = False
-        if self._move is not None and self._move.attempt_id == event.attempt_id:
-            self._end_move()
+        self._note_source_of_pieces(event.attempt_id)
         self.pieces.extend(new)
         if not self.rules.keeps_pieces:
             delivered = len(self.pieces) - 1 - max(0, received - 1)
@@ -367,7 +392,7 @@
 
     def _search_again(self, now: float) -> Decisions:
         if self._search_count >= self.rules.max_offer_searches:
-            return self._refuse(self._last_refusal(), now)
+            return self._continue_or_refuse(self._last_refusal(), now)
         self._search_count += 1
         return (FindOffers(next_retry_at(now, self._search_count, self._rng)),)
 
@@ -383,7 +408,7 @@
         if (continued := self._continue_at_source(attempt_id, refusal)) is not None:
             return (continued,)
         if not self.may_retry:
-            return self._refuse(refusal, now)
+            return self._continue_or_refuse(refusal, now)
         if self._has_all_tokens():
             return self._finish_at_max_tokens()
         return self._dispatch(now)
--- a/src/agatehoist/attempts/types.py
+++ b/src/agatehoist/attempts/types.py
@@ -203,6 +203,18 @@
     retries_taken_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class MayBeStopped:
+    """Report that a run may be stopped, and where it could go on then.
+
+    The endpoint of the offer rejects `run_name` if it hasn't stopped the run.
+    """
+
+    attempt_id: AttemptId
+    offer: Offer
+    run_name: str
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
     """Report that the deadline of the request has passed."""
@@ -231,6 +243,7 @@
     | LinkLost
     | ResumeFailed
     | RunMoved
+    | MayBeStopped
     | DeadlinePassed
     | CallerDisconnected
     | ProcessStopping
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from agatehoist.attempts.types import RunMoved
+from agatehoist.attempts.types import MayBeStopped, RunMoved
 from agatehoist.core.identity import EndpointIdentity
 from agatehoist.fleet.view import UNKNOWN_VERSION
 from agatehoist.gateway.endpoint_calls import (
@@ -248,6 +248,8 @@
     The retries for it were taken at an epoch time.
     """
     source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
+    version = attempt.dispatch.weights_version
+    offer, fallback = _offer(destination, version), _offer(source, version)
     attempt.is_stopping = True
     stopped = None
     ends_within_s = STOPPED_WITHIN_S
@@ -271,8 +273,8 @@
                 endpoint=source.lifetime,
                 reason=str(error),
             )
-    version = attempt.dispatch.weights_version
-    offer, fallback = _offer(destination, version), _offer(source, version)
+            stoppable = MayBeStopped(attempt.attempt_id, fallback, name)
+            await attempt.send_event(stoppable)
     retry_budget = state.retry_budget(request.service)
     failed_copies = state.active_requests.failed_copies
     if stopped is None:
--- a/tests/test_attempts/test_moves.py
+++ b/tests/test_attempts/test_moves.py
@@ -18,6 +18,7 @@
     Ending,
     FindOffers,
     Finish,
+    MayBeStopped,
     Offered,
     PiecesArrived,
     Refuse,
@@ -38,6 +39,10 @@
 NOT_RUN = NotStarted.refuse("other weights").refusal
 MAY_HAVE_RUN = OutcomeUnknown.refuse("reset").refusal
 FIRST, SECOND, THIRD = AttemptId("g", 1), AttemptId("g", 2), AttemptId("g", 3)
+FAILED = AttemptRefused(FIRST, MAY_HAVE_RUN)
+SECOND_NOT_RUN = AttemptRefused(SECOND, NOT_RUN)
+SECOND_PIECE = PiecesArrived(SECOND, 2, ("z",))
+SECOND_FAILED = AttemptRefused(SECOND, MAY_HAVE_RUN)
 
 
 def offer(host: str) -> Offer:
@@ -172,6 +177,43 @@
         self.assertEqual(sum(budget.try_spend() for _ in range(3)), left)
 
 
+class MayBeStoppedTests(unittest.TestCase):
+    # Whether the route allows retries, the events after the order to stop, whether a
+    # retry is left, and whether the run goes on at the endpoint that has it in memory.
+    @parameterized.expand(
+        [
+            ("no_retry_allowed", False, (FAILED,), True, True),
+            ("budget_used_up", False, (FAILED,), False, False),
+            ("a_retry_comes_first", True, (FAILED,), True, False),
+            ("retry_not_run", True, (FAILED, SECOND_NOT_RUN), True, True),
+            ("other_pieces", True, (FAILED, SECOND_PIECE, SECOND_FAILED), True, False),
+        ]
+    )
+    def test_run_in_memory_is_the_last_resort(
+        self,
+        _name: str,
+        idempotent: bool,
+        events: tuple[Event, ...],
+        has_retry: bool,
+        goes_on: bool,
+    ) -> None:
+        """A stream that can go on must not be broken off."""
+        numbers = itertools.count(1)
+        budget = RetryBudget(max_saved_retries=2.0 if has_retry else 0.0)
+        rules = RetryRules(idempotent, 9.0, max_dispatches=2)
+        machine = RequestMachine(
+            rules, budget, lambda: AttemptId("g", next(numbers)), random.Random(1)
+        )
+        machine.start(0.0)
+        machine.handle(Offered((offer("a"), offer("b"))), 0.0)
+        machine.handle(PiecesArrived(FIRST, 0, ("x", "y")), 0.1)
+        machine.handle(MayBeStopped(FIRST, offer("a"), "a/7"), 0.1)
+        for event in events:
+            decisions = machine.handle(event, 0.15)
+        continued = [each for each in decisions if isinstance(each, ContinueRun)]
+        self.assertEqual([each.run_name for each in continued], ["a/7"] * goes_on)
+
+
 class OfferTests(unittest.TestCase):
     @parameterized.expand([("fresh", 0.1, False), ("old", 0.3, True)])
     def test_old_offers_are_replaced_by_new_ones(
--- a/tests/test_gateway/test_stopped_streams.py
+++ b/tests/test_gateway/test_stopped_streams.py
@@ -229,7 +229,10 @@
         self, fault: str
     ) -> None:
         world = moving_world(
-            are_unframed=True, stop_delay_s=NEVER_S, event_count=LONG_EVENT_COUNT
+            are_unframed=True,
+            stop_delay_s=NEVER_S,
+            keeps_stopped_runs=False,
+            event_count=LONG_EVENT_COUNT,
         )
         bodies: list[bytes] = []
 
