Give the endpoints of a release a moment before their shares change

Change: a change that isn't urgent waits for 0.25 s at the gateway that writes first. Its test said that it writes at once, which still holds for versions that have no endpoint left; both are rows of the table now.

--- a/src/agatehoist/software/planning.py
+++ b/src/agatehoist/software/planning.py
@@ -38,6 +38,9 @@
 # Gateways suspect different endpoints. The first one's view holds where nothing has
 # vanished, so the others leave it this much longer.
 NOT_URGENT_DELAY_S = 2.0
+# The endpoints of a release start within moments of each other. A period that begins
+# with the first of them would leave the others without streams until the next one.
+SETTLE_S = 0.25
 
 
 def next_record(
@@ -132,7 +135,7 @@
     `fraction` is a random number from 0 to 1.
     """
     if place <= 0:
-        return 0.0
+        return 0.0 if is_urgent else SETTLE_S
     delay_s = WRITE_DELAY_STEP_S * min(place, ORDERED_WRITERS)
     if place >= ORDERED_WRITERS:
         spread_s = WRITE_SPREAD_S_PER_NODE * node_count
--- a/tests/test_software/test_planning.py
+++ b/tests/test_software/test_planning.py
@@ -216,7 +216,8 @@
 class WriteDelayTests(unittest.TestCase):
     @parameterized.expand(
         [
-            ("first", 0, False, 0.0, 0.0),
+            ("first", 0, True, 0.0, 0.0),
+            ("first_not_urgent", 0, False, 0.25, 0.25),
             ("second", 1, True, 0.4, 0.4),
             ("second_not_urgent", 1, False, 2.4, 2.4),
             ("last", 389, True, 2.0, 4.0),
