Show that copies that arrive late are not freed

Cause: a gateway frees the copy of a run once it gives up its move. If the rest of the copy arrives later, nobody frees it.

--- a/tests/test_gateway/test_unused_copies.py
+++ b/tests/test_gateway/test_unused_copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from functools import partial
 
 import anyio
 from parameterized import parameterized
@@ -13,9 +14,12 @@
     connect_as_caller,
     slow_configuration,
 )
+from tests.test_gateway.test_run_moves import drain_while_running
 
 EVENT_COUNT = 300
 COPY_S = 0.3
+# Longer than a gateway waits for a stop on a route that allows another run.
+LATE_COPY_S = 0.6
 
 
 class CallerLeavesTests(unittest.TestCase):
@@ -55,3 +59,26 @@
                 return freed, len(budget._retries_at)
 
         self.assertEqual(anyio.run(run), (1, 0))
+
+
+class LateCopyTests(unittest.TestCase):
+    # How long the rest of the copy takes after the run has been stopped.
+    @parameterized.expand([("in_time", 0.0), ("late", LATE_COPY_S)])
+    def test_copy_that_is_not_used_is_freed(self, _name: str, copy_s: float) -> None:
+        """It would hold a slot of its endpoint, also if it arrives after the end."""
+        world = GatewayHarness(2)
+        world.store.put("config", "main", slow_configuration())
+        for each in world.engines:
+            each.event_count = EVENT_COUNT
+            each.before_copy = partial(anyio.sleep, copy_s)
+        left: list[str] = []
+
+        async def run() -> None:
+            async with running_gateway(world):
+                source, _ = await drain_while_running(world, "/trace/1")
+                await anyio.sleep(3 * LATE_COPY_S)
+                (other,) = (each for each in world.engines if each is not source)
+                left.extend(other._made_under_by_copy)
+
+        anyio.run(run)
+        self.assertEqual(left, [])
