Show that a late stop of the next run at an endpoint is not taken as its end

Cause: no test failed without the doubt that an attempt takes over from an earlier one at its endpoint.

Change: the stand-in carries a late order out on the run that is there then. The test resets the first run, leaves only its endpoint, and lets the order stop the second run.

--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -367,8 +367,10 @@
         continued = "kv-from" in headers
         (self.continued_runs if continued else self.runs).append(run)
         self._use_cache(run)
-        # A run that was moved away may be tried here again.
-        self._stopping_at_by_run.pop(run.request_id, None)
+        # A run that was moved away may be tried here again. An order that is still to
+        # be carried out stops the run that is here then.
+        if self._is_stopped(run):
+            self._stopping_at_by_run.pop(run.request_id)
         self.active += 1
         priority = headers.get(PRIORITY, DEFAULT_PRIORITY)
         self._priority_by_run[request_id] = int(priority)
--- a/tests/test_gateway/test_stopped_streams.py
+++ b/tests/test_gateway/test_stopped_streams.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from anyio.abc import TaskGroup
+
     from standins.users_platform.endpoint import EndpointStandIn
 
 EVENT_COUNT = 60
@@ -55,6 +57,25 @@
             crash(world, each)
 
 
+def leave_only(
+    world: GatewayHarness, source: EndpointStandIn, task_group: TaskGroup
+) -> None:
+    """Let no other endpoint serve, and this one reset its runs before it stops them."""
+    source.on_move = lambda: None
+    world.list_endpoint(source, State="ready")
+    for each in world.engines:
+        if each is not source:
+            each.down_s = NEVER_S
+            each.crash()
+    task_group.start_soon(reset_runs, source)
+
+
+async def reset_runs(source: EndpointStandIn) -> None:
+    """Reset the runs of an endpoint after a while."""
+    await anyio.sleep(SLOW_COPY_S)
+    source._reset_runs()
+
+
 class StoppedStreamTests(unittest.TestCase):
     # The route, on which a stream may be resumed or not, the answer to the call that
     # stops the run, when and where the stream is closed, and whether it has chunks.
@@ -272,3 +293,30 @@
 
         anyio.run(run)
         self.assertEqual(bodies, [stream_of(EVENT_COUNT)])
+
+    def test_late_stop_of_the_next_run_at_an_endpoint_is_not_taken_as_its_end(
+        self,
+    ) -> None:
+        """The order was given for the run before, which was reset meanwhile."""
+        world = moving_world(are_unframed=True, stop_delay_s=LATE_STOP_S)
+        failures: list[ConnectionFailedError] = []
+
+        async def ask() -> None:
+            try:
+                await world.ask_prompt("/trace/1")
+            except ConnectionFailedError as error:
+                failures.append(error)
+
+        async def run() -> None:
+            async with running_gateway(world), anyio.create_task_group() as task_group:
+                for each in world.engines:
+                    each.move_faults.extend(["lost"] * 9)
+                    each.on_move = partial(leave_only, world, each, task_group)
+                task_group.start_soon(ask)
+                await until(lambda: any(each.active for each in world.engines))
+                await anyio.sleep(0.1)
+                (source,) = (each for each in world.engines if each.active)
+                world.list_endpoint(source, State="draining")
+
+        anyio.run(run)
+        self.assertEqual(len(failures), 1)
