--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -73,8 +73,8 @@
 LASTING_ROUTES = ("trace", "trace", "trace", "credit")
 LASTING_EVENT_COUNTS = range(100, 400)
 # Share of them whose callers lose their connection, and the longest time until then.
-CUT_OFF_SHARE = 0.3
-MAX_UNTIL_CUT_OFF_S = 3.0
+CUT_OFF_SHARE = 0.6
+MAX_UNTIL_CUT_OFF_S = 2.0
 # The version in the data of an event; the last one may have been cut off.
 SOFTWARE_MARK = re.compile(rb"(?<=\d) (v\d*)?(?=\n|\Z)")
 WHOLE_MARK = re.compile(rb"(?<=\d) (v\d+)\n")
