--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -373,8 +373,12 @@
     endpoint.is_leaving = True
     await anyio.sleep(rng.uniform(MIN_STATED_S, MIN_STATED_S + MAX_FAULT_S))
     endpoint.is_leaving = False
+    # Nobody knows it before the first request, as while an engine changes its weights.
+    stated_at = next(
+        (at for at in endpoint.arrivals if at > began_at), time.monotonic()
+    )
     testbed.statement_periods.append(
-        StatementPeriod("leaving", endpoint.name, began_at, time.monotonic())
+        StatementPeriod("leaving", endpoint.name, stated_at, time.monotonic())
     )
     endpoint.started_ms += rng.randint(1, 5)
     testbed.publish_endpoint(endpoint.name)
--- a/soak/resumption_invariants.py
+++ b/soak/resumption_invariants.py
@@ -101,11 +101,18 @@
         each.subject
         for each in (*endpoints.path_faults, *endpoints.silences)
         if each.overlaps(began_at, ended_at)
-    } | {
+    }
+    disturbed |= {
         each.endpoint
         for each in endpoints.periods
         if each.began_at <= ended_at and began_at <= each.ended_at
     }
+    # Gateways plan a change of weights before they order it.
+    disturbed |= {
+        each.subject
+        for each in endpoints.weights_changes
+        if each.overlaps(began_at, ended_at + RETURN_S)
+    }
     return sum(
         each.software == software
         and each.period.began_at <= began_at
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -155,6 +155,11 @@
             ),
             tuple(self.silences),
             (*self._services, *map(self._service, self._service_begins)),
+            tuple(
+                Period(each.name, *period)
+                for each in endpoints
+                for period in each.busy_periods
+            ),
         )
 
     async def restore_store(self, copied: StoreCopy, wait_s: float) -> None:
--- a/soak/types.py
+++ b/soak/types.py
@@ -180,6 +180,7 @@
     path_faults: tuple[Period, ...] = ()
     silences: tuple[Period, ...] = ()
     services: tuple[Service, ...] = ()
+    weights_changes: tuple[Period, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_soak/test_resumption_invariants.py
+++ b/tests/test_soak/test_resumption_invariants.py
@@ -103,6 +103,7 @@
             ("other_gateway_down", {}, {"down": (Period("g", 90.0, 99.0),)}, True),
             ("crash", {"path_faults": (Period("e", 99.0, 99.0),)}, {}, False),
             ("silence", {"silences": (Period("e", 100.5, 102.0),)}, {}, False),
+            ("weights", {"weights_changes": (Period("e", 103.0, 104.0),)}, {}, False),
             ("one_engine", {"services": SERVICES[:1]}, {}, False),
             (
                 "engine_leaves",
