--- a/tests/test_soak/test_seed_run.py
+++ b/tests/test_soak/test_seed_run.py
@@ -21,6 +21,7 @@
 
 OVERLAPPING_STOPS = ("stops_that_overlap", "slow_engines")
 PLANNED_WORK = ("planned_work", "slow_engines")
+STOPPED_STREAMS = ("last_steps_of_moves", "unframed_streams")
 
 
 class SeedRunTests(unittest.TestCase):
@@ -35,6 +36,7 @@
             ("cut_at_the_end_of_the_grace", 24, 8.0, STOPS),
             ("signals_until_the_end_of_a_stop", 5002, 2.0, OVERLAPPING_STOPS),
             ("long_streams_taken_late_in_a_stop", 6001, 1.0, PLANNED_WORK),
+            ("stopped_streams_taken_as_whole", 9102, 1.0, STOPPED_STREAMS),
         ]
     )
     def test_no_invariant_is_violated(
