Split the order to stop a run from what follows it

Cause: _stop did both, and had grown with the cases without an answer. Change: _order_stop sends the order and notes what the attempt must know; no behaviour changes.

--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -28,6 +28,7 @@
     from agatehoist.attempts.budget import WindowBudget
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.attempt import Attempt
+    from agatehoist.gateway.endpoint_calls import StoppedRun
     from agatehoist.gateway.state import GatewayState
     from agatehoist.routing.types import RoutedRequest
 
@@ -255,24 +256,10 @@
     ends_within_s = STOPPED_WITHIN_S
     # A run that has failed meanwhile is continued by the copy that was made before.
     if not await attempt.has_failed_in_move():
-        was_stopped_before = attempt.may_be_stopped
-        attempt.may_be_stopped = True
-        timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
         try:
-            stopped = await move_run(state, source, request_id, destination, timeout_s)
-            if stopped is None and not was_stopped_before:
-                attempt.note_not_stopped()
-        except CallFailedError as error:
+            stopped = await _order_stop(state, request, attempt, destination, may_retry)
+        except CallFailedError:
             ends_within_s = COPY_KEPT_S
-            attempt.unanswered_stops += 1
-            # The endpoint may be silent, or sound, for all that is known.
-            attempt.is_stopping = False
-            logger.info(
-                "run stopped without an answer",
-                request=request_id,
-                endpoint=source.lifetime,
-                reason=str(error),
-            )
             stoppable = MayBeStopped(attempt.attempt_id, fallback, name)
             await attempt.send_event(stoppable)
     retry_budget = state.retry_budget(request.service)
@@ -300,6 +287,39 @@
     )
 
 
+async def _order_stop(
+    state: GatewayState,
+    request: RoutedRequest,
+    attempt: Attempt,
+    destination: Endpoint,
+    may_retry: bool,
+) -> StoppedRun | None:
+    """Order a run to stop; return None if it wasn't stopped.
+
+    Raises CallFailedError, after which the run may have been stopped, or may be later.
+    """
+    source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
+    was_stopped_before = attempt.may_be_stopped
+    attempt.may_be_stopped = True
+    timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
+    try:
+        stopped = await move_run(state, source, request_id, destination, timeout_s)
+    except CallFailedError as error:
+        attempt.unanswered_stops += 1
+        # The endpoint may be silent, or sound, for all that is known.
+        attempt.is_stopping = False
+        logger.info(
+            "run stopped without an answer",
+            request=request_id,
+            endpoint=source.lifetime,
+            reason=str(error),
+        )
+        raise
+    if stopped is None and not was_stopped_before:
+        attempt.note_not_stopped()
+    return stopped
+
+
 def _offer(endpoint: Endpoint, version: int) -> Offer:
     identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
     candidate = Candidate(endpoint.name, endpoint.data_centre)
