Put a comment back beside its counter, and name the fifth watch

Cause: a merge of counters had split a comment from what it describes, and the comment on the rate of watches counted four topics. Change: comments only.

--- a/src/agatehoist/gateway/store_watch.py
+++ b/src/agatehoist/gateway/store_watch.py
@@ -25,7 +25,8 @@
 
 # Changes come in bursts; this delay lets one watch return a whole burst. All nodes
 # watch again after a burst, so the delay grows with their number: 1,000 nodes with four
-# watches each make at most 2,000 calls a second, the rate limit of the store.
+# watches each make at most 2,000 calls a second, the rate limit of the store. The fifth
+# watch is that of the shares of software versions, which seldom change.
 BATCH_DELAY_S = 0.05
 BATCH_DELAY_S_PER_NODE = 0.002
 # A process counts as starting for this long; see Topic.
--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -59,7 +59,6 @@
 RETRIES_TOTAL = Counter("agatehoist_retries_total", "Dispatches after the first.")
 # Answers read again from a token on.
 RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
-# Calls with an idempotency key, by the state of the key's claim.
 # `outcome` is how the software version was found, or the code of the refusal.
 RESUMED_STREAMS_TOTAL = Counter(
     "agatehoist_resumed_streams_total", "Streams that callers resume, by outcome."
@@ -69,6 +68,7 @@
     "agatehoist_journaled_streams_total",
     "Streams whose software version was journaled, by need.",
 )
+# Calls with an idempotency key, by the state of the key's claim.
 CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
 # Answers in which an endpoint names a limit, says that it leaves or asks for time.
 ENDPOINT_STATEMENTS_TOTAL = Counter(
