--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -378,7 +378,9 @@
         """End an engine that has drained, with what it still runs."""
         self.retired_engines.add(engine.name)
         self.draining_endpoints.discard(engine.name)
-        self.harness.store.remove("servers", engine.name)
+        # Another fault may have removed the entry meanwhile.
+        if engine.name in self.harness.store.objects_by_kind.get("servers", {}):
+            self.harness.store.remove("servers", engine.name)
         engine.crash()
 
     def set_framing(self, engine: EndpointStandIn, are_unframed: bool) -> None:
