Tell a caller at once that its stream's origin will stay unknown

Callers whose stream couldn't be placed after all gateways had been killed were told to come back after a second, three times, before they could ask anew.

Change: such a stream is journaled when it is sent, a prefill earlier; and a refusal is final, with 0.1 s, if shares and journals have been read.

--- a/src/agatehoist/software/stream_origin.py
+++ b/src/agatehoist/software/stream_origin.py
@@ -27,10 +27,11 @@
 
 # A journal may lack an entry for so long after the first event.
 JOURNAL_LAG_S = 0.25
-# Journals and shares may be readable again, or written, after this time.
-UNKNOWN_RETRY_S = 1.0
-# The version won't come back; the caller is to ask for a new stream.
-GONE_RETRY_S = 0.1
+# The store, which can't be read, may be back after this time.
+STORE_RETRY_S = 1.0
+# Nothing will change: neither does the version come back, nor is a journal written
+# that lacks the stream. The caller is to ask for a new stream.
+FINAL_RETRY_S = 0.1
 
 
 class StreamOrigin:
@@ -53,6 +54,7 @@
             or envelope.resumed_request_id is not None
         )
         self._found: FoundOrigin | None = None
+        self._are_journals_read = False
         self._has_begun = False
 
     async def choose(self) -> Refusal | None:
@@ -79,12 +81,12 @@
         self._search.software = software
 
     def note_sent(self, endpoint: Endpoint) -> None:
-        """Journal a stream that is about to begin at a version that isn't its own."""
+        """Journal a stream that others couldn't resume before its first event."""
         request_id = self._request.envelope.request_id
         if not self._is_bound or self._is_resumption or self._has_begun:
             return
         need = self._need(request_id, endpoint)
-        if self._record is None or need is JournalNeed.AT_ONCE:
+        if need is not JournalNeed.NONE:
             expires_at = self._request.deadline
             self._state.journal.add(request_id, endpoint.software, expires_at, need)
 
@@ -146,11 +148,13 @@
             resumed = envelope.resumed_request_id or "a stream without an id"
             number = "none" if self._record is None else str(self._record.number)
             detail = f"{resumed}: its software version isn't known, shares {number}"
-            return OriginUnknown.refuse(detail, now + UNKNOWN_RETRY_S).refusal
+            is_final = self._are_journals_read and self._record is not None
+            retry_at = now + (FINAL_RETRY_S if is_final else STORE_RETRY_S)
+            return OriginUnknown.refuse(detail, retry_at).refusal
         if found.software not in self._listed():
             service = self._request.service
             detail = f"no endpoint of {service} has software {found.software}"
-            return VersionGone.refuse(detail, now + GONE_RETRY_S).refusal
+            return VersionGone.refuse(detail, now + FINAL_RETRY_S).refusal
         return None
 
     def _record_outcome(
@@ -181,6 +185,7 @@
             await anyio.sleep(JOURNAL_LAG_S)
             journaled = await self._state.journal_reader.read()
             found = find_origin(self._evidence(journaled))
+        self._are_journals_read = journaled is not None
         return found
 
     def _evidence(self, journaled: JournaledVersions | None) -> OriginEvidence:
--- a/tests/test_gateway/test_resumed_streams.py
+++ b/tests/test_gateway/test_resumed_streams.py
@@ -51,6 +51,8 @@
 SHORT_STREAM = "/trace/short"
 # The stream is under way for so long before it breaks off.
 STREAMED_S = 0.6
+# A caller that is told to come back this soon hasn't to wait for anything.
+FINAL_RETRY_S = 0.5
 # Above the numbers of records that gateways write themselves.
 FIRST_RECORD = 1000
 Periods = tuple[tuple[float, dict[str, float]], ...]
@@ -224,27 +226,33 @@
                 "ambiguous_store_down",
                 replace(SHIFTED, trouble="store_down"),
                 "origin_unknown",
+                False,
             ),
             (
                 "ambiguous_journal_lost",
                 replace(SHIFTED, trouble="journals_lost"),
                 "origin_unknown",
+                True,
             ),
-            ("gone", Scenario(trouble="version_gone"), "version_gone"),
+            ("gone", Scenario(trouble="version_gone"), "version_gone", True),
             (
                 "gone_at_same_gateway",
                 Scenario(killed=False, trouble="version_gone"),
                 "version_gone",
+                True,
             ),
         ]
     )
     def test_stream_that_can_not_go_on_is_refused_and_not_run(
-        self, _name: str, scenario: Scenario, code: str
+        self, _name: str, scenario: Scenario, code: str, is_final: bool
     ) -> None:
+        """A caller that waits for what won't change asks for a new stream too late."""
         world = ResumedStreamWorld(scenario)
         reply = play(world)
         self.assertEqual(reply.head.status, 503)
         self.assertIn(code, reply.body.decode())
+        retry_after_s = float(reply.head.value(b"retry-after") or 0)
+        self.assertEqual(retry_after_s < FINAL_RETRY_S, is_final)
         self.assertEqual(software_of(world, "r2"), set())
 
 
@@ -281,6 +289,30 @@
 
 
 class JournalTests(unittest.TestCase):
+    def test_ambiguous_stream_is_journaled_before_its_first_event(self) -> None:
+        """All gateways may be killed right after it."""
+        world = GatewayHarness()
+        world.engines[0].software = NEW
+        world.engines[0].faults = ["silent_before_head"]
+        periods = ((90, ONLY_OLD), (10, HALVES))
+        replies: list[Reply] = []
+
+        async def ask() -> None:
+            request = {"x_agatehoist_request_id": MOVED}
+            replies.append(await world.ask_prompt("/trace/1", **request))
+
+        async def run() -> None:
+            async with running_gateway(world), anyio.create_task_group() as task_group:
+                set_shares(world.state, periods)
+                task_group.start_soon(ask)
+                await until(lambda: ORIGINS_KIND in world.store.objects_by_kind)
+                self.assertEqual(replies, [])
+                journaled = json.dumps(world.store.objects_by_kind[ORIGINS_KIND])
+                self.assertIn(NEW, journaled)
+
+        anyio.run(run)
+        self.assertEqual(replies[0].head.status, 200)
+
     def test_process_loses_no_entry_of_other_processes_of_its_node(self) -> None:
         world = GatewayHarness()
 
