--- a/src/agatehoist/software/journal.py
+++ b/src/agatehoist/software/journal.py
@@ -28,7 +28,7 @@
 MIN_WRITE_INTERVAL_S = 0.2
 RETRY_DELAY_S = 0.5
 # Of all gateways together, without the entries that can't wait.
-MAX_WRITES_PER_S = 20.0
+MAX_WRITES_PER_S = 60.0
 
 
 class InvalidJournalError(InvalidInputError):
--- a/tests/test_software/test_journal.py
+++ b/tests/test_software/test_journal.py
@@ -57,7 +57,7 @@
         [
             ("nothing", (), 4, False, math.inf),
             ("few_nodes", (JournalNeed.SOON,), 4, False, 0.2),
-            ("many_nodes", (JournalNeed.SOON,), 390, False, 19.5),
+            ("many_nodes", (JournalNeed.SOON,), 390, False, 6.5),
             ("stop", (JournalNeed.SOON,), 390, True, 0.2),
             ("not_waiting", (JournalNeed.AT_ONCE, JournalNeed.SOON), 390, False, 0.2),
         ]
