--- a/src/agatehoist/gateway/request_driver.py
+++ b/src/agatehoist/gateway/request_driver.py
@@ -316,6 +316,8 @@
         attempt_id = decision.target.attempt_id
         if endpoint is None:
             return NotWritten(attempt_id, "the endpoint has gone")
+        if self._search.software not in (None, endpoint.software):
+            return NotWritten(attempt_id, f"{endpoint.name} has other software now")
         if (quarantined := self._quarantine_refusal()) is not None:
             if decision.replaced is not None:
                 # The silent attempt may go on.
@@ -358,6 +360,8 @@
         limit_per_s = self._state.statements.limit_per_s(key, self._now())
         if limit_per_s is not None:
             step += f", limit {limit_per_s}/s"
+        if endpoint.software:
+            step += f", software {endpoint.software}"
         if dispatch.weights_version:
             step += f", cache {dispatch.salt}{self._weights_age_text(dispatch)}"
         self._add_step(step)
@@ -393,6 +397,12 @@
             is_replacement,
             lifetime in self._asked_lifetimes,
         )
+        # An order without an answer may be carried out late, on a run that goes on at
+        # the same endpoint.
+        attempt.may_be_stopped = any(
+            each.may_be_stopped and each.dispatch.endpoint.lifetime == lifetime
+            for each in self._attempts_by_id.values()
+        )
         self._attempts_by_id[attempt_id] = attempt
         self._asked_lifetimes.add(lifetime)
         self._state.spawn(self._run_attempt, attempt)
@@ -513,6 +523,8 @@
         self._add_step("first event")
         assert self._attempt is not None
         assert self._attempt.stream_head is not None
+        # What other versions write doesn't fit to the events that the caller has.
+        self._search.software = self._attempt.dispatch.endpoint.software
         await self._writer.start(self._attempt.stream_head)
 
     async def _next_event(self) -> Event:
@@ -564,6 +576,8 @@
             service=request.service,
             prompt=self._last_shared_part(),
             configuration=request.table_version,
+            # The request that began the stream, if the caller resumes one.
+            resumes=request.envelope.resumed_request_id or "",
             fleet=str(self._state.fleet.revision),
             steps=self._steps,
             outcome=self._outcome,
