--- a/src/agatehoist/observability/metrics.py
+++ b/src/agatehoist/observability/metrics.py
@@ -60,6 +60,15 @@
 # Answers read again from a token on.
 RESUMES_TOTAL = Counter("agatehoist_resumes_total", "Answers read again, by cause.")
 # Calls with an idempotency key, by the state of the key's claim.
+# `outcome` is how the software version was found, or the code of the refusal.
+RESUMED_STREAMS_TOTAL = Counter(
+    "agatehoist_resumed_streams_total", "Streams that callers resume, by outcome."
+)
+# `need` is soon or at once, see software.origins.
+JOURNALED_STREAMS_TOTAL = Counter(
+    "agatehoist_journaled_streams_total",
+    "Streams whose software version was journaled, by need.",
+)
 CLAIMS_TOTAL = Counter("agatehoist_claims_total", "Keyed calls by what they found.")
 # Answers in which an endpoint names a limit, says that it leaves or asks for time.
 ENDPOINT_STATEMENTS_TOTAL = Counter(
@@ -95,6 +104,10 @@
 WITHDRAWN_FOR_WEIGHTS_TOTAL = Counter(
     "agatehoist_withdrawn_for_weights_total", "Runs taken back from old weights."
 )
+# Records of shares that came into force, written here or by another gateway.
+SHARE_CHANGES_TOTAL = Counter(
+    "agatehoist_share_changes_total", "Changes of the shares of software versions."
+)
 # `source` is memory, fetch or read (computed), as far as this process knows.
 SHARED_TOKENS_TOTAL = Counter(
     "agatehoist_shared_tokens_total", "Shared prompt tokens sent, by expected source."
@@ -133,6 +146,7 @@
     "EXPLAINED_FAILURES_TOTAL",
     "HIT_TOKENS",
     "IN_FLIGHT",
+    "JOURNALED_STREAMS_TOTAL",
     "LONGEST_GAP_SECONDS",
     "OUTCOMES_TOTAL",
     "QUARANTINES_TOTAL",
@@ -140,11 +154,13 @@
     "REFUSALS_TOTAL",
     "PERMITS_TOTAL",
     "PLATFORM_CALLS_TOTAL",
+    "RESUMED_STREAMS_TOTAL",
     "RESUMES_TOTAL",
     "REQUEST_SECONDS",
     "RETRIES_TOTAL",
     "REGISTRY",
     "SHARED_TOKENS_TOTAL",
+    "SHARE_CHANGES_TOTAL",
     "SPILL_SHARE",
     "TTFT_SECONDS",
     "UNANSWERED_REQUESTS_TOTAL",
