--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -155,6 +155,11 @@
             ),
             tuple(self.silences),
             (*self._services, *map(self._service, self._service_begins)),
+            tuple(
+                Period(each.name, *period)
+                for each in endpoints
+                for period in each.busy_periods
+            ),
         )
 
     async def restore_store(self, copied: StoreCopy, wait_s: float) -> None:
@@ -373,7 +378,9 @@
         """End an engine that has drained, with what it still runs."""
         self.retired_engines.add(engine.name)
         self.draining_endpoints.discard(engine.name)
-        self.harness.store.remove("servers", engine.name)
+        # Another fault may have removed the entry meanwhile.
+        if engine.name in self.harness.store.objects_by_kind.get("servers", {}):
+            self.harness.store.remove("servers", engine.name)
         engine.crash()
 
     def set_framing(self, engine: EndpointStandIn, are_unframed: bool) -> None:
--- a/src/agatehoist/gateway/run_moves.py
+++ b/src/agatehoist/gateway/run_moves.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from agatehoist.attempts.types import RunMoved
+from agatehoist.attempts.types import MayBeStopped, RunMoved
 from agatehoist.core.identity import EndpointIdentity
 from agatehoist.fleet.view import UNKNOWN_VERSION
 from agatehoist.gateway.endpoint_calls import (
@@ -28,6 +28,7 @@
     from agatehoist.attempts.budget import WindowBudget
     from agatehoist.fleet.types import Endpoint
     from agatehoist.gateway.attempt import Attempt
+    from agatehoist.gateway.endpoint_calls import StoppedRun
     from agatehoist.gateway.state import GatewayState
     from agatehoist.routing.types import RoutedRequest
 
@@ -248,31 +249,19 @@
     The retries for it were taken at an epoch time.
     """
     source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
+    version = attempt.dispatch.weights_version
+    offer, fallback = _offer(destination, version), _offer(source, version)
     attempt.is_stopping = True
     stopped = None
     ends_within_s = STOPPED_WITHIN_S
     # A run that has failed meanwhile is continued by the copy that was made before.
     if not await attempt.has_failed_in_move():
-        was_stopped_before = attempt.may_be_stopped
-        attempt.may_be_stopped = True
-        timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
         try:
-            stopped = await move_run(state, source, request_id, destination, timeout_s)
-            if stopped is None and not was_stopped_before:
-                attempt.note_not_stopped()
-        except CallFailedError as error:
+            stopped = await _order_stop(state, request, attempt, destination, may_retry)
+        except CallFailedError:
             ends_within_s = COPY_KEPT_S
-            attempt.unanswered_stops += 1
-            # The endpoint may be silent, or sound, for all that is known.
-            attempt.is_stopping = False
-            logger.info(
-                "run stopped without an answer",
-                request=request_id,
-                endpoint=source.lifetime,
-                reason=str(error),
-            )
-    version = attempt.dispatch.weights_version
-    offer, fallback = _offer(destination, version), _offer(source, version)
+            stoppable = MayBeStopped(attempt.attempt_id, fallback, name)
+            await attempt.send_event(stoppable)
     retry_budget = state.retry_budget(request.service)
     failed_copies = state.active_requests.failed_copies
     if stopped is None:
@@ -298,6 +287,39 @@
     )
 
 
+async def _order_stop(
+    state: GatewayState,
+    request: RoutedRequest,
+    attempt: Attempt,
+    destination: Endpoint,
+    may_retry: bool,
+) -> StoppedRun | None:
+    """Order a run to stop; return None if it wasn't stopped.
+
+    Raises CallFailedError, after which the run may have been stopped, or may be later.
+    """
+    source, request_id = attempt.dispatch.endpoint, request.envelope.request_id
+    was_stopped_before = attempt.may_be_stopped
+    attempt.may_be_stopped = True
+    timeout_s = CALL_TIMEOUT_S if may_retry else MOVE_TIMEOUT_S
+    try:
+        stopped = await move_run(state, source, request_id, destination, timeout_s)
+    except CallFailedError as error:
+        attempt.unanswered_stops += 1
+        # The endpoint may be silent, or sound, for all that is known.
+        attempt.is_stopping = False
+        logger.info(
+            "run stopped without an answer",
+            request=request_id,
+            endpoint=source.lifetime,
+            reason=str(error),
+        )
+        raise
+    if stopped is None and not was_stopped_before:
+        attempt.note_not_stopped()
+    return stopped
+
+
 def _offer(endpoint: Endpoint, version: int) -> Offer:
     identity = EndpointIdentity(endpoint.name, endpoint.lifetime, str(version))
     candidate = Candidate(endpoint.name, endpoint.data_centre)
