Don't log the lack of an assigned version where there is no other one

Cause: with one version, the search for a replacement of a silent engine that found none also logged 'no endpoint left of software v1', which tells of streams that begin elsewhere. test_steps_say_what_was_done_about_a_silence (no_others) failed once in a run of all tests in six parts, when the record of shares was known before the silence.

Change: the step is logged only if another version is listed. Measured: test_silent_endpoints and test_resumed_streams pass (58).

--- a/src/agatehoist/software/stream_origin.py
+++ b/src/agatehoist/software/stream_origin.py
@@ -76,7 +76,9 @@
         if software is not None and not has_usable(
             self._state, self._request, tried, software
         ):
-            self._search.steps.append(f"no endpoint left of software {software}")
+            if self._listed() - {software}:
+                step = f"no endpoint left of software {software}"
+                self._search.steps.append(step)
             software = None
         self._search.software = software
 
