--- a/standins/users_platform/endpoint.py
+++ b/standins/users_platform/endpoint.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -18,6 +19,7 @@
 from agatehoist.core.registry import Registry
 from agatehoist.http1.errors import ConnectionFailedError
 from agatehoist.http1.server import ServerConnection
+from standins.raw_replies import INVALID_STATUSES
 from standins.users_platform.kv_cache import KvNetwork, PartMemory
 from standins.users_platform.loopback import HOST, serve_requests
 
@@ -81,8 +83,9 @@
     body: bytes
     method: str = "GET"
     received_at: float = field(default_factory=time.monotonic)
-    # That of the endpoint as it ran the request.
+    # Those of the endpoint as it ran the request.
     software: str = ""
+    is_unframed: bool = False
 
     @property
     def identity(self) -> RequestIdentity:
@@ -122,7 +125,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEnd:
-    """Record how and when a run ended, and the fault that it took, if any."""
+    """Record how and when a run ended, and the fault of it or of its move, if any."""
 
     request_id: str
     ending: Ending
@@ -139,7 +142,8 @@
     order_faults alike, where "lost" loads the weights, then resets the connection in
     place of a reply.
 
-    run_ends has an entry for each run that has ended, also for continued ones.
+    run_ends has an entry for each run that has ended, also for continued ones, and
+    busy_periods one for each order, from its acceptance until its weights are loaded.
     stopped holds the ids of requests whose run was moved away. busy is set from the
     acceptance of an order until its weights are loaded. A request waits queue_s before
     it starts, and is dropped if its caller leaves meanwhile. rejections names why
@@ -152,7 +156,8 @@
     after its call has arrived, inside an event if stops_inside_event. freed has the
     handles of copies that were given up.
 
-    Streams have neither a length nor chunks if they are_unframed.
+    Streams have neither a length nor chunks if they are_unframed. The data of events
+    names the software if it marks_events.
 
     All answers state limit_per_s, if it is set, and whether the endpoint is_leaving;
     refusals also state pause_s. Arrivals are those of all requests, run or refused.
@@ -192,12 +197,14 @@
     stop_delay_s: float = 0.0
     stops_inside_event: bool = False
     are_unframed: bool = False
+    marks_events: bool = False
     # Whether a run that was stopped can be continued where it was.
     keeps_stopped_runs: bool = True
     freed: list[str] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
     active: int = 0
     busy: bool = False
+    busy_periods: list[tuple[float, float]] = field(default_factory=list)
     # Whether its reports are as of a time before its runs began.
     reports_no_runs: bool = False
     checks_version: bool = True
@@ -220,6 +227,8 @@
     # Start of the endpoint in epoch milliseconds.
     started_ms: int = 1_700_000_000_000
     _connection_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    _ended_unframed: set[str] = field(default_factory=set)
+    _move_faults_by_run: dict[str, str] = field(default_factory=dict)
     _stopping_at_by_run: dict[str, float] = field(default_factory=dict)
     _run_scopes: set[anyio.CancelScope] = field(default_factory=set)
     _weights_changes: int = 0
@@ -363,12 +372,17 @@
             request.body,
             request.head.method.decode(),
             software=self.software,
+            is_unframed=self.are_unframed,
         )
         continued = "kv-from" in headers
         (self.continued_runs if continued else self.runs).append(run)
         self._use_cache(run)
-        # A run that was moved away may be tried here again.
-        self._stopping_at_by_run.pop(run.request_id, None)
+        # A run that was moved away may be tried here again. An order that is still to
+        # be carried out stops the run that is here then.
+        if self._is_stopped(run):
+            self._stopping_at_by_run.pop(run.request_id)
+        self._ended_unframed.discard(request_id)
+        self._move_faults_by_run.pop(request_id, None)
         self.active += 1
         priority = headers.get(PRIORITY, DEFAULT_PRIORITY)
         self._priority_by_run[request_id] = int(priority)
@@ -377,7 +391,7 @@
             with anyio.CancelScope() as scope:
                 self._run_scopes.add(scope)
                 await self._answer_run(connection, run, fault)
-                if _has_ended_reply(connection):
+                if _has_ended_reply(connection) or request_id in self._ended_unframed:
                     ending = Ending.WHOLE
                 elif self._is_stopped(run):
                     ending = Ending.MOVED
@@ -389,6 +403,7 @@
         finally:
             if self.crashed.is_set() and ending is not Ending.WHOLE:
                 ending = Ending.CRASHED
+            fault = fault or self._move_faults_by_run.get(request_id, "")
             end = RunEnd(run.request_id, ending, fault, time.monotonic())
             self.run_ends.append(end)
             self._run_scopes.discard(scope)
@@ -467,8 +482,10 @@
         With a count, reset the connection after so many events.
         """
         ended = await self._send_events(connection, run, count)
-        if self.are_unframed and count is None:
+        if run.is_unframed and count is None:
             connection.close()
+            if ended:
+                self._ended_unframed.add(run.request_id)
         elif ended and count is None:
             await connection.end()
         else:
@@ -481,10 +498,11 @@
         first = int(run.headers_by_name.get("last-event-id", "0"))
         send = await self._begin_stream(connection, run)
         until = self.event_count_of(run) if count is None else first + count
+        mark = f" {run.software}" if self.marks_events else ""
         # Sleeps beside load add up to far more than their sum.
         due_at = anyio.current_time()
         for number in range(first + 1, until + 1):
-            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            event = f"id: {number}\ndata: t{number}{mark}\n\n".encode()
             if self._is_stopped(run):
                 if self.stops_inside_event:
                     await send(event[:-3])
@@ -498,7 +516,7 @@
         self, connection: ServerConnection, run: ReceivedRequest
     ) -> Callable[[bytes], Awaitable[None]]:
         """Send the head of a stream, and return how its events are sent."""
-        if self.are_unframed:
+        if run.is_unframed:
             await _send_raw(self, connection, run, b"\r\n")
             return connection._channel.send
         await connection.send_head(200, (*self.answer_headers(run), STREAM, CHUNKED))
@@ -582,16 +600,16 @@
             )
             if self.keeps_stopped_runs:
                 self._made_under_by_copy[name] = made_under
+        fault = self.move_faults.pop(0) if is_last and self.move_faults else ""
+        if fault:
+            self._move_faults_by_run[request_id] = f"{fault} last step"
         if receive is not None:
             await receive(name, made_under, is_last)
-        fault = self.move_faults.pop(0) if is_last and self.move_faults else ""
         if fault:
             await MOVE_FAULTS[fault](connection)
-        elif receive is not None or is_last:
-            status = 503 if receive is None else 200
-            await _send_json(connection, status, {"handle": handle, "Created": 1})
         else:
-            await connection.send_reply(503, (), b"")
+            status = 503 if receive is None else 200
+            await _answer_move(connection, status, handle if receive or is_last else "")
 
     async def _free_copy(self, connection: ServerConnection, handle: str) -> None:
         for name in tuple(self._made_under_by_copy):
@@ -620,6 +638,13 @@
         await self._load(order)
 
     async def _load(self, order: dict[str, Any]) -> None:
+        began_at = time.monotonic()
+        try:
+            await self._change_weights_by(order)
+        finally:
+            self.busy_periods.append((began_at, time.monotonic()))
+
+    async def _change_weights_by(self, order: dict[str, Any]) -> None:
         if order.get("Model") in self.versions_by_other_model:
             await anyio.sleep(WEIGHTS_LOAD_S)
             self.versions_by_other_model[order["Model"]] = order["Version"]
@@ -652,6 +677,13 @@
     return b"\r\n".join([*lines, b"content-length: 0", b"", b""])
 
 
+async def _answer_move(connection: ServerConnection, status: int, handle: str) -> None:
+    if handle:
+        await _send_json(connection, status, {"handle": handle, "Created": 1})
+    else:
+        await connection.send_reply(status, (), b"")
+
+
 @MOVE_FAULTS.register("lost")
 async def _lose_move_reply(connection: ServerConnection) -> None:
     connection.abort()
@@ -907,11 +939,12 @@
     run: ReceivedRequest,
     rest: bytes,
     *framing: bytes,
+    status: bytes = b"200 OK",
 ) -> None:
     """Send a head with no other framing headers than the given ones, and the rest."""
     headers = [*endpoint.answer_headers(run)]
     headers += [STREAM] if endpoint.model else []
-    lines = [b"HTTP/1.1 200 OK", *(b": ".join(each) for each in headers), *framing]
+    lines = [b"HTTP/1.1 " + status, *(b": ".join(each) for each in headers), *framing]
     await connection._channel.send(b"\r\n".join([*lines, rest]))
 
 
@@ -953,6 +986,25 @@
     connection.abort()
 
 
+async def _answer_with_status(
+    status: str,
+    endpoint: EndpointStandIn,
+    connection: ServerConnection,
+    run: ReceivedRequest,
+) -> None:
+    body = _raw_body(endpoint, run)
+    length = f"content-length: {len(body)}".encode()
+    rest = b"\r\n" + body
+    await _send_raw(
+        endpoint, connection, run, rest, length, status=f"{status} Odd".encode()
+    )
+    connection.close()
+
+
+for _status in INVALID_STATUSES:
+    UNUSUAL_ANSWERS.register(f"status_{_status}")(partial(_answer_with_status, _status))
+
+
 @FAULTS.register("half_head")
 async def _end_inside_the_head(
     endpoint: EndpointStandIn, connection: ServerConnection, run: ReceivedRequest
--- a/tests/test_http1/test_client.py
+++ b/tests/test_http1/test_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     InvalidRequestError,
 )
 from agatehoist.http1.types import RequestHead
+from standins.raw_replies import INVALID_STATUSES
 from standins.users_platform.loopback import HOST, listen_on_loopback
 
 if TYPE_CHECKING:
@@ -24,6 +26,9 @@
 
 HEAD = RequestHead(b"GET", b"/", ((b"host", b"a.example"),))
 MAX_BODY_BYTES = 1000
+SETTLE_S = 0.05
+# The socket of the client takes it, but not that of a peer which reads nothing.
+UPLOAD = b"x" * 600_000
 
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n"
@@ -81,6 +86,10 @@
             ("no_http", b"\x00\x01 no answer\r\n\r\n"),
             ("bad_length", b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nab"),
             ("too_long", b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n" + b"x" * 2000),
+            *(
+                (f"status_{each}", f"HTTP/1.1 {each} Odd\r\n\r\nab".encode())
+                for each in (*INVALID_STATUSES, "101")
+            ),
         ]
     )
     def test_invalid_reply(self, _name: str, reply: bytes) -> None:
@@ -126,6 +135,103 @@
         self.assertEqual(anyio.run(read_parts, reply), [b"ab" + b"c" * 100, end])
 
 
+class ResetTests(unittest.TestCase):
+    # Whether the connection is looked at after its reset, which the kernel reports only
+    # once, and what of the body has been read before.
+    @parameterized.expand(
+        [
+            ("not_looked_at", False, False),
+            ("looked_at", True, False),
+            ("looked_at_within_body", True, True),
+        ]
+    )
+    def test_reset_is_not_taken_for_the_end_of_a_reply_without_length(
+        self, _name: str, looked_at: bool, has_begun: bool
+    ) -> None:
+        async def serve(channel: Channel) -> None:
+            await channel.receive()
+            await channel.send(b"HTTP/1.1 200 OK\r\n\r\nab")
+            await anyio.sleep(SETTLE_S)
+            channel.abort()
+
+        async def run() -> bytes | AgatehoistError:
+            async with listen_on_loopback(serve) as port:
+                connection = ClientConnection(await connect(HOST, port))
+                try:
+                    await connection.send(HEAD, b"")
+                    await connection.read_head()
+                    if has_begun:
+                        await connection.read_data()
+                    await anyio.sleep(2 * SETTLE_S)
+                    if looked_at:
+                        self.assertFalse(connection.is_idle())
+                    return await connection.read_body(MAX_BODY_BYTES)
+                except AgatehoistError as error:
+                    return error
+                finally:
+                    connection.close()
+
+        self.assertIsInstance(anyio.run(run), ConnectionFailedError)
+
+
+class UnreadRequestTests(unittest.TestCase):
+    # Whether the peer resets the connection behind the end of its stream, and whether
+    # the reply is read after that.
+    @parameterized.expand(
+        [("left_open", False), ("reset_then", True)],
+    )
+    def test_success_without_length_is_not_whole_before_the_request_has_arrived(
+        self, _name: str, is_reset: bool
+    ) -> None:
+        result = anyio.run(self._ask, b"200", UPLOAD, is_reset)
+        self.assertIsInstance(result, ConnectionFailedError)
+
+    # A refusal may come before the whole request has; a small one arrives at once.
+    @parameterized.expand(
+        [
+            ("refusal", b"413", UPLOAD, False),
+            ("refusal_with_reset", b"413", UPLOAD, True),
+            ("small_request", b"200", b"x", False),
+        ]
+    )
+    def test_other_reply_is_read_to_its_end(
+        self, _name: str, status: bytes, body: bytes, is_reset: bool
+    ) -> None:
+        self.assertEqual(anyio.run(self._ask, status, body, is_reset), b"ab")
+
+    async def _ask(
+        self, status: bytes, body: bytes, is_reset: bool
+    ) -> bytes | AgatehoistError:
+        """Return the body of the reply of a peer that doesn't read the request."""
+        head = RequestHead(
+            b"POST",
+            b"/",
+            ((b"host", b"a"), (b"content-length", str(len(body)).encode())),
+        )
+
+        async def serve(channel: Channel) -> None:
+            await channel.receive()
+            await channel.send(b"HTTP/1.1 " + status + b" Odd\r\n\r\nab")
+            channel._sock.shutdown(socket.SHUT_WR)
+            await anyio.sleep(SETTLE_S)
+            if is_reset:
+                channel.abort()
+            await anyio.sleep(4 * SETTLE_S)
+            channel.close()
+
+        async with listen_on_loopback(serve) as port:
+            connection = ClientConnection(await connect(HOST, port))
+            try:
+                await connection.send(head, body)
+                await anyio.sleep(2 * SETTLE_S)
+                await connection.read_head()
+                return await connection.read_body(MAX_BODY_BYTES)
+            except AgatehoistError as error:
+                return error
+            finally:
+                connection.close()
+
+
 class InvalidRequestTests(unittest.TestCase):
     @parameterized.expand(
         [
